Add the design, the protocol crate and the micro-kernel

Cause: the repository was empty. The other crates need common identifiers, codecs, messages and result codes before they can be written in parallel.

Change: docs/design.md records requirements, choices and the alternatives considered. fes-protocol holds identifiers, tickets, the routable connection ID codec, the authenticated encapsulation, control messages and numbered result codes. fes-kernel delivers typed messages and timers to components.

--- /dev/null
+++ b/crates/fes-kernel/src/lib.rs
@@ -0,0 +1,16 @@
+//! Micro-kernel: components find each other by name and exchange typed messages.
+//!
+//! The kernel has no clock and no socket. A driver delivers messages and time, and carries out
+//! what components send to names that the kernel doesn't host.
+
+mod component;
+mod kernel;
+mod timers;
+
+pub use component::Component;
+pub use component::ComponentName;
+pub use component::Event;
+pub use component::Outbox;
+pub use component::TimerToken;
+pub use kernel::Effect;
+pub use kernel::Kernel;
--- /dev/null
+++ b/crates/fes-protocol/src/collections.rs
@@ -0,0 +1,7 @@
+//! Hash map aliases used by the whole workspace.
+
+/// Hash map with a fast, non-cryptographic hasher. Keys must not be chosen by clients.
+pub type FastMap<K, V> = rustc_hash::FxHashMap<K, V>;
+
+/// Hash set with a fast, non-cryptographic hasher. Keys must not be chosen by clients.
+pub type FastSet<K> = rustc_hash::FxHashSet<K>;
--- /dev/null
+++ b/crates/fes-protocol/src/control.rs
@@ -0,0 +1,176 @@
+//! Control messages between processes, carried as encapsulated datagrams.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::EntryId;
+use crate::Incarnation;
+use crate::NodeId;
+use crate::ResultCode;
+use crate::ServiceId;
+use crate::TargetId;
+use crate::TicketNumber;
+
+/// Largest control message that is accepted, in bytes.
+const MAX_CONTROL_BYTES: usize = 1_372;
+
+/// Phase of a process's life as other processes see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Lifecycle {
+    /// Not ready for work.
+    Starting,
+    /// Accepts new work.
+    Serving,
+    /// Finishes work in progress and accepts no new work.
+    Draining,
+    /// Gone on purpose.
+    Stopped,
+}
+
+/// A peer that the sender of a heartbeat heard from lately.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeardPeer {
+    /// The peer's target.
+    pub target: TargetId,
+    /// Incarnation heard last.
+    pub incarnation: Incarnation,
+}
+
+/// Heartbeat among the agents of one service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PeerHeartbeat {
+    /// Sender's service.
+    pub service: ServiceId,
+    /// Sender's target.
+    pub target: TargetId,
+    /// Sender's incarnation.
+    pub incarnation: Incarnation,
+    /// Increases by one with each heartbeat of an incarnation.
+    pub sequence: u64,
+    /// Sender's phase of life.
+    pub lifecycle: Lifecycle,
+    /// Learnt capacity in milli-slots of a reference VM: 1,000 is one reference slot.
+    pub capacity_milli: u32,
+    /// Work that arrives at the sender, in the unit of `capacity_milli`.
+    pub demand_milli: u32,
+    /// Work waiting in the sender's queue, in milliseconds at its own speed.
+    pub queue_wait_ms: u32,
+    /// Open flows at the sender.
+    pub flow_count: u32,
+    /// The sender's monotonic clock in milliseconds, for key prefixes that name the sender.
+    pub key_issue_ms: u64,
+    /// Peers that the sender heard within its suspicion timeout.
+    pub heard: Vec<HeardPeer>,
+}
+
+/// Heartbeat from an agent to the entries that watch it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryHeartbeat {
+    /// Sender's service.
+    pub service: ServiceId,
+    /// Sender's target.
+    pub target: TargetId,
+    /// Sender's incarnation.
+    pub incarnation: Incarnation,
+    /// Sender's phase of life.
+    pub lifecycle: Lifecycle,
+    /// Open flows at the sender.
+    pub flow_count: u32,
+}
+
+/// An observer's opinion of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Verdict {
+    /// Heard lately.
+    Alive,
+    /// Silent past the failure timeout.
+    Dead,
+    /// Accepts no new work.
+    Leaving,
+}
+
+/// A verdict that spreads by gossip.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LivenessVerdict {
+    /// Service of the target.
+    pub service: ServiceId,
+    /// The target judged.
+    pub target: TargetId,
+    /// The incarnation judged. A verdict says nothing about other incarnations.
+    pub incarnation: Incarnation,
+    /// The opinion.
+    pub verdict: Verdict,
+    /// Orders verdicts about one incarnation; the higher one wins.
+    pub version: u32,
+}
+
+/// Announces a planned stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Goodbye {
+    /// Who stops.
+    pub node: NodeId,
+    /// The incarnation that stops.
+    pub incarnation: Incarnation,
+}
+
+/// Summary of the tickets that a process holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TicketDigest {
+    /// Sender.
+    pub node: NodeId,
+    /// Entry whose platform contact is the freshest that the sender knows of, if any.
+    pub reader: Option<EntryId>,
+    /// Highest ticket number held.
+    pub highest: TicketNumber,
+    /// Order-independent hash over all objects in force with their numbers.
+    pub state_hash: u64,
+    /// Age of the freshest platform contact known, in milliseconds.
+    pub platform_age_ms: u32,
+}
+
+/// A control message.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ControlMessage {
+    /// Heartbeat among agents.
+    PeerHeartbeat(PeerHeartbeat),
+    /// Heartbeat to an entry.
+    EntryHeartbeat(EntryHeartbeat),
+    /// Planned stop.
+    Goodbye(Goodbye),
+    /// Summary of tickets held.
+    TicketDigest(TicketDigest),
+    /// Verdicts that spread by gossip.
+    Liveness(Vec<LivenessVerdict>),
+}
+
+/// Encodes a control message.
+///
+/// # Errors
+///
+/// Returns [`ResultCode::ControlTooLarge`] if it doesn't fit into one datagram.
+pub fn encode_control(message: &ControlMessage) -> Result<Vec<u8>, ResultCode> {
+    let bytes = bincode::serde::encode_to_vec(message, bincode::config::standard())
+        .map_err(|_| ResultCode::ControlMalformed)?;
+    if bytes.len() > MAX_CONTROL_BYTES {
+        return Err(ResultCode::ControlTooLarge);
+    }
+    Ok(bytes)
+}
+
+/// Decodes a control message; trailing bytes are an error.
+///
+/// # Errors
+///
+/// Returns [`ResultCode::ControlTooLarge`] or [`ResultCode::ControlMalformed`].
+pub fn decode_control(bytes: &[u8]) -> Result<ControlMessage, ResultCode> {
+    if bytes.len() > MAX_CONTROL_BYTES {
+        return Err(ResultCode::ControlTooLarge);
+    }
+    let config = bincode::config::standard().with_limit::<MAX_CONTROL_BYTES>();
+    let (message, used) = bincode::serde::decode_from_slice(bytes, config)
+        .map_err(|_| ResultCode::ControlMalformed)?;
+    if used != bytes.len() {
+        return Err(ResultCode::ControlMalformed);
+    }
+    Ok(message)
+}
--- /dev/null
+++ b/crates/fes-protocol/src/encapsulation.rs
@@ -0,0 +1,212 @@
+//! Encapsulation of datagrams between entries and agents, authenticated by a keyed MAC.
+//!
+//! Layout: fixed-size `bincode` header, 16-byte MAC over header and payload, payload.
+
+use std::net::IpAddr;
+use std::net::Ipv6Addr;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use siphasher::sip128::Hasher128;
+use siphasher::sip128::SipHasher24;
+
+use crate::EntryId;
+use crate::KeyEpoch;
+use crate::KeyRing;
+use crate::ResultCode;
+use crate::SecretKey;
+use crate::ServiceId;
+use crate::TargetId;
+use crate::TicketNumber;
+
+const VERSION: u8 = 1;
+const HEADER_LEN_BYTES: usize = 50;
+const MAC_LEN_BYTES: usize = 16;
+
+/// Bytes that the encapsulation adds to a datagram.
+pub const ENCAPSULATION_OVERHEAD_BYTES: usize = HEADER_LEN_BYTES + MAC_LEN_BYTES;
+
+/// Largest client datagram that entries pass on, in bytes. With encapsulation and IP headers it
+/// stays below an Ethernet MTU of 1,500.
+pub const MAX_CLIENT_DATAGRAM_BYTES: usize = 1_372;
+
+/// What the payload of an encapsulated datagram is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DatagramKind {
+    /// A client's datagram on its way to an agent.
+    Forward,
+    /// An agent's datagram on its way to a client.
+    Return,
+    /// A [`crate::ControlMessage`].
+    Control,
+}
+
+/// Decoded header of an encapsulated datagram.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Encapsulation {
+    /// What the payload is.
+    pub kind: DatagramKind,
+    /// Service that the client addressed.
+    pub service: ServiceId,
+    /// Target whose agent receives (forward) or sent (return) the datagram.
+    pub target: TargetId,
+    /// Entry that received the client's datagram, or that is asked to return one.
+    pub entry: EntryId,
+    /// Number of the service's ticket that the routing decision used.
+    pub ticket: TicketNumber,
+    /// The client's address.
+    pub client: SocketAddr,
+    /// How often an agent passed the datagram on: 0 or 1.
+    pub hop_count: u8,
+    /// Sender's wall clock in milliseconds, modulo 2^32. For traces only.
+    pub sent_ms: u32,
+}
+
+#[derive(Serialize, Deserialize)]
+struct EncapsulationWire {
+    version: u8,
+    key_epoch: u8,
+    kind: u8,
+    hop_count: u8,
+    service_id: u32,
+    target_id: u32,
+    entry_id: u32,
+    ticket_number: u64,
+    client_ip: [u8; 16],
+    client_port: u16,
+    sent_ms: u32,
+    payload_bytes: u32,
+}
+
+/// Encodes and decodes encapsulated datagrams under the accepted key epochs.
+#[derive(Debug, Clone)]
+pub struct EncapsulationCodec {
+    keys: KeyRing,
+}
+
+impl EncapsulationCodec {
+    /// Makes a codec from the accepted keys.
+    #[must_use]
+    pub const fn new(keys: KeyRing) -> Self {
+        Self { keys }
+    }
+
+    /// Encodes header and payload into one datagram.
+    #[must_use]
+    pub fn encode(&self, header: &Encapsulation, payload: &[u8]) -> Vec<u8> {
+        let wire = EncapsulationWire::from_header(header, self.keys.current_epoch(), payload.len());
+        let mut out = vec![0; ENCAPSULATION_OVERHEAD_BYTES + payload.len()];
+        // The header has a fixed size, so that encoding into this buffer can't fail.
+        let _ = bincode::serde::encode_into_slice(&wire, &mut out[..HEADER_LEN_BYTES], config());
+        out[ENCAPSULATION_OVERHEAD_BYTES..].copy_from_slice(payload);
+        let mac = mac(self.keys.current(), &out[..HEADER_LEN_BYTES], payload);
+        out[HEADER_LEN_BYTES..ENCAPSULATION_OVERHEAD_BYTES].copy_from_slice(&mac);
+        out
+    }
+
+    /// Checks and decodes a datagram; returns its header and payload.
+    ///
+    /// # Errors
+    ///
+    /// Returns the drop reason if the datagram is short, has another version or key epoch, or was
+    /// not made with an accepted key.
+    pub fn decode<'a>(&self, datagram: &'a [u8]) -> Result<(Encapsulation, &'a [u8]), ResultCode> {
+        if datagram.len() < ENCAPSULATION_OVERHEAD_BYTES {
+            return Err(ResultCode::DatagramTooShort);
+        }
+        let (head, payload) = datagram.split_at(ENCAPSULATION_OVERHEAD_BYTES);
+        let (header, received_mac) = head.split_at(HEADER_LEN_BYTES);
+        let (wire, _): (EncapsulationWire, usize) =
+            bincode::serde::decode_from_slice(header, config())
+                .map_err(|_| ResultCode::DatagramMalformed)?;
+        if wire.version != VERSION {
+            return Err(ResultCode::DatagramWrongVersion);
+        }
+        let key = self
+            .keys
+            .get(KeyEpoch(wire.key_epoch))
+            .ok_or(ResultCode::DatagramUnknownKeyEpoch)?;
+        if !equal_constant_time(&mac(key, header, payload), received_mac) {
+            return Err(ResultCode::DatagramForged);
+        }
+        if wire.payload_bytes as usize != payload.len() {
+            return Err(ResultCode::DatagramMalformed);
+        }
+        Ok((wire.try_into()?, payload))
+    }
+}
+
+impl EncapsulationWire {
+    fn from_header(header: &Encapsulation, epoch: KeyEpoch, payload_len_bytes: usize) -> Self {
+        Self {
+            version: VERSION,
+            key_epoch: epoch.0,
+            kind: match header.kind {
+                DatagramKind::Forward => 0,
+                DatagramKind::Return => 1,
+                DatagramKind::Control => 2,
+            },
+            hop_count: header.hop_count,
+            service_id: header.service.0,
+            target_id: header.target.0,
+            entry_id: header.entry.0,
+            ticket_number: header.ticket.0,
+            client_ip: ip_octets(header.client.ip()),
+            client_port: header.client.port(),
+            sent_ms: header.sent_ms,
+            payload_bytes: u32::try_from(payload_len_bytes).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl TryFrom<EncapsulationWire> for Encapsulation {
+    type Error = ResultCode;
+
+    fn try_from(wire: EncapsulationWire) -> Result<Self, ResultCode> {
+        let kind = match wire.kind {
+            0 => DatagramKind::Forward,
+            1 => DatagramKind::Return,
+            2 => DatagramKind::Control,
+            _ => return Err(ResultCode::DatagramMalformed),
+        };
+        Ok(Self {
+            kind,
+            service: ServiceId(wire.service_id),
+            target: TargetId(wire.target_id),
+            entry: EntryId(wire.entry_id),
+            ticket: TicketNumber(wire.ticket_number),
+            client: SocketAddr::new(
+                Ipv6Addr::from(wire.client_ip).to_canonical(),
+                wire.client_port,
+            ),
+            hop_count: wire.hop_count,
+            sent_ms: wire.sent_ms,
+        })
+    }
+}
+
+fn config() -> impl bincode::config::Config {
+    bincode::config::standard()
+        .with_fixed_int_encoding()
+        .with_big_endian()
+}
+
+fn ip_octets(ip: IpAddr) -> [u8; 16] {
+    match ip {
+        IpAddr::V4(v4) => v4.to_ipv6_mapped().octets(),
+        IpAddr::V6(v6) => v6.octets(),
+    }
+}
+
+fn mac(key: &SecretKey, header: &[u8], payload: &[u8]) -> [u8; MAC_LEN_BYTES] {
+    use std::hash::Hasher;
+    let mut hasher = SipHasher24::new_with_key(key.expose());
+    hasher.write(header);
+    hasher.write(payload);
+    hasher.finish128().as_bytes()
+}
+
+fn equal_constant_time(a: &[u8], b: &[u8]) -> bool {
+    a.len() == b.len() && a.iter().zip(b).fold(0, |acc, (x, y)| acc | (x ^ y)) == 0
+}
--- /dev/null
+++ b/crates/fes-protocol/src/secret.rs
@@ -0,0 +1,86 @@
+//! Secret keys with epochs.
+
+use std::fmt;
+
+use crate::KeyEpoch;
+
+/// A 16-byte secret key. Its `Debug` output never shows the key.
+#[derive(Clone, PartialEq, Eq)]
+pub struct SecretKey([u8; 16]);
+
+impl SecretKey {
+    /// Wraps key bytes.
+    #[must_use]
+    pub const fn new(bytes: [u8; 16]) -> Self {
+        Self(bytes)
+    }
+
+    /// Returns the key bytes for use in a cipher.
+    #[must_use]
+    pub const fn expose(&self) -> &[u8; 16] {
+        &self.0
+    }
+}
+
+impl fmt::Debug for SecretKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("SecretKey(redacted)")
+    }
+}
+
+/// The keys of the current and, during a rotation, of the previous epoch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyRing {
+    current_epoch: KeyEpoch,
+    current: SecretKey,
+    previous: Option<(KeyEpoch, SecretKey)>,
+}
+
+impl KeyRing {
+    /// Makes a ring that holds one key.
+    #[must_use]
+    pub const fn new(epoch: KeyEpoch, key: SecretKey) -> Self {
+        Self {
+            current_epoch: epoch,
+            current: key,
+            previous: None,
+        }
+    }
+
+    /// Also accepts the key of the epoch before.
+    #[must_use]
+    pub fn with_previous(mut self, epoch: KeyEpoch, key: SecretKey) -> Self {
+        self.previous = Some((epoch, key));
+        self
+    }
+
+    /// Returns the epoch that new output uses.
+    #[must_use]
+    pub const fn current_epoch(&self) -> KeyEpoch {
+        self.current_epoch
+    }
+
+    /// Returns the key that new output uses.
+    #[must_use]
+    pub const fn current(&self) -> &SecretKey {
+        &self.current
+    }
+
+    /// Returns the accepted key of `epoch`, if any.
+    #[must_use]
+    pub fn get(&self, epoch: KeyEpoch) -> Option<&SecretKey> {
+        if epoch == self.current_epoch {
+            return Some(&self.current);
+        }
+        self.previous
+            .as_ref()
+            .filter(|(e, _)| *e == epoch)
+            .map(|(_, key)| key)
+    }
+
+    /// Returns all accepted epochs with their keys, current first.
+    pub fn accepted(&self) -> impl Iterator<Item = (KeyEpoch, &SecretKey)> {
+        let current = std::iter::once((self.current_epoch, &self.current));
+        current.chain(self.previous.iter().map(|(epoch, key)| (*epoch, key)))
+    }
+}
