Lay out the workspace for the remaining crates

Cause: several crates are about to be written in parallel; each needs its place in the workspace and one common lock file.

--- /dev/null
+++ b/crates/fes-admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Deadline-aware admission, class estimates, concurrency limit and retry budget.
--- /dev/null
+++ b/crates/fes-agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent daemon as a library.
--- /dev/null
+++ b/crates/fes-command/src/lib.rs
@@ -0,0 +1,1 @@
+//! Commands of the fescueshift command line.
--- /dev/null
+++ b/crates/fes-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry daemon as a library.
--- /dev/null
+++ b/crates/fes-idempotency/src/lib.rs
@@ -0,0 +1,1 @@
+//! Key prefixes, idempotency store and execution typestate.
--- /dev/null
+++ b/crates/fes-measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Experiments on virtual time, baselines, reports and plots.
--- /dev/null
+++ b/crates/fes-membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Heartbeats, liveness, incarnations, clock jumps and process life cycle.
--- /dev/null
+++ b/crates/fes-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's read and watch interface.
--- /dev/null
+++ b/crates/fes-routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement tables, routing decisions, return path and request offload.
--- /dev/null
+++ b/crates/fes-settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! TOML settings, validated as a whole.
--- /dev/null
+++ b/crates/fes-telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Log prefixes, metrics, health endpoints and traces.
--- /dev/null
+++ b/crates/fes-testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Test doubles for the platform, upstreams, the fabric and clients.
--- /dev/null
+++ b/crates/fes-tickets/src/lib.rs
@@ -0,0 +1,1 @@
+//! Ticket validation, store, gossip, platform readers and diff.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Thin binary; see the crates for the program.
+
+fn main() {}
