--- /dev/null
+++ b/crates/fes-link/src/client.rs
@@ -0,0 +1,205 @@
+//! The calling end of links, with one connection per peer.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use fes_protocol::Error;
+use fes_protocol::FastMap;
+use fes_protocol::Result;
+use fes_protocol::ResultCode;
+use h2::RecvStream;
+use h2::client::SendRequest;
+use http::Request;
+use rustls_pki_types::ServerName;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio_rustls::TlsConnector;
+
+use crate::LINK_SERVER_NAME;
+use crate::LinkTls;
+use crate::decode_head;
+use crate::encode_head;
+use crate::head::prefixed;
+use crate::head::read_head;
+use crate::send_chunk;
+
+const WINDOW_BYTES: u32 = 1024 * 1024;
+
+/// Opens links to other processes and keeps them open.
+#[derive(Debug, Clone)]
+pub struct LinkPool {
+    inner: Rc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    tls: LinkTls,
+    links: RefCell<FastMap<SocketAddr, Link>>,
+}
+
+#[derive(Debug)]
+struct Link {
+    sender: SendRequest<Bytes>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// A message whose head was sent; its body may follow.
+#[derive(Debug)]
+pub struct LinkCall {
+    /// Takes the body of the message.
+    pub body: h2::SendStream<Bytes>,
+    response: h2::client::ResponseFuture,
+}
+
+/// The answer to a message.
+#[derive(Debug)]
+pub struct LinkReply {
+    /// Encoded head.
+    pub head: Bytes,
+    /// Body bytes that came with the head.
+    pub first_body: Bytes,
+    /// Rest of the body.
+    pub body: RecvStream,
+}
+
+impl LinkCall {
+    /// Waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::LinkClosed`] if the link closed or the peer gave the message up.
+    pub async fn reply(&mut self) -> Result<LinkReply> {
+        let response = (&mut self.response)
+            .await
+            .map_err(|e| Error::coded(ResultCode::LinkClosed, e.to_string()))?;
+        let mut body = response.into_body();
+        let (head, first_body) = read_head(&mut body).await?;
+        Ok(LinkReply {
+            head,
+            first_body,
+            body,
+        })
+    }
+}
+
+impl LinkPool {
+    /// Makes a pool without open links.
+    #[must_use]
+    pub fn new(tls: LinkTls) -> Self {
+        Self {
+            inner: Rc::new(Inner {
+                tls,
+                links: RefCell::default(),
+            }),
+        }
+    }
+
+    /// Sends a message and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::LinkRefused`] if nothing was sent, [`ResultCode::LinkClosed`] if the
+    /// message may have arrived.
+    pub async fn call<T: DeserializeOwned>(
+        &self,
+        peer: SocketAddr,
+        kind: &str,
+        head: &impl Serialize,
+    ) -> Result<T> {
+        let mut call = self.open(peer, kind, head, true).await?;
+        let reply = call.reply().await?;
+        decode_head(&reply.head)
+    }
+
+    /// Sends the head of a message. The body follows unless `end` is set.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::LinkRefused`] if nothing was sent, [`ResultCode::LinkClosed`] if the
+    /// message may have arrived.
+    pub async fn open(
+        &self,
+        peer: SocketAddr,
+        kind: &str,
+        head: &impl Serialize,
+        end: bool,
+    ) -> Result<LinkCall> {
+        let head = prefixed(&encode_head(head)?);
+        let mut sender = self.sender(peer).await?;
+        let request = Request::post(format!("https://{LINK_SERVER_NAME}/{kind}"))
+            .body(())
+            .map_err(|e| Error::coded(ResultCode::ControlMalformed, e.to_string()))?;
+        let (response, mut body) = sender
+            .send_request(request, false)
+            .map_err(|e| self.refused(peer, e))?;
+        send_chunk(&mut body, head, end)
+            .await
+            .map_err(|e| Error::coded(ResultCode::LinkClosed, e.to_string()))?;
+        Ok(LinkCall { body, response })
+    }
+
+    /// Closes all links.
+    pub fn close(&self) {
+        self.inner.links.borrow_mut().clear();
+    }
+
+    async fn sender(&self, peer: SocketAddr) -> Result<SendRequest<Bytes>> {
+        let open = self
+            .inner
+            .links
+            .borrow()
+            .get(&peer)
+            .map(|link| link.sender.clone());
+        if let Some(sender) = open {
+            match sender.ready().await {
+                Ok(sender) => return Ok(sender),
+                Err(_) => self.inner.links.borrow_mut().remove(&peer),
+            };
+        }
+        let link = connect(peer, &self.inner.tls)
+            .await
+            .map_err(|e| Error::io(ResultCode::LinkRefused, format!("link to {peer}"), e))?;
+        let sender = link.sender.clone();
+        self.inner.links.borrow_mut().insert(peer, link);
+        sender.ready().await.map_err(|e| self.refused(peer, e))
+    }
+
+    fn refused(&self, peer: SocketAddr, error: h2::Error) -> Error {
+        self.inner.links.borrow_mut().remove(&peer);
+        Error::coded(ResultCode::LinkRefused, format!("link to {peer}: {error}"))
+    }
+}
+
+async fn connect(peer: SocketAddr, tls: &LinkTls) -> std::io::Result<Link> {
+    let stream = TcpStream::connect(peer).await?;
+    stream.set_nodelay(true)?;
+    let name = ServerName::try_from(LINK_SERVER_NAME).map_err(std::io::Error::other)?;
+    let stream = TlsConnector::from(tls.client.clone())
+        .connect(name, stream)
+        .await?;
+    let mut builder = h2::client::Builder::new();
+    builder
+        .initial_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES * 4)
+        .enable_push(false);
+    let (sender, connection) = builder
+        .handshake::<_, Bytes>(stream)
+        .await
+        .map_err(std::io::Error::other)?;
+    let driver = actix_rt::spawn(async move {
+        if let Err(e) = connection.await {
+            log::debug!("link: connection to {peer} ended: {e}");
+        }
+    });
+    Ok(Link { sender, driver })
+}
--- a/crates/fes-link/src/lib.rs
+++ b/crates/fes-link/src/lib.rs
@@ -1,1 +1,26 @@
 //! Encapsulated datagrams and authenticated h2 links between own processes.
+//!
+//! A link is an h2 connection over mutual TLS. Each message starts with a length-prefixed `bincode`
+//! head; raw body bytes may follow in either direction.
+
+mod body;
+mod client;
+mod head;
+mod server;
+mod tls;
+mod udp;
+
+pub use body::next_chunk;
+pub use body::send_chunk;
+pub use client::LinkCall;
+pub use client::LinkPool;
+pub use client::LinkReply;
+pub use head::MAX_HEAD_BYTES;
+pub use head::decode_head;
+pub use head::encode_head;
+pub use server::LinkHandler;
+pub use server::LinkRequest;
+pub use server::LinkServer;
+pub use tls::LINK_SERVER_NAME;
+pub use tls::LinkTls;
+pub use udp::bind_udp;
--- /dev/null
+++ b/crates/fes-link/src/server.rs
@@ -0,0 +1,210 @@
+//! The accepting end of links.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use fes_protocol::Error;
+use fes_protocol::Result;
+use fes_protocol::ResultCode;
+use futures::stream::FuturesUnordered;
+use futures::stream::StreamExt;
+use h2::RecvStream;
+use h2::server::SendResponse;
+use http::Response;
+use http::StatusCode;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio_rustls::TlsAcceptor;
+
+use crate::LinkTls;
+use crate::encode_head;
+use crate::head::prefixed;
+use crate::head::read_head;
+use crate::send_chunk;
+
+const WINDOW_BYTES: u32 = 1024 * 1024;
+const MAX_STREAMS: u32 = 1_024;
+
+/// Handles one message; dropped when the link closes.
+pub type LinkHandler = Rc<dyn Fn(LinkRequest) -> Pin<Box<dyn Future<Output = ()>>>>;
+
+/// A message from another process.
+#[derive(Debug)]
+pub struct LinkRequest {
+    /// Kind of message: the path of the h2 request, without a leading slash.
+    pub kind: String,
+    /// Encoded head.
+    pub head: Bytes,
+    /// Body bytes that came with the head.
+    pub first_body: Bytes,
+    /// Rest of the body.
+    pub body: RecvStream,
+    respond: SendResponse<Bytes>,
+}
+
+impl LinkRequest {
+    /// Answers with a head and no body.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::LinkClosed`] if the link closed.
+    pub async fn answer(mut self, head: &impl Serialize) -> Result<()> {
+        let mut stream = self.start(false)?;
+        let head = prefixed(&encode_head(head)?);
+        send_chunk(&mut stream, head, true)
+            .await
+            .map_err(|e| Error::coded(ResultCode::LinkClosed, e.to_string()))
+    }
+
+    /// Answers with a head; the returned stream takes the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::LinkClosed`] if the link closed.
+    pub async fn answer_with_body(
+        &mut self,
+        head: &impl Serialize,
+    ) -> Result<h2::SendStream<Bytes>> {
+        let mut stream = self.start(false)?;
+        let head = prefixed(&encode_head(head)?);
+        send_chunk(&mut stream, head, false)
+            .await
+            .map_err(|e| Error::coded(ResultCode::LinkClosed, e.to_string()))?;
+        Ok(stream)
+    }
+
+    /// Waits until the sender gives the message up or the link closes.
+    pub async fn cancelled(&mut self) {
+        let _ = std::future::poll_fn(|cx| self.respond.poll_reset(cx)).await;
+    }
+
+    fn start(&mut self, end: bool) -> Result<h2::SendStream<Bytes>> {
+        let mut response = Response::new(());
+        *response.status_mut() = StatusCode::OK;
+        self.respond
+            .send_response(response, end)
+            .map_err(|e| Error::coded(ResultCode::LinkClosed, e.to_string()))
+    }
+}
+
+/// Accepts links until it is dropped.
+#[derive(Debug)]
+pub struct LinkServer {
+    address: SocketAddr,
+    accepting: JoinHandle<()>,
+}
+
+impl LinkServer {
+    /// Binds `address` and passes each message to `handler`, on the current arbiter.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::BindFailed`].
+    pub fn start(address: SocketAddr, tls: &LinkTls, handler: LinkHandler) -> Result<Self> {
+        let bind_error = |e| Error::io(ResultCode::BindFailed, format!("binding TCP {address}"), e);
+        let listener = std::net::TcpListener::bind(address).map_err(bind_error)?;
+        listener.set_nonblocking(true).map_err(bind_error)?;
+        let address = listener.local_addr().map_err(bind_error)?;
+        let listener = TcpListener::from_std(listener).map_err(bind_error)?;
+        let acceptor = TlsAcceptor::from(tls.server.clone());
+        let accepting = actix_rt::spawn(accept_links(listener, acceptor, handler));
+        Ok(Self { address, accepting })
+    }
+
+    /// Returns the bound address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for LinkServer {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
+}
+
+/// Runs all links as parts of one task, so that dropping the server closes them.
+async fn accept_links(listener: TcpListener, acceptor: TlsAcceptor, handler: LinkHandler) {
+    let mut links = FuturesUnordered::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(()) = links.next() => continue,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                let link = serve_link(stream, peer, acceptor.clone(), handler.clone());
+                links.push(link);
+            }
+            Err(e) => {
+                log::warn!("link: accepting failed: {e}");
+                tokio::task::yield_now().await;
+            }
+        }
+    }
+}
+
+async fn serve_link(
+    stream: TcpStream,
+    peer: SocketAddr,
+    acceptor: TlsAcceptor,
+    handler: LinkHandler,
+) {
+    let _ = stream.set_nodelay(true);
+    let stream = match acceptor.accept(stream).await {
+        Ok(stream) => stream,
+        Err(e) => {
+            log::warn!("link: {} from {peer}: {e}", ResultCode::LinkUnauthenticated);
+            return;
+        }
+    };
+    let mut builder = h2::server::Builder::new();
+    builder
+        .initial_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES * 4)
+        .max_concurrent_streams(MAX_STREAMS);
+    let Ok(mut connection) = builder.handshake::<_, Bytes>(stream).await else {
+        return;
+    };
+    let mut running = FuturesUnordered::new();
+    loop {
+        tokio::select! {
+            accepted = connection.accept() => {
+                let Some(Ok((request, respond))) = accepted else { return };
+                running.push(serve_message(request, respond, handler.clone()));
+            }
+            Some(()) = running.next() => {}
+        }
+    }
+}
+
+async fn serve_message(
+    request: http::Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    handler: LinkHandler,
+) {
+    let kind = request.uri().path().trim_start_matches('/').to_owned();
+    let mut body = request.into_body();
+    match read_head(&mut body).await {
+        Ok((head, first_body)) => {
+            handler(LinkRequest {
+                kind,
+                head,
+                first_body,
+                body,
+                respond,
+            })
+            .await;
+        }
+        Err(e) => {
+            log::debug!("link: message dropped: {e}");
+            respond.send_reset(h2::Reason::PROTOCOL_ERROR);
+        }
+    }
+}
