Add placement, routing decision, agent ingress and return path

Change: weighted Maglev tables per service, a route table that reuses unchanged services and remembers departed targets, the entry's decision, the agent's first-packet rules with bounded memory, and the return path. A flow returns through the entry that delivered its last datagram instead of a rotation per datagram, because rotation would reorder each burst.

Cost per decision is not measured yet.

--- a/crates/fes-routing/src/lib.rs
+++ b/crates/fes-routing/src/lib.rs
@@ -1,1 +1,31 @@
-//! Placement tables, routing decisions, return path and request offload.
+//! Placement tables, routing decisions, first-packet rules and the return path.
+//!
+//! Nothing in this crate reads a clock or a socket.
+
+mod agent_ingress;
+mod decision;
+mod liveness;
+mod maglev;
+mod placement_hash;
+mod recent_first_packets;
+mod return_path;
+mod route_table;
+mod service_table;
+
+pub use agent_ingress::AgentIngress;
+pub use agent_ingress::IngressDecision;
+pub use agent_ingress::IngressQuery;
+pub use decision::Decision;
+pub use decision::Router;
+pub use decision::RoutingRule;
+pub use liveness::AllAlive;
+pub use liveness::LivenessView;
+pub use maglev::MaglevTable;
+pub use maglev::WeightedTarget;
+pub use placement_hash::PlacementHasher;
+pub use recent_first_packets::FirstPacketOutcome;
+pub use return_path::ReturnEntry;
+pub use return_path::ReturnPath;
+pub use route_table::RouteTable;
+pub use route_table::TargetRoute;
+pub use service_table::ServiceTable;
--- /dev/null
+++ b/crates/fes-routing/src/route_table.rs
@@ -0,0 +1,131 @@
+//! All services with their targets' addresses.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use fes_protocol::FastMap;
+use fes_protocol::MonoTime;
+use fes_protocol::ServiceId;
+use fes_protocol::ServiceSpec;
+use fes_protocol::TargetId;
+use fes_protocol::TicketNumber;
+
+use crate::ServiceTable;
+
+/// How long the address of a removed target is remembered, in milliseconds. Equals the default
+/// drain bound, so that flows that still drain keep their route.
+const DEPARTED_RETENTION_MS: u64 = 3_600_000;
+
+/// Where the agent of a target receives datagrams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetRoute {
+    /// Service of the target.
+    pub service: ServiceId,
+    /// UDP address of the agent.
+    pub agent_address: SocketAddr,
+    /// When the route is forgotten; [`MonoTime::NEVER`] while a ticket names the target.
+    pub forget_deadline: MonoTime,
+}
+
+/// Immutable routing state, replaced as a whole when tickets change.
+#[derive(Debug, Clone, Default)]
+pub struct RouteTable {
+    services: FastMap<ServiceId, Arc<ServiceTable>>,
+    targets: FastMap<TargetId, TargetRoute>,
+}
+
+impl RouteTable {
+    /// Builds the table for the objects in force. Tables of unchanged services are taken from
+    /// `previous`; targets that no object names any more keep their address for a while.
+    #[must_use]
+    pub fn rebuild(
+        previous: &Self,
+        now: MonoTime,
+        objects: impl IntoIterator<Item = (TicketNumber, Arc<ServiceSpec>)>,
+    ) -> Self {
+        let mut next = Self {
+            services: FastMap::default(),
+            targets: previous.departed(now),
+        };
+        for (ticket, spec) in objects {
+            next.insert_service(previous, ticket, spec);
+        }
+        next
+    }
+
+    /// Returns the table of a service.
+    #[must_use]
+    pub fn service(&self, service: ServiceId) -> Option<&Arc<ServiceTable>> {
+        self.services.get(&service)
+    }
+
+    /// Returns all services in no particular order.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceTable>> {
+        self.services.values()
+    }
+
+    /// Returns the route to a target of the service.
+    #[must_use]
+    pub fn target(&self, service: ServiceId, target: TargetId) -> Option<&TargetRoute> {
+        self.targets
+            .get(&target)
+            .filter(|route| route.service == service)
+    }
+
+    /// Returns the number of targets with a route, departed ones included.
+    #[must_use]
+    pub fn target_count(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Returns an estimate of the memory of the table in bytes.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        let tables: usize = self
+            .services
+            .values()
+            .map(|s| s.placement().memory_bytes())
+            .sum();
+        let routes = self.targets.capacity() * std::mem::size_of::<(TargetId, TargetRoute)>();
+        let services = self.services.capacity() * std::mem::size_of::<(ServiceId, usize)>();
+        tables + routes + services
+    }
+
+    fn insert_service(&mut self, previous: &Self, ticket: TicketNumber, spec: Arc<ServiceSpec>) {
+        for upstream in &spec.upstreams {
+            let route = TargetRoute {
+                service: spec.id,
+                agent_address: upstream.agent_address,
+                forget_deadline: MonoTime::NEVER,
+            };
+            self.targets.insert(upstream.target, route);
+        }
+        let unchanged = previous
+            .services
+            .get(&spec.id)
+            .filter(|table| table.ticket() == ticket && table.spec() == &spec)
+            .cloned();
+        let table = unchanged.unwrap_or_else(|| Arc::new(ServiceTable::build(ticket, spec)));
+        self.services.insert(table.spec().id, table);
+    }
+
+    fn departed(&self, now: MonoTime) -> FastMap<TargetId, TargetRoute> {
+        let remembered = self
+            .targets
+            .iter()
+            .filter(|(_, route)| route.forget_deadline > now);
+        let with_deadline = remembered.map(|(target, route)| {
+            let deadline = route
+                .forget_deadline
+                .min(now.plus_ms(DEPARTED_RETENTION_MS));
+            (
+                *target,
+                TargetRoute {
+                    forget_deadline: deadline,
+                    ..*route
+                },
+            )
+        });
+        with_deadline.collect()
+    }
+}
