Carry the tag of the service address in the encapsulation

Cause: a service may have several addresses; a datagram returned from another one than the client used is not accepted by the client, and entries keep no flow state. Conclusion: header 50 to 52 bytes; the tests of fes-protocol and fes-routing pass.

--- a/crates/fes-protocol/src/encapsulation.rs
+++ b/crates/fes-protocol/src/encapsulation.rs
@@ -21,7 +21,7 @@
 use crate::TicketNumber;
 
 const VERSION: u8 = 1;
-const HEADER_LEN_BYTES: usize = 50;
+const HEADER_LEN_BYTES: usize = 52;
 const MAC_LEN_BYTES: usize = 16;
 
 /// Bytes that the encapsulation adds to a datagram.
@@ -57,6 +57,8 @@
     pub ticket: TicketNumber,
     /// The client's address.
     pub client: SocketAddr,
+    /// Tells which of the service's addresses the client used, see [`address_tag`]. 0 if none.
+    pub address_tag: u16,
     /// How often an agent passed the datagram on: 0 or 1.
     pub hop_count: u8,
     /// Sender's wall clock in milliseconds, modulo 2^32. For traces only.
@@ -75,6 +77,7 @@
     ticket_number: u64,
     client_ip: [u8; 16],
     client_port: u16,
+    address_tag: u16,
     sent_ms: u32,
     payload_bytes: u32,
 }
@@ -154,6 +157,7 @@
             ticket_number: header.ticket.0,
             client_ip: ip_octets(header.client.ip()),
             client_port: header.client.port(),
+            address_tag: header.address_tag,
             sent_ms: header.sent_ms,
             payload_bytes: u32::try_from(payload_len_bytes).unwrap_or(u32::MAX),
         }
@@ -180,12 +184,26 @@
                 Ipv6Addr::from(wire.client_ip).to_canonical(),
                 wire.client_port,
             ),
+            address_tag: wire.address_tag,
             hop_count: wire.hop_count,
             sent_ms: wire.sent_ms,
         })
     }
 }
 
+/// Returns a short tag of a service address. A tag, unlike a position in the service's list of
+/// addresses, stays the same when a ticket adds or removes other addresses, so that every entry
+/// returns a flow's datagrams from the address that the client knows.
+#[must_use]
+pub fn address_tag(address: SocketAddr) -> u16 {
+    use std::hash::Hasher;
+    let mut hasher = SipHasher24::new();
+    hasher.write(&ip_octets(address.ip()));
+    hasher.write(&address.port().to_be_bytes());
+    let folded = hasher.finish128().as_bytes();
+    u16::from_be_bytes([folded[0], folded[1]]).max(1)
+}
+
 fn config() -> impl bincode::config::Config {
     bincode::config::standard()
         .with_fixed_int_encoding()
--- a/crates/fes-protocol/src/lib.rs
+++ b/crates/fes-protocol/src/lib.rs
@@ -36,6 +36,7 @@
 pub use encapsulation::Encapsulation;
 pub use encapsulation::EncapsulationCodec;
 pub use encapsulation::MAX_CLIENT_DATAGRAM_BYTES;
+pub use encapsulation::address_tag;
 pub use error::Error;
 pub use error::Result;
 pub use ids::EntryId;
--- a/crates/fes-protocol/tests/codecs.rs
+++ b/crates/fes-protocol/tests/codecs.rs
@@ -39,6 +39,7 @@
         entry: EntryId(3),
         ticket: TicketNumber(12),
         client: client.parse::<SocketAddr>().unwrap(),
+        address_tag: 0,
         hop_count: 0,
         sent_ms: 99,
     }
--- a/crates/fes-routing/tests/agent_ingress.rs
+++ b/crates/fes-routing/tests/agent_ingress.rs
@@ -38,6 +38,7 @@
         entry: EntryId(1),
         ticket: TicketNumber(ticket),
         client: address(900),
+        address_tag: 0,
         hop_count,
         sent_ms: 0,
     }
