Drive a kernel in real time

Cause: both daemons host their decision components in a kernel. Change: ProcessClock and KernelDriver (tokio timers, effects handed to a handler, re-entrant messages queued).

--- a/crates/fes-kernel/src/lib.rs
+++ b/crates/fes-kernel/src/lib.rs
@@ -1,16 +1,21 @@
 //! Micro-kernel: components find each other by name and exchange typed messages.
 //!
 //! The kernel has no clock and no socket. A driver delivers messages and time, and carries out
-//! what components send to names that the kernel doesn't host.
+//! what components send to names that the kernel doesn't host. [`KernelDriver`] does so in real
+//! time.
 
+mod clock;
 mod component;
+mod driver;
 mod kernel;
 mod timers;
 
+pub use clock::ProcessClock;
 pub use component::Component;
 pub use component::ComponentName;
 pub use component::Event;
 pub use component::Outbox;
 pub use component::TimerToken;
+pub use driver::KernelDriver;
 pub use kernel::Effect;
 pub use kernel::Kernel;
