Read and validate settings of entries and agents

Daemons need their settings before anything else can start, and operators need all faults of a file in one run.

At most two key epochs may be configured, because a key ring accepts two; both are accepted whichever one is current, since peers rotate at different times.

--- /dev/null
+++ b/crates/fes-settings/src/keys.rs
@@ -0,0 +1,147 @@
+//! Secret keys by epoch.
+
+use fes_protocol::KeyEpoch;
+use fes_protocol::KeyRing;
+use fes_protocol::ResultCode;
+use fes_protocol::SecretKey;
+
+use crate::reader::TableReader;
+
+const KEY_HEX_DIGITS: usize = 32;
+const MAX_EPOCH: i64 = 3;
+const EPOCHS: u8 = 4;
+/// A ring accepts two epochs, so that a third key could be in use at a peer without being accepted.
+const MAX_KEYS: usize = 2;
+const ALLOWED_KEY: &str = "either key = 32 hexadecimal digits or file = a readable file with them";
+
+/// One or two secret keys of adjacent epochs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SecretKeys {
+    first: (KeyEpoch, SecretKey),
+    second: Option<(KeyEpoch, SecretKey)>,
+}
+
+impl SecretKeys {
+    /// Makes a set of one key.
+    #[must_use]
+    pub const fn new(epoch: KeyEpoch, key: SecretKey) -> Self {
+        Self {
+            first: (epoch, key),
+            second: None,
+        }
+    }
+
+    /// Adds the key of an adjacent epoch, which is accepted as well.
+    #[must_use]
+    pub fn with_other(mut self, epoch: KeyEpoch, key: SecretKey) -> Self {
+        self.second = Some((epoch, key));
+        self
+    }
+
+    /// Returns the ring in use before a ticket names an epoch: the first key listed is current.
+    #[must_use]
+    pub fn initial_ring(&self) -> KeyRing {
+        let ring = KeyRing::new(self.first.0, self.first.1.clone());
+        match &self.second {
+            Some((epoch, key)) => ring.with_previous(*epoch, key.clone()),
+            None => ring,
+        }
+    }
+
+    /// Returns the ring whose current epoch is `current`, or `None` if that key isn't configured.
+    /// The other key is accepted as well, whether it belongs to the previous or the next epoch,
+    /// because peers apply a rotation at different times.
+    #[must_use]
+    pub fn ring(&self, current: KeyEpoch) -> Option<KeyRing> {
+        if self.first.0 == current {
+            return Some(self.initial_ring());
+        }
+        let (epoch, key) = self.second.as_ref()?;
+        (*epoch == current).then(|| {
+            KeyRing::new(*epoch, key.clone()).with_previous(self.first.0, self.first.1.clone())
+        })
+    }
+
+    /// Reads the `[[key]]` tables of `root`.
+    pub(crate) fn read(root: &TableReader<'_>) -> Option<Self> {
+        let tables = root.tables("key");
+        if tables.is_empty() {
+            root.missing("key", "one or two [[key]] tables");
+            return None;
+        }
+        let read: Vec<Option<(KeyEpoch, SecretKey)>> = tables.iter().map(read_key).collect();
+        if read.len() > MAX_KEYS {
+            root.fault(
+                "key",
+                ResultCode::SettingsBadKey,
+                format!("{} keys", read.len()),
+                "at most two keys, of adjacent epochs",
+            );
+        }
+        let mut keys = read.into_iter().collect::<Option<Vec<_>>>()?.into_iter();
+        let first = keys.next()?;
+        let second = keys.next();
+        if let Some((epoch, _)) = &second {
+            check_adjacent(&tables[1], first.0, *epoch);
+        }
+        Some(Self { first, second })
+    }
+}
+
+fn check_adjacent(table: &TableReader<'_>, first: KeyEpoch, second: KeyEpoch) {
+    if first == second {
+        table.fault(
+            "epoch",
+            ResultCode::SettingsDuplicate,
+            second.to_string(),
+            "an epoch that no other key has",
+        );
+        return;
+    }
+    let next = |epoch: KeyEpoch| (epoch.0 + 1) % EPOCHS;
+    if next(first) != second.0 && next(second) != first.0 {
+        table.fault(
+            "epoch",
+            ResultCode::SettingsBadNumber,
+            second.to_string(),
+            "the epoch before or after the first key's, modulo 4",
+        );
+    }
+}
+
+fn read_key(table: &TableReader<'_>) -> Option<(KeyEpoch, SecretKey)> {
+    let epoch = table.number("epoch", 0..=MAX_EPOCH, None);
+    let inline = table.optional_string("key", ResultCode::SettingsBadKey);
+    let file = table.optional_path("file");
+    table.finish();
+    let (key, text) = match (inline, file) {
+        (Some(text), None) => ("key", text),
+        (None, Some(path)) => match std::fs::read_to_string(&path) {
+            Ok(text) => ("file", text),
+            Err(error) => {
+                let value = format!("{}: {error}", path.display());
+                table.fault("file", ResultCode::SettingsBadKey, value, ALLOWED_KEY);
+                return None;
+            }
+        },
+        _ => {
+            table.missing("key", ALLOWED_KEY);
+            return None;
+        }
+    };
+    let secret = parse_key(text.trim());
+    if secret.is_none() {
+        let value = format!("(redacted, {} characters)", text.trim().chars().count());
+        table.fault(key, ResultCode::SettingsBadKey, value, ALLOWED_KEY);
+    }
+    Some((KeyEpoch(u8::try_from(epoch?).ok()?), secret?))
+}
+
+fn parse_key(text: &str) -> Option<SecretKey> {
+    if text.len() != KEY_HEX_DIGITS || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return None;
+    }
+    u128::from_str_radix(text, 16)
+        .ok()
+        .map(|number| SecretKey::new(number.to_be_bytes()))
+}
--- /dev/null
+++ b/crates/fes-settings/src/reader.rs
@@ -0,0 +1,332 @@
+//! Reads one table of a settings file, records faults and remembers which keys are known.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::ops::RangeInclusive;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use fes_protocol::ResultCode;
+use toml_edit::Document;
+use toml_edit::Item;
+use toml_edit::TableLike;
+use toml_edit::Value;
+
+use crate::Fault;
+use crate::Faults;
+
+const ALLOWED_ADDRESS: &str = "IP:PORT with a numeric IP address";
+const ALLOWED_NAME: &str = "1 to 63 lower-case letters, digits, '-' and '.'";
+const MAX_NAME_BYTES: usize = 63;
+
+/// A parsed settings file and the faults found in it so far.
+pub(crate) struct Source {
+    file: Arc<str>,
+    directory: PathBuf,
+    document: Document<String>,
+    faults: RefCell<Vec<Fault>>,
+}
+
+/// Reads the keys of one table.
+pub(crate) struct TableReader<'a> {
+    source: &'a Source,
+    table: &'a dyn TableLike,
+    path: String,
+    span: Option<Range<usize>>,
+    known: RefCell<Vec<&'static str>>,
+}
+
+/// Reads a whole file from disk.
+pub(crate) fn read_file(path: &Path) -> Result<String, Faults> {
+    std::fs::read_to_string(path).map_err(|error| {
+        Faults(vec![Fault {
+            file: Arc::from(path.display().to_string()),
+            line: 0,
+            key: String::new(),
+            value: error.to_string(),
+            allowed: "a readable TOML file".to_owned(),
+            code: ResultCode::SettingsUnreadable,
+        }])
+    })
+}
+
+impl Source {
+    /// Parses `text`; relative paths in it are relative to the directory of `path`.
+    pub(crate) fn parse(path: &Path, text: &str) -> Result<Self, Faults> {
+        let file: Arc<str> = Arc::from(path.display().to_string());
+        let document = Document::parse(text.to_owned()).map_err(|error| {
+            Faults(vec![Fault {
+                file: Arc::clone(&file),
+                line: line_of(text, error.span()),
+                key: String::new(),
+                value: error.message().to_owned(),
+                allowed: "TOML 1.0".to_owned(),
+                code: ResultCode::SettingsSyntax,
+            }])
+        })?;
+        Ok(Self {
+            file,
+            directory: path.parent().unwrap_or(Path::new("")).to_owned(),
+            document,
+            faults: RefCell::default(),
+        })
+    }
+
+    /// Returns a reader of the top-level table.
+    pub(crate) fn root(&self) -> TableReader<'_> {
+        TableReader::new(self, self.document.as_table(), String::new(), None)
+    }
+
+    /// Returns `settings` if no fault was recorded.
+    pub(crate) fn conclude<T>(self, settings: Option<T>) -> Result<T, Faults> {
+        let mut faults = self.faults.into_inner();
+        faults.sort_by(|a, b| (a.line, &a.key).cmp(&(b.line, &b.key)));
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(Faults(faults)),
+        }
+    }
+}
+
+impl<'a> TableReader<'a> {
+    fn new(
+        source: &'a Source,
+        table: &'a dyn TableLike,
+        path: String,
+        span: Option<Range<usize>>,
+    ) -> Self {
+        Self {
+            source,
+            table,
+            path,
+            span,
+            known: RefCell::default(),
+        }
+    }
+
+    /// Records a fault at `key`.
+    pub(crate) fn fault(
+        &self,
+        key: &str,
+        code: ResultCode,
+        value: impl Into<String>,
+        allowed: impl Into<String>,
+    ) {
+        let key_span = self.table.get_key_value(key).and_then(|(name, item)| {
+            // Arrays of tables have no key span of their own at the first element.
+            name.span().or_else(|| item.span())
+        });
+        let text = self.source.document.raw();
+        self.source.faults.borrow_mut().push(Fault {
+            file: Arc::clone(&self.source.file),
+            line: line_of(text, key_span.or_else(|| self.span.clone())),
+            key: self.qualified(key),
+            value: value.into(),
+            allowed: allowed.into(),
+            code,
+        });
+    }
+
+    /// Records that `key` is missing.
+    pub(crate) fn missing(&self, key: &str, allowed: impl Into<String>) {
+        self.fault(key, ResultCode::SettingsMissingKey, "", allowed);
+    }
+
+    /// Reports every key that was never asked for. Call it after all reads.
+    pub(crate) fn finish(&self) {
+        let known = self.known.borrow();
+        for (key, item) in self.table.iter() {
+            if !known.contains(&key) {
+                let allowed = format!("one of: {}", known.join(", "));
+                self.fault(key, ResultCode::SettingsUnknownKey, shown(item), allowed);
+            }
+        }
+    }
+
+    /// Reads an IP address with port. Port 0 asks the system for a free port.
+    pub(crate) fn address(&self, key: &'static str) -> Option<SocketAddr> {
+        let text = self.required_string(key, ResultCode::SettingsBadAddress, ALLOWED_ADDRESS)?;
+        self.parse_address(key, &text)
+    }
+
+    /// Reads a list of addresses, which may be empty or missing.
+    pub(crate) fn addresses(&self, key: &'static str) -> Vec<SocketAddr> {
+        let Some(item) = self.get(key) else {
+            return Vec::new();
+        };
+        let Some(array) = item.as_array() else {
+            let allowed = format!("a list of {ALLOWED_ADDRESS}");
+            self.fault(key, ResultCode::SettingsBadAddress, shown(item), allowed);
+            return Vec::new();
+        };
+        array
+            .iter()
+            .filter_map(|value| match value.as_str() {
+                Some(text) => self.parse_address(key, text),
+                None => {
+                    self.bad_address(key, value.to_string().trim());
+                    None
+                }
+            })
+            .collect()
+    }
+
+    /// Reads an integer; a missing one takes `default`, if there is one.
+    pub(crate) fn number(
+        &self,
+        key: &'static str,
+        range: RangeInclusive<i64>,
+        default: Option<i64>,
+    ) -> Option<i64> {
+        let allowed = format!("a whole number from {} to {}", range.start(), range.end());
+        let Some(item) = self.get(key) else {
+            if default.is_none() {
+                self.missing(key, allowed);
+            }
+            return default;
+        };
+        let number = item.as_integer().filter(|number| range.contains(number));
+        if number.is_none() {
+            self.fault(key, ResultCode::SettingsBadNumber, shown(item), allowed);
+        }
+        number
+    }
+
+    /// Reads a name.
+    pub(crate) fn name(&self, key: &'static str) -> Option<String> {
+        let name = self.required_string(key, ResultCode::SettingsBadName, ALLOWED_NAME)?;
+        let allowed = |byte: u8| {
+            byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-' || byte == b'.'
+        };
+        if (1..=MAX_NAME_BYTES).contains(&name.len()) && name.bytes().all(allowed) {
+            return Some(name);
+        }
+        self.fault(key, ResultCode::SettingsBadName, name, ALLOWED_NAME);
+        None
+    }
+
+    /// Reads the path of a PEM file, relative to the settings file.
+    pub(crate) fn path(&self, key: &'static str) -> Option<PathBuf> {
+        let code = ResultCode::SettingsBadCertificate;
+        let text = self.required_string(key, code, "the path of a PEM file")?;
+        Some(self.source.directory.join(text))
+    }
+
+    /// Reads the path of a key file that may be missing.
+    pub(crate) fn optional_path(&self, key: &'static str) -> Option<PathBuf> {
+        let text = self.optional_string(key, ResultCode::SettingsBadKey)?;
+        Some(self.source.directory.join(text))
+    }
+
+    /// Reads a string that may be missing; `code` reports a value of another type.
+    pub(crate) fn optional_string(&self, key: &'static str, code: ResultCode) -> Option<String> {
+        let item = self.get(key)?;
+        let text = item.as_str().map(str::to_owned);
+        if text.is_none() {
+            self.fault(key, code, shown(item), "a string in quotes");
+        }
+        text
+    }
+
+    /// Reads a string; `code` reports a value of another type.
+    pub(crate) fn required_string(
+        &self,
+        key: &'static str,
+        code: ResultCode,
+        allowed: &str,
+    ) -> Option<String> {
+        if self.get(key).is_none() {
+            self.missing(key, allowed);
+            return None;
+        }
+        self.optional_string(key, code)
+    }
+
+    /// Reads a table.
+    pub(crate) fn table(&self, key: &'static str) -> Option<TableReader<'a>> {
+        let Some(item) = self.get(key) else {
+            self.missing(key, format!("a [{key}] table"));
+            return None;
+        };
+        let Some(table) = item.as_table_like() else {
+            let allowed = format!("a [{key}] table");
+            self.fault(key, ResultCode::SettingsMissingKey, shown(item), allowed);
+            return None;
+        };
+        let path = self.qualified(key);
+        Some(Self::new(self.source, table, path, item.span()))
+    }
+
+    /// Reads a list of tables, which may be missing.
+    pub(crate) fn tables(&self, key: &'static str) -> Vec<TableReader<'a>> {
+        let Some(item) = self.get(key) else {
+            return Vec::new();
+        };
+        let tables = list_tables(item);
+        if tables.is_none() {
+            let allowed = format!("a list of [[{key}]] tables");
+            self.fault(key, ResultCode::SettingsMissingKey, shown(item), allowed);
+        }
+        let reader = |(index, (table, span))| {
+            let path = format!("{}[{index}]", self.qualified(key));
+            Self::new(self.source, table, path, span)
+        };
+        let tables = tables.unwrap_or_default();
+        tables.into_iter().enumerate().map(reader).collect()
+    }
+
+    fn get(&self, key: &'static str) -> Option<&'a Item> {
+        self.known.borrow_mut().push(key);
+        self.table.get(key)
+    }
+
+    fn parse_address(&self, key: &str, text: &str) -> Option<SocketAddr> {
+        let address = text.parse().ok();
+        if address.is_none() {
+            self.bad_address(key, text);
+        }
+        address
+    }
+
+    fn bad_address(&self, key: &str, value: &str) {
+        self.fault(key, ResultCode::SettingsBadAddress, value, ALLOWED_ADDRESS);
+    }
+
+    fn qualified(&self, key: &str) -> String {
+        if self.path.is_empty() {
+            return key.to_owned();
+        }
+        format!("{}.{key}", self.path)
+    }
+}
+
+type SpannedTable<'a> = (&'a dyn TableLike, Option<Range<usize>>);
+
+fn list_tables(item: &Item) -> Option<Vec<SpannedTable<'_>>> {
+    if let Some(tables) = item.as_array_of_tables() {
+        let spanned = tables
+            .iter()
+            .map(|table| (table as &dyn TableLike, table.span()));
+        return Some(spanned.collect());
+    }
+    item.as_array()?.iter().map(inline_table).collect()
+}
+
+fn inline_table(value: &Value) -> Option<SpannedTable<'_>> {
+    let table = value.as_inline_table()?;
+    Some((table as &dyn TableLike, table.span()))
+}
+
+fn shown(item: &Item) -> String {
+    item.to_string().trim().to_owned()
+}
+
+fn line_of(text: &str, span: Option<Range<usize>>) -> usize {
+    let Some(span) = span else {
+        return 0;
+    };
+    let before = &text.as_bytes()[..span.start.min(text.len())];
+    before.iter().filter(|byte| **byte == b'\n').count() + 1
+}
