Route client datagrams in the entry

Change: fes-entry receives on service sockets, decides with fes-routing, encapsulates to agents and returns datagrams to clients; drops are counted by result code. Code 5013 counts datagrams that a full socket buffer refused.

--- /dev/null
+++ b/crates/fes-entry/src/counters.rs
@@ -0,0 +1,46 @@
+//! What an entry counts.
+
+use std::cell::Cell;
+
+use fes_protocol::ResultCode;
+
+/// Snapshot of an entry's counters.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EntryCounters {
+    /// Client datagrams sent to an agent because of their connection ID.
+    pub routed_by_id: u64,
+    /// First packets sent to an agent by placement.
+    pub placed: u64,
+    /// Datagrams of lost targets, sent to the placement owner.
+    pub lost_target: u64,
+    /// Datagrams returned to clients.
+    pub returned: u64,
+    /// Control messages received.
+    pub control: u64,
+    /// Dropped datagrams by reason.
+    pub drops: Vec<(ResultCode, u64)>,
+}
+
+impl EntryCounters {
+    /// Returns how many datagrams were dropped for `code`.
+    #[must_use]
+    pub fn dropped(&self, code: ResultCode) -> u64 {
+        self.drops
+            .iter()
+            .find(|(c, _)| *c == code)
+            .map_or(0, |(_, count)| *count)
+    }
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct LiveCounters {
+    pub(crate) routed_by_id: Cell<u64>,
+    pub(crate) placed: Cell<u64>,
+    pub(crate) lost_target: Cell<u64>,
+    pub(crate) returned: Cell<u64>,
+    pub(crate) control: Cell<u64>,
+}
+
+pub(crate) fn add_one(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
--- a/crates/fes-entry/src/lib.rs
+++ b/crates/fes-entry/src/lib.rs
@@ -1,1 +1,12 @@
 //! The entry daemon as a library.
+//!
+//! An entry routes each client datagram by its connection ID or the placement table and keeps no
+//! flow state.
+
+mod counters;
+mod data_plane;
+mod entry;
+
+pub use counters::EntryCounters;
+pub use entry::Entry;
+pub use entry::EntryHandle;
--- a/crates/fes-link/src/lib.rs
+++ b/crates/fes-link/src/lib.rs
@@ -5,8 +5,10 @@
 
 mod body;
 mod client;
+mod drop_counters;
 mod head;
 mod server;
+mod tasks;
 mod tls;
 mod udp;
 
@@ -15,12 +17,14 @@
 pub use client::LinkCall;
 pub use client::LinkPool;
 pub use client::LinkReply;
+pub use drop_counters::DropCounters;
 pub use head::MAX_HEAD_BYTES;
 pub use head::decode_head;
 pub use head::encode_head;
 pub use server::LinkHandler;
 pub use server::LinkRequest;
 pub use server::LinkServer;
+pub use tasks::Tasks;
 pub use tls::LINK_SERVER_NAME;
 pub use tls::LinkTls;
 pub use udp::bind_udp;
--- a/crates/fes-link/src/tls.rs
+++ b/crates/fes-link/src/tls.rs
@@ -12,7 +12,6 @@
 use rustls::server::WebPkiClientVerifier;
 use rustls_pki_types::CertificateDer;
 use rustls_pki_types::PrivateKeyDer;
-use rustls_pki_types::pem::PemObject;
 
 /// Name that every link certificate carries. Processes are found by address, so the name only
 /// states that the holder belongs to the system.
@@ -28,19 +27,6 @@
 }
 
 impl LinkTls {
-    /// Makes the configuration from PEM texts: the authority's certificate, the own certificate
-    /// chain and its private key.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`ResultCode::SettingsBadCertificate`].
-    pub fn from_pem(authority: &[u8], chain: &[u8], key: &[u8]) -> Result<Self> {
-        let authority = certificates(authority)?;
-        let chain = certificates(chain)?;
-        let key = PrivateKeyDer::from_pem_slice(key).map_err(bad_certificate)?;
-        Self::new(authority, chain, key)
-    }
-
     /// Makes the configuration from decoded certificates.
     ///
     /// # Errors
@@ -102,12 +88,6 @@
     Ok(config)
 }
 
-fn certificates(pem: &[u8]) -> Result<Vec<CertificateDer<'static>>> {
-    CertificateDer::pem_slice_iter(pem)
-        .collect::<Result<_, _>>()
-        .map_err(bad_certificate)
-}
-
 fn bad_certificate(error: impl std::fmt::Display) -> Error {
     Error::coded(ResultCode::SettingsBadCertificate, error.to_string())
 }
--- a/crates/fes-protocol/src/result_code.rs
+++ b/crates/fes-protocol/src/result_code.rs
@@ -151,6 +151,8 @@
         "None needed unless the count grows.";
     DatagramHopLimit = 5012, "a first packet had already been passed on once",
         "None needed.";
+    DatagramNotSent = 5013, "a datagram could not be sent because the socket's buffer was full",
+        "Look for overload of the VM; QUIC sends the content again.";
     ControlMalformed = 6001, "a control message could not be parsed",
         "Upgrade the older processes.";
     ControlTooLarge = 6002, "a control message was too large",
