--- /dev/null
+++ b/crates/fes-agent/src/quic/encapsulated_socket.rs
@@ -0,0 +1,372 @@
+//! The UDP socket of the QUIC endpoint, which speaks encapsulated datagrams with entries.
+
+use std::fmt;
+use std::future::Future;
+use std::io;
+use std::io::IoSliceMut;
+use std::net::IpAddr;
+use std::net::Ipv6Addr;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use fes_kernel::ProcessClock;
+use fes_link::DropCounters;
+use fes_protocol::ControlMessage;
+use fes_protocol::DatagramKind;
+use fes_protocol::Encapsulation;
+use fes_protocol::EncapsulationCodec;
+use fes_protocol::EntryId;
+use fes_protocol::ResultCode;
+use fes_protocol::ServiceId;
+use fes_protocol::TargetId;
+use fes_protocol::TicketNumber;
+use fes_protocol::decode_control;
+use fes_protocol::encode_control;
+use fes_routing::IngressDecision;
+use fes_routing::ReturnEntry;
+use quinn::AsyncUdpSocket;
+use quinn::UdpPoller;
+use quinn::udp::RecvMeta;
+use quinn::udp::Transmit;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::UnboundedSender;
+
+pub(crate) use super::ingress_state::IngressState;
+
+/// Larger than any encapsulated datagram, so that an oversized one is seen as such.
+const BUFFER_BYTES: usize = 2_048;
+
+/// Datagrams handled in one poll before other tasks get a turn.
+const BATCH_DATAGRAMS: usize = 256;
+
+/// A control message with the address it came from.
+#[derive(Debug)]
+pub(crate) struct ControlDatagram {
+    pub(crate) message: ControlMessage,
+    pub(crate) from: SocketAddr,
+}
+
+/// Decapsulates client datagrams for QUIC and encapsulates QUIC's datagrams to entries.
+pub(crate) struct EncapsulatedSocket {
+    /// `None` after a kill, which releases the address at once.
+    socket: Mutex<Option<Arc<UdpSocket>>>,
+    local_address: SocketAddr,
+    service: ServiceId,
+    target: TargetId,
+    clock: ProcessClock,
+    state: Mutex<IngressState>,
+    drops: Arc<DropCounters>,
+    control: UnboundedSender<ControlDatagram>,
+}
+
+impl fmt::Debug for EncapsulatedSocket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EncapsulatedSocket")
+            .field("local_address", &self.local_address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl EncapsulatedSocket {
+    pub(crate) fn new(
+        socket: UdpSocket,
+        service: ServiceId,
+        target: TargetId,
+        clock: ProcessClock,
+        state: IngressState,
+        drops: Arc<DropCounters>,
+        control: UnboundedSender<ControlDatagram>,
+    ) -> io::Result<Self> {
+        Ok(Self {
+            local_address: socket.local_addr()?,
+            socket: Mutex::new(Some(Arc::new(socket))),
+            service,
+            target,
+            clock,
+            state: Mutex::new(state),
+            drops,
+            control,
+        })
+    }
+
+    /// Returns the ingress state. Never held across an await.
+    pub(crate) fn state(&self) -> MutexGuard<'_, IngressState> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Closes the socket without a word to anybody.
+    pub(crate) fn kill(&self) {
+        self.socket.lock().unwrap_or_else(|e| e.into_inner()).take();
+    }
+
+    /// Sends a control message to another process.
+    pub(crate) fn send_control(&self, to: SocketAddr, message: &ControlMessage) {
+        let payload = match encode_control(message) {
+            Ok(payload) => payload,
+            Err(code) => return self.drops.count(code),
+        };
+        let header = self.header(DatagramKind::Control, EntryId(0), to, 0);
+        self.send_or_count(&header, &payload, to);
+    }
+
+    fn socket(&self) -> io::Result<Arc<UdpSocket>> {
+        let socket = self.socket.lock().unwrap_or_else(|e| e.into_inner());
+        socket
+            .clone()
+            .ok_or_else(|| io::Error::from(io::ErrorKind::NotConnected))
+    }
+
+    fn header(
+        &self,
+        kind: DatagramKind,
+        entry: EntryId,
+        client: SocketAddr,
+        address_tag: u16,
+    ) -> Encapsulation {
+        Encapsulation {
+            kind,
+            service: self.service,
+            target: self.target,
+            entry,
+            ticket: TicketNumber(0),
+            client,
+            address_tag,
+            hop_count: 0,
+            sent_ms: (self.clock.wall().as_ms() & u64::from(u32::MAX)) as u32,
+        }
+    }
+
+    fn send_or_count(&self, header: &Encapsulation, payload: &[u8], to: SocketAddr) {
+        let datagram = self.state().codec.encode(header, payload);
+        let sent = self
+            .socket()
+            .and_then(|socket| socket.try_send_to(&datagram, to));
+        if sent.is_err() {
+            self.drops.count(ResultCode::DatagramNotSent);
+        }
+    }
+
+    /// Handles one datagram; returns the header and length if it is for the QUIC endpoint.
+    fn receive(
+        &self,
+        datagram: &[u8],
+        from: SocketAddr,
+        out: &mut [u8],
+    ) -> Option<(Encapsulation, usize)> {
+        let decoded = self.state().codec.decode(datagram);
+        let (header, payload) = match decoded {
+            Ok(decoded) => decoded,
+            Err(code) => {
+                self.drops.count(code);
+                return None;
+            }
+        };
+        match header.kind {
+            DatagramKind::Forward => self.receive_forward(&header, payload, from, out),
+            DatagramKind::Control => {
+                self.receive_control(payload, from);
+                None
+            }
+            DatagramKind::Return => {
+                self.drops.count(ResultCode::DatagramMalformed);
+                None
+            }
+        }
+    }
+
+    fn receive_control(&self, payload: &[u8], from: SocketAddr) {
+        match decode_control(payload) {
+            // Fails only while the agent stops.
+            Ok(message) => drop(self.control.send(ControlDatagram { message, from })),
+            Err(code) => self.drops.count(code),
+        }
+    }
+
+    fn receive_forward(
+        &self,
+        header: &Encapsulation,
+        payload: &[u8],
+        from: SocketAddr,
+        out: &mut [u8],
+    ) -> Option<(Encapsulation, usize)> {
+        let decision = self.state().decide(self.clock.now(), header, payload, from);
+        match decision {
+            IngressDecision::Accept | IngressDecision::RefuseNewFlow => {
+                let Some(out) = out.get_mut(..payload.len()) else {
+                    self.drops.count(ResultCode::DatagramTooLarge);
+                    return None;
+                };
+                out.copy_from_slice(payload);
+                Some((*header, payload.len()))
+            }
+            IngressDecision::PassOn {
+                target,
+                agent_address,
+            } => {
+                let passed = Encapsulation {
+                    target,
+                    hop_count: 1,
+                    ..*header
+                };
+                self.state().passed_on += 1;
+                self.send_or_count(&passed, payload, agent_address);
+                None
+            }
+            IngressDecision::Drop(code) => {
+                self.drops.count(code);
+                None
+            }
+        }
+    }
+
+    fn fill(
+        &self,
+        socket: &UdpSocket,
+        bufs: &mut [IoSliceMut<'_>],
+        meta: &mut [RecvMeta],
+    ) -> (usize, bool) {
+        let mut datagram = [0; BUFFER_BYTES];
+        let mut filled = 0;
+        for _ in 0..BATCH_DATAGRAMS {
+            if filled == bufs.len().min(meta.len()) {
+                return (filled, true);
+            }
+            match socket.try_recv_from(&mut datagram) {
+                Ok((length_bytes, from)) => {
+                    let accepted = self.receive(&datagram[..length_bytes], from, &mut bufs[filled]);
+                    if let Some((header, length_bytes)) = accepted {
+                        meta[filled] = receive_meta(&header, length_bytes);
+                        filled += 1;
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return (filled, false),
+                // The asynchronous error of an earlier datagram to a closed port.
+                Err(_) => {}
+            }
+        }
+        (filled, true)
+    }
+
+    fn choose_entry(&self, client: SocketAddr) -> Option<(ReturnEntry, EncapsulationCodec)> {
+        let mut state = self.state();
+        let entry = state.choose_entry(self.clock.now(), client)?;
+        Some((entry, state.codec.clone()))
+    }
+}
+
+impl AsyncUdpSocket for EncapsulatedSocket {
+    fn create_io_poller(self: Arc<Self>) -> Pin<Box<dyn UdpPoller>> {
+        Box::pin(WritePoller {
+            socket: self,
+            waiting: None,
+        })
+    }
+
+    fn try_send(&self, transmit: &Transmit<'_>) -> io::Result<()> {
+        let client = transmit.destination;
+        let Some((entry, codec)) = self.choose_entry(client) else {
+            self.drops.count(ResultCode::DatagramNoEntry);
+            return Ok(());
+        };
+        let tag = transmit.src_ip.map_or(0, tag_of_ip);
+        let header = self.header(DatagramKind::Return, entry.entry, client, tag);
+        let datagram = codec.encode(&header, transmit.contents);
+        match self.socket()?.try_send_to(&datagram, entry.address) {
+            Ok(_) => Ok(()),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Err(e),
+            // The error of an earlier datagram to a dead entry must not end the connection.
+            Err(_) => {
+                self.drops.count(ResultCode::DatagramNotSent);
+                Ok(())
+            }
+        }
+    }
+
+    fn poll_recv(
+        &self,
+        cx: &mut Context<'_>,
+        bufs: &mut [IoSliceMut<'_>],
+        meta: &mut [RecvMeta],
+    ) -> Poll<io::Result<usize>> {
+        let socket = self.socket()?;
+        loop {
+            ready!(socket.poll_recv_ready(cx))?;
+            match self.fill(&socket, bufs, meta) {
+                (0, true) => {
+                    cx.waker().wake_by_ref();
+                    return Poll::Pending;
+                }
+                (0, false) => {}
+                (filled, _) => return Poll::Ready(Ok(filled)),
+            }
+        }
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        Ok(self.local_address)
+    }
+
+    fn may_fragment(&self) -> bool {
+        // Encapsulated datagrams stay below the MTU, so path MTU discovery up to the limit of
+        // entries is safe.
+        false
+    }
+}
+
+fn receive_meta(header: &Encapsulation, length_bytes: usize) -> RecvMeta {
+    RecvMeta {
+        addr: header.client,
+        len: length_bytes,
+        stride: length_bytes,
+        ecn: None,
+        dst_ip: Some(ip_of_tag(header.address_tag)),
+    }
+}
+
+/// QUIC gives the local IP of a flow back with each transmit; it carries the tag of the service
+/// address.
+fn ip_of_tag(tag: u16) -> IpAddr {
+    IpAddr::V6(Ipv6Addr::from(u128::from(tag)))
+}
+
+fn tag_of_ip(ip: IpAddr) -> u16 {
+    match ip {
+        IpAddr::V6(ip) => (u128::from(ip) & u128::from(u16::MAX)) as u16,
+        IpAddr::V4(_) => 0,
+    }
+}
+
+type Writable = Pin<Box<dyn Future<Output = io::Result<()>> + Send + Sync>>;
+
+/// Waits for the socket to become writable, for one connection.
+struct WritePoller {
+    socket: Arc<EncapsulatedSocket>,
+    waiting: Option<Writable>,
+}
+
+impl fmt::Debug for WritePoller {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("WritePoller").finish_non_exhaustive()
+    }
+}
+
+impl UdpPoller for WritePoller {
+    fn poll_writable(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.waiting.is_none() {
+            let socket = self.socket.socket()?;
+            self.waiting = Some(Box::pin(async move { socket.writable().await }));
+        }
+        let Some(waiting) = self.waiting.as_mut() else {
+            return Poll::Pending;
+        };
+        let outcome = ready!(waiting.as_mut().poll(cx));
+        self.waiting = None;
+        Poll::Ready(outcome)
+    }
+}
--- /dev/null
+++ b/crates/fes-agent/src/quic/ingress_state.rs
@@ -0,0 +1,111 @@
+//! What the encapsulating socket knows about entries, peers and its own load.
+
+use std::net::SocketAddr;
+
+use fes_protocol::Encapsulation;
+use fes_protocol::EncapsulationCodec;
+use fes_protocol::FastMap;
+use fes_protocol::FastSet;
+use fes_protocol::MonoTime;
+use fes_protocol::ServiceId;
+use fes_protocol::TargetId;
+use fes_routing::AgentIngress;
+use fes_routing::IngressDecision;
+use fes_routing::IngressQuery;
+use fes_routing::LivenessView;
+use fes_routing::ReturnEntry;
+use fes_routing::ReturnPath;
+use fes_routing::Router;
+
+/// State of the socket; the agent updates it when tickets, keys or peers change.
+#[derive(Debug)]
+pub(crate) struct IngressState {
+    pub(crate) codec: EncapsulationCodec,
+    pub(crate) router: Router,
+    pub(crate) ingress: AgentIngress,
+    pub(crate) return_path: ReturnPath,
+    /// Entries that tickets name, used until one was heard.
+    pub(crate) known_entries: Vec<ReturnEntry>,
+    pub(crate) peers: PeerView,
+    /// Whether the agent opens no new flows.
+    pub(crate) is_full: bool,
+    /// First packets passed on to other agents.
+    pub(crate) passed_on: u64,
+    next_known: usize,
+}
+
+/// What is known about the other agents of the service.
+#[derive(Debug, Default)]
+pub(crate) struct PeerView {
+    /// Targets that take no new flows.
+    pub(crate) not_placeable: FastSet<TargetId>,
+    /// Targets that are confirmed lost.
+    pub(crate) lost: FastSet<TargetId>,
+    /// Flow counts of peers heard lately.
+    pub(crate) flow_counts: FastMap<TargetId, u32>,
+}
+
+impl LivenessView for PeerView {
+    fn is_placeable(&self, _service: ServiceId, target: TargetId) -> bool {
+        !self.not_placeable.contains(&target)
+    }
+
+    fn is_confirmed_lost(&self, _service: ServiceId, target: TargetId) -> bool {
+        self.lost.contains(&target)
+    }
+}
+
+impl IngressState {
+    pub(crate) fn new(codec: EncapsulationCodec, router: Router, ingress: AgentIngress) -> Self {
+        Self {
+            codec,
+            router,
+            ingress,
+            return_path: ReturnPath::new(),
+            known_entries: Vec::new(),
+            peers: PeerView::default(),
+            is_full: false,
+            passed_on: 0,
+            next_known: 0,
+        }
+    }
+
+    pub(crate) fn decide(
+        &mut self,
+        now: MonoTime,
+        header: &Encapsulation,
+        datagram: &[u8],
+        from: SocketAddr,
+    ) -> IngressDecision {
+        let query = IngressQuery {
+            header,
+            datagram,
+            is_full: self.is_full,
+            liveness: &self.peers,
+            peer_flow_count: |target| self.peers.flow_counts.get(&target).copied(),
+        };
+        let decision = self.ingress.decide(now, &self.router, &query);
+        // A datagram that another agent passed on says nothing about the entry's address.
+        if header.hop_count == 0 && !matches!(decision, IngressDecision::Drop(_)) {
+            let entry = ReturnEntry {
+                entry: header.entry,
+                address: from,
+            };
+            self.return_path.record(now, entry, header.client);
+        }
+        decision
+    }
+
+    pub(crate) fn choose_entry(
+        &mut self,
+        now: MonoTime,
+        client: SocketAddr,
+    ) -> Option<ReturnEntry> {
+        if let Some(entry) = self.return_path.choose(now, client) {
+            return Some(entry);
+        }
+        self.next_known = self.next_known.wrapping_add(1);
+        let count = self.known_entries.len().max(1);
+        self.known_entries.get(self.next_known % count).copied()
+    }
+}
--- a/crates/fes-protocol/src/result_code.rs
+++ b/crates/fes-protocol/src/result_code.rs
@@ -103,6 +103,8 @@
         "Retry if the request may be repeated.";
     UnknownDrainBound = 3007, "the drain bound passed while the request was running; the outcome is unknown",
         "Raise drain_bound_ms above the longest request.";
+    UnknownDeadline = 3008, "the deadline passed while the request was running; the outcome is unknown",
+        "Allow a longer deadline; reconcile with the service's own records.";
     TicketSyntax = 4001, "the ticket can't be parsed",
         "Correct the syntax at the reported place.";
     TicketInvalid = 4002, "the ticket has faults",
@@ -153,6 +155,8 @@
         "None needed.";
     DatagramNotSent = 5013, "a datagram could not be sent because the socket's buffer was full",
         "Look for overload of the VM; QUIC sends the content again.";
+    DatagramNoEntry = 5014, "an agent knows no entry that could return a datagram",
+        "Check the fleet objects in the tickets and the network between agents and entries.";
     ControlMalformed = 6001, "a control message could not be parsed",
         "Upgrade the older processes.";
     ControlTooLarge = 6002, "a control message was too large",
