--- /dev/null
+++ b/crates/fes-telemetry/src/log_setup.rs
@@ -0,0 +1,39 @@
+//! Log output: one line per record, with a fixed prefix for each part.
+
+use std::io::Write;
+
+use log::Level;
+use log::LevelFilter;
+
+use crate::part;
+
+/// Starts logging to standard error. Own parts log at `level`, libraries from `warn` upward. A
+/// second call has no effect.
+pub fn init_log(level: LevelFilter) {
+    let mut builder = env_logger::Builder::new();
+    builder.filter_level(level.min(LevelFilter::Warn));
+    for part in part::ALL {
+        builder.filter_module(part, level);
+    }
+    builder.format(|out, record| {
+        let time = out.timestamp_millis();
+        let line = format_line(
+            &time.to_string(),
+            record.level(),
+            record.target(),
+            &record.args().to_string(),
+        );
+        writeln!(out, "{line}")
+    });
+    // An error means that a logger is installed already, which keeps its settings.
+    let _ = builder.try_init();
+}
+
+/// Formats a record: time, level, part, message. Line breaks within the message are escaped, so
+/// that input from outside can't forge a record.
+#[must_use]
+pub fn format_line(time: &str, level: Level, target: &str, message: &str) -> String {
+    let part = target.split("::").next().unwrap_or(target);
+    let message = message.replace('\n', "\\n").replace('\r', "\\r");
+    format!("{time} {level:<5} [{part}] {message}")
+}
--- /dev/null
+++ b/crates/fes-telemetry/src/metrics.rs
@@ -0,0 +1,231 @@
+//! All metrics. `docs/metrics.md` lists them; a test compares.
+
+use std::sync::atomic::AtomicU64;
+
+use fes_protocol::ResultCode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::registry::Registry;
+
+/// A count that only grows.
+pub type Counter = prometheus_client::metrics::counter::Counter<u64, AtomicU64>;
+/// A count for each result code.
+pub type CodeCounter = Family<CodeLabel, Counter>;
+/// A value that rises and falls.
+pub type Gauge = prometheus_client::metrics::gauge::Gauge;
+/// A distribution.
+pub type Histogram = prometheus_client::metrics::histogram::Histogram;
+
+const PREFIX: &str = "fescueshift";
+const SHORTEST_BUCKET_S: f64 = 0.000_25;
+const BUCKET_FACTOR: f64 = 2.0;
+const BUCKETS: u16 = 20;
+
+/// Label that holds a result code, such as `F2001`.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CodeLabel {
+    code: String,
+}
+
+impl From<ResultCode> for CodeLabel {
+    fn from(code: ResultCode) -> Self {
+        Self {
+            code: format!("F{:04}", code.number()),
+        }
+    }
+}
+
+/// Kind of a metric.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MetricKind {
+    /// A count that only grows.
+    Counter,
+    /// A count for each result code, under the label `code`.
+    CounterByCode,
+    /// A value that rises and falls.
+    Gauge,
+    /// A distribution.
+    Histogram,
+}
+
+/// Name, kind and meaning of a metric.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MetricSpec {
+    /// Name as exposed.
+    pub name: &'static str,
+    /// Kind.
+    pub kind: MetricKind,
+    /// Meaning, with unit.
+    pub help: &'static str,
+}
+
+trait Described {
+    const KIND: MetricKind;
+    fn make() -> Self;
+}
+
+impl Described for Counter {
+    const KIND: MetricKind = MetricKind::Counter;
+    fn make() -> Self {
+        Self::default()
+    }
+}
+
+impl Described for CodeCounter {
+    const KIND: MetricKind = MetricKind::CounterByCode;
+    fn make() -> Self {
+        Self::default()
+    }
+}
+
+impl Described for Gauge {
+    const KIND: MetricKind = MetricKind::Gauge;
+    fn make() -> Self {
+        Self::default()
+    }
+}
+
+impl Described for Histogram {
+    const KIND: MetricKind = MetricKind::Histogram;
+    fn make() -> Self {
+        let length = BUCKETS;
+        Self::new(prometheus_client::metrics::histogram::exponential_buckets(
+            SHORTEST_BUCKET_S,
+            BUCKET_FACTOR,
+            length,
+        ))
+    }
+}
+
+macro_rules! metrics {
+    ($($field:ident: $kind:ty, $name:literal, $help:literal;)*) => {
+        /// The metrics of a process. Entries and agents share one set; a metric that doesn't
+        /// apply to a process stays at 0.
+        pub struct Metrics {
+            registry: Registry,
+            $(#[doc = $help] pub $field: $kind,)*
+        }
+
+        impl Default for Metrics {
+            fn default() -> Self {
+                let mut registry = Registry::with_prefix(PREFIX);
+                $(
+                    let $field = <$kind as Described>::make();
+                    registry.register(registered_name($name), $help, $field.clone());
+                )*
+                Self { registry, $($field,)* }
+            }
+        }
+
+        impl Metrics {
+            /// All metrics in the order of the published table.
+            pub const CATALOGUE: &'static [MetricSpec] = &[
+                $(MetricSpec {
+                    name: concat!("fescueshift_", $name),
+                    kind: <$kind as Described>::KIND,
+                    help: $help,
+                },)*
+            ];
+        }
+    };
+}
+
+metrics! {
+    datagrams_received: Counter, "datagrams_received_total",
+        "Datagrams received from clients, entries and agents.";
+    datagrams_forwarded: Counter, "datagrams_forwarded_total",
+        "Client datagrams sent on to an agent.";
+    datagrams_returned: Counter, "datagrams_returned_total",
+        "Datagrams sent back towards clients.";
+    datagrams_dropped: CodeCounter, "datagrams_dropped_total",
+        "Datagrams dropped, by reason.";
+    first_packets_handed_off: Counter, "first_packets_handed_off_total",
+        "First packets that an agent passed to a peer.";
+    stateless_resets: Counter, "stateless_resets_total",
+        "Stateless resets sent for flows of lost targets.";
+    flows_open: Gauge, "flows_open",
+        "Open client connections.";
+    flows_opened: Counter, "flows_opened_total",
+        "Client connections accepted.";
+    flows_refused: Counter, "flows_refused_total",
+        "Client connections refused at the flow limit.";
+    flows_closed_at_bound: Counter, "flows_closed_at_bound_total",
+        "Client connections closed because the drain bound passed.";
+    requests_received: Counter, "requests_received_total",
+        "Requests received from clients.";
+    requests_started: Counter, "requests_started_total",
+        "Requests sent to the upstream.";
+    requests_finished: Counter, "requests_finished_total",
+        "Requests whose complete response was returned.";
+    requests_failed: CodeCounter, "requests_failed_total",
+        "Requests refused or ended with an error, by result code.";
+    requests_offloaded: Counter, "requests_offloaded_total",
+        "Repeatable requests passed to a peer for balance.";
+    requests_relayed: Counter, "requests_relayed_total",
+        "Non-repeatable requests relayed to the owner of their key.";
+    requests_cancelled: Counter, "requests_cancelled_total",
+        "Requests that the client cancelled.";
+    duplicate_keys: Counter, "duplicate_keys_total",
+        "Requests with an idempotency key that was known already.";
+    upstream_retries: Counter, "upstream_retries_total",
+        "Repeatable requests sent to the upstream again.";
+    upstream_refusals: Counter, "upstream_refusals_total",
+        "Requests that the upstream refused without running them.";
+    responses_discarded: Counter, "responses_discarded_total",
+        "Late or duplicate responses that were discarded.";
+    slots_used: Gauge, "slots_used",
+        "Slots with a request in progress.";
+    concurrency_limit: Gauge, "concurrency_limit",
+        "Requests that may be in progress at the upstream.";
+    queue_requests: Gauge, "queue_requests",
+        "Requests that wait for a slot.";
+    queue_wait: Histogram, "queue_wait_seconds",
+        "Time that started requests waited for a slot.";
+    request_duration: Histogram, "request_duration_seconds",
+        "Time from the arrival of a request to the end of its response.";
+    idempotency_keys: Gauge, "idempotency_keys",
+        "Idempotency keys held.";
+    ticket_highest: Gauge, "ticket_highest_number",
+        "Highest ticket number held.";
+    tickets_rejected: CodeCounter, "tickets_rejected_total",
+        "Tickets rejected, by reason.";
+    platform_reads: Counter, "platform_reads_total",
+        "Reads and watches sent to the platform.";
+    platform_failures: CodeCounter, "platform_failures_total",
+        "Failed reads and watches, by reason.";
+    platform_age_ms: Gauge, "platform_age_milliseconds",
+        "Age of the freshest platform contact known.";
+    control_bytes_sent: Counter, "control_bytes_sent_total",
+        "Bytes of control messages sent.";
+    control_bytes_received: Counter, "control_bytes_received_total",
+        "Bytes of control messages received.";
+    link_failures: CodeCounter, "link_failures_total",
+        "Links that failed to open or closed early, by reason.";
+    peers_alive: Gauge, "peers_alive",
+        "Peers heard within the suspicion timeout.";
+    clock_jumps: Counter, "clock_jumps_total",
+        "Pauses and clock jumps found.";
+}
+
+impl std::fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+impl Metrics {
+    /// Returns all metrics in the OpenMetrics text format.
+    #[must_use]
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string can't fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+/// The encoder adds the suffix of counters by itself.
+fn registered_name(name: &str) -> &str {
+    name.strip_suffix("_total").unwrap_or(name)
+}
--- /dev/null
+++ b/crates/fes-telemetry/tests/metrics.rs
@@ -0,0 +1,62 @@
+//! The metric catalogue, the exposed text and the published table agree.
+
+use fes_protocol::ResultCode;
+use fes_telemetry::MetricKind;
+use fes_telemetry::MetricSpec;
+use fes_telemetry::Metrics;
+
+fn table_row(spec: &MetricSpec) -> String {
+    let kind = match spec.kind {
+        MetricKind::Counter => "counter",
+        MetricKind::CounterByCode => "counter by `code`",
+        MetricKind::Gauge => "gauge",
+        MetricKind::Histogram => "histogram",
+    };
+    format!("| `{}` | {kind} | {} |", spec.name, spec.help)
+}
+
+/// Guards against a metric that is missing from, or differs from, the published table.
+#[test]
+fn the_table_lists_exactly_the_metrics_of_the_program() {
+    let page = include_str!("../../../docs/metrics.md");
+    let rows: Vec<&str> = page
+        .lines()
+        .filter(|line| line.starts_with("| `"))
+        .collect();
+
+    let expected: Vec<String> = Metrics::CATALOGUE.iter().map(table_row).collect();
+
+    assert_eq!(rows, expected);
+}
+
+/// Guards against a catalogued name that differs from the exposed one, as happens when a suffix
+/// is added twice.
+#[test]
+fn every_catalogued_metric_is_exposed_under_its_name() {
+    let metrics = Metrics::default();
+    let code = ResultCode::DatagramForged;
+    for counter in [
+        &metrics.datagrams_dropped,
+        &metrics.requests_failed,
+        &metrics.tickets_rejected,
+        &metrics.platform_failures,
+        &metrics.link_failures,
+    ] {
+        counter.get_or_create(&code.into()).inc();
+    }
+
+    let text = metrics.encode();
+
+    for spec in Metrics::CATALOGUE {
+        let sample = match spec.kind {
+            MetricKind::Histogram => format!("\n{}_count 0\n", spec.name),
+            MetricKind::CounterByCode => format!("\n{}{{code=\"F5006\"}} 1\n", spec.name),
+            MetricKind::Counter | MetricKind::Gauge => format!("\n{} 0\n", spec.name),
+        };
+        assert!(
+            text.contains(&sample),
+            "{} is missing in:\n{text}",
+            spec.name
+        );
+    }
+}
