Add ticket parsing and the ticket store

Change: fes-tickets parses JSON and TOML into one document and reads it field by field, so that all faults are reported at once with code, place, value and what is allowed. Four result codes (F4013 to F4016) cover missing fields, wrong types, unknown words and reuse of a retired ID.

--- a/crates/fes-protocol/src/result_code.rs
+++ b/crates/fes-protocol/src/result_code.rs
@@ -127,6 +127,14 @@
         "Remove the field or correct its spelling.";
     TicketBadName = 4012, "a name in the ticket is empty or has characters that are not allowed",
         "Use lower-case letters, digits, '-' and '.'.";
+    TicketMissingField = 4013, "a required field of the ticket is missing or empty",
+        "Add the field; docs/tickets.md has examples.";
+    TicketWrongType = 4014, "a field of the ticket has the wrong type",
+        "Use the type that is reported as allowed.";
+    TicketBadChoice = 4015, "a field of the ticket has a word that is not allowed",
+        "Use one of the reported words.";
+    TicketRetiredService = 4016, "the ticket uses the ID of a retired service",
+        "Publish the service under a new ID.";
     DatagramTooShort = 5001, "a datagram was shorter than its header",
         "None needed unless the count grows; then look for a scanner.";
     DatagramTooLarge = 5002, "a client datagram was larger than entries pass on",
--- /dev/null
+++ b/crates/fes-tickets/src/document.rs
@@ -0,0 +1,251 @@
+//! Reads a parsed document field by field and collects all faults on the way.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+use fes_protocol::ResultCode;
+use serde_json::Map;
+use serde_json::Value;
+
+use crate::TicketFault;
+
+const MAX_SHOWN_VALUE_CHARS: usize = 60;
+const MAX_NAME_BYTES: usize = 63;
+
+/// Faults found so far.
+#[derive(Debug, Default)]
+pub(crate) struct Faults(RefCell<Vec<TicketFault>>);
+
+impl Faults {
+    pub(crate) fn add(
+        &self,
+        code: ResultCode,
+        place: impl Into<String>,
+        value: impl Into<String>,
+        allowed: impl Into<String>,
+    ) {
+        self.0.borrow_mut().push(TicketFault {
+            code,
+            place: place.into(),
+            value: value.into(),
+            allowed: allowed.into(),
+        });
+    }
+
+    pub(crate) fn into_vec(self) -> Vec<TicketFault> {
+        self.0.into_inner()
+    }
+}
+
+/// A table of the document with its place.
+pub(crate) struct Table<'a> {
+    place: String,
+    fields: &'a Map<String, Value>,
+    faults: &'a Faults,
+}
+
+impl<'a> Table<'a> {
+    /// Takes `value` as a table and reports fields that are not in `known`.
+    pub(crate) fn new(
+        value: &'a Value,
+        place: String,
+        known: &[&str],
+        faults: &'a Faults,
+    ) -> Option<Self> {
+        let Some(fields) = value.as_object() else {
+            faults.add(ResultCode::TicketWrongType, place, shown(value), "a table");
+            return None;
+        };
+        let table = Self {
+            place,
+            fields,
+            faults,
+        };
+        for (name, value) in fields {
+            if !known.contains(&name.as_str()) {
+                let allowed = format!("one of {}", known.join(", "));
+                table.fault(ResultCode::TicketUnknownField, name, value, &allowed);
+            }
+        }
+        Some(table)
+    }
+
+    /// Returns the place of a field.
+    pub(crate) fn place_of(&self, field: &str) -> String {
+        if self.place.is_empty() {
+            return field.to_owned();
+        }
+        format!("{}.{field}", self.place)
+    }
+
+    /// Returns a whole number within `range`.
+    pub(crate) fn number(&self, field: &str, range: RangeInclusive<u64>) -> Option<u64> {
+        let allowed = format!("a whole number from {} to {}", range.start(), range.end());
+        let value = self.required(field, &allowed)?;
+        if !value.is_number() {
+            self.fault(ResultCode::TicketWrongType, field, value, &allowed);
+            return None;
+        }
+        let number = value.as_u64().filter(|number| range.contains(number));
+        if number.is_none() {
+            self.fault(ResultCode::TicketBadNumber, field, value, &allowed);
+        }
+        number
+    }
+
+    /// Returns a whole number of 32 bits within `range`.
+    pub(crate) fn number32(&self, field: &str, range: RangeInclusive<u32>) -> Option<u32> {
+        let wide = u64::from(*range.start())..=u64::from(*range.end());
+        self.number(field, wide)
+            .and_then(|number| u32::try_from(number).ok())
+    }
+
+    /// Returns a well-formed name.
+    pub(crate) fn name(&self, field: &str) -> Option<&'a str> {
+        let value = self.required(field, NAME_ALLOWED)?;
+        self.check_name(&self.place_of(field), value)
+    }
+
+    /// Returns an address with a port.
+    pub(crate) fn address(&self, field: &str) -> Option<SocketAddr> {
+        let value = self.required(field, ADDRESS_ALLOWED)?;
+        self.check_address(&self.place_of(field), value)
+    }
+
+    /// Returns the meaning of one of the given words.
+    pub(crate) fn choice<T: Copy>(&self, field: &str, choices: &[(&str, T)]) -> Option<T> {
+        let words: Vec<&str> = choices.iter().map(|(word, _)| *word).collect();
+        let allowed = words.join(" or ");
+        let value = self.required(field, &allowed)?;
+        let found = value
+            .as_str()
+            .and_then(|text| choices.iter().find(|(word, _)| *word == text));
+        if found.is_none() {
+            self.fault(ResultCode::TicketBadChoice, field, value, &allowed);
+        }
+        found.map(|(_, meaning)| *meaning)
+    }
+
+    /// Returns the names of a required list with their places.
+    pub(crate) fn names(&self, field: &str) -> Vec<(String, &'a str)> {
+        let read = |(place, value): (String, &'a Value)| {
+            self.check_name(&place, value).map(|name| (place, name))
+        };
+        self.required_list(field)
+            .into_iter()
+            .filter_map(read)
+            .collect()
+    }
+
+    /// Returns the addresses of a required list with their places.
+    pub(crate) fn addresses(&self, field: &str) -> Vec<(String, SocketAddr)> {
+        let read = |(place, value): (String, &'a Value)| {
+            self.check_address(&place, value).map(|a| (place, a))
+        };
+        self.required_list(field)
+            .into_iter()
+            .filter_map(read)
+            .collect()
+    }
+
+    /// Returns the items of a required list with their places.
+    pub(crate) fn required_list(&self, field: &str) -> Vec<(String, &'a Value)> {
+        match self.required(field, "a list") {
+            Some(value) => self.items(field, value),
+            None => Vec::new(),
+        }
+    }
+
+    /// Returns the items of a list that may be absent.
+    pub(crate) fn optional_list(&self, field: &str) -> Vec<(String, &'a Value)> {
+        match self.optional(field) {
+            Some(value) => self.items(field, value),
+            None => Vec::new(),
+        }
+    }
+
+    /// Returns a field that may be absent.
+    pub(crate) fn optional(&self, field: &str) -> Option<&'a Value> {
+        self.fields.get(field).filter(|value| !value.is_null())
+    }
+
+    fn items(&self, field: &str, value: &'a Value) -> Vec<(String, &'a Value)> {
+        let Some(items) = value.as_array() else {
+            self.fault(ResultCode::TicketWrongType, field, value, "a list");
+            return Vec::new();
+        };
+        let place = self.place_of(field);
+        let with_place = |(index, item): (usize, &'a Value)| (format!("{place}[{index}]"), item);
+        items.iter().enumerate().map(with_place).collect()
+    }
+
+    fn required(&self, field: &str, allowed: &str) -> Option<&'a Value> {
+        let value = self.optional(field);
+        if value.is_none() {
+            self.faults.add(
+                ResultCode::TicketMissingField,
+                self.place_of(field),
+                "",
+                allowed,
+            );
+        }
+        value
+    }
+
+    fn check_name(&self, place: &str, value: &'a Value) -> Option<&'a str> {
+        let Some(name) = value.as_str() else {
+            let code = ResultCode::TicketWrongType;
+            self.faults.add(code, place, shown(value), NAME_ALLOWED);
+            return None;
+        };
+        if is_name(name) {
+            return Some(name);
+        }
+        let code = ResultCode::TicketBadName;
+        self.faults.add(code, place, shown(value), NAME_ALLOWED);
+        None
+    }
+
+    fn check_address(&self, place: &str, value: &Value) -> Option<SocketAddr> {
+        let Some(text) = value.as_str() else {
+            let code = ResultCode::TicketWrongType;
+            self.faults.add(code, place, shown(value), ADDRESS_ALLOWED);
+            return None;
+        };
+        let address = text.parse::<SocketAddr>().ok();
+        let address = address.filter(|a| a.port() != 0 && !a.ip().is_unspecified());
+        if address.is_none() {
+            let code = ResultCode::TicketBadAddress;
+            self.faults.add(code, place, shown(value), ADDRESS_ALLOWED);
+        }
+        address
+    }
+
+    fn fault(&self, code: ResultCode, field: &str, value: &Value, allowed: &str) {
+        self.faults
+            .add(code, self.place_of(field), shown(value), allowed);
+    }
+}
+
+const NAME_ALLOWED: &str =
+    "1 to 63 lower-case letters, digits, '-' and '.', starting with a letter or digit";
+const ADDRESS_ALLOWED: &str = "IP:PORT with a numeric IP address and a port from 1 to 65535";
+
+fn is_name(name: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-' || b == b'.';
+    let starts_well = name
+        .bytes()
+        .next()
+        .is_some_and(|b| b.is_ascii_alphanumeric());
+    starts_well && name.len() <= MAX_NAME_BYTES && name.bytes().all(allowed)
+}
+
+fn shown(value: &Value) -> String {
+    let text = value.to_string();
+    if text.chars().count() <= MAX_SHOWN_VALUE_CHARS {
+        return text;
+    }
+    let start: String = text.chars().take(MAX_SHOWN_VALUE_CHARS).collect();
+    format!("{start}...")
+}
--- a/crates/fes-tickets/src/lib.rs
+++ b/crates/fes-tickets/src/lib.rs
@@ -1,1 +1,40 @@
-//! Ticket validation, store, gossip, platform readers and diff.
+//! Tickets: wire format and validation, the store of tickets in force, their distribution and
+//! the comparison of two states.
+//!
+//! Nothing in this crate reads a clock or a socket.
+
+mod content_digest;
+mod document;
+mod duplicates;
+mod fault;
+mod parse;
+mod peer_directory;
+mod snapshot;
+mod store;
+mod validate;
+mod wire;
+
+pub use content_digest::TicketVersion;
+pub use content_digest::content_digest;
+pub use fault::TicketFault;
+pub use parse::MAX_TICKET_BYTES;
+pub use parse::TicketFormat;
+pub use parse::parse_ticket;
+pub use peer_directory::Distance;
+pub use peer_directory::Peer;
+pub use peer_directory::PeerDirectory;
+pub use peer_directory::processes_changed;
+pub use snapshot::InForce;
+pub use snapshot::NodeAddresses;
+pub use snapshot::Snapshot;
+pub use store::ApplyOutcome;
+pub use store::StoreReport;
+pub use store::TicketStore;
+pub use wire::EntryWire;
+pub use wire::FleetWire;
+pub use wire::KeyEpochWire;
+pub use wire::ServiceWire;
+pub use wire::TicketWire;
+pub use wire::UpstreamWire;
+pub use wire::decode_ticket;
+pub use wire::encode_ticket;
--- /dev/null
+++ b/crates/fes-tickets/src/store.rs
@@ -0,0 +1,378 @@
+//! The tickets in force at one process.
+
+use std::fmt;
+use std::sync::Arc;
+
+use fes_protocol::ObjectKey;
+use fes_protocol::ResultCode;
+use fes_protocol::ServiceId;
+use fes_protocol::ServiceSpec;
+use fes_protocol::ServiceState;
+use fes_protocol::Ticket;
+use fes_protocol::TicketNumber;
+use fes_protocol::TicketObject;
+
+use crate::InForce;
+use crate::Snapshot;
+use crate::TicketVersion;
+use crate::snapshot::HeldTicket;
+use crate::snapshot::hash_part;
+use crate::snapshot::retirement_hash_part;
+
+/// Something that the operator should know about a ticket that was offered to a store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreReport {
+    /// An object of the ticket was ignored because a higher number is in force.
+    Stale {
+        /// The object.
+        object: ObjectKey,
+        /// Number offered.
+        offered: TicketNumber,
+        /// Number in force.
+        in_force: TicketNumber,
+    },
+    /// A different ticket with the same number is held.
+    Conflict {
+        /// The object that both carry.
+        object: ObjectKey,
+        /// The ticket whose object is in force now.
+        winner: TicketVersion,
+        /// The ticket that lost.
+        loser: TicketVersion,
+    },
+    /// A ticket uses the ID of a retired service; the service stays retired.
+    RetiredService {
+        /// The service.
+        service: ServiceId,
+        /// Number offered.
+        offered: TicketNumber,
+        /// Ticket that retired the service.
+        retired_by: TicketNumber,
+    },
+    /// Two active services claim an address; the lower service ID has it.
+    AddressClaimedTwice {
+        /// Service that has the address.
+        owner: ServiceId,
+        /// Service that claims it in vain.
+        claimant: ServiceId,
+    },
+}
+
+impl StoreReport {
+    /// Returns the numbered code.
+    #[must_use]
+    pub const fn code(&self) -> ResultCode {
+        match self {
+            Self::Stale { .. } => ResultCode::TicketStale,
+            Self::Conflict { .. } => ResultCode::TicketConflict,
+            Self::RetiredService { .. } => ResultCode::TicketRetiredService,
+            Self::AddressClaimedTwice { .. } => ResultCode::TicketDuplicate,
+        }
+    }
+}
+
+impl fmt::Display for StoreReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Stale {
+                object,
+                offered,
+                in_force,
+            } => write!(
+                f,
+                "{object}: ticket {offered} ignored, {in_force} is in force"
+            ),
+            Self::Conflict {
+                object,
+                winner,
+                loser,
+            } => write!(f, "{object}: {winner} wins over {loser}"),
+            Self::RetiredService {
+                service,
+                offered,
+                retired_by,
+            } => write!(
+                f,
+                "service {service}: stays retired by {retired_by} despite {offered}"
+            ),
+            Self::AddressClaimedTwice { owner, claimant } => write!(
+                f,
+                "service {claimant} claims an address that service {owner} has"
+            ),
+        }
+    }
+}
+
+/// What a ticket changed in a store.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ApplyOutcome {
+    /// Objects whose state in force is new.
+    pub changed: Vec<ObjectKey>,
+    /// What the operator should know.
+    pub reports: Vec<StoreReport>,
+    /// The ticket was held already.
+    pub known: bool,
+}
+
+impl ApplyOutcome {
+    /// Returns whether the ticket changed the state in force.
+    #[must_use]
+    pub fn is_new(&self) -> bool {
+        !self.changed.is_empty()
+    }
+}
+
+/// Keeps the highest ticket per object. Two stores that were given the same tickets in any order
+/// are in the same state.
+#[derive(Debug, Clone, Default)]
+pub struct TicketStore {
+    snapshot: Arc<Snapshot>,
+}
+
+impl TicketStore {
+    /// Makes an empty store.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the state in force. The caller's copy never changes.
+    #[must_use]
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        Arc::clone(&self.snapshot)
+    }
+
+    /// Returns the state in force.
+    #[must_use]
+    pub fn state(&self) -> &Snapshot {
+        &self.snapshot
+    }
+
+    /// Applies a whole ticket in one step.
+    pub fn apply(&mut self, ticket: Arc<Ticket>) -> ApplyOutcome {
+        let version = TicketVersion::of(&ticket);
+        let mut outcome = ApplyOutcome::default();
+        if self.snapshot.held.contains_key(&version) {
+            outcome.known = true;
+            return outcome;
+        }
+        if !self.would_keep(&ticket, version) {
+            self.report_ignored(&ticket, version, &mut outcome);
+            return outcome;
+        }
+        let mut next = Snapshot::clone(&self.snapshot);
+        for object in &ticket.objects {
+            apply_object(&mut next, &ticket, version, object, &mut outcome);
+        }
+        rebuild_addresses(&mut next, &mut outcome);
+        self.snapshot = Arc::new(next);
+        outcome
+    }
+
+    /// Returns whether any object of the ticket would come into force or retire a service.
+    fn would_keep(&self, ticket: &Ticket, version: TicketVersion) -> bool {
+        ticket.objects.iter().any(|object| {
+            let in_force = self.snapshot.version_of(&object.key());
+            in_force.is_none_or(|held| held < version)
+                || retires_earlier(&self.snapshot, object, version)
+        })
+    }
+
+    fn report_ignored(&self, ticket: &Ticket, version: TicketVersion, outcome: &mut ApplyOutcome) {
+        for object in &ticket.objects {
+            if let Some(held) = self.snapshot.version_of(&object.key()) {
+                outcome
+                    .reports
+                    .push(report_loser(object.key(), version, held));
+            }
+        }
+    }
+}
+
+fn apply_object(
+    next: &mut Snapshot,
+    ticket: &Arc<Ticket>,
+    version: TicketVersion,
+    object: &TicketObject,
+    outcome: &mut ApplyOutcome,
+) {
+    if let TicketObject::Service(spec) = object {
+        retire(next, ticket, version, object, spec.id, outcome);
+    }
+    let key = object.key();
+    if let Some(held) = next.version_of(&key) {
+        if held >= version {
+            outcome.reports.push(report_loser(key, version, held));
+            return;
+        }
+        if held.number == version.number {
+            outcome.reports.push(StoreReport::Conflict {
+                object: key.clone(),
+                winner: version,
+                loser: held,
+            });
+        }
+        next.state_hash = next.state_hash.wrapping_sub(hash_part(&key, held));
+        release(next, held);
+    }
+    next.state_hash = next.state_hash.wrapping_add(hash_part(&key, version));
+    hold(next, ticket, version);
+    put(next, version, object, outcome);
+    if !outcome.changed.contains(&key) {
+        outcome.changed.push(key);
+    }
+}
+
+fn put(
+    next: &mut Snapshot,
+    version: TicketVersion,
+    object: &TicketObject,
+    outcome: &mut ApplyOutcome,
+) {
+    match object {
+        TicketObject::Service(spec) => {
+            let mut value = Arc::clone(spec);
+            if let Some(retired_by) = next.retired.get(&spec.id)
+                && spec.state == ServiceState::Active
+            {
+                outcome.reports.push(StoreReport::RetiredService {
+                    service: spec.id,
+                    offered: version.number,
+                    retired_by: retired_by.number,
+                });
+                value = as_retired(spec);
+            }
+            next.services.insert(spec.id, InForce { version, value });
+        }
+        TicketObject::Fleet(spec) => {
+            let value = Arc::clone(spec);
+            next.fleets
+                .insert(spec.data_centre.clone(), InForce { version, value });
+        }
+        TicketObject::KeyEpoch(spec) => {
+            next.key_epoch = Some(InForce {
+                version,
+                value: *spec,
+            });
+        }
+    }
+}
+
+/// Records the lowest ticket that retired a service. That ticket is kept for ever, so that a
+/// process that joins later learns of the retirement even if the ID was used again.
+fn retire(
+    next: &mut Snapshot,
+    ticket: &Arc<Ticket>,
+    version: TicketVersion,
+    object: &TicketObject,
+    id: ServiceId,
+    outcome: &mut ApplyOutcome,
+) {
+    if !retires_earlier(next, object, version) {
+        return;
+    }
+    if let Some(earlier) = next.retired.insert(id, version) {
+        next.state_hash = next
+            .state_hash
+            .wrapping_sub(retirement_hash_part(id, earlier));
+        release(next, earlier);
+    }
+    next.state_hash = next
+        .state_hash
+        .wrapping_add(retirement_hash_part(id, version));
+    hold(next, ticket, version);
+    if let Some(held) = next.services.get_mut(&id)
+        && held.value.state == ServiceState::Active
+    {
+        held.value = as_retired(&held.value);
+        outcome.reports.push(StoreReport::RetiredService {
+            service: id,
+            offered: held.version.number,
+            retired_by: version.number,
+        });
+        outcome.changed.push(ObjectKey::Service(id));
+    }
+}
+
+fn retires_earlier(state: &Snapshot, object: &TicketObject, version: TicketVersion) -> bool {
+    let TicketObject::Service(spec) = object else {
+        return false;
+    };
+    let recorded = state.retired.get(&spec.id);
+    spec.state == ServiceState::Retired && recorded.is_none_or(|held| version < *held)
+}
+
+fn as_retired(spec: &ServiceSpec) -> Arc<ServiceSpec> {
+    Arc::new(ServiceSpec {
+        state: ServiceState::Retired,
+        ..spec.clone()
+    })
+}
+
+fn hold(next: &mut Snapshot, ticket: &Arc<Ticket>, version: TicketVersion) {
+    let held = next.held.entry(version).or_insert_with(|| HeldTicket {
+        ticket: Arc::clone(ticket),
+        references: 0,
+    });
+    held.references += 1;
+}
+
+fn release(next: &mut Snapshot, version: TicketVersion) {
+    let Some(held) = next.held.get_mut(&version) else {
+        return;
+    };
+    held.references -= 1;
+    if held.references == 0 {
+        next.held.remove(&version);
+    }
+}
+
+fn report_loser(object: ObjectKey, offered: TicketVersion, held: TicketVersion) -> StoreReport {
+    if offered.number == held.number {
+        return StoreReport::Conflict {
+            object,
+            winner: held,
+            loser: offered,
+        };
+    }
+    StoreReport::Stale {
+        object,
+        offered: offered.number,
+        in_force: held.number,
+    }
+}
+
+fn rebuild_addresses(next: &mut Snapshot, outcome: &mut ApplyOutcome) {
+    let services_changed = outcome
+        .changed
+        .iter()
+        .any(|key| matches!(key, ObjectKey::Service(_)));
+    if !services_changed {
+        return;
+    }
+    let mut by_address = std::mem::take(&mut next.by_address);
+    by_address.clear();
+    for service in next.active_services() {
+        for address in &service.value.addresses {
+            let claimant = service.value.id;
+            let owner = by_address.entry(*address).or_insert(claimant);
+            if *owner == claimant {
+                continue;
+            }
+            let (kept, lost) = (claimant.min(*owner), claimant.max(*owner));
+            *owner = kept;
+            report_claim(kept, lost, outcome);
+        }
+    }
+    next.by_address = by_address;
+}
+
+fn report_claim(owner: ServiceId, claimant: ServiceId, outcome: &mut ApplyOutcome) {
+    let concerns_change = [owner, claimant]
+        .iter()
+        .any(|id| outcome.changed.contains(&ObjectKey::Service(*id)));
+    let report = StoreReport::AddressClaimedTwice { owner, claimant };
+    if concerns_change && !outcome.reports.contains(&report) {
+        outcome.reports.push(report);
+    }
+}
--- /dev/null
+++ b/crates/fes-tickets/src/validate.rs
@@ -0,0 +1,324 @@
+//! Turns a document into a ticket or into the list of all its faults.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use fes_protocol::DataCentreName;
+use fes_protocol::EntryId;
+use fes_protocol::EntrySpec;
+use fes_protocol::FleetSpec;
+use fes_protocol::KeyEpoch;
+use fes_protocol::KeyEpochSpec;
+use fes_protocol::ResultCode;
+use fes_protocol::ServiceId;
+use fes_protocol::ServiceSpec;
+use fes_protocol::ServiceState;
+use fes_protocol::TargetId;
+use fes_protocol::Ticket;
+use fes_protocol::TicketNumber;
+use fes_protocol::TicketObject;
+use fes_protocol::UpstreamSpec;
+use fes_protocol::UpstreamState;
+use serde_json::Value;
+
+use crate::TicketFault;
+use crate::document::Faults;
+use crate::document::Table;
+use crate::duplicates::Unique;
+
+/// Largest ticket number: JSON tools keep whole numbers exact up to 2^53 - 1.
+const MAX_TICKET_NUMBER: u64 = (1 << 53) - 1;
+const MAX_SLOTS: u32 = 1_024;
+const MAX_KEY_EPOCH: u32 = 3;
+
+const TICKET_FIELDS: &[&str] = &["number", "key_epoch", "services", "fleets"];
+const SERVICE_FIELDS: &[&str] = &[
+    "id",
+    "name",
+    "state",
+    "addresses",
+    "data_centres",
+    "upstreams",
+];
+const UPSTREAM_FIELDS: &[&str] = &[
+    "target",
+    "name",
+    "vm",
+    "data_centre",
+    "agent_address",
+    "link_address",
+    "slots",
+    "state",
+];
+const FLEET_FIELDS: &[&str] = &["data_centre", "entries"];
+const ENTRY_FIELDS: &[&str] = &["id", "vm", "control_address", "link_address"];
+
+/// Values that must be unique within the whole ticket.
+struct Scope<'a> {
+    faults: &'a Faults,
+    services: Unique<'a, ServiceId>,
+    service_names: Unique<'a, String>,
+    service_addresses: Unique<'a, SocketAddr>,
+    targets: Unique<'a, TargetId>,
+    fleets: Unique<'a, DataCentreName>,
+    entries: Unique<'a, EntryId>,
+    control_addresses: Unique<'a, SocketAddr>,
+    link_addresses: Unique<'a, SocketAddr>,
+}
+
+impl<'a> Scope<'a> {
+    fn new(faults: &'a Faults) -> Self {
+        Self {
+            faults,
+            services: Unique::new("service ID", faults),
+            service_names: Unique::new("service name", faults),
+            service_addresses: Unique::new("service address", faults),
+            targets: Unique::new("target ID", faults),
+            fleets: Unique::new("data centre", faults),
+            entries: Unique::new("entry ID", faults),
+            control_addresses: Unique::new("UDP address of a process", faults),
+            link_addresses: Unique::new("TCP address of a process", faults),
+        }
+    }
+}
+
+/// Validates a whole ticket.
+pub(crate) fn ticket_from_document(document: &Value) -> Result<Ticket, Vec<TicketFault>> {
+    let faults = Faults::default();
+    let ticket = read_ticket(document, &faults);
+    let faults = faults.into_vec();
+    match ticket {
+        Some(ticket) if faults.is_empty() => Ok(ticket),
+        _ => Err(faults),
+    }
+}
+
+fn read_ticket(document: &Value, faults: &Faults) -> Option<Ticket> {
+    let table = Table::new(document, String::new(), TICKET_FIELDS, faults)?;
+    let mut scope = Scope::new(faults);
+    let number = table.number("number", 1..=MAX_TICKET_NUMBER);
+    let mut objects = Vec::new();
+    objects.extend(read_key_epoch(&table, faults).map(TicketObject::KeyEpoch));
+    let services = table.optional_list("services");
+    let fleets = table.optional_list("fleets");
+    if services.is_empty() && fleets.is_empty() && table.optional("key_epoch").is_none() {
+        let allowed = "at least one of services, fleets and key_epoch";
+        faults.add(ResultCode::TicketEmpty, "ticket", "", allowed);
+    }
+    for (place, value) in services {
+        let service = read_service(value, place, &mut scope);
+        objects.extend(service.map(|spec| TicketObject::Service(Arc::new(spec))));
+    }
+    for (place, value) in fleets {
+        let fleet = read_fleet(value, place, &mut scope);
+        objects.extend(fleet.map(|spec| TicketObject::Fleet(Arc::new(spec))));
+    }
+    Some(Ticket {
+        number: TicketNumber(number?),
+        objects,
+    })
+}
+
+fn read_key_epoch(table: &Table<'_>, faults: &Faults) -> Option<KeyEpochSpec> {
+    let value = table.optional("key_epoch")?;
+    let table = Table::new(value, "key_epoch".to_owned(), &["current"], faults)?;
+    let current = table.number32("current", 0..=MAX_KEY_EPOCH)?;
+    Some(KeyEpochSpec {
+        current: KeyEpoch(u8::try_from(current).ok()?),
+    })
+}
+
+fn read_service(value: &Value, place: String, scope: &mut Scope<'_>) -> Option<ServiceSpec> {
+    let table = Table::new(value, place, SERVICE_FIELDS, scope.faults)?;
+    let id = table.number32("id", 1..=u32::MAX).map(ServiceId);
+    let name = table.name("name");
+    let states = [
+        ("active", ServiceState::Active),
+        ("retired", ServiceState::Retired),
+    ];
+    let state = table.choice("state", &states);
+    let addresses = table.addresses("addresses");
+    let data_centres = read_data_centres(&table, scope.faults);
+    let upstreams = read_upstreams(&table, &data_centres, scope);
+    if let Some(id) = &id {
+        scope.services.check(id, table.place_of("id"));
+    }
+    if let Some(name) = name {
+        scope
+            .service_names
+            .check(&name.to_owned(), table.place_of("name"));
+    }
+    for (place, address) in &addresses {
+        scope.service_addresses.check(address, place);
+    }
+    if state == Some(ServiceState::Active) {
+        require_items(
+            &table,
+            &["addresses", "data_centres", "upstreams"],
+            scope.faults,
+        );
+    }
+    Some(ServiceSpec {
+        id: id?,
+        name: name?.into(),
+        state: state?,
+        addresses: addresses.into_iter().map(|(_, address)| address).collect(),
+        data_centres,
+        upstreams,
+    })
+}
+
+/// Reports lists that an active service may not leave empty: an empty list would cut off the
+/// service, which only the state `retired` may do.
+fn require_items(table: &Table<'_>, fields: &[&str], faults: &Faults) {
+    for field in fields {
+        let value = table.optional(field);
+        if value.and_then(Value::as_array).is_some_and(Vec::is_empty) {
+            let allowed = "at least one item, or state retired";
+            faults.add(
+                ResultCode::TicketMissingField,
+                table.place_of(field),
+                "[]",
+                allowed,
+            );
+        }
+    }
+}
+
+fn read_data_centres(table: &Table<'_>, faults: &Faults) -> Vec<DataCentreName> {
+    let mut unique = Unique::new("data centre", faults);
+    let mut names = Vec::new();
+    for (place, name) in table.names("data_centres") {
+        let name = DataCentreName::from(name);
+        unique.check(&name, place);
+        names.push(name);
+    }
+    names
+}
+
+fn read_upstreams(
+    table: &Table<'_>,
+    data_centres: &[DataCentreName],
+    scope: &mut Scope<'_>,
+) -> Vec<UpstreamSpec> {
+    let mut names = Unique::new("upstream name", scope.faults);
+    let mut upstreams = Vec::new();
+    for (place, value) in table.required_list("upstreams") {
+        let Some(table) = Table::new(value, place, UPSTREAM_FIELDS, scope.faults) else {
+            continue;
+        };
+        if let Some(name) = value.get("name").and_then(Value::as_str) {
+            names.check(&name.to_owned(), table.place_of("name"));
+        }
+        upstreams.extend(read_upstream(&table, data_centres, scope));
+    }
+    upstreams.sort_by_key(|upstream| upstream.target);
+    upstreams
+}
+
+fn read_upstream(
+    table: &Table<'_>,
+    data_centres: &[DataCentreName],
+    scope: &mut Scope<'_>,
+) -> Option<UpstreamSpec> {
+    let target = table.number32("target", 1..=u32::MAX).map(TargetId);
+    let name = table.name("name");
+    let vm = table.name("vm");
+    let data_centre = table.name("data_centre").map(DataCentreName::from);
+    let agent_address = table.address("agent_address");
+    let link_address = table.address("link_address");
+    let slots = table.number32("slots", 1..=MAX_SLOTS);
+    let states = [
+        ("active", UpstreamState::Active),
+        ("leaving", UpstreamState::Leaving),
+    ];
+    let state = table.choice("state", &states);
+    if let Some(target) = &target {
+        scope.targets.check(target, table.place_of("target"));
+    }
+    check_process_addresses(table, "agent_address", agent_address, link_address, scope);
+    if let Some(name) = data_centre
+        .as_ref()
+        .filter(|name| !data_centres.contains(name))
+    {
+        let listed: Vec<&str> = data_centres.iter().map(DataCentreName::as_str).collect();
+        let allowed = format!("one of the service's data centres: {}", listed.join(", "));
+        let place = table.place_of("data_centre");
+        scope.faults.add(
+            ResultCode::TicketBadReference,
+            place,
+            name.as_str(),
+            allowed,
+        );
+    }
+    Some(UpstreamSpec {
+        target: target?,
+        name: name?.into(),
+        vm: vm?.into(),
+        data_centre: data_centre?,
+        agent_address: agent_address?,
+        link_address: link_address?,
+        slots: slots?,
+        state: state?,
+    })
+}
+
+fn read_fleet(value: &Value, place: String, scope: &mut Scope<'_>) -> Option<FleetSpec> {
+    let table = Table::new(value, place, FLEET_FIELDS, scope.faults)?;
+    let data_centre = table.name("data_centre").map(DataCentreName::from);
+    if let Some(name) = &data_centre {
+        scope.fleets.check(name, table.place_of("data_centre"));
+    }
+    let mut entries = Vec::new();
+    for (place, value) in table.required_list("entries") {
+        entries.extend(read_entry(value, place, scope));
+    }
+    entries.sort_by_key(|entry| entry.id);
+    Some(FleetSpec {
+        data_centre: data_centre?,
+        entries,
+    })
+}
+
+fn read_entry(value: &Value, place: String, scope: &mut Scope<'_>) -> Option<EntrySpec> {
+    let table = Table::new(value, place, ENTRY_FIELDS, scope.faults)?;
+    let id = table.number32("id", 1..=u32::MAX).map(EntryId);
+    let vm = table.name("vm");
+    let control_address = table.address("control_address");
+    let link_address = table.address("link_address");
+    if let Some(id) = &id {
+        scope.entries.check(id, table.place_of("id"));
+    }
+    check_process_addresses(
+        &table,
+        "control_address",
+        control_address,
+        link_address,
+        scope,
+    );
+    Some(EntrySpec {
+        id: id?,
+        vm: vm?.into(),
+        control_address: control_address?,
+        link_address: link_address?,
+    })
+}
+
+fn check_process_addresses(
+    table: &Table<'_>,
+    udp_field: &str,
+    udp: Option<SocketAddr>,
+    link: Option<SocketAddr>,
+    scope: &mut Scope<'_>,
+) {
+    if let Some(address) = &udp {
+        scope
+            .control_addresses
+            .check(address, table.place_of(udp_field));
+    }
+    if let Some(address) = &link {
+        scope
+            .link_addresses
+            .check(address, table.place_of("link_address"));
+    }
+}
