--- /dev/null
+++ b/crates/fes-admission/src/admission.rs
@@ -0,0 +1,399 @@
+//! Admission of requests to an upstream's slots.
+
+use fes_protocol::MonoTime;
+use fes_protocol::RequestId;
+use fes_protocol::ResultCode;
+
+use crate::AdmissionAction;
+use crate::AdmissionEvent;
+use crate::AdmissionSettings;
+use crate::ClassIndex;
+use crate::ClassName;
+use crate::ClassTable;
+use crate::ConcurrencyLimit;
+use crate::LearntCapacity;
+use crate::Load;
+use crate::Origin;
+use crate::RetryBudget;
+use crate::SlowStart;
+use crate::WorkRate;
+use crate::forecast::Forecast;
+use crate::queue::DeadlineQueue;
+use crate::queue::Waiting;
+use crate::running::Running;
+use crate::running::RunningSet;
+
+/// Time constant of the demand estimate, in milliseconds.
+const DEMAND_MEMORY_MS: u64 = 2_000;
+
+/// Whether the upstream and its agent take work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Gate {
+    Open,
+    UpstreamDown,
+    Draining,
+}
+
+/// Decides which request starts, waits or is refused.
+#[derive(Debug)]
+pub struct Admission {
+    settings: AdmissionSettings,
+    gate: Gate,
+    classes: ClassTable,
+    queue: DeadlineQueue,
+    running: RunningSet,
+    limit: ConcurrencyLimit,
+    retries: RetryBudget,
+    capacity: LearntCapacity,
+    slow_start: SlowStart,
+    demand: WorkRate,
+    movable: WorkRate,
+    armed: MonoTime,
+}
+
+impl Admission {
+    /// Makes an admission whose upstream is up and cold.
+    #[must_use]
+    pub fn new(now: MonoTime, settings: AdmissionSettings) -> Self {
+        let mut slow_start = SlowStart::warm();
+        slow_start.begin(now);
+        Self {
+            gate: Gate::Open,
+            classes: ClassTable::new(&settings),
+            queue: DeadlineQueue::default(),
+            running: RunningSet::default(),
+            limit: ConcurrencyLimit::new(settings.slots),
+            retries: RetryBudget::new(settings.retry_ratio),
+            capacity: LearntCapacity::new(now, settings.slots),
+            slow_start,
+            demand: WorkRate::new(DEMAND_MEMORY_MS),
+            movable: WorkRate::new(DEMAND_MEMORY_MS),
+            armed: MonoTime::NEVER,
+            settings,
+        }
+    }
+
+    /// Reacts to an event.
+    ///
+    /// - `Arrive` with an ID that is queued or started is a duplicate and is ignored; with an ID
+    ///   that ended before, it is a new request. A deadline that has passed is refused.
+    /// - `Finished`, `Failed`, `Cancelled` and `UpstreamShed` for an ID that is neither queued nor
+    ///   started are ignored, so that a second report of an end frees no second slot.
+    /// - `Finished`, `Failed` and `UpstreamShed` for a queued ID are ignored: they can only
+    ///   belong to an earlier start of the request.
+    /// - `UpstreamShed` of a repeatable request puts it back into the queue if the retry budget
+    ///   and its deadline permit; a second `Start` follows. Otherwise it is refused.
+    /// - `Drain`, `UpstreamUp` and `UpstreamDown` may be repeated. A drain is final.
+    /// - A `Timer` that is late only delays refusals of expired requests; an extra one does
+    ///   nothing.
+    pub fn handle(&mut self, now: MonoTime, event: AdmissionEvent) -> Vec<AdmissionAction> {
+        let mut actions = Vec::new();
+        match event {
+            AdmissionEvent::Arrive {
+                id,
+                class,
+                deadline,
+                repeatable,
+                origin,
+            } => {
+                let class = self.count(now, &class, repeatable, origin);
+                self.arrive(now, id, class, deadline, repeatable, &mut actions);
+            }
+            AdmissionEvent::PassedOn { class } => {
+                self.count(now, &class, true, Origin::Client);
+            }
+            AdmissionEvent::Finished { id } => self.finish(now, id),
+            AdmissionEvent::Failed { id } => {
+                self.running.remove(id);
+            }
+            AdmissionEvent::Cancelled { id } => {
+                self.running.remove(id);
+                self.queue.remove(id);
+            }
+            AdmissionEvent::UpstreamShed { id } => self.shed(now, id, &mut actions),
+            AdmissionEvent::UpstreamUp => self.upstream_up(now),
+            AdmissionEvent::UpstreamDown => self.upstream_down(&mut actions),
+            AdmissionEvent::Drain => self.gate = Gate::Draining,
+            AdmissionEvent::Timer => self.armed = MonoTime::NEVER,
+        }
+        self.refuse_expired(now, &mut actions);
+        self.dispatch(now, &mut actions);
+        self.arm_timer(now, &mut actions);
+        actions
+    }
+
+    /// Returns what heartbeats report.
+    pub fn load(&mut self, now: MonoTime) -> Load {
+        let limit = self.limit.current(now);
+        let speed = self.capacity.speed(now);
+        let open = self.gate == Gate::Open;
+        let share = if open {
+            self.slow_start.share(now)
+        } else {
+            0.0
+        };
+        let queued_us: f64 = self
+            .queue
+            .iter()
+            .map(|w| self.classes.mean_us(w.class))
+            .sum();
+        Load {
+            capacity_milli: milli(f64::from(limit) * speed * share),
+            demand_milli: milli(self.demand.slots(now)),
+            movable_milli: milli(self.movable.slots(now)),
+            queue_wait_ms: (queued_us / f64::from(limit) / 1e3) as u32,
+            has_free_slot: open && self.running.len() < limit && self.queue.len() == 0,
+        }
+    }
+
+    /// Returns whether requests of this class run many times longer than the usual ones.
+    #[must_use]
+    pub fn is_long(&mut self, class: &ClassName) -> bool {
+        let index = self.classes.index_of(class);
+        self.classes.is_long(index)
+    }
+
+    /// Takes a token from the retry budget for a retry that the host makes, for example of a
+    /// repeatable request that failed at a peer.
+    pub fn take_retry(&mut self) -> bool {
+        self.retries.take()
+    }
+
+    /// Returns how many requests hold slots.
+    #[must_use]
+    pub fn running_count(&self) -> u32 {
+        self.running.len()
+    }
+
+    /// Returns how many requests wait.
+    #[must_use]
+    pub fn queued_count(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns whether a drain is complete.
+    #[must_use]
+    pub fn is_drained(&self) -> bool {
+        self.gate == Gate::Draining && self.running.len() == 0 && self.queue.len() == 0
+    }
+
+    fn count(
+        &mut self,
+        now: MonoTime,
+        class: &ClassName,
+        repeatable: bool,
+        origin: Origin,
+    ) -> ClassIndex {
+        let class = self.classes.index_of(class);
+        if origin == Origin::Offloaded {
+            return class;
+        }
+        let cost_us = self.reference_cost_us(now, class);
+        self.demand.add(now, cost_us);
+        if repeatable && origin == Origin::Client {
+            self.movable.add(now, cost_us);
+        }
+        class
+    }
+
+    fn reference_cost_us(&mut self, now: MonoTime, class: ClassIndex) -> f64 {
+        match self.classes.prior_us(class) {
+            Some(prior_us) => prior_us,
+            None => self.classes.mean_us(class) * self.capacity.speed(now),
+        }
+    }
+
+    fn arrive(
+        &mut self,
+        now: MonoTime,
+        id: RequestId,
+        class: ClassIndex,
+        deadline: MonoTime,
+        repeatable: bool,
+        actions: &mut Vec<AdmissionAction>,
+    ) {
+        if self.queue.contains(id) || self.running.contains(id) {
+            return;
+        }
+        self.classes.count_arrival(class);
+        let waiting = Waiting {
+            id,
+            class,
+            deadline,
+            enqueued_at: now,
+            repeatable,
+            long: self.classes.is_long(class),
+        };
+        match self.check_arrival(now, &waiting) {
+            Ok(()) => {
+                self.retries.first_attempt();
+                self.queue.push(waiting);
+            }
+            Err(code) => actions.push(AdmissionAction::Refuse { id, code }),
+        }
+    }
+
+    fn check_arrival(&mut self, now: MonoTime, waiting: &Waiting) -> Result<(), ResultCode> {
+        match self.gate {
+            Gate::Open => {}
+            Gate::UpstreamDown => return Err(ResultCode::NotRunUpstreamDown),
+            Gate::Draining => return Err(ResultCode::NotRunDraining),
+        }
+        if waiting.deadline <= now {
+            return Err(ResultCode::NotRunDeadline);
+        }
+        if self.queue.len() >= self.settings.queue_capacity {
+            return Err(ResultCode::NotRunQueueFull);
+        }
+        let limit = self.limit.current(now);
+        let long_slots = self.settings.long_slots(limit);
+        let forecast = Forecast::new(now, &self.running, &self.classes, limit, long_slots);
+        if forecast.accepts(now, &self.queue, &self.classes, waiting) {
+            Ok(())
+        } else {
+            Err(ResultCode::NotRunOverloaded)
+        }
+    }
+
+    fn finish(&mut self, now: MonoTime, id: RequestId) {
+        let Some(done) = self.running.remove(id) else {
+            return;
+        };
+        let busy_us = now.us_since(done.started_at) as f64;
+        self.classes.observe(done.class, busy_us);
+        if let Some(prior_us) = self.classes.prior_us(done.class) {
+            self.capacity.observe(prior_us, busy_us);
+        }
+    }
+
+    fn shed(&mut self, now: MonoTime, id: RequestId, actions: &mut Vec<AdmissionAction>) {
+        let Some(shed) = self.running.remove(id) else {
+            return;
+        };
+        self.limit.shed(now, self.running.len());
+        let expected_us = self.classes.mean_us(shed.class) as u64;
+        let in_time = now.plus_us(expected_us) <= shed.deadline;
+        let room = self.queue.len() < self.settings.queue_capacity && self.gate == Gate::Open;
+        if shed.repeatable && in_time && room && self.retries.take() {
+            self.queue.push(Waiting {
+                id,
+                class: shed.class,
+                deadline: shed.deadline,
+                enqueued_at: now,
+                repeatable: true,
+                long: shed.long,
+            });
+            return;
+        }
+        let code = ResultCode::NotRunUpstreamRefused;
+        actions.push(AdmissionAction::Refuse { id, code });
+    }
+
+    fn upstream_up(&mut self, now: MonoTime) {
+        if self.gate == Gate::UpstreamDown {
+            self.gate = Gate::Open;
+            self.slow_start.begin(now);
+        }
+    }
+
+    fn upstream_down(&mut self, actions: &mut Vec<AdmissionAction>) {
+        if self.gate != Gate::Open {
+            return;
+        }
+        self.gate = Gate::UpstreamDown;
+        let ids: Vec<RequestId> = self.queue.iter().map(|w| w.id).collect();
+        for id in ids {
+            self.queue.remove(id);
+            let code = ResultCode::NotRunUpstreamDown;
+            actions.push(AdmissionAction::Refuse { id, code });
+        }
+    }
+
+    fn refuse_expired(&mut self, now: MonoTime, actions: &mut Vec<AdmissionAction>) {
+        for expired in [QueueSide::Short, QueueSide::Long] {
+            while let Some(first) = expired.first(&self.queue).filter(|w| w.deadline <= now) {
+                self.queue.remove(first.id);
+                actions.push(AdmissionAction::Refuse {
+                    id: first.id,
+                    code: ResultCode::NotRunDeadline,
+                });
+            }
+        }
+    }
+
+    fn dispatch(&mut self, now: MonoTime, actions: &mut Vec<AdmissionAction>) {
+        let limit = self.limit.current(now);
+        let overdue_us = self.settings.long_multiple * self.classes.shortest_common_us();
+        self.running.mark_overdue(now, overdue_us);
+        while self.running.len() < limit {
+            let Some(next) = self.next_to_start(now, limit) else {
+                return;
+            };
+            self.queue.remove(next.id);
+            self.running.insert(Running {
+                id: next.id,
+                class: next.class,
+                deadline: next.deadline,
+                started_at: now,
+                repeatable: next.repeatable,
+                long: next.long,
+            });
+            actions.push(AdmissionAction::Start { id: next.id });
+        }
+    }
+
+    fn next_to_start(&self, now: MonoTime, limit: u32) -> Option<Waiting> {
+        let short = self.queue.first_short();
+        if self.running.long_count() >= self.settings.long_slots(limit) {
+            return short;
+        }
+        let aged = self.queue.long().find(|w| now >= self.age_bound(w));
+        if aged.is_some() {
+            return aged.copied();
+        }
+        match (short, self.queue.first_long()) {
+            (Some(short), Some(long)) if long.deadline < short.deadline => Some(long),
+            (None, long) => long,
+            (short, _) => short,
+        }
+    }
+
+    /// Returns when a long request goes ahead of short ones.
+    fn age_bound(&self, long: &Waiting) -> MonoTime {
+        let mean_us = self.classes.mean_us(long.class);
+        let age_us = (mean_us * self.settings.age_bound_multiple) as u64;
+        let min_us = self.settings.min_age_bound_ms.saturating_mul(1_000);
+        long.enqueued_at.plus_us(age_us.max(min_us))
+    }
+
+    fn arm_timer(&mut self, now: MonoTime, actions: &mut Vec<AdmissionAction>) {
+        let deadline = self.queue.earliest_deadline();
+        let growth = self.limit.next_growth().filter(|_| self.queue.len() > 0);
+        let Some(at) = deadline.into_iter().chain(growth).min() else {
+            return;
+        };
+        if at < self.armed || self.armed <= now {
+            self.armed = at;
+            actions.push(AdmissionAction::Timer { at });
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum QueueSide {
+    Short,
+    Long,
+}
+
+impl QueueSide {
+    fn first(self, queue: &DeadlineQueue) -> Option<Waiting> {
+        match self {
+            Self::Short => queue.first_short(),
+            Self::Long => queue.first_long(),
+        }
+    }
+}
+
+fn milli(slots: f64) -> u32 {
+    (slots * 1e3).round() as u32
+}
--- /dev/null
+++ b/crates/fes-admission/src/class_table.rs
@@ -0,0 +1,143 @@
+//! Service-time estimates per class.
+
+use std::collections::BTreeMap;
+
+use crate::AdmissionSettings;
+use crate::ClassName;
+
+/// Weight of a new observation in the mean.
+const MEAN_WEIGHT: f64 = 0.05;
+
+/// Weight of an arrival in the share of its class.
+const SHARE_WEIGHT: f64 = 0.002;
+
+/// Share of arrivals from which a class counts as common.
+const COMMON_SHARE: f64 = 0.1;
+
+/// Position of a class in its table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct ClassIndex(usize);
+
+#[derive(Debug, Clone)]
+struct Estimate {
+    /// Expected time on a reference VM, if settings give one.
+    prior_us: Option<f64>,
+    mean_us: f64,
+    observations: u64,
+    share: f64,
+}
+
+/// Bounded table of classes. The overflow class takes all names past the bound.
+#[derive(Debug, Clone)]
+pub struct ClassTable {
+    // Clients choose the names, so this is no map with a fast hasher.
+    names: BTreeMap<ClassName, ClassIndex>,
+    estimates: Vec<Estimate>,
+    max_classes: usize,
+    default_us: f64,
+    long_multiple: f64,
+}
+
+const OVERFLOW: ClassIndex = ClassIndex(0);
+
+impl ClassTable {
+    /// Makes a table that holds the classes with priors and the overflow class.
+    #[must_use]
+    pub fn new(settings: &AdmissionSettings) -> Self {
+        let default_us = settings.default_service_us.max(1) as f64;
+        let mut table = Self {
+            names: BTreeMap::new(),
+            estimates: vec![Estimate::new(None, default_us)],
+            max_classes: settings.max_classes.max(settings.priors.len()),
+            default_us,
+            long_multiple: settings.long_multiple,
+        };
+        for prior in &settings.priors {
+            let us = prior.service_us.max(1) as f64;
+            table.insert(prior.class.clone(), Estimate::new(Some(us), us));
+        }
+        table
+    }
+
+    /// Returns the class of a name; adds it if there is room.
+    pub fn index_of(&mut self, name: &ClassName) -> ClassIndex {
+        if let Some(index) = self.names.get(name) {
+            return *index;
+        }
+        if self.names.len() >= self.max_classes {
+            return OVERFLOW;
+        }
+        self.insert(name.clone(), Estimate::new(None, self.default_us))
+    }
+
+    /// Counts an arrival, which decides which classes are common.
+    pub fn count_arrival(&mut self, class: ClassIndex) {
+        for (position, estimate) in self.estimates.iter_mut().enumerate() {
+            let seen = if position == class.0 { 1.0 } else { 0.0 };
+            estimate.share += (seen - estimate.share) * SHARE_WEIGHT;
+        }
+    }
+
+    /// Adds an observed service time.
+    pub fn observe(&mut self, class: ClassIndex, service_us: f64) {
+        let estimate = &mut self.estimates[class.0];
+        estimate.observations += 1;
+        // The plain mean of the first observations replaces a wrong prior quickly.
+        let weight = MEAN_WEIGHT.max(1.0 / (estimate.observations as f64 + 1.0));
+        estimate.mean_us += (service_us - estimate.mean_us) * weight;
+    }
+
+    /// Returns the expected service time at this agent, in microseconds.
+    #[must_use]
+    pub fn mean_us(&self, class: ClassIndex) -> f64 {
+        self.estimates[class.0].mean_us
+    }
+
+    /// Returns the prior, if settings give one. Only such classes tell the speed of a VM.
+    #[must_use]
+    pub fn prior_us(&self, class: ClassIndex) -> Option<f64> {
+        self.estimates[class.0].prior_us
+    }
+
+    /// Returns whether requests of the class run many times longer than the usual ones.
+    #[must_use]
+    pub fn is_long(&self, class: ClassIndex) -> bool {
+        self.mean_us(class) > self.long_multiple * self.shortest_common_us()
+    }
+
+    /// Returns the shortest mean among common classes. Without one, the shortest of all.
+    #[must_use]
+    pub fn shortest_common_us(&self) -> f64 {
+        let shortest = |common: bool| {
+            self.estimates
+                .iter()
+                .filter(|e| !common || e.share >= COMMON_SHARE)
+                .map(|e| e.mean_us)
+                .fold(f64::INFINITY, f64::min)
+        };
+        let among_common = shortest(true);
+        if among_common.is_finite() {
+            among_common
+        } else {
+            shortest(false)
+        }
+    }
+
+    fn insert(&mut self, name: ClassName, estimate: Estimate) -> ClassIndex {
+        let index = ClassIndex(self.estimates.len());
+        self.estimates.push(estimate);
+        self.names.insert(name, index);
+        index
+    }
+}
+
+impl Estimate {
+    const fn new(prior_us: Option<f64>, mean_us: f64) -> Self {
+        Self {
+            prior_us,
+            mean_us,
+            observations: 0,
+            share: 0.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fes-admission/src/queue.rs
@@ -0,0 +1,99 @@
+//! Bounded queue in earliest-deadline order.
+
+use std::collections::BTreeMap;
+
+use fes_protocol::FastMap;
+use fes_protocol::MonoTime;
+use fes_protocol::RequestId;
+
+use crate::ClassIndex;
+
+/// A request that waits for a slot.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Waiting {
+    pub(crate) id: RequestId,
+    pub(crate) class: ClassIndex,
+    pub(crate) deadline: MonoTime,
+    pub(crate) enqueued_at: MonoTime,
+    pub(crate) repeatable: bool,
+    /// Whether the class was long when the request was queued.
+    pub(crate) long: bool,
+}
+
+/// Deadline, then order of arrival.
+type Position = (MonoTime, u64);
+
+/// Waiting requests; long ones are kept apart, so that they never hide short ones behind them.
+#[derive(Debug, Default)]
+pub(crate) struct DeadlineQueue {
+    short: BTreeMap<Position, Waiting>,
+    long: BTreeMap<Position, Waiting>,
+    positions: FastMap<RequestId, (bool, Position)>,
+    next_sequence: u64,
+}
+
+impl DeadlineQueue {
+    pub(crate) fn len(&self) -> usize {
+        self.positions.len()
+    }
+
+    pub(crate) fn contains(&self, id: RequestId) -> bool {
+        self.positions.contains_key(&id)
+    }
+
+    pub(crate) fn push(&mut self, waiting: Waiting) {
+        let position = (waiting.deadline, self.next_sequence);
+        self.next_sequence += 1;
+        self.positions.insert(waiting.id, (waiting.long, position));
+        self.side(waiting.long).insert(position, waiting);
+    }
+
+    pub(crate) fn remove(&mut self, id: RequestId) -> Option<Waiting> {
+        let (long, position) = self.positions.remove(&id)?;
+        self.side(long).remove(&position)
+    }
+
+    /// Returns the short request with the earliest deadline.
+    pub(crate) fn first_short(&self) -> Option<Waiting> {
+        self.short.values().next().copied()
+    }
+
+    /// Returns the long request with the earliest deadline.
+    pub(crate) fn first_long(&self) -> Option<Waiting> {
+        self.long.values().next().copied()
+    }
+
+    /// Returns all long requests by deadline.
+    pub(crate) fn long(&self) -> impl Iterator<Item = &Waiting> {
+        self.long.values()
+    }
+
+    /// Returns the earliest deadline.
+    pub(crate) fn earliest_deadline(&self) -> Option<MonoTime> {
+        let short = self.short.keys().next();
+        let long = self.long.keys().next();
+        short.into_iter().chain(long).map(|p| p.0).min()
+    }
+
+    /// Returns all requests by deadline.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Waiting> {
+        let mut short = self.short.iter().peekable();
+        let mut long = self.long.iter().peekable();
+        std::iter::from_fn(move || {
+            let long_first = match (short.peek(), long.peek()) {
+                (Some((s, _)), Some((l, _))) => l < s,
+                (short, _) => short.is_none(),
+            };
+            let side = if long_first { &mut long } else { &mut short };
+            side.next().map(|(_, waiting)| waiting)
+        })
+    }
+
+    fn side(&mut self, long: bool) -> &mut BTreeMap<Position, Waiting> {
+        if long {
+            &mut self.long
+        } else {
+            &mut self.short
+        }
+    }
+}
--- /dev/null
+++ b/crates/fes-admission/src/retry_budget.rs
@@ -0,0 +1,34 @@
+//! Token bucket for retries.
+
+/// Tokens that a quiet agent may save up.
+const MAX_TOKENS: f64 = 10.0;
+
+/// Permits retries up to a share of first attempts.
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    ratio: f64,
+    tokens: f64,
+}
+
+impl RetryBudget {
+    /// Makes a budget of `ratio` retries per first attempt. It starts with one token, so that the
+    /// first failure of a fresh agent may be retried.
+    #[must_use]
+    pub const fn new(ratio: f64) -> Self {
+        Self { ratio, tokens: 1.0 }
+    }
+
+    /// Counts a first attempt.
+    pub fn first_attempt(&mut self) {
+        self.tokens = (self.tokens + self.ratio).min(MAX_TOKENS);
+    }
+
+    /// Takes a token; returns whether the retry may be made.
+    pub fn take(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/fes-admission/src/settings.rs
@@ -0,0 +1,70 @@
+//! Settings of admission.
+
+use crate::ClassName;
+
+/// Expected service time of a class on a reference VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClassPrior {
+    /// The class.
+    pub class: ClassName,
+    /// Mean service time on a reference VM, in microseconds.
+    pub service_us: u64,
+}
+
+/// Settings of admission for one upstream.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AdmissionSettings {
+    /// Requests that the upstream runs at the same time; at least 1.
+    pub slots: u32,
+    /// Requests that may wait.
+    pub queue_capacity: usize,
+    /// Expected service times. These classes never fall into the overflow class.
+    pub priors: Vec<ClassPrior>,
+    /// Expected service time of a class without a prior, in microseconds on a reference VM.
+    pub default_service_us: u64,
+    /// Classes that are told apart; further ones share the overflow class.
+    pub max_classes: usize,
+    /// A class is long if its mean is above this multiple of the shortest common mean.
+    pub long_multiple: f64,
+    /// One slot in this many, at least one, is kept from long classes.
+    pub reserve_one_in: u32,
+    /// A long request goes ahead of short ones after this multiple of its class mean.
+    pub age_bound_multiple: f64,
+    /// Lower bound of the age bound, in milliseconds.
+    pub min_age_bound_ms: u64,
+    /// Retries per first attempt.
+    pub retry_ratio: f64,
+}
+
+impl AdmissionSettings {
+    /// Returns the design page's values for an upstream with this many slots.
+    #[must_use]
+    pub fn for_slots(slots: u32) -> Self {
+        Self {
+            slots: slots.max(1),
+            queue_capacity: 256,
+            priors: Vec::new(),
+            default_service_us: 20_000,
+            max_classes: 64,
+            long_multiple: 8.0,
+            reserve_one_in: 4,
+            age_bound_multiple: 4.0,
+            min_age_bound_ms: 2_000,
+            retry_ratio: 0.1,
+        }
+    }
+
+    /// Adds the expected service time of a class.
+    #[must_use]
+    pub fn with_prior(mut self, class: ClassName, service_us: u64) -> Self {
+        self.priors.push(ClassPrior { class, service_us });
+        self
+    }
+
+    /// Returns how many of `limit` slots long classes may hold. A single slot is shared by all.
+    #[must_use]
+    pub fn long_slots(&self, limit: u32) -> u32 {
+        let reserved = limit.div_ceil(self.reserve_one_in.max(1)).max(1);
+        limit.saturating_sub(reserved).max(1)
+    }
+}
