Add the request offload planner

Cause: placement weights can't follow real speeds, so that balance needs decisions per request. Change: OffloadPlanner passes the surplus over the fair share on in proportion to deficits, checks reports for age and plausibility, and picks owners of key prefixes in proportion to capacity.

--- /dev/null
+++ b/crates/fes-routing/src/offload/mod.rs
@@ -0,0 +1,16 @@
+//! Request offload among the agents of one service.
+
+mod planner;
+mod report;
+mod request;
+mod settings;
+mod shares;
+
+pub use planner::OffloadPlanner;
+pub use report::PeerReport;
+pub use request::OffloadChoice;
+pub use request::OffloadRequest;
+pub use request::OwnLoad;
+pub use request::PrefixOwner;
+pub use settings::OffloadPeer;
+pub use settings::OffloadSettings;
--- /dev/null
+++ b/crates/fes-routing/src/offload/planner.rs
@@ -0,0 +1,232 @@
+//! Decides which requests run at a peer and which peer new key prefixes name.
+
+use std::collections::BTreeMap;
+
+use fes_protocol::MonoTime;
+use fes_protocol::PeerHeartbeat;
+use fes_protocol::TargetId;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::OffloadChoice;
+use super::OffloadPeer;
+use super::OffloadRequest;
+use super::OffloadSettings;
+use super::OwnLoad;
+use super::PeerReport;
+use super::PrefixOwner;
+use super::shares::Member;
+use super::shares::Shares;
+use super::shares::pick;
+
+/// Surplus below this share of the own demand stays here: it is within the noise of the demand
+/// estimates, and each hop costs a round trip.
+const MIN_SURPLUS_SHARE: f64 = 0.02;
+
+/// Time for which a peer that refused an offloaded request gets none, in milliseconds.
+const REFUSAL_PAUSE_MS: u64 = 500;
+
+#[derive(Debug, Clone)]
+struct Peer {
+    hop_ms: u32,
+    report: Option<PeerReport>,
+    paused_until: MonoTime,
+}
+
+/// Plans offload for one agent from its peers' heartbeats.
+#[derive(Debug)]
+pub struct OffloadPlanner {
+    settings: OffloadSettings,
+    peers: BTreeMap<TargetId, Peer>,
+    random: ChaCha8Rng,
+}
+
+impl OffloadPlanner {
+    /// Makes a planner without peers.
+    #[must_use]
+    pub fn new(settings: OffloadSettings) -> Self {
+        Self {
+            random: ChaCha8Rng::seed_from_u64(settings.seed),
+            peers: BTreeMap::new(),
+            settings,
+        }
+    }
+
+    /// Replaces the peers by those that the tickets in force name as taking new work. Reports of
+    /// peers that stay are kept.
+    pub fn set_peers(&mut self, peers: impl IntoIterator<Item = OffloadPeer>) {
+        let mut held = std::mem::take(&mut self.peers);
+        for peer in peers {
+            if peer.target == self.settings.own {
+                continue;
+            }
+            let mut entry = held.remove(&peer.target).unwrap_or(Peer {
+                hop_ms: 0,
+                report: None,
+                paused_until: MonoTime::ZERO,
+            });
+            entry.hop_ms = peer.hop_ms;
+            self.peers.insert(peer.target, entry);
+        }
+    }
+
+    /// Takes over a peer's heartbeat. Heartbeats of unknown targets and late or repeated ones
+    /// are ignored.
+    pub fn on_heartbeat(&mut self, now: MonoTime, own: &OwnLoad, heartbeat: &PeerHeartbeat) {
+        let Some(peer) = self.peers.get_mut(&heartbeat.target) else {
+            return;
+        };
+        let next = PeerReport::next(peer.report.as_ref(), now, heartbeat, own.capacity_milli);
+        if next.is_some() {
+            peer.report = next;
+        }
+    }
+
+    /// Notes that a peer refused an offloaded request or can't be reached; it gets none for a
+    /// while, whatever its heartbeats say.
+    pub fn on_refused(&mut self, now: MonoTime, target: TargetId) {
+        if let Some(peer) = self.peers.get_mut(&target) {
+            peer.paused_until = now.plus_ms(REFUSAL_PAUSE_MS);
+        }
+    }
+
+    /// Decides where a request runs.
+    pub fn choose(
+        &mut self,
+        now: MonoTime,
+        own: &OwnLoad,
+        request: &OffloadRequest,
+    ) -> OffloadChoice {
+        if !request.repeatable || request.passed_on {
+            return OffloadChoice::Here;
+        }
+        let shares = Shares::compute(self.own_member(own), &self.members(now));
+        let movable = f64::from(own.movable_milli);
+        if shares.surplus <= f64::from(own.demand_milli) * MIN_SURPLUS_SHARE || movable <= 0.0 {
+            return OffloadChoice::Here;
+        }
+        if self.random.random::<f64>() >= shares.surplus / movable {
+            return OffloadChoice::Here;
+        }
+        let deficits: Vec<(TargetId, f64)> = shares
+            .deficits
+            .into_iter()
+            .filter(|(target, _)| self.is_reachable_in_time(now, *target, request.deadline))
+            .collect();
+        self.pick(&deficits)
+    }
+
+    /// Picks a peer for a repeatable request that this agent would have to refuse. Returns
+    /// `Here` if no peer reports a free place; the request is then refused here.
+    pub fn choose_rescue(
+        &mut self,
+        now: MonoTime,
+        own: &OwnLoad,
+        request: &OffloadRequest,
+    ) -> OffloadChoice {
+        if !request.repeatable || request.passed_on {
+            return OffloadChoice::Here;
+        }
+        let spare: Vec<(TargetId, f64)> = self
+            .members(now)
+            .into_iter()
+            .filter(|m| self.is_reachable_in_time(now, m.target, request.deadline))
+            .filter(|m| self.queue_wait_ms(m.target) < own.queue_wait_ms)
+            .map(|m| (m.target, (m.capacity - m.demand).max(0.0) * m.trust))
+            .collect();
+        self.pick(&spare)
+    }
+
+    /// Returns whether every peer with a usable report has no spare capacity.
+    #[must_use]
+    pub fn are_peers_full(&self, now: MonoTime) -> bool {
+        self.members(now).iter().all(|m| m.demand >= m.capacity)
+    }
+
+    /// Returns the peer that a new key prefix names, in proportion to capacity, or `None` for
+    /// this agent itself.
+    pub fn choose_prefix_owner(&mut self, now: MonoTime, own: &OwnLoad) -> Option<PrefixOwner> {
+        let own_member = self.own_member(own);
+        let mut weights = vec![(own_member.target, own_member.capacity)];
+        let members = self.members(now);
+        weights.extend(members.iter().map(|m| (m.target, m.capacity * m.trust)));
+        let OffloadChoice::Peer(target) = self.pick(&weights) else {
+            return None;
+        };
+        let report = self.peers.get(&target)?.report?;
+        Some(PrefixOwner {
+            target,
+            incarnation: report.incarnation,
+            key_issue_ms: report.key_issue_ms,
+        })
+    }
+
+    fn pick(&mut self, weights: &[(TargetId, f64)]) -> OffloadChoice {
+        match pick(weights, self.random.random()) {
+            Some(target) if target != self.settings.own => OffloadChoice::Peer(target),
+            _ => OffloadChoice::Here,
+        }
+    }
+
+    fn own_member(&self, own: &OwnLoad) -> Member {
+        Member {
+            target: self.settings.own,
+            capacity: f64::from(own.capacity_milli),
+            demand: f64::from(own.demand_milli),
+            trust: 1.0,
+        }
+    }
+
+    /// Returns the peers with usable reports. When more than half of the peers are silent, the
+    /// silence says more about this agent's reception than about them, and the last reports of
+    /// all are used.
+    fn members(&self, now: MonoTime) -> Vec<Member> {
+        let usable = |peer: &Peer| self.trust(now, peer) > 0.0;
+        let usable_count = self.peers.values().filter(|p| usable(p)).count();
+        let panic = usable_count * 2 < self.peers.len();
+        let mut members = Vec::with_capacity(self.peers.len());
+        for (target, peer) in &self.peers {
+            let Some(report) = peer.report.filter(|r| r.serving) else {
+                continue;
+            };
+            let trust = if panic { 1.0 } else { self.trust(now, peer) };
+            if trust > 0.0 {
+                members.push(Member {
+                    target: *target,
+                    capacity: f64::from(report.capacity_milli),
+                    demand: f64::from(report.demand_milli),
+                    trust,
+                });
+            }
+        }
+        members
+    }
+
+    fn trust(&self, now: MonoTime, peer: &Peer) -> f64 {
+        let Some(report) = peer.report else {
+            return 0.0;
+        };
+        let age_ms = now.ms_since(report.received_at);
+        if age_ms <= self.settings.fresh_ms {
+            return 1.0;
+        }
+        let fade_ms = self.settings.stale_ms - self.settings.fresh_ms;
+        let late_ms = age_ms - self.settings.fresh_ms;
+        1.0 - (late_ms as f64 / fade_ms.max(1) as f64).min(1.0)
+    }
+
+    fn queue_wait_ms(&self, target: TargetId) -> u32 {
+        let report = self.peers.get(&target).and_then(|p| p.report);
+        report.map_or(u32::MAX, |r| r.queue_wait_ms)
+    }
+
+    /// Returns whether the peer isn't paused and the deadline leaves time for hop and queue.
+    fn is_reachable_in_time(&self, now: MonoTime, target: TargetId, deadline: MonoTime) -> bool {
+        let Some(peer) = self.peers.get(&target) else {
+            return false;
+        };
+        let wait_ms = u64::from(peer.hop_ms) + u64::from(self.queue_wait_ms(target));
+        now >= peer.paused_until && now.plus_ms(wait_ms) < deadline
+    }
+}
--- /dev/null
+++ b/crates/fes-routing/src/offload/request.rs
@@ -0,0 +1,54 @@
+//! Inputs and outputs of the offload planner.
+
+use fes_protocol::Incarnation;
+use fes_protocol::MonoTime;
+use fes_protocol::TargetId;
+
+/// This agent's own load, as its admission reports it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct OwnLoad {
+    /// Learnt capacity in milli-slots of a reference VM.
+    pub capacity_milli: u32,
+    /// Work that arrives from this agent's clients.
+    pub demand_milli: u32,
+    /// The part of `demand_milli` that may run at a peer.
+    pub movable_milli: u32,
+    /// Work in the queue, in milliseconds at this agent's own speed.
+    pub queue_wait_ms: u32,
+    /// Whether a short request that arrives now would start at once.
+    pub has_free_slot: bool,
+}
+
+/// What the planner needs to know of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OffloadRequest {
+    /// When the response loses its value.
+    pub deadline: MonoTime,
+    /// Whether the request may run at another agent than the one that its key names.
+    pub repeatable: bool,
+    /// Whether a peer passed it on. Such a request is never passed on again.
+    pub passed_on: bool,
+    /// Whether its class is long.
+    pub long: bool,
+}
+
+/// Where a request runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum OffloadChoice {
+    /// At this agent.
+    Here,
+    /// At the peer beside this target.
+    Peer(TargetId),
+}
+
+/// The peer that a new key prefix names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PrefixOwner {
+    /// The peer's target.
+    pub target: TargetId,
+    /// The peer's incarnation.
+    pub incarnation: Incarnation,
+    /// The peer's clock when it sent its last heartbeat; the issue time of the prefix. It is
+    /// older than now, which only shortens the validity of the prefix.
+    pub key_issue_ms: u64,
+}
