Add the at-most-once decisions of an agent

Cause: the data path needs the public interface of fes-idempotency: key prefixes, the idempotency store, relaying to the owner of a key and matching of responses.

Prefixes carry a check value of the epoch's key, because epoch numbers are used again and a key that ran under an earlier key of the same epoch must not look forged. Code F3008 answers prefixes that can't be verified.

--- /dev/null
+++ b/crates/fes-idempotency/src/limits.rs
@@ -0,0 +1,28 @@
+//! Bounds of the idempotency store.
+
+/// Period of [`crate::StoreEvent::Timer`], in milliseconds.
+pub const PURGE_PERIOD_MS: u64 = 1_000;
+
+/// How long a prefix is valid after its issue, in milliseconds on the owner's clock.
+pub const KEY_VALIDITY_MS: u64 = 600_000;
+
+/// Bounds on the memory of an [`crate::IdempotencyStore`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreLimits {
+    /// Keys held. Must exceed the requests that admission can hold at the same time.
+    pub max_keys: usize,
+    /// Bytes of stored responses, over all keys.
+    pub max_responses_bytes: usize,
+    /// Largest response that is stored, in bytes.
+    pub max_response_bytes: usize,
+}
+
+impl Default for StoreLimits {
+    fn default() -> Self {
+        Self {
+            max_keys: 65_536,
+            max_responses_bytes: 16 << 20,
+            max_response_bytes: 64 << 10,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fes-idempotency/src/prefix.rs
@@ -0,0 +1,193 @@
+//! Key prefixes: which agent incarnation may run a request, and since when.
+//!
+//! Text form: the marker `fk`, the version digit `1`, and 64 base64url characters over key epoch,
+//! check value of the epoch's key, service, target, incarnation, issue time and MAC. All of it is
+//! valid in an HTTP header value.
+
+use std::hash::Hasher;
+
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use siphasher::sip128::Hasher128;
+use siphasher::sip128::SipHasher24;
+
+use fes_protocol::Incarnation;
+use fes_protocol::KeyEpoch;
+use fes_protocol::KeyRing;
+use fes_protocol::SecretKey;
+use fes_protocol::ServiceId;
+use fes_protocol::TargetId;
+
+/// Length of a prefix in characters.
+pub const PREFIX_LEN_CHARS: usize = MARKER.len() + VERSION.len() + 64;
+
+const MARKER: &str = "fk";
+const VERSION: &str = "1";
+const CHECK_VALUE_LEN_BYTES: usize = 7;
+const CLAIMS_LEN_BYTES: usize = 32;
+const MAC_LEN_BYTES: usize = 16;
+const MAC_DOMAIN: &[u8] = b"fescueshift key prefix";
+const CHECK_VALUE_DOMAIN: &[u8] = b"fescueshift key check value";
+
+/// The agent incarnation that a key names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct KeyOwner {
+    /// Service of the agent.
+    pub service: ServiceId,
+    /// Target of the agent.
+    pub target: TargetId,
+    /// The only incarnation that may run requests with this key.
+    pub incarnation: Incarnation,
+}
+
+/// Content of a prefix.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct KeyPrefix {
+    /// Who may run the request.
+    pub owner: KeyOwner,
+    /// When the prefix was issued, in milliseconds on the owner's monotonic clock.
+    pub issue_ms: u64,
+}
+
+/// Why a prefix isn't accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum PrefixFault {
+    /// No process issues such a text; the key can't have run anywhere.
+    NotWellFormed,
+    /// The epoch is accepted, and the MAC doesn't match; the key can't have run anywhere.
+    Forged,
+    /// Another version, epoch or epoch key; it can't be verified here.
+    NotVerifiable,
+}
+
+/// Encodes and verifies prefixes under the accepted key epochs.
+#[derive(Debug, Clone)]
+pub struct PrefixCodec {
+    keys: KeyRing,
+}
+
+impl PrefixCodec {
+    /// Makes a codec from the accepted keys.
+    #[must_use]
+    pub const fn new(keys: KeyRing) -> Self {
+        Self { keys }
+    }
+
+    /// Replaces the accepted keys after a rotation.
+    pub fn set_keys(&mut self, keys: KeyRing) {
+        self.keys = keys;
+    }
+
+    /// Returns the text form of a prefix under the current epoch.
+    #[must_use]
+    pub fn encode(&self, prefix: &KeyPrefix) -> String {
+        let key = self.keys.current();
+        let claims = claims(self.keys.current_epoch(), key, prefix);
+        let mut bytes = Vec::with_capacity(CLAIMS_LEN_BYTES + MAC_LEN_BYTES);
+        bytes.extend_from_slice(&claims);
+        bytes.extend_from_slice(&mac(key, MAC_DOMAIN, &claims));
+        let mut text = String::with_capacity(PREFIX_LEN_CHARS);
+        text.push_str(MARKER);
+        text.push_str(VERSION);
+        URL_SAFE_NO_PAD.encode_string(&bytes, &mut text);
+        text
+    }
+
+    /// Verifies the text form of a prefix.
+    pub(crate) fn verify(&self, text: &str) -> Result<KeyPrefix, PrefixFault> {
+        let versioned = text
+            .strip_prefix(MARKER)
+            .ok_or(PrefixFault::NotWellFormed)?;
+        let Some(encoded) = versioned.strip_prefix(VERSION) else {
+            return Err(fault_of_other_version(versioned));
+        };
+        let bytes = URL_SAFE_NO_PAD
+            .decode(encoded)
+            .map_err(|_| PrefixFault::NotWellFormed)?;
+        let (claims, received_mac) = bytes
+            .split_first_chunk::<CLAIMS_LEN_BYTES>()
+            .filter(|(_, mac)| mac.len() == MAC_LEN_BYTES)
+            .ok_or(PrefixFault::NotWellFormed)?;
+        let key = self
+            .keys
+            .get(KeyEpoch(claims[0]))
+            .ok_or(PrefixFault::NotVerifiable)?;
+        // Epoch numbers are used again after some rotations. Without the check value, a key that
+        // ran under an earlier key of the same epoch would look forged and be answered "not run".
+        if claims[1..=CHECK_VALUE_LEN_BYTES] != check_value(key) {
+            return Err(PrefixFault::NotVerifiable);
+        }
+        if !equal_constant_time(&mac(key, MAC_DOMAIN, claims), received_mac) {
+            return Err(PrefixFault::Forged);
+        }
+        Ok(prefix_of(claims))
+    }
+}
+
+/// A later version may have issued and run the key, so only a version digit makes it unverifiable;
+/// everything else was issued by no version.
+fn fault_of_other_version(versioned: &str) -> PrefixFault {
+    if versioned.starts_with(|first: char| first.is_ascii_digit()) {
+        PrefixFault::NotVerifiable
+    } else {
+        PrefixFault::NotWellFormed
+    }
+}
+
+fn claims(epoch: KeyEpoch, key: &SecretKey, prefix: &KeyPrefix) -> [u8; CLAIMS_LEN_BYTES] {
+    let mut out = [0; CLAIMS_LEN_BYTES];
+    out[0] = epoch.0;
+    out[1..8].copy_from_slice(&check_value(key));
+    out[8..12].copy_from_slice(&prefix.owner.service.0.to_be_bytes());
+    out[12..16].copy_from_slice(&prefix.owner.target.0.to_be_bytes());
+    out[16..24].copy_from_slice(&prefix.owner.incarnation.0.to_be_bytes());
+    out[24..32].copy_from_slice(&prefix.issue_ms.to_be_bytes());
+    out
+}
+
+fn prefix_of(claims: &[u8; CLAIMS_LEN_BYTES]) -> KeyPrefix {
+    let [
+        _,
+        _,
+        _,
+        _,
+        _,
+        _,
+        _,
+        _,
+        s0,
+        s1,
+        s2,
+        s3,
+        t0,
+        t1,
+        t2,
+        t3,
+        rest @ ..,
+    ] = *claims;
+    let [i0, i1, i2, i3, i4, i5, i6, i7, issue_ms @ ..] = rest;
+    KeyPrefix {
+        owner: KeyOwner {
+            service: ServiceId(u32::from_be_bytes([s0, s1, s2, s3])),
+            target: TargetId(u32::from_be_bytes([t0, t1, t2, t3])),
+            incarnation: Incarnation(u64::from_be_bytes([i0, i1, i2, i3, i4, i5, i6, i7])),
+        },
+        issue_ms: u64::from_be_bytes(issue_ms),
+    }
+}
+
+fn check_value(key: &SecretKey) -> [u8; CHECK_VALUE_LEN_BYTES] {
+    let [a, b, c, d, e, f, g, ..] = mac(key, CHECK_VALUE_DOMAIN, &[]);
+    [a, b, c, d, e, f, g]
+}
+
+fn mac(key: &SecretKey, domain: &[u8], bytes: &[u8]) -> [u8; MAC_LEN_BYTES] {
+    let mut hasher = SipHasher24::new_with_key(key.expose());
+    hasher.write(domain);
+    hasher.write(bytes);
+    hasher.finish128().as_bytes()
+}
+
+fn equal_constant_time(a: &[u8], b: &[u8]) -> bool {
+    a.len() == b.len() && a.iter().zip(b).fold(0, |acc, (x, y)| acc | (x ^ y)) == 0
+}
--- a/crates/fes-protocol/src/result_code.rs
+++ b/crates/fes-protocol/src/result_code.rs
@@ -103,6 +103,8 @@
         "Retry if the request may be repeated.";
     UnknownDrainBound = 3007, "the drain bound passed while the request was running; the outcome is unknown",
         "Raise drain_bound_ms above the longest request.";
+    UnknownKeyEpoch = 3008, "the key's prefix can't be verified under the key epochs in use; the outcome is unknown",
+        "Reconcile with the service's own records; rotate key epochs less often than keys expire.";
     TicketSyntax = 4001, "the ticket can't be parsed",
         "Correct the syntax at the reported place.";
     TicketInvalid = 4002, "the ticket has faults",
