--- /dev/null
+++ b/crates/fes-agent/src/core.rs
@@ -0,0 +1,240 @@
+//! State that the tasks of an agent share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use fes_idempotency::Answer;
+use fes_idempotency::Coordinator;
+use fes_idempotency::CoordinatorEvent;
+use fes_idempotency::Delivery;
+use fes_idempotency::RelayEvent;
+use fes_idempotency::ResponseMatcher;
+use fes_idempotency::ResponsePart;
+use fes_idempotency::ResponseTag;
+use fes_kernel::Effect;
+use fes_kernel::KernelDriver;
+use fes_kernel::ProcessClock;
+use fes_link::DropCounters;
+use fes_link::LinkPool;
+use fes_link::Tasks;
+use fes_protocol::FastMap;
+use fes_protocol::Incarnation;
+use fes_protocol::MonoTime;
+use fes_protocol::RequestId;
+use fes_protocol::ResultCode;
+use fes_protocol::SecretKey;
+use fes_protocol::TargetId;
+use fes_settings::AgentSettings;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Response;
+use quinn::Endpoint;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+
+use crate::AgentCounters;
+use crate::counters::LiveCounters;
+use crate::decisions::AgentMessage;
+use crate::decisions::DRIVER;
+use crate::decisions::KEYS;
+use crate::decisions::KeysEvent;
+use crate::decisions::RequestEffect;
+use crate::decisions::WORK;
+use crate::decisions::WorkEvent;
+use crate::decisions::WorkStatus;
+use crate::quic::EncapsulatedSocket;
+use crate::quic::SharedKeys;
+use crate::request::Exchange;
+use crate::request::KEY_PREFIX_HEADER;
+use crate::request::RequestStep;
+use crate::request::RequestTable;
+use crate::request::announced_bytes;
+use crate::request::run_keyed;
+use crate::upstream::Upstream;
+
+/// The shared state.
+pub(crate) struct AgentCore {
+    pub(crate) settings: AgentSettings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) driver: KernelDriver<AgentMessage>,
+    pub(crate) socket: Arc<EncapsulatedSocket>,
+    pub(crate) endpoint: Endpoint,
+    pub(crate) keys: SharedKeys,
+    pub(crate) upstream: Upstream,
+    pub(crate) links: LinkPool,
+    pub(crate) requests: RequestTable,
+    pub(crate) matcher: RefCell<ResponseMatcher>,
+    pub(crate) coordinator: Rc<RefCell<Coordinator>>,
+    pub(crate) work: Rc<RefCell<WorkStatus>>,
+    pub(crate) counters: LiveCounters,
+    /// Answers with a code.
+    pub(crate) codes: DropCounters,
+    /// Dropped datagrams.
+    pub(crate) drops: Arc<DropCounters>,
+    /// Known to this incarnation only.
+    pub(crate) digest_secret: SecretKey,
+    pub(crate) max_held_response_bytes: usize,
+    /// Link addresses of the other agents of the service.
+    pub(crate) peer_links: RefCell<FastMap<TargetId, SocketAddr>>,
+    pub(crate) draining: watch::Sender<bool>,
+    /// Notified when a request or a flow ends.
+    pub(crate) ended: Notify,
+    pub(crate) flows_open: Cell<u32>,
+    pub(crate) handshakes_open: Cell<u32>,
+    pub(crate) buffered_bytes: Cell<u64>,
+    pub(crate) next_connection: Cell<u64>,
+    pub(crate) tasks: Tasks,
+}
+
+impl AgentCore {
+    pub(crate) fn now(&self) -> MonoTime {
+        self.driver.now()
+    }
+
+    pub(crate) fn clock(&self) -> ProcessClock {
+        self.driver.clock()
+    }
+
+    pub(crate) fn instant(&self, time: MonoTime) -> tokio::time::Instant {
+        self.clock().instant(time).into()
+    }
+
+    pub(crate) fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        self.tasks.spawn(task);
+    }
+
+    pub(crate) fn post_work(&self, event: WorkEvent) {
+        self.driver.post(DRIVER, WORK, AgentMessage::Work(event));
+    }
+
+    pub(crate) fn post_keys(&self, event: KeysEvent) {
+        self.driver.post(DRIVER, KEYS, AgentMessage::Keys(event));
+    }
+
+    pub(crate) fn post_relay(&self, event: RelayEvent) {
+        self.post_keys(KeysEvent::Coordinator(CoordinatorEvent::Relay(event)));
+    }
+
+    /// Carries out what a component asked of the host.
+    pub(crate) fn on_effect(self: &Rc<Self>, effect: Effect<AgentMessage>) {
+        if let AgentMessage::Request(effect) = effect.body {
+            self.on_request_effect(effect);
+        }
+    }
+
+    fn on_request_effect(self: &Rc<Self>, effect: RequestEffect) {
+        let id = match &effect {
+            RequestEffect::Forget { id } => {
+                self.requests.remove(*id);
+                self.ended.notify_waiters();
+                return;
+            }
+            RequestEffect::Start { id } => {
+                if let Some(exchange) = self.requests.get(*id).filter(|e| e.is_keyed) {
+                    self.spawn(run_keyed(Rc::clone(self), *id, exchange));
+                    return;
+                }
+                *id
+            }
+            RequestEffect::Answer { id, .. }
+            | RequestEffect::Relay { id, .. }
+            | RequestEffect::Offload { id, .. } => *id,
+        };
+        self.requests.send(id, RequestStep::Effect(effect));
+    }
+
+    /// Returns where another agent of the service takes links.
+    pub(crate) fn link_address(&self, target: TargetId) -> Option<SocketAddr> {
+        self.peer_links.borrow().get(&target).copied()
+    }
+
+    /// Adds to a response what clients get with every response.
+    pub(crate) fn client_head(&self, mut head: Response<()>) -> Response<()> {
+        let prefix = self.coordinator.borrow_mut().issue_prefix(self.now());
+        if let Ok(value) = HeaderValue::from_str(&prefix) {
+            let name = HeaderName::from_static(KEY_PREFIX_HEADER);
+            head.headers_mut().insert(name, value);
+        }
+        head
+    }
+
+    /// Expects the parts of a response whose head came from the upstream.
+    pub(crate) fn expect_response(
+        &self,
+        id: RequestId,
+        exchange: &Exchange,
+        head: &Response<()>,
+    ) -> ResponseTag {
+        let mut matcher = self.matcher.borrow_mut();
+        let tag = matcher.expect(exchange.flow, id);
+        let body_bytes = announced_bytes(&exchange.parts.method, head);
+        matcher.receive(tag, ResponsePart::Head { body_bytes });
+        tag
+    }
+
+    pub(crate) fn receive_part(&self, tag: ResponseTag, part: ResponsePart) -> Delivery {
+        self.matcher.borrow_mut().receive(tag, part)
+    }
+
+    pub(crate) fn count_code(&self, code: ResultCode) {
+        self.codes.count(code);
+    }
+
+    pub(crate) fn count_answer(&self, answer: &Answer) {
+        match answer {
+            Answer::Response(_) => self.counters.finished.add(1),
+            Answer::Code { code, .. } => self.codes.count(*code),
+        }
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        *self.draining.borrow()
+    }
+
+    /// Tells the socket whether the agent opens new flows.
+    pub(crate) fn update_fullness(&self) {
+        let is_full = self.is_draining() || self.flows_open.get() >= self.settings.flow_limit;
+        self.socket.state().is_full = is_full;
+    }
+
+    pub(crate) fn flow_opened(&self) {
+        self.counters.flows_opened.add(1);
+        self.flows_open.set(self.flows_open.get() + 1);
+        self.update_fullness();
+    }
+
+    pub(crate) fn flow_closed(&self) {
+        self.flows_open.set(self.flows_open.get().saturating_sub(1));
+        self.update_fullness();
+        self.ended.notify_waiters();
+    }
+
+    pub(crate) fn snapshot(&self) -> AgentCounters {
+        let work = *self.work.borrow();
+        let live = &self.counters;
+        AgentCounters {
+            flows_open: u64::from(self.flows_open.get()),
+            flows_opened: live.flows_opened.get(),
+            flows_refused: live.flows_refused.get(),
+            retries_demanded: live.retries_demanded.get(),
+            first_packets_passed_on: self.socket.state().passed_on,
+            requests_received: live.received.get(),
+            requests_started: live.started.get(),
+            requests_finished: live.finished.get(),
+            requests_cancelled: live.cancelled.get(),
+            requests_rejected: live.rejected.get(),
+            requests_offloaded: work.offloaded,
+            requests_relayed: work.relayed,
+            requests_open: work.open_requests as u64,
+            slots_used: u64::from(work.running),
+            responses_truncated: live.truncated.get(),
+            upstream_refusals: live.upstream_refused.get(),
+            answers: self.codes.snapshot(),
+            drops: self.drops.snapshot(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fes-agent/src/counters.rs
@@ -0,0 +1,93 @@
+//! What an agent counts.
+
+use std::cell::Cell;
+
+use fes_protocol::ResultCode;
+
+/// A counter of one arbiter.
+#[derive(Debug, Default)]
+pub(crate) struct Count(Cell<u64>);
+
+impl Count {
+    pub(crate) fn add(&self, count: u64) {
+        self.0.set(self.0.get() + count);
+    }
+
+    pub(crate) fn get(&self) -> u64 {
+        self.0.get()
+    }
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct LiveCounters {
+    pub(crate) received: Count,
+    pub(crate) started: Count,
+    pub(crate) finished: Count,
+    pub(crate) cancelled: Count,
+    pub(crate) truncated: Count,
+    pub(crate) rejected: Count,
+    pub(crate) upstream_refused: Count,
+    pub(crate) flows_opened: Count,
+    pub(crate) flows_refused: Count,
+    pub(crate) retries_demanded: Count,
+}
+
+/// Snapshot of an agent's counters.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AgentCounters {
+    /// Open client connections.
+    pub flows_open: u64,
+    /// Client connections accepted.
+    pub flows_opened: u64,
+    /// Client connections refused at the flow limit.
+    pub flows_refused: u64,
+    /// Connection attempts answered with a QUIC Retry.
+    pub retries_demanded: u64,
+    /// First packets passed on to other agents.
+    pub first_packets_passed_on: u64,
+    /// Requests received from clients and other agents.
+    pub requests_received: u64,
+    /// Requests sent to the upstream.
+    pub requests_started: u64,
+    /// Requests whose complete response was sent.
+    pub requests_finished: u64,
+    /// Requests whose sender went away before its response.
+    pub requests_cancelled: u64,
+    /// Requests rejected as not processed after a GOAWAY.
+    pub requests_rejected: u64,
+    /// Requests passed on to a peer for balance.
+    pub requests_offloaded: u64,
+    /// Requests relayed to the owner of their key.
+    pub requests_relayed: u64,
+    /// Requests that wait for an end.
+    pub requests_open: u64,
+    /// Slots in use.
+    pub slots_used: u64,
+    /// Responses that the upstream or a peer ended early.
+    pub responses_truncated: u64,
+    /// Requests that the upstream refused without running them.
+    pub upstream_refusals: u64,
+    /// Answers with a code, by code.
+    pub answers: Vec<(ResultCode, u64)>,
+    /// Dropped datagrams by reason.
+    pub drops: Vec<(ResultCode, u64)>,
+}
+
+impl AgentCounters {
+    /// Returns how many datagrams were dropped for `code`.
+    #[must_use]
+    pub fn dropped(&self, code: ResultCode) -> u64 {
+        count_of(&self.drops, code)
+    }
+
+    /// Returns how many requests were answered with `code`.
+    #[must_use]
+    pub fn answered(&self, code: ResultCode) -> u64 {
+        count_of(&self.answers, code)
+    }
+}
+
+fn count_of(counts: &[(ResultCode, u64)], code: ResultCode) -> u64 {
+    let found = counts.iter().find(|(c, _)| *c == code);
+    found.map_or(0, |(_, count)| *count)
+}
--- /dev/null
+++ b/crates/fes-agent/src/decisions/keys_component.rs
@@ -0,0 +1,95 @@
+//! Hosts the at-most-once decisions.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use fes_idempotency::Coordinator;
+use fes_idempotency::CoordinatorEvent;
+use fes_idempotency::PURGE_PERIOD_MS;
+use fes_kernel::Component;
+use fes_kernel::ComponentName;
+use fes_kernel::Event;
+use fes_kernel::Outbox;
+use fes_kernel::TimerToken;
+use fes_protocol::MonoTime;
+
+use super::AgentMessage;
+use super::KEYS;
+use super::KeysEvent;
+use super::WORK;
+use super::WorkEvent;
+
+const PURGE: TimerToken = TimerToken(0);
+const RELAY_GIVE_UP: TimerToken = TimerToken(1);
+
+/// Wraps the coordinator of this incarnation. The host shares it to issue key prefixes.
+pub(crate) struct KeysComponent {
+    coordinator: Rc<RefCell<Coordinator>>,
+}
+
+impl KeysComponent {
+    /// The token of the timer that the host sets first.
+    pub(crate) const FIRST_TIMER: TimerToken = PURGE;
+
+    pub(crate) const fn new(coordinator: Rc<RefCell<Coordinator>>) -> Self {
+        Self { coordinator }
+    }
+
+    fn coordinate(
+        &self,
+        now: MonoTime,
+        event: CoordinatorEvent,
+        outbox: &mut Outbox<AgentMessage>,
+    ) {
+        let mut coordinator = self.coordinator.borrow_mut();
+        for action in coordinator.handle(now, event) {
+            outbox.send(WORK, AgentMessage::Work(WorkEvent::KeyAction(action)));
+        }
+        if let Some(deadline) = coordinator.next_timer() {
+            outbox.set_timer(deadline, RELAY_GIVE_UP);
+        }
+    }
+}
+
+impl Component<AgentMessage> for KeysComponent {
+    fn name(&self) -> ComponentName {
+        KEYS
+    }
+
+    fn handle(
+        &mut self,
+        now: MonoTime,
+        event: Event<AgentMessage>,
+        outbox: &mut Outbox<AgentMessage>,
+    ) {
+        let event = match event {
+            Event::Timer(token) => {
+                if token == PURGE {
+                    outbox.set_timer(now.plus_ms(PURGE_PERIOD_MS), PURGE);
+                }
+                KeysEvent::Coordinator(CoordinatorEvent::Timer)
+            }
+            Event::Message {
+                body: AgentMessage::Keys(event),
+                ..
+            } => event,
+            Event::Message { .. } => return,
+        };
+        match event {
+            KeysEvent::Coordinator(event) => self.coordinate(now, event, outbox),
+            KeysEvent::PeerHeartbeat(heartbeat) => {
+                self.coordinator.borrow_mut().observe_peer(now, &heartbeat);
+            }
+            KeysEvent::OwnSpare(spare_milli) => {
+                let mut coordinator = self.coordinator.borrow_mut();
+                coordinator.issuer_mut().set_own_spare(spare_milli);
+            }
+            KeysEvent::SetKeys(keys) => self.coordinator.borrow_mut().set_keys(keys),
+            KeysEvent::Drain => self
+                .coordinator
+                .borrow_mut()
+                .issuer_mut()
+                .set_draining(true),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fes-agent/src/decisions/message.rs
@@ -0,0 +1,133 @@
+//! Messages between the agent's components and its driver.
+
+use fes_admission::ClassName;
+use fes_admission::Origin;
+use fes_idempotency::Answer;
+use fes_idempotency::CoordinatorAction;
+use fes_idempotency::CoordinatorEvent;
+use fes_idempotency::FinishedResponse;
+use fes_idempotency::KeyOwner;
+use fes_idempotency::RelayEvent;
+use fes_idempotency::RequestDigest;
+use fes_idempotency::UpstreamRefusal;
+use fes_kernel::ComponentName;
+use fes_protocol::KeyRing;
+use fes_protocol::MonoTime;
+use fes_protocol::PeerHeartbeat;
+use fes_protocol::RequestId;
+use fes_protocol::TargetId;
+use fes_routing::OffloadPeer;
+
+/// The host itself.
+pub(crate) const DRIVER: ComponentName = ComponentName("driver");
+
+/// The part of the host that carries out requests.
+pub(crate) const REQUESTS: ComponentName = ComponentName("requests");
+
+/// Decides when and where requests run.
+pub(crate) const WORK: ComponentName = ComponentName("work");
+
+/// Decides about non-repeatable requests.
+pub(crate) const KEYS: ComponentName = ComponentName("keys");
+
+/// Any message within the agent's kernel.
+#[derive(Debug, Clone)]
+pub(crate) enum AgentMessage {
+    Work(WorkEvent),
+    Keys(KeysEvent),
+    Request(RequestEffect),
+}
+
+/// The idempotency key of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct KeyedArrival {
+    pub(crate) key_value: Vec<u8>,
+    pub(crate) digest: RequestDigest,
+}
+
+/// A request that arrived.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Arrival {
+    pub(crate) id: RequestId,
+    pub(crate) class: ClassName,
+    pub(crate) deadline: MonoTime,
+    pub(crate) origin: Origin,
+    /// Present for a non-repeatable request.
+    pub(crate) key: Option<KeyedArrival>,
+}
+
+/// How an attempt at the upstream ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum UpstreamOutcome {
+    /// The response was complete.
+    Finished(FinishedResponse),
+    /// The upstream proved that it did not run the request.
+    Refused(UpstreamRefusal),
+    /// The request may have run, but there is no complete response.
+    Lost,
+}
+
+/// What the work component reacts to.
+#[derive(Debug, Clone)]
+pub(crate) enum WorkEvent {
+    Arrive(Arrival),
+    Outcome {
+        id: RequestId,
+        outcome: UpstreamOutcome,
+    },
+    Cancelled {
+        id: RequestId,
+    },
+    /// The keys component decided something.
+    KeyAction(CoordinatorAction),
+    /// The host answered the request itself, after an offload.
+    Ended {
+        id: RequestId,
+    },
+    /// A peer refused an offloaded request, can't be reached, or did not answer completely.
+    OffloadFailed {
+        id: RequestId,
+        target: TargetId,
+        may_have_run: bool,
+    },
+    PeerHeartbeat(PeerHeartbeat),
+    SetPeers(Vec<OffloadPeer>),
+    UpstreamUp,
+    UpstreamDown,
+    Drain,
+}
+
+/// What the keys component reacts to.
+#[derive(Debug, Clone)]
+pub(crate) enum KeysEvent {
+    Coordinator(CoordinatorEvent),
+    PeerHeartbeat(PeerHeartbeat),
+    OwnSpare(u32),
+    SetKeys(KeyRing),
+    Drain,
+}
+
+/// What the host does with a request.
+#[derive(Debug, Clone)]
+pub(crate) enum RequestEffect {
+    /// Send it to the upstream.
+    Start { id: RequestId },
+    /// Answer it without the upstream's response.
+    Answer { id: RequestId, answer: Answer },
+    /// Send it to the agent that its key names.
+    Relay {
+        id: RequestId,
+        owner: KeyOwner,
+        deadline: MonoTime,
+    },
+    /// Send it to a less loaded peer.
+    Offload { id: RequestId, target: TargetId },
+    /// Nobody needs the request any more.
+    Forget { id: RequestId },
+}
+
+impl AgentMessage {
+    pub(crate) const fn relay(event: RelayEvent) -> Self {
+        Self::Keys(KeysEvent::Coordinator(CoordinatorEvent::Relay(event)))
+    }
+}
--- /dev/null
+++ b/crates/fes-agent/src/decisions/work_component.rs
@@ -0,0 +1,512 @@
+//! Decides when and where requests run: admission, offload, and the way of keyed requests through
+//! both.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use fes_admission::Admission;
+use fes_admission::AdmissionAction;
+use fes_admission::AdmissionEvent;
+use fes_admission::Load;
+use fes_admission::Origin;
+use fes_idempotency::Answer;
+use fes_idempotency::CoordinatorAction;
+use fes_idempotency::CoordinatorEvent;
+use fes_idempotency::NotRun;
+use fes_idempotency::RelayAction;
+use fes_idempotency::StoreAction;
+use fes_idempotency::StoreEvent;
+use fes_idempotency::UpstreamRefusal;
+use fes_kernel::Component;
+use fes_kernel::ComponentName;
+use fes_kernel::Event;
+use fes_kernel::Outbox;
+use fes_kernel::TimerToken;
+use fes_protocol::FastMap;
+use fes_protocol::MonoTime;
+use fes_protocol::RequestId;
+use fes_protocol::ResultCode;
+use fes_protocol::TargetId;
+use fes_routing::OffloadChoice;
+use fes_routing::OffloadPlanner;
+use fes_routing::OffloadRequest;
+use fes_routing::OwnLoad;
+
+use super::AgentMessage;
+use super::Arrival;
+use super::KEYS;
+use super::KeysEvent;
+use super::REQUESTS;
+use super::RequestEffect;
+use super::UpstreamOutcome;
+use super::WORK;
+use super::WorkEvent;
+use super::request_record::RequestRecord;
+
+const ADMISSION_TIMER: TimerToken = TimerToken(0);
+
+/// What the host shows and reports of the work in progress.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct WorkStatus {
+    pub(crate) load: Load,
+    pub(crate) running: u32,
+    pub(crate) queued: usize,
+    pub(crate) open_requests: usize,
+    pub(crate) offloaded: u64,
+    pub(crate) relayed: u64,
+}
+
+/// Admission and offload of one agent.
+pub(crate) struct WorkComponent {
+    admission: Admission,
+    planner: OffloadPlanner,
+    records: FastMap<RequestId, RequestRecord>,
+    status: Rc<RefCell<WorkStatus>>,
+}
+
+impl WorkComponent {
+    pub(crate) fn new(
+        admission: Admission,
+        planner: OffloadPlanner,
+        status: Rc<RefCell<WorkStatus>>,
+    ) -> Self {
+        Self {
+            admission,
+            planner,
+            records: FastMap::default(),
+            status,
+        }
+    }
+
+    fn on_event(&mut self, now: MonoTime, event: WorkEvent, outbox: &mut Outbox<AgentMessage>) {
+        match event {
+            WorkEvent::Arrive(arrival) => self.arrive(now, arrival, outbox),
+            WorkEvent::Outcome { id, outcome } => self.outcome(now, id, outcome, outbox),
+            WorkEvent::Cancelled { id } => self.cancelled(now, id, outbox),
+            WorkEvent::KeyAction(action) => self.key_action(now, action, outbox),
+            WorkEvent::Ended { id } => self.answered(id, outbox),
+            WorkEvent::OffloadFailed {
+                id,
+                target,
+                may_have_run,
+            } => self.offload_failed(now, id, target, may_have_run, outbox),
+            WorkEvent::PeerHeartbeat(heartbeat) => {
+                let own = self.own_load(now);
+                self.planner.on_heartbeat(now, &own, &heartbeat);
+            }
+            WorkEvent::SetPeers(peers) => self.planner.set_peers(peers),
+            WorkEvent::UpstreamUp => self.admission(now, AdmissionEvent::UpstreamUp, outbox),
+            WorkEvent::UpstreamDown => self.admission(now, AdmissionEvent::UpstreamDown, outbox),
+            WorkEvent::Drain => self.admission(now, AdmissionEvent::Drain, outbox),
+        }
+    }
+
+    fn arrive(&mut self, now: MonoTime, arrival: Arrival, outbox: &mut Outbox<AgentMessage>) {
+        let id = arrival.id;
+        let record = RequestRecord {
+            class: arrival.class,
+            deadline: arrival.deadline,
+            origin: arrival.origin,
+            is_keyed: arrival.key.is_some(),
+            is_admitted: false,
+            is_answered: false,
+            was_offloaded: false,
+        };
+        self.records.insert(id, record);
+        if let Some(key) = arrival.key {
+            let event = CoordinatorEvent::Request {
+                request: id,
+                key_value: key.key_value,
+                digest: key.digest,
+                deadline: arrival.deadline,
+                relayed: arrival.origin == Origin::Relayed,
+            };
+            outbox.send(KEYS, AgentMessage::Keys(KeysEvent::Coordinator(event)));
+            return;
+        }
+        let own = self.own_load(now);
+        match self.offload_request(id) {
+            Some(request) => match self.planner.choose(now, &own, &request) {
+                OffloadChoice::Peer(target) => self.pass_on(now, id, target, outbox),
+                OffloadChoice::Here => self.admit(now, id, true, outbox),
+            },
+            None => self.admit(now, id, true, outbox),
+        }
+    }
+
+    fn offload_request(&mut self, id: RequestId) -> Option<OffloadRequest> {
+        let record = self.records.get(&id)?;
+        Some(OffloadRequest {
+            deadline: record.deadline,
+            repeatable: !record.is_keyed,
+            passed_on: record.origin != Origin::Client || record.was_offloaded,
+            long: self.admission.is_long(&record.class),
+        })
+    }
+
+    /// Offloads a request that admission has not seen.
+    fn pass_on(
+        &mut self,
+        now: MonoTime,
+        id: RequestId,
+        target: TargetId,
+        outbox: &mut Outbox<AgentMessage>,
+    ) {
+        let class = self.records.get(&id).map(|record| record.class.clone());
+        self.offload(id, target, outbox);
+        if let Some(class) = class {
+            self.admission(now, AdmissionEvent::PassedOn { class }, outbox);
+        }
+    }
+
+    fn offload(&mut self, id: RequestId, target: TargetId, outbox: &mut Outbox<AgentMessage>) {
+        if let Some(record) = self.records.get_mut(&id) {
+            record.was_offloaded = true;
+            self.status.borrow_mut().offloaded += 1;
+            let effect = RequestEffect::Offload { id, target };
+            outbox.send(REQUESTS, AgentMessage::Request(effect));
+        }
+    }
+
+    fn offload_failed(
+        &mut self,
+        now: MonoTime,
+        id: RequestId,
+        target: TargetId,
+        may_have_run: bool,
+        outbox: &mut Outbox<AgentMessage>,
+    ) {
+        self.planner.on_refused(now, target);
+        if !self.records.contains_key(&id) {
+            return;
+        }
+        if may_have_run && !self.admission.take_retry() {
+            self.answer(id, Answer::code(ResultCode::UnknownUpstreamLost), outbox);
+            return;
+        }
+        self.admit(now, id, true, outbox);
+    }
+
+    fn admit(
+        &mut self,
+        now: MonoTime,
+        id: RequestId,
+        repeatable: bool,
+        outbox: &mut Outbox<AgentMessage>,
+    ) {
+        let Some(record) = self.records.get_mut(&id) else {
+            return;
+        };
+        record.is_admitted = true;
+        // A request that comes back from a peer was counted as demand when it was passed on.
+        let origin = match record.was_offloaded {
+            true => Origin::Offloaded,
+            false => record.origin,
+        };
+        let event = AdmissionEvent::Arrive {
+            id,
+            class: record.class.clone(),
+            deadline: record.deadline,
+            repeatable,
+            origin,
+        };
+        self.admission(now, event, outbox);
+    }
+
+    fn admission(
+        &mut self,
+        now: MonoTime,
+        event: AdmissionEvent,
+        outbox: &mut Outbox<AgentMessage>,
+    ) {
+        for action in self.admission.handle(now, event) {
+            match action {
+                AdmissionAction::Start { id } => self.start(id, outbox),
+                AdmissionAction::Refuse { id, code } => self.refused(now, id, code, outbox),
+                AdmissionAction::Timer { at } => outbox.set_timer(at, ADMISSION_TIMER),
+            }
+        }
+    }
+
+    fn start(&self, id: RequestId, outbox: &mut Outbox<AgentMessage>) {
+        if self.is_keyed(id) {
+            send_store(StoreEvent::MayStart { request: id }, outbox);
+            return;
+        }
+        let effect = RequestEffect::Start { id };
+        outbox.send(REQUESTS, AgentMessage::Request(effect));
+    }
+
+    fn refused(
+        &mut self,
+        now: MonoTime,
+        id: RequestId,
+        code: ResultCode,
+        outbox: &mut Outbox<AgentMessage>,
+    ) {
+        if let Some(record) = self.records.get_mut(&id) {
+            record.is_admitted = false;
+        }
+        if self.is_keyed(id) {
+            if let Ok(code) = NotRun::try_from(code) {
+                send_store(StoreEvent::AdmissionRefused { request: id, code }, outbox);
+            }
+            return;
+        }
+        if let Some(target) = self.rescue(now, id, code) {
+            self.offload(id, target, outbox);
+            return;
+        }
+        self.answer(id, Answer::code(code), outbox);
+    }
+
+    /// Returns a peer for a repeatable request that this agent can't run in time.
+    fn rescue(&mut self, now: MonoTime, id: RequestId, code: ResultCode) -> Option<TargetId> {
+        let may_move = matches!(
+            code,
+            ResultCode::NotRunOverloaded
+                | ResultCode::NotRunQueueFull
+                | ResultCode::NotRunUpstreamDown
+                | ResultCode::NotRunUpstreamRefused
+        );
+        if !may_move {
+            return None;
+        }
+        let request = self.offload_request(id)?;
+        let mut own = self.own_load(now);
+        if code == ResultCode::NotRunUpstreamDown {
+            // Any wait at a peer is better than an upstream that doesn't answer.
+            own.queue_wait_ms = u32::MAX;
+        }
+        match self.planner.choose_rescue(now, &own, &request) {
+            OffloadChoice::Peer(target) => Some(target),
+            OffloadChoice::Here => None,
+        }
+    }
+
+    fn outcome(
+        &mut self,
+        now: MonoTime,
+        id: RequestId,
+        outcome: UpstreamOutcome,
+        outbox: &mut Outbox<AgentMessage>,
+    ) {
+        if outcome == UpstreamOutcome::Refused(UpstreamRefusal::NotSent) {
+            self.admission(now, AdmissionEvent::UpstreamDown, outbox);
+        }
+        if self.is_keyed(id) {
+            self.keyed_outcome(now, id, outcome, outbox);
+            return;
+        }
+        match outcome {
+            UpstreamOutcome::Finished(_) => {
+                self.release(now, AdmissionEvent::Finished { id }, id, outbox);
+                self.answered(id, outbox);
+            }
+            UpstreamOutcome::Refused(UpstreamRefusal::NotSent) => {
+                self.release(now, AdmissionEvent::Failed { id }, id, outbox);
+                self.refused(now, id, ResultCode::NotRunUpstreamDown, outbox);
+            }
+            UpstreamOutcome::Refused(_) => {
+                self.admission(now, AdmissionEvent::UpstreamShed { id }, outbox);
+            }
+            UpstreamOutcome::Lost => {
+                self.release(now, AdmissionEvent::Failed { id }, id, outbox);
+                self.answered(id, outbox);
+            }
+        }
+    }
+
+    fn keyed_outcome(
+        &mut self,
+        now: MonoTime,
+        id: RequestId,
+        outcome: UpstreamOutcome,
+        outbox: &mut Outbox<AgentMessage>,
+    ) {
+        let (event, store) = match outcome {
+            UpstreamOutcome::Finished(response) => (
+                AdmissionEvent::Finished { id },
+                StoreEvent::UpstreamFinished {
+                    request: id,
+                    response,
+                },
+            ),
+            UpstreamOutcome::Refused(proof) => {
+                let retry = proof != UpstreamRefusal::NotSent && self.admission.take_retry();
+                let event = match proof {
+                    UpstreamRefusal::NotSent => AdmissionEvent::Failed { id },
+                    _ => AdmissionEvent::UpstreamShed { id },
+                };
+                (
+                    event,
+                    StoreEvent::UpstreamRefused {
+                        request: id,
+                        proof,
+                        retry,
+                    },
+                )
+            }
+            UpstreamOutcome::Lost => (
+                AdmissionEvent::Failed { id },
+                StoreEvent::UpstreamLost { request: id },
+            ),
+        };
+        // The store hears of the outcome first, so that a refusal by admission, which follows for
+        // a shed request, can't be taken for the outcome.
+        send_store(store, outbox);
+        if let Some(record) = self.records.get_mut(&id) {
+            record.is_admitted = false;
+        }
+        for action in self.admission.handle(now, event) {
+            match action {
+                AdmissionAction::Refuse { id: refused, .. } if refused == id => {}
+                AdmissionAction::Refuse { id, code } => self.refused(now, id, code, outbox),
+                AdmissionAction::Start { id } => self.start(id, outbox),
+                AdmissionAction::Timer { at } => outbox.set_timer(at, ADMISSION_TIMER),
+            }
+        }
+        self.forget_if_over(id, outbox);
+    }
+
+    fn cancelled(&mut self, now: MonoTime, id: RequestId, outbox: &mut Outbox<AgentMessage>) {
+        if self.is_keyed(id) {
+            let event = CoordinatorEvent::ClientCancelled { request: id };
+            outbox.send(KEYS, AgentMessage::Keys(KeysEvent::Coordinator(event)));
+        } else {
+            self.release(now, AdmissionEvent::Cancelled { id }, id, outbox);
+        }
+        self.answered(id, outbox);
+    }
+
+    fn key_action(
+        &mut self,
+        now: MonoTime,
+        action: CoordinatorAction,
+        outbox: &mut Outbox<AgentMessage>,
+    ) {
+        match action {
+            CoordinatorAction::Store(StoreAction::Enqueue { request, .. }) => {
+                self.admit(now, request, false, outbox);
+            }
+            CoordinatorAction::Store(
+                StoreAction::Withdraw { request } | StoreAction::ReleaseSlot { request },
+            ) => {
+                let event = AdmissionEvent::Cancelled { id: request };
+                self.release(now, event, request, outbox);
+                self.forget_if_over(request, outbox);
+            }
+            CoordinatorAction::Store(StoreAction::Start { request, .. }) => {
+                let effect = RequestEffect::Start { id: request };
+                outbox.send(REQUESTS, AgentMessage::Request(effect));
+            }
+            CoordinatorAction::Answer { request, answer }
+            | CoordinatorAction::Store(StoreAction::Answer { request, answer })
+            | CoordinatorAction::Relay(RelayAction::Answer { request, answer }) => {
+                self.answer(request, answer, outbox);
+            }
+            CoordinatorAction::Relay(RelayAction::Forward {
+                request,
+                owner,
+                deadline,
+            }) => {
+                self.status.borrow_mut().relayed += 1;
+                let effect = RequestEffect::Relay {
+                    id: request,
+                    owner,
+                    deadline,
+                };
+                outbox.send(REQUESTS, AgentMessage::Request(effect));
+            }
+            // A waiting request is answered later; an abandoned relay ends by itself.
+            CoordinatorAction::Store(StoreAction::Wait { .. } | StoreAction::Forget { .. })
+            | CoordinatorAction::Relay(RelayAction::Abandon { .. }) => {}
+        }
+    }
+
+    fn answer(&mut self, id: RequestId, answer: Answer, outbox: &mut Outbox<AgentMessage>) {
+        let effect = RequestEffect::Answer { id, answer };
+        outbox.send(REQUESTS, AgentMessage::Request(effect));
+        self.answered(id, outbox);
+    }
+
+    fn answered(&mut self, id: RequestId, outbox: &mut Outbox<AgentMessage>) {
+        if let Some(record) = self.records.get_mut(&id) {
+            record.is_answered = true;
+        }
+        self.forget_if_over(id, outbox);
+    }
+
+    /// Gives a queue place or slot back.
+    fn release(
+        &mut self,
+        now: MonoTime,
+        event: AdmissionEvent,
+        id: RequestId,
+        outbox: &mut Outbox<AgentMessage>,
+    ) {
+        if let Some(record) = self.records.get_mut(&id) {
+            record.is_admitted = false;
+        }
+        self.admission(now, event, outbox);
+    }
+
+    fn forget_if_over(&mut self, id: RequestId, outbox: &mut Outbox<AgentMessage>) {
+        if self.records.get(&id).is_some_and(RequestRecord::is_over) {
+            self.records.remove(&id);
+            let effect = RequestEffect::Forget { id };
+            outbox.send(REQUESTS, AgentMessage::Request(effect));
+        }
+    }
+
+    fn is_keyed(&self, id: RequestId) -> bool {
+        self.records.get(&id).is_some_and(|record| record.is_keyed)
+    }
+
+    fn own_load(&mut self, now: MonoTime) -> OwnLoad {
+        let load = self.admission.load(now);
+        OwnLoad {
+            capacity_milli: load.capacity_milli,
+            demand_milli: load.demand_milli,
+            movable_milli: load.movable_milli,
+            queue_wait_ms: load.queue_wait_ms,
+            has_free_slot: load.has_free_slot,
+        }
+    }
+
+    fn publish(&mut self, now: MonoTime) {
+        let mut status = self.status.borrow_mut();
+        status.load = self.admission.load(now);
+        status.running = self.admission.running_count();
+        status.queued = self.admission.queued_count();
+        status.open_requests = self.records.len();
+    }
+}
+
+impl Component<AgentMessage> for WorkComponent {
+    fn name(&self) -> ComponentName {
+        WORK
+    }
+
+    fn handle(
+        &mut self,
+        now: MonoTime,
+        event: Event<AgentMessage>,
+        outbox: &mut Outbox<AgentMessage>,
+    ) {
+        match event {
+            Event::Timer(_) => self.admission(now, AdmissionEvent::Timer, outbox),
+            Event::Message {
+                body: AgentMessage::Work(event),
+                ..
+            } => self.on_event(now, event, outbox),
+            Event::Message { .. } => {}
+        }
+        self.publish(now);
+    }
+}
+
+fn send_store(event: StoreEvent, outbox: &mut Outbox<AgentMessage>) {
+    let event = KeysEvent::Coordinator(CoordinatorEvent::Store(event));
+    outbox.send(KEYS, AgentMessage::Keys(event));
+}
--- a/crates/fes-agent/src/lib.rs
+++ b/crates/fes-agent/src/lib.rs
@@ -1,4 +1,17 @@
 //! The agent daemon as a library.
-#![allow(dead_code)]
+//!
+//! An agent stands beside one upstream. It terminates QUIC and HTTP/3 and decides what runs.
 
+mod agent;
+mod core;
+mod counters;
+mod decisions;
+mod http3_server;
 mod quic;
+mod relay;
+mod request;
+mod upstream;
+
+pub use agent::Agent;
+pub use agent::AgentHandle;
+pub use counters::AgentCounters;
--- a/crates/fes-agent/src/quic/http3_transport.rs
+++ b/crates/fes-agent/src/quic/http3_transport.rs
@@ -80,6 +80,7 @@
 pub(crate) struct SendStream {
     stream: quinn::SendStream,
     writing: Option<WriteBuf<Bytes>>,
+    is_finished: bool,
 }
 
 /// The receiving half of a stream.
@@ -218,6 +219,16 @@
         Self {
             stream,
             writing: None,
+            is_finished: false,
+        }
+    }
+}
+
+/// quinn ends a dropped stream cleanly, which would make a response that ends early look complete.
+impl Drop for SendStream {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            let _ = self.stream.reset(var_int(Code::H3_INTERNAL_ERROR.value()));
         }
     }
 }
@@ -247,12 +258,14 @@
 
     fn poll_finish(&mut self, _cx: &mut Context<'_>) -> Poll<Result<(), StreamErrorIncoming>> {
         let finished = self.stream.finish();
+        self.is_finished = finished.is_ok();
         Poll::Ready(finished.map_err(|e| StreamErrorIncoming::Unknown(Box::new(e))))
     }
 
     fn reset(&mut self, code: u64) {
         // Fails only if the stream has ended already.
         let _ = self.stream.reset(var_int(code));
+        self.is_finished = true;
     }
 
     fn send_id(&self) -> StreamId {
--- a/crates/fes-agent/src/quic/mod.rs
+++ b/crates/fes-agent/src/quic/mod.rs
@@ -12,5 +12,6 @@
 pub(crate) use encapsulated_socket::IngressState;
 pub(crate) use endpoint::make_endpoint;
 pub(crate) use http3_transport::Http3Transport;
+pub(crate) use http3_transport::SendStream as Http3SendStream;
 pub(crate) use http3_transport::StopSignals;
 pub(crate) use keys::SharedKeys;
--- /dev/null
+++ b/crates/fes-agent/src/relay/forward.rs
@@ -0,0 +1,189 @@
+//! Requests that this agent passes on to another one.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use fes_idempotency::Answer;
+use fes_idempotency::KeyOwner;
+use fes_idempotency::RelayEvent;
+use fes_link::LinkReply;
+use fes_link::decode_head;
+use fes_link::next_chunk;
+use fes_link::send_chunk;
+use fes_protocol::Error;
+use fes_protocol::MonoTime;
+use fes_protocol::RequestId;
+use fes_protocol::Result;
+use fes_protocol::ResultCode;
+use fes_protocol::TargetId;
+use http::Response;
+
+use super::wire::PassedOn;
+use super::wire::REQUEST_KIND;
+use super::wire::ReplyWire;
+use super::wire::RequestWire;
+use super::wire::response_of;
+use crate::core::AgentCore;
+use crate::decisions::WorkEvent;
+use crate::request::Exchange;
+use crate::request::Progress;
+use crate::request::ResponseSink;
+use crate::request::SinkClosed;
+
+/// The head of a peer's answer, and its body if it is a response.
+enum Reply {
+    Response(Response<()>, Box<LinkReply>),
+    Code(Answer),
+}
+
+/// Relays a request to the owner of its key, once.
+pub(crate) async fn relay(
+    core: &Rc<AgentCore>,
+    id: RequestId,
+    exchange: &Exchange,
+    owner: KeyOwner,
+    deadline: MonoTime,
+    sink: &mut ResponseSink,
+) -> Result<Progress, SinkClosed> {
+    let peer = core.link_address(owner.target);
+    let connected = match peer {
+        Some(peer) => core.links.connect(peer).await.map(|()| peer),
+        None => Err(Error::coded(ResultCode::LinkRefused, "no address known")),
+    };
+    let Ok(peer) = connected else {
+        core.post_relay(RelayEvent::LinkRefused { request: id });
+        return Ok(Progress::Waiting);
+    };
+    core.post_relay(RelayEvent::Forwarded { request: id });
+    match send(core, exchange, peer, PassedOn::Relayed, deadline).await {
+        Ok(Reply::Response(head, reply)) => {
+            // The response is streamed; this ends the relay, whose own answer comes too late.
+            let answer = Answer::code(ResultCode::FinishedNotHeld);
+            core.post_relay(RelayEvent::OwnerAnswered {
+                request: id,
+                answer,
+            });
+            stream(core, head, *reply, sink).await?;
+            Ok(Progress::Answered)
+        }
+        Ok(Reply::Code(answer)) => {
+            core.post_relay(RelayEvent::OwnerAnswered {
+                request: id,
+                answer,
+            });
+            Ok(Progress::Waiting)
+        }
+        Err(e) => {
+            log::debug!("agent: relay of request {id}: {e}");
+            core.post_relay(RelayEvent::LinkLost { request: id });
+            Ok(Progress::Waiting)
+        }
+    }
+}
+
+/// Offloads a repeatable request to a less loaded peer.
+pub(crate) async fn offload(
+    core: &Rc<AgentCore>,
+    id: RequestId,
+    exchange: &Exchange,
+    target: TargetId,
+    sink: &mut ResponseSink,
+) -> Result<Progress, SinkClosed> {
+    let failed = |may_have_run| {
+        core.post_work(WorkEvent::OffloadFailed {
+            id,
+            target,
+            may_have_run,
+        });
+        Ok(Progress::Waiting)
+    };
+    let Some(peer) = core.link_address(target) else {
+        return failed(false);
+    };
+    let sending = send(core, exchange, peer, PassedOn::Offloaded, exchange.deadline);
+    match tokio::time::timeout_at(core.instant(exchange.deadline), sending).await {
+        Ok(Ok(Reply::Response(head, reply))) => {
+            let streamed = stream(core, head, *reply, sink).await;
+            core.post_work(WorkEvent::Ended { id });
+            streamed.map(|()| Progress::Answered)
+        }
+        Ok(Ok(Reply::Code(Answer::Code { code, .. }))) => failed(!code.is_not_run()),
+        Ok(Ok(Reply::Code(Answer::Response(_)))) => failed(true),
+        Ok(Err(e)) => {
+            log::debug!("agent: offload of request {id}: {e}");
+            failed(e.code() != ResultCode::LinkRefused)
+        }
+        Err(_) => {
+            let answer = Answer::code(ResultCode::UnknownDeadline);
+            let sent = sink.answer(&answer).await;
+            core.post_work(WorkEvent::Ended { id });
+            sent.map(|()| Progress::Answered)
+        }
+    }
+}
+
+async fn send(
+    core: &Rc<AgentCore>,
+    exchange: &Exchange,
+    peer: SocketAddr,
+    reason: PassedOn,
+    deadline: MonoTime,
+) -> Result<Reply> {
+    let deadline_ms = deadline.ms_since(core.now());
+    let service_id = core.settings.service.0;
+    let head = RequestWire::new(&exchange.parts, service_id, reason, deadline_ms);
+    let mut call = core.links.open(peer, REQUEST_KIND, &head, false).await?;
+    let closed = |e: h2::Error| Error::coded(ResultCode::LinkClosed, e.to_string());
+    send_chunk(&mut call.body, exchange.body.clone(), true)
+        .await
+        .map_err(closed)?;
+    let reply = call.reply().await?;
+    match decode_head::<ReplyWire>(&reply.head)? {
+        ReplyWire::Response { status, fields } => {
+            let head = response_of(status, &fields)?;
+            Ok(Reply::Response(head, Box::new(reply)))
+        }
+        ReplyWire::Code { code, detail } => {
+            let code = ResultCode::from_number(code).unwrap_or(ResultCode::ControlMalformed);
+            Ok(Reply::Code(Answer::Code {
+                code,
+                detail: detail.into(),
+            }))
+        }
+    }
+}
+
+/// Passes a peer's response on. Dropping the sink without finishing it resets the stream, if the
+/// peer's response is not complete.
+async fn stream(
+    core: &Rc<AgentCore>,
+    head: Response<()>,
+    mut reply: LinkReply,
+    sink: &mut ResponseSink,
+) -> Result<(), SinkClosed> {
+    sink.start(core.client_head(head)).await?;
+    if !reply.first_body.is_empty() {
+        sink.data(std::mem::replace(&mut reply.first_body, Bytes::new()))
+            .await?;
+    }
+    while let Some(chunk) = next_chunk(&mut reply.body).await {
+        match chunk {
+            Ok(chunk) => sink.data(chunk).await?,
+            Err(_) => return broken(core),
+        }
+    }
+    match reply.body.trailers().await {
+        Ok(trailers) => {
+            core.counters.finished.add(1);
+            sink.finish(trailers).await
+        }
+        Err(_) => broken(core),
+    }
+}
+
+fn broken(core: &Rc<AgentCore>) -> Result<(), SinkClosed> {
+    core.counters.truncated.add(1);
+    core.count_code(ResultCode::ResponseTruncated);
+    Ok(())
+}
--- /dev/null
+++ b/crates/fes-agent/src/relay/link_sink.rs
@@ -0,0 +1,112 @@
+//! The response to a request that another agent passed on.
+
+use bytes::Bytes;
+use fes_idempotency::AnswerDetail;
+use fes_link::LinkResponder;
+use fes_link::send_chunk;
+use fes_protocol::ResultCode;
+use http::HeaderMap;
+use http::Response;
+use tokio::sync::mpsc;
+
+use super::wire::ReplyWire;
+use crate::request::SinkClosed;
+
+/// Parts that wait for a slow link.
+const WAITING_PARTS: usize = 4;
+
+/// A part of the response.
+#[derive(Debug)]
+pub(crate) enum ReplyPart {
+    Head(ReplyWire),
+    Data(Bytes),
+    End(Option<HeaderMap>),
+}
+
+/// Takes one response and hands its parts to the task that owns the link stream.
+pub(crate) struct LinkSink {
+    parts: mpsc::Sender<ReplyPart>,
+}
+
+impl LinkSink {
+    pub(crate) fn new() -> (Self, mpsc::Receiver<ReplyPart>) {
+        let (parts, receiver) = mpsc::channel(WAITING_PARTS);
+        (Self { parts }, receiver)
+    }
+
+    pub(crate) async fn start(&self, head: &Response<()>) -> Result<(), SinkClosed> {
+        self.send(ReplyPart::Head(head.into())).await
+    }
+
+    pub(crate) async fn data(&self, chunk: Bytes) -> Result<(), SinkClosed> {
+        self.send(ReplyPart::Data(chunk)).await
+    }
+
+    pub(crate) async fn finish(&self, trailers: Option<HeaderMap>) -> Result<(), SinkClosed> {
+        self.send(ReplyPart::End(trailers)).await
+    }
+
+    pub(crate) async fn code(
+        &self,
+        code: ResultCode,
+        detail: AnswerDetail,
+    ) -> Result<(), SinkClosed> {
+        let head = ReplyWire::Code {
+            code: code.number(),
+            detail: detail.into(),
+        };
+        self.send(ReplyPart::Head(head)).await?;
+        self.finish(None).await
+    }
+
+    async fn send(&self, part: ReplyPart) -> Result<(), SinkClosed> {
+        self.parts.send(part).await.map_err(|_| SinkClosed)
+    }
+}
+
+/// Writes a response to the link until it is complete or the other agent gives it up. A response
+/// that ends early resets the stream.
+pub(crate) async fn write_reply(
+    mut responder: LinkResponder,
+    mut parts: mpsc::Receiver<ReplyPart>,
+) {
+    let head = tokio::select! {
+        head = parts.recv() => head,
+        () = responder.cancelled() => return,
+    };
+    let Some(ReplyPart::Head(head)) = head else {
+        responder.reject();
+        return;
+    };
+    let Ok(mut stream) = responder.answer_with_body(&head).await else {
+        return;
+    };
+    loop {
+        let part = tokio::select! {
+            part = parts.recv() => part,
+            _ = std::future::poll_fn(|cx| stream.poll_reset(cx)) => return,
+        };
+        let written = match part {
+            Some(ReplyPart::Data(chunk)) => send_chunk(&mut stream, chunk, false).await,
+            Some(ReplyPart::End(trailers)) => {
+                end(&mut stream, trailers);
+                return;
+            }
+            Some(ReplyPart::Head(_)) | None => {
+                stream.send_reset(h2::Reason::INTERNAL_ERROR);
+                return;
+            }
+        };
+        if written.is_err() {
+            return;
+        }
+    }
+}
+
+fn end(stream: &mut h2::SendStream<Bytes>, trailers: Option<HeaderMap>) {
+    // Fails only if the link closed, which the other agent sees as well.
+    let _ = match trailers {
+        Some(trailers) => stream.send_trailers(trailers),
+        None => stream.send_data(Bytes::new(), true),
+    };
+}
--- /dev/null
+++ b/crates/fes-agent/src/request/inbound.rs
@@ -0,0 +1,53 @@
+//! A request that has arrived completely.
+
+use std::future::Future;
+use std::pin::Pin;
+
+use bytes::Bytes;
+use fes_admission::Origin;
+use fes_idempotency::FlowId;
+use fes_protocol::MonoTime;
+use http::HeaderMap;
+use http::request::Parts;
+
+use super::ResponseSink;
+
+/// Header with the time that the client allows, in milliseconds from arrival.
+pub(crate) const DEADLINE_HEADER: &str = "fescueshift-deadline-ms";
+
+/// Header that marks a request as non-repeatable.
+const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+
+/// Longest deadline that a client may ask for, in milliseconds.
+const MAX_DEADLINE_MS: u64 = 86_400_000;
+
+/// Resolves when the sender of a request no longer wants its response, or has all of it.
+pub(crate) type Cancelled = Pin<Box<dyn Future<Output = ()>>>;
+
+/// A request with its complete body.
+pub(crate) struct Inbound {
+    pub(crate) parts: Parts,
+    pub(crate) body: Bytes,
+    pub(crate) deadline: MonoTime,
+    pub(crate) origin: Origin,
+    pub(crate) flow: FlowId,
+    pub(crate) sink: ResponseSink,
+    pub(crate) cancelled: Cancelled,
+}
+
+impl Inbound {
+    /// Returns the idempotency key of a non-repeatable request.
+    pub(crate) fn idempotency_key(&self) -> Option<&[u8]> {
+        let value = self.parts.headers.get(IDEMPOTENCY_KEY_HEADER)?;
+        Some(value.as_bytes())
+    }
+}
+
+/// Returns the deadline of a request that arrived at `arrival`.
+pub(crate) fn deadline(headers: &HeaderMap, arrival: MonoTime, default_ms: u64) -> MonoTime {
+    let asked_ms = headers
+        .get(DEADLINE_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse::<u64>().ok());
+    arrival.plus_ms(asked_ms.unwrap_or(default_ms).min(MAX_DEADLINE_MS))
+}
--- /dev/null
+++ b/crates/fes-agent/src/request/mod.rs
@@ -0,0 +1,28 @@
+//! From a request's arrival to its complete response or explicit error.
+
+mod body;
+mod execute;
+mod inbound;
+mod keyed;
+mod render;
+mod response_sink;
+mod serve;
+mod table;
+
+pub(crate) use body::BodyFault;
+pub(crate) use body::collect;
+pub(crate) use execute::announced_bytes;
+pub(crate) use inbound::Cancelled;
+pub(crate) use inbound::Inbound;
+pub(crate) use inbound::deadline;
+pub(crate) use keyed::run_keyed;
+pub(crate) use render::KEY_PREFIX_HEADER;
+pub(crate) use render::plain_response;
+pub(crate) use response_sink::Http3Sink;
+pub(crate) use response_sink::ResponseSink;
+pub(crate) use response_sink::SinkClosed;
+pub(crate) use serve::Progress;
+pub(crate) use serve::serve;
+pub(crate) use table::Exchange;
+pub(crate) use table::RequestStep;
+pub(crate) use table::RequestTable;
--- a/crates/fes-link/src/client.rs
+++ b/crates/fes-link/src/client.rs
@@ -16,11 +16,11 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
 use tokio_rustls::TlsConnector;
 
 use crate::LINK_SERVER_NAME;
 use crate::LinkTls;
+use crate::SharedConnection;
 use crate::decode_head;
 use crate::encode_head;
 use crate::head::prefixed;
@@ -38,19 +38,7 @@
 #[derive(Debug)]
 struct Inner {
     tls: LinkTls,
-    links: RefCell<FastMap<SocketAddr, Link>>,
-}
-
-#[derive(Debug)]
-struct Link {
-    sender: SendRequest<Bytes>,
-    driver: JoinHandle<()>,
-}
-
-impl Drop for Link {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
+    links: RefCell<FastMap<SocketAddr, Rc<SharedConnection>>>,
 }
 
 /// A message whose head was sent; its body may follow.
@@ -141,46 +129,41 @@
             .map_err(|e| Error::coded(ResultCode::ControlMalformed, e.to_string()))?;
         let (response, mut body) = sender
             .send_request(request, false)
-            .map_err(|e| self.refused(peer, e))?;
+            .map_err(|e| Error::coded(ResultCode::LinkRefused, format!("link to {peer}: {e}")))?;
         send_chunk(&mut body, head, end)
             .await
             .map_err(|e| Error::coded(ResultCode::LinkClosed, e.to_string()))?;
         Ok(LinkCall { body, response })
     }
 
-    /// Closes all links.
-    pub fn close(&self) {
-        self.inner.links.borrow_mut().clear();
+    /// Opens a link if there is none. Nothing of a message is sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::LinkRefused`].
+    pub async fn connect(&self, peer: SocketAddr) -> Result<()> {
+        self.sender(peer).await.map(|_| ())
     }
 
-    async fn sender(&self, peer: SocketAddr) -> Result<SendRequest<Bytes>> {
-        let open = self
-            .inner
-            .links
-            .borrow()
-            .get(&peer)
-            .map(|link| link.sender.clone());
-        if let Some(sender) = open {
-            match sender.ready().await {
-                Ok(sender) => return Ok(sender),
-                Err(_) => self.inner.links.borrow_mut().remove(&peer),
-            };
+    /// Closes all links.
+    pub fn close(&self) {
+        for (_, link) in self.inner.links.borrow_mut().drain() {
+            link.close();
         }
-        let link = connect(peer, &self.inner.tls)
-            .await
-            .map_err(|e| Error::io(ResultCode::LinkRefused, format!("link to {peer}"), e))?;
-        let sender = link.sender.clone();
-        self.inner.links.borrow_mut().insert(peer, link);
-        sender.ready().await.map_err(|e| self.refused(peer, e))
     }
 
-    fn refused(&self, peer: SocketAddr, error: h2::Error) -> Error {
-        self.inner.links.borrow_mut().remove(&peer);
-        Error::coded(ResultCode::LinkRefused, format!("link to {peer}: {error}"))
+    async fn sender(&self, peer: SocketAddr) -> Result<SendRequest<Bytes>> {
+        let link = Rc::clone(self.inner.links.borrow_mut().entry(peer).or_default());
+        let connecting = || connect(peer, &self.inner.tls);
+        let sender = link.sender(connecting).await;
+        sender.map_err(|e| Error::io(ResultCode::LinkRefused, format!("link to {peer}"), e))
     }
 }
 
-async fn connect(peer: SocketAddr, tls: &LinkTls) -> std::io::Result<Link> {
+async fn connect(
+    peer: SocketAddr,
+    tls: &LinkTls,
+) -> std::io::Result<(SendRequest<Bytes>, impl Future<Output = ()> + use<>)> {
     let stream = TcpStream::connect(peer).await?;
     stream.set_nodelay(true)?;
     let name = ServerName::try_from(LINK_SERVER_NAME).map_err(std::io::Error::other)?;
@@ -196,10 +179,10 @@
         .handshake::<_, Bytes>(stream)
         .await
         .map_err(std::io::Error::other)?;
-    let driver = actix_rt::spawn(async move {
+    let driver = async move {
         if let Err(e) = connection.await {
             log::debug!("link: connection to {peer} ended: {e}");
         }
-    });
-    Ok(Link { sender, driver })
+    };
+    Ok((sender, driver))
 }
--- a/crates/fes-link/src/server.rs
+++ b/crates/fes-link/src/server.rs
@@ -14,7 +14,6 @@
 use h2::RecvStream;
 use h2::server::SendResponse;
 use http::Response;
-use http::StatusCode;
 use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -44,38 +43,42 @@
     pub first_body: Bytes,
     /// Rest of the body.
     pub body: RecvStream,
+    /// Takes the answer.
+    pub responder: LinkResponder,
+}
+
+/// Takes the answer to a message.
+#[derive(Debug)]
+pub struct LinkResponder {
     respond: SendResponse<Bytes>,
 }
 
-impl LinkRequest {
+impl LinkResponder {
     /// Answers with a head and no body.
     ///
     /// # Errors
     ///
     /// Returns [`ResultCode::LinkClosed`] if the link closed.
     pub async fn answer(mut self, head: &impl Serialize) -> Result<()> {
-        let mut stream = self.start(false)?;
-        let head = prefixed(&encode_head(head)?);
-        send_chunk(&mut stream, head, true)
-            .await
-            .map_err(|e| Error::coded(ResultCode::LinkClosed, e.to_string()))
+        self.start(head, true).await.map(|_| ())
     }
 
-    /// Answers with a head; the returned stream takes the body.
+    /// Answers with a head; the returned stream takes the body. Dropping the stream before its end
+    /// resets it.
     ///
     /// # Errors
     ///
     /// Returns [`ResultCode::LinkClosed`] if the link closed.
     pub async fn answer_with_body(
-        &mut self,
+        mut self,
         head: &impl Serialize,
     ) -> Result<h2::SendStream<Bytes>> {
-        let mut stream = self.start(false)?;
-        let head = prefixed(&encode_head(head)?);
-        send_chunk(&mut stream, head, false)
-            .await
-            .map_err(|e| Error::coded(ResultCode::LinkClosed, e.to_string()))?;
-        Ok(stream)
+        self.start(head, false).await
+    }
+
+    /// Tells the sender that there is no answer.
+    pub fn reject(mut self) {
+        self.respond.send_reset(h2::Reason::INTERNAL_ERROR);
     }
 
     /// Waits until the sender gives the message up or the link closes.
@@ -83,12 +86,15 @@
         let _ = std::future::poll_fn(|cx| self.respond.poll_reset(cx)).await;
     }
 
-    fn start(&mut self, end: bool) -> Result<h2::SendStream<Bytes>> {
-        let mut response = Response::new(());
-        *response.status_mut() = StatusCode::OK;
-        self.respond
-            .send_response(response, end)
-            .map_err(|e| Error::coded(ResultCode::LinkClosed, e.to_string()))
+    async fn start(&mut self, head: &impl Serialize, end: bool) -> Result<h2::SendStream<Bytes>> {
+        let closed = |e: h2::Error| Error::coded(ResultCode::LinkClosed, e.to_string());
+        let head = prefixed(&encode_head(head)?);
+        let mut stream = self
+            .respond
+            .send_response(Response::new(()), false)
+            .map_err(closed)?;
+        send_chunk(&mut stream, head, end).await.map_err(closed)?;
+        Ok(stream)
     }
 }
 
@@ -198,7 +204,7 @@
                 head,
                 first_body,
                 body,
-                respond,
+                responder: LinkResponder { respond },
             })
             .await;
         }
--- a/crates/fes-link/src/tasks.rs
+++ b/crates/fes-link/src/tasks.rs
@@ -3,32 +3,25 @@
 use std::cell::RefCell;
 use std::future::Future;
 
-use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
 
 /// Tasks on the current arbiter that are aborted when this is dropped.
 #[derive(Debug, Default)]
 pub struct Tasks {
-    handles: RefCell<Vec<JoinHandle<()>>>,
+    set: RefCell<JoinSet<()>>,
 }
 
 impl Tasks {
     /// Starts a task.
     pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
-        let mut handles = self.handles.borrow_mut();
-        handles.retain(|handle| !handle.is_finished());
-        handles.push(actix_rt::spawn(task));
+        let mut set = self.set.borrow_mut();
+        // Frees the results of finished tasks.
+        while set.try_join_next().is_some() {}
+        set.spawn_local(task);
     }
 
     /// Aborts all tasks.
     pub fn abort(&self) {
-        for handle in self.handles.borrow_mut().drain(..) {
-            handle.abort();
-        }
-    }
-}
-
-impl Drop for Tasks {
-    fn drop(&mut self) {
-        self.abort();
+        self.set.borrow_mut().abort_all();
     }
 }
