Add doubles of the platform and of upstreams

Tests and 'fescueshift local' need outside systems that fail on demand. The platform double can be down, stale, slow, failing, malformed or oversized and counts calls by reader. The upstream double has slots, feeds, cold start, shedding, drain, misleading health and a log of every execution, so that tests can count doubles. Response bodies are derived from the request, so that a mixed-up or truncated response is found. Header names used between processes are collected in fes_protocol::headers.

--- a/crates/fes-protocol/src/lib.rs
+++ b/crates/fes-protocol/src/lib.rs
@@ -7,6 +7,7 @@
 mod control;
 mod encapsulation;
 mod error;
+pub mod headers;
 mod ids;
 mod names;
 mod quic_packet;
--- a/crates/fes-testkit/src/lib.rs
+++ b/crates/fes-testkit/src/lib.rs
@@ -1,1 +1,30 @@
-//! Test doubles for the platform, upstreams, the fabric and clients.
+//! Test doubles: the platform, upstreams, the fabric and clients, with keys and certificates.
+//!
+//! All of them run on the current `actix-rt` arbiter and bind ephemeral loopback ports. A double
+//! stops when its last handle is dropped.
+
+mod body;
+mod certificates;
+mod execution_log;
+mod platform;
+mod platform_state;
+mod task;
+mod upstream;
+mod upstream_connection;
+mod upstream_state;
+mod wait;
+
+pub use body::expected_body;
+pub use certificates::Authority;
+pub use certificates::SERVER_NAME;
+pub use certificates::secret_keys;
+pub use execution_log::Execution;
+pub use execution_log::ExecutionLog;
+pub use platform::Platform;
+pub use platform_state::PlatformMode;
+pub use platform_state::Vm;
+pub use platform_state::VmState;
+pub use upstream::Upstream;
+pub use upstream_state::Shedding;
+pub use upstream_state::UpstreamOptions;
+pub use wait::until;
--- /dev/null
+++ b/crates/fes-testkit/src/upstream_connection.rs
@@ -0,0 +1,343 @@
+//! One HTTP/2 connection of an upstream double.
+
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fes_protocol::headers;
+use h2::Reason;
+use h2::RecvStream;
+use h2::SendStream;
+use h2::server::SendResponse;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_LENGTH;
+use http::header::CONTENT_TYPE;
+use serde_json::json;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+
+use crate::Execution;
+use crate::body::expected_body;
+use crate::body::query_number;
+use crate::upstream_state::UpstreamState;
+
+const MAX_STREAMS: u32 = 10_000;
+const WINDOW_BYTES: u32 = 1 << 20;
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+/// Why a request ended without a complete response.
+enum Abort {
+    /// The peer reset the stream or went away.
+    Cancelled,
+    /// The request's deadline passed.
+    Deadline,
+}
+
+/// A request in a form that outlives its h2 parts.
+struct Call {
+    path: String,
+    key: Option<String>,
+    body: Bytes,
+    deadline: Option<Instant>,
+}
+
+/// Serves a connection until its peer closes it.
+pub(crate) async fn serve(stream: TcpStream, state: Rc<UpstreamState>) {
+    // Small frames must not wait for acknowledgements of earlier ones.
+    let _ = stream.set_nodelay(true);
+    let handshake = h2::server::Builder::new()
+        .max_concurrent_streams(MAX_STREAMS)
+        .initial_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .handshake::<_, Bytes>(stream);
+    let Ok(mut connection) = handshake.await else {
+        return;
+    };
+    let mut draining = state.draining.subscribe();
+    let mut streams = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = connection.accept() => {
+                let Some(Ok((request, respond))) = accepted else {
+                    return;
+                };
+                streams.spawn_local(answer(request, respond, Rc::clone(&state)));
+                while streams.try_join_next().is_some() {}
+            }
+            _ = draining.wait_for(|is_draining| *is_draining) => {
+                connection.graceful_shutdown();
+                finish(connection, streams, &state).await;
+                return;
+            }
+        }
+    }
+}
+
+/// Completes what is in progress after GOAWAY; streams that were under way already are refused.
+async fn finish(
+    mut connection: h2::server::Connection<TcpStream, Bytes>,
+    mut streams: JoinSet<()>,
+    state: &Rc<UpstreamState>,
+) {
+    while let Some(Ok((request, respond))) = connection.accept().await {
+        streams.spawn_local(answer(request, respond, Rc::clone(state)));
+    }
+}
+
+async fn answer(
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    state: Rc<UpstreamState>,
+) {
+    let path = request
+        .uri()
+        .path_and_query()
+        .map_or("/", |path| path.as_str());
+    match request.uri().path() {
+        "/health" => send_health(&mut respond, &state),
+        "/load" => send_load(&mut respond, &state),
+        _ if state.refuses() => respond.send_reset(Reason::REFUSED_STREAM),
+        feed if feed.starts_with("/feed") => {
+            let path = path.to_owned();
+            feed_events(&path, respond, &state).await;
+        }
+        _ => run(request, respond, &state).await,
+    }
+}
+
+async fn run(
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    state: &UpstreamState,
+) {
+    let attempt = Attempt(Some(state));
+    let outcome = tokio::select! {
+        outcome = execute(request, state) => outcome,
+        _ = poll_fn(|context| respond.poll_reset(context)) => Err(Abort::Cancelled),
+    };
+    match outcome {
+        Ok(body) => {
+            attempt.complete();
+            send_body(respond, body, state.cuts_responses.get()).await;
+        }
+        Err(Abort::Deadline) => {
+            attempt.complete();
+            send_empty(&mut respond, StatusCode::GATEWAY_TIMEOUT);
+        }
+        Err(Abort::Cancelled) => {}
+    }
+}
+
+async fn execute(request: Request<RecvStream>, state: &UpstreamState) -> Result<Bytes, Abort> {
+    let call = read_call(request).await?;
+    let permit = before(call.deadline, state.slots.acquire()).await?;
+    let _running = Running::enter(state);
+    let index = state.log.start(Execution {
+        upstream: Rc::clone(&state.name),
+        path: call.path.clone(),
+        key: call.key,
+        body: call.body.clone(),
+        is_finished: false,
+    });
+    let service_time = Duration::from_millis(state.next_service_time_ms(&call.path));
+    let work = async {
+        sleep_until(Instant::now() + service_time).await;
+        state.wait_until_released(&call.path).await;
+    };
+    before(call.deadline, work).await?;
+    state.log.finish(index);
+    drop(permit);
+    Ok(expected_body(&call.path, &call.body))
+}
+
+async fn read_call(request: Request<RecvStream>) -> Result<Call, Abort> {
+    let header = |name| {
+        let value = request.headers().get(name)?;
+        value.to_str().ok().map(str::to_owned)
+    };
+    let key = header(headers::IDEMPOTENCY_KEY);
+    let left_ms = header(headers::DEADLINE_MS).and_then(|text| text.parse().ok());
+    let path = request.uri().path_and_query();
+    let path = path.map_or("/", |path| path.as_str()).to_owned();
+    let deadline = left_ms.map(|left_ms| Instant::now() + Duration::from_millis(left_ms));
+    let body = before(deadline, read_body(request.into_body())).await??;
+    Ok(Call {
+        path,
+        key,
+        body,
+        deadline,
+    })
+}
+
+async fn read_body(mut stream: RecvStream) -> Result<Bytes, Abort> {
+    let mut body = Vec::new();
+    while let Some(chunk) = stream.data().await {
+        let chunk = chunk.map_err(|_| Abort::Cancelled)?;
+        if body.len() + chunk.len() > MAX_BODY_BYTES {
+            return Err(Abort::Cancelled);
+        }
+        let released = stream.flow_control().release_capacity(chunk.len());
+        released.map_err(|_| Abort::Cancelled)?;
+        body.extend_from_slice(&chunk);
+    }
+    Ok(Bytes::from(body))
+}
+
+async fn before<T>(deadline: Option<Instant>, work: impl Future<Output = T>) -> Result<T, Abort> {
+    let Some(deadline) = deadline else {
+        return Ok(work.await);
+    };
+    let outcome = tokio::time::timeout_at(deadline, work).await;
+    outcome.map_err(|_| Abort::Deadline)
+}
+
+async fn feed_events(path: &str, mut respond: SendResponse<Bytes>, state: &UpstreamState) {
+    let head = Response::builder()
+        .header(CONTENT_TYPE, "text/event-stream")
+        .body(());
+    let Ok(head) = head else {
+        return;
+    };
+    let Ok(mut stream) = respond.send_response(head, false) else {
+        return;
+    };
+    let _open = OpenFeed::enter(state);
+    let interval = Duration::from_millis(state.options.feed_interval_ms.max(1));
+    let mut number = query_number(path, "from").unwrap_or(1);
+    let mut next = Instant::now();
+    loop {
+        state.wait_until_released(path).await;
+        let event = format!("id: {number}\ndata: {path}\n\n");
+        if send_all(&mut stream, Bytes::from(event)).await.is_err() {
+            return;
+        }
+        number += 1;
+        next += interval;
+        tokio::select! {
+            () = sleep_until(next) => {}
+            _ = poll_fn(|context| stream.poll_reset(context)) => return,
+        }
+    }
+}
+
+async fn send_body(mut respond: SendResponse<Bytes>, body: Bytes, is_cut: bool) {
+    let head = Response::builder()
+        .header(CONTENT_TYPE, "application/octet-stream")
+        .header(CONTENT_LENGTH, body.len())
+        .body(());
+    let Ok(head) = head else {
+        return;
+    };
+    let Ok(mut stream) = respond.send_response(head, false) else {
+        return;
+    };
+    if is_cut {
+        // The peer may be gone by now, which ends the response as well.
+        let _ = send_all(&mut stream, body.slice(..body.len() / 2)).await;
+        stream.send_reset(Reason::INTERNAL_ERROR);
+        return;
+    }
+    if send_all(&mut stream, body).await.is_ok() {
+        let _ = stream.send_data(Bytes::new(), true);
+    }
+}
+
+/// Sends `body` as flow control allows.
+async fn send_all(stream: &mut SendStream<Bytes>, mut body: Bytes) -> Result<(), Abort> {
+    while !body.is_empty() {
+        stream.reserve_capacity(body.len());
+        let capacity = poll_fn(|context| stream.poll_capacity(context)).await;
+        let Some(Ok(capacity)) = capacity else {
+            return Err(Abort::Cancelled);
+        };
+        let part = body.split_to(capacity.min(body.len()));
+        stream
+            .send_data(part, false)
+            .map_err(|_| Abort::Cancelled)?;
+    }
+    Ok(())
+}
+
+fn send_empty(respond: &mut SendResponse<Bytes>, status: StatusCode) {
+    let mut head = Response::new(());
+    *head.status_mut() = status;
+    // The peer may have reset the stream, which ends it as well.
+    let _ = respond.send_response(head, true);
+}
+
+fn send_health(respond: &mut SendResponse<Bytes>, state: &UpstreamState) {
+    let is_healthy = !*state.draining.borrow();
+    let status = if is_healthy == state.misleads.get() {
+        StatusCode::SERVICE_UNAVAILABLE
+    } else {
+        StatusCode::OK
+    };
+    send_empty(respond, status);
+}
+
+fn send_load(respond: &mut SendResponse<Bytes>, state: &UpstreamState) {
+    let running = state.running.get();
+    let shown = if state.misleads.get() {
+        state.options.slots.saturating_sub(running)
+    } else {
+        running
+    };
+    let body = json!({"running": shown, "slots": state.options.slots}).to_string();
+    if let Ok(mut stream) = respond.send_response(Response::new(()), false) {
+        let _ = stream.send_data(Bytes::from(body), true);
+    }
+}
+
+/// Counts a request as cancelled unless it is completed, also when its connection is lost.
+struct Attempt<'a>(Option<&'a UpstreamState>);
+
+impl Attempt<'_> {
+    fn complete(mut self) {
+        self.0 = None;
+    }
+}
+
+impl Drop for Attempt<'_> {
+    fn drop(&mut self) {
+        if let Some(state) = self.0 {
+            state.cancelled.set(state.cancelled.get() + 1);
+        }
+    }
+}
+
+/// Counts a request while it holds a slot, also when it is cancelled.
+struct Running<'a>(&'a UpstreamState);
+
+impl<'a> Running<'a> {
+    fn enter(state: &'a UpstreamState) -> Self {
+        state.running.set(state.running.get() + 1);
+        Self(state)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
+
+/// Counts a feed while it is open.
+struct OpenFeed<'a>(&'a UpstreamState);
+
+impl<'a> OpenFeed<'a> {
+    fn enter(state: &'a UpstreamState) -> Self {
+        state.feeds.set(state.feeds.get() + 1);
+        Self(state)
+    }
+}
+
+impl Drop for OpenFeed<'_> {
+    fn drop(&mut self) {
+        self.0.feeds.set(self.0.feeds.get() - 1);
+    }
+}
