--- a/crates/fes-protocol/src/result_code.rs
+++ b/crates/fes-protocol/src/result_code.rs
@@ -103,6 +103,10 @@
         "Retry if the request may be repeated.";
     UnknownDrainBound = 3007, "the drain bound passed while the request was running; the outcome is unknown",
         "Raise drain_bound_ms above the longest request.";
+    UnknownKeyEpoch = 3008, "the key's prefix can't be verified under the key epochs in use; the outcome is unknown",
+        "Reconcile with the service's own records; rotate key epochs less often than keys expire.";
+    UnknownDeadline = 3009, "the deadline passed while the request was running; the outcome is unknown",
+        "Allow a longer deadline; reconcile with the service's own records.";
     TicketSyntax = 4001, "the ticket can't be parsed",
         "Correct the syntax at the reported place.";
     TicketInvalid = 4002, "the ticket has faults",
@@ -127,6 +131,14 @@
         "Remove the field or correct its spelling.";
     TicketBadName = 4012, "a name in the ticket is empty or has characters that are not allowed",
         "Use lower-case letters, digits, '-' and '.'.";
+    TicketMissingField = 4013, "a required field of the ticket is missing or empty",
+        "Add the field; docs/tickets.md has examples.";
+    TicketWrongType = 4014, "a field of the ticket has the wrong type",
+        "Use the type that is reported as allowed.";
+    TicketBadChoice = 4015, "a field of the ticket has a word that is not allowed",
+        "Use one of the reported words.";
+    TicketRetiredService = 4016, "the ticket uses the ID of a retired service",
+        "Publish the service under a new ID.";
     DatagramTooShort = 5001, "a datagram was shorter than its header",
         "None needed unless the count grows; then look for a scanner.";
     DatagramTooLarge = 5002, "a client datagram was larger than entries pass on",
@@ -151,6 +163,10 @@
         "None needed unless the count grows.";
     DatagramHopLimit = 5012, "a first packet had already been passed on once",
         "None needed.";
+    DatagramNotSent = 5013, "a datagram could not be sent because the socket's buffer was full",
+        "Look for overload of the VM; QUIC sends the content again.";
+    DatagramNoEntry = 5014, "an agent knows no entry that could return a datagram",
+        "Check the fleet objects in the tickets and the network between agents and entries.";
     ControlMalformed = 6001, "a control message could not be parsed",
         "Upgrade the older processes.";
     ControlTooLarge = 6002, "a control message was too large",
