Add doubles of the fabric and of clients

The fabric double sprays datagrams over the entries, with one socket for each client; it can lose and delay datagrams, silence an entry, and drop or rebind a client.

--- a/crates/fes-testkit/src/certificates.rs
+++ b/crates/fes-testkit/src/certificates.rs
@@ -18,10 +18,19 @@
 use rustls_pki_types::PrivateKeyDer;
 use rustls_pki_types::PrivatePkcs8KeyDer;
 
-/// Name in all leaf certificates.
+/// Name that processes expect of each other on links.
+const LINK_SERVER_NAME: &str = "fescueshift";
+
+/// Name that clients expect of agents.
 pub const SERVER_NAME: &str = "fescueshift.internal";
 
-const SUBJECTS: [&str; 4] = [SERVER_NAME, "localhost", "127.0.0.1", "::1"];
+const SUBJECTS: [&str; 5] = [
+    SERVER_NAME,
+    LINK_SERVER_NAME,
+    "localhost",
+    "127.0.0.1",
+    "::1",
+];
 const TEST_EPOCH: KeyEpoch = KeyEpoch(0);
 
 /// A certificate authority that exists only in memory.
--- /dev/null
+++ b/crates/fes-testkit/src/client_feed.rs
@@ -0,0 +1,151 @@
+//! A feed that a client keeps open, with a check of its event numbers.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Buf;
+use http::StatusCode;
+use serde::Serialize;
+use tokio::time::sleep;
+
+use crate::Client;
+use crate::task::Task;
+
+const REOPEN_MS: u64 = 50;
+const ID_FIELD: &str = "id: ";
+
+/// What a client counted on a feed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct FeedCounts {
+    /// Events received.
+    pub events: u64,
+    /// Events that were skipped.
+    pub gaps: u64,
+    /// Events received again.
+    pub duplicates: u64,
+    /// Times that an open feed ended without the client's wish.
+    pub breaks: u64,
+    /// Times that the feed could not be opened.
+    pub refusals: u64,
+}
+
+/// An open feed; it is closed when it is dropped.
+#[derive(Debug)]
+pub struct Feed {
+    counts: Rc<Cell<FeedCounts>>,
+    _task: Task,
+}
+
+impl Client {
+    /// Opens the feed at `path` and keeps it open. After a break it continues behind the last
+    /// event received.
+    #[must_use]
+    pub fn open_feed(&self, path: impl Into<String>) -> Feed {
+        let counts = Rc::new(Cell::new(FeedCounts::default()));
+        let follow = Follow {
+            client: self.clone(),
+            path: path.into(),
+            next: 1,
+            counts: Rc::clone(&counts),
+        };
+        Feed {
+            counts,
+            _task: Task::spawn(follow.run()),
+        }
+    }
+}
+
+impl Feed {
+    /// Returns the counts so far.
+    #[must_use]
+    pub fn counts(&self) -> FeedCounts {
+        self.counts.get()
+    }
+
+    /// Returns whether the feed ever broke, skipped or repeated an event.
+    #[must_use]
+    pub fn is_broken(&self) -> bool {
+        let counts = self.counts.get();
+        counts.breaks + counts.gaps + counts.duplicates > 0
+    }
+}
+
+struct Follow {
+    client: Client,
+    path: String,
+    next: u64,
+    counts: Rc<Cell<FeedCounts>>,
+}
+
+impl Follow {
+    async fn run(mut self) {
+        loop {
+            if self.follow_once().await.is_some() {
+                self.count(|counts| counts.breaks += 1);
+            } else {
+                self.count(|counts| counts.refusals += 1);
+            }
+            sleep(Duration::from_millis(REOPEN_MS)).await;
+        }
+    }
+
+    /// Returns `None` if the feed could not be opened, and `Some` when it ended.
+    async fn follow_once(&mut self) -> Option<()> {
+        let session = self.client.open_session().await.ok()?;
+        let request = self
+            .client
+            .feed_request(&format!("{}?from={}", self.path, self.next))?;
+        let opened = session.send(request).await;
+        let Ok(mut stream) = opened else {
+            self.client.retire(&session);
+            return None;
+        };
+        // The feed has no request body; an error here shows up in the response as well.
+        let _ = stream.finish().await;
+        let response = stream.recv_response().await;
+        let is_open = response.is_ok_and(|response| response.status() == StatusCode::OK);
+        if !is_open {
+            self.client.retire(&session);
+            return None;
+        }
+        let mut pending = String::new();
+        while let Ok(Some(mut chunk)) = stream.recv_data().await {
+            let bytes = chunk.copy_to_bytes(chunk.remaining());
+            pending.push_str(&String::from_utf8_lossy(&bytes));
+            self.take_events(&mut pending);
+        }
+        self.client.retire(&session);
+        Some(())
+    }
+
+    /// Consumes all complete lines.
+    fn take_events(&mut self, pending: &mut String) {
+        let Some(end) = pending.rfind('\n') else {
+            return;
+        };
+        for line in pending[..end].lines() {
+            let number = line.strip_prefix(ID_FIELD).and_then(|id| id.parse().ok());
+            if let Some(number) = number {
+                self.check(number);
+            }
+        }
+        pending.drain(..=end);
+    }
+
+    fn check(&mut self, number: u64) {
+        let next = self.next;
+        self.count(|counts| {
+            counts.events += 1;
+            counts.gaps += number.saturating_sub(next);
+            counts.duplicates += u64::from(number < next);
+        });
+        self.next = self.next.max(number + 1);
+    }
+
+    fn count(&self, change: impl FnOnce(&mut FeedCounts)) {
+        let mut counts = self.counts.get();
+        change(&mut counts);
+        self.counts.set(counts);
+    }
+}
--- /dev/null
+++ b/crates/fes-testkit/src/fabric.rs
@@ -0,0 +1,266 @@
+//! Double of the fabric in front of the entries of one service address.
+//!
+//! It sends each client datagram to a random entry, so that datagrams of one flow reach all of
+//! them. It keeps one socket for each client, so that entries see distinct client addresses.
+
+use std::cell::RefCell;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fes_protocol::Error;
+use fes_protocol::FastMap;
+use fes_protocol::FastSet;
+use fes_protocol::Result;
+use fes_protocol::ResultCode;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use socket2::Domain;
+use socket2::Protocol;
+use socket2::Socket;
+use socket2::Type;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::task::Task;
+
+const MAX_DATAGRAM_BYTES: usize = 65_535;
+const SOCKET_BUFFER_BYTES: usize = 4 << 20;
+const PERCENT: u32 = 100;
+
+/// Datagrams that the fabric handled.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FabricCounts {
+    /// Sent to an entry.
+    pub forwarded: u64,
+    /// Sent back to a client.
+    pub returned: u64,
+    /// Lost at random, by a silent entry, or with the state of a client.
+    pub lost: u64,
+}
+
+/// A running fabric double for one service address.
+#[derive(Debug, Clone)]
+pub struct Fabric {
+    address: SocketAddr,
+    shared: Rc<Shared>,
+    _task: Rc<Task>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    socket: UdpSocket,
+    state: RefCell<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    entries: Vec<SocketAddr>,
+    silent_entries: FastSet<SocketAddr>,
+    silent_clients: FastSet<SocketAddr>,
+    clients: FastMap<SocketAddr, ClientPath>,
+    loss_percent: u32,
+    delay_ms: u64,
+    random: ChaCha8Rng,
+    counts: FabricCounts,
+}
+
+#[derive(Debug)]
+struct ClientPath {
+    socket: Rc<UdpSocket>,
+    _task: Task,
+}
+
+impl Fabric {
+    /// Starts a fabric that sprays over `entries`, the addresses at which entries serve clients.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::BindFailed`].
+    pub fn start(entries: impl IntoIterator<Item = SocketAddr>, seed: u64) -> Result<Self> {
+        let socket = bind()?;
+        let address = socket.local_addr().map_err(bind_failed)?;
+        let shared = Rc::new(Shared {
+            socket,
+            state: RefCell::new(State {
+                entries: entries.into_iter().collect(),
+                silent_entries: FastSet::default(),
+                silent_clients: FastSet::default(),
+                clients: FastMap::default(),
+                loss_percent: 0,
+                delay_ms: 0,
+                random: ChaCha8Rng::seed_from_u64(seed),
+                counts: FabricCounts::default(),
+            }),
+        });
+        let task = Task::spawn(forward(Rc::clone(&shared)));
+        Ok(Self {
+            address,
+            shared,
+            _task: Rc::new(task),
+        })
+    }
+
+    /// Returns the service address that clients use.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Replaces the entries.
+    pub fn set_entries(&self, entries: impl IntoIterator<Item = SocketAddr>) {
+        self.shared.state.borrow_mut().entries = entries.into_iter().collect();
+    }
+
+    /// Loses this share of all datagrams, in percent, in each direction.
+    pub fn set_loss_percent(&self, percent: u32) {
+        self.shared.state.borrow_mut().loss_percent = percent.min(PERCENT);
+    }
+
+    /// Delays each datagram, in each direction.
+    pub fn set_delay_ms(&self, delay_ms: u64) {
+        self.shared.state.borrow_mut().delay_ms = delay_ms;
+    }
+
+    /// Loses all datagrams to and from an entry without telling anyone.
+    pub fn silence_entry(&self, entry: SocketAddr) {
+        let mut state = self.shared.state.borrow_mut();
+        state.silent_entries.insert(entry);
+    }
+
+    /// Ends the silence of an entry.
+    pub fn restore_entry(&self, entry: SocketAddr) {
+        let mut state = self.shared.state.borrow_mut();
+        state.silent_entries.remove(&entry);
+    }
+
+    /// Drops the state of a client: its open flows go silent for good, while flows from another
+    /// port work.
+    pub fn drop_client(&self, client: SocketAddr) {
+        let mut state = self.shared.state.borrow_mut();
+        state.silent_clients.insert(client);
+        state.clients.remove(&client);
+    }
+
+    /// Gives a client another address towards the entries, as an address translator may.
+    pub fn rebind_client(&self, client: SocketAddr) {
+        self.shared.state.borrow_mut().clients.remove(&client);
+    }
+
+    /// Returns the counts so far.
+    #[must_use]
+    pub fn counts(&self) -> FabricCounts {
+        self.shared.state.borrow().counts
+    }
+}
+
+impl State {
+    /// Chooses the entry for a datagram of `client`; `None` loses the datagram.
+    fn choose_entry(&mut self, client: SocketAddr) -> Option<SocketAddr> {
+        if self.silent_clients.contains(&client) || self.loses() || self.entries.is_empty() {
+            return None;
+        }
+        let index = self.random.random_range(0..self.entries.len());
+        let entry = self.entries[index];
+        (!self.silent_entries.contains(&entry)).then_some(entry)
+    }
+
+    fn loses(&mut self) -> bool {
+        self.loss_percent > 0 && self.random.random_range(0..PERCENT) < self.loss_percent
+    }
+}
+
+async fn forward(shared: Rc<Shared>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        // An error here reports an earlier send to a closed port; the socket stays usable.
+        let Ok((length, client)) = shared.socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let entry = shared.state.borrow_mut().choose_entry(client);
+        let path = entry.and_then(|entry| Some((entry, client_socket(&shared, client)?)));
+        let Some((entry, socket)) = path else {
+            shared.state.borrow_mut().counts.lost += 1;
+            continue;
+        };
+        shared.state.borrow_mut().counts.forwarded += 1;
+        let delay_ms = shared.state.borrow().delay_ms;
+        if delay_ms == 0 {
+            // A full socket buffer loses the datagram, as on a real network.
+            let _ = socket.try_send_to(&buffer[..length], entry);
+            continue;
+        }
+        let datagram = buffer[..length].to_vec();
+        actix_rt::spawn(async move {
+            sleep(Duration::from_millis(delay_ms)).await;
+            let _ = socket.try_send_to(&datagram, entry);
+        });
+    }
+}
+
+async fn answer(shared: Rc<Shared>, socket: Rc<UdpSocket>, client: SocketAddr) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let Ok((length, entry)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let (is_lost, delay_ms) = {
+            let mut state = shared.state.borrow_mut();
+            let is_lost = state.silent_entries.contains(&entry) || state.loses();
+            let counts = &mut state.counts;
+            if is_lost {
+                counts.lost += 1;
+            } else {
+                counts.returned += 1;
+            }
+            (is_lost, state.delay_ms)
+        };
+        if is_lost {
+            continue;
+        }
+        if delay_ms == 0 {
+            let _ = shared.socket.try_send_to(&buffer[..length], client);
+            continue;
+        }
+        let datagram = buffer[..length].to_vec();
+        let shared = Rc::clone(&shared);
+        actix_rt::spawn(async move {
+            sleep(Duration::from_millis(delay_ms)).await;
+            let _ = shared.socket.try_send_to(&datagram, client);
+        });
+    }
+}
+
+fn client_socket(shared: &Rc<Shared>, client: SocketAddr) -> Option<Rc<UdpSocket>> {
+    if let Some(path) = shared.state.borrow().clients.get(&client) {
+        return Some(Rc::clone(&path.socket));
+    }
+    let socket = Rc::new(bind().ok()?);
+    let task = Task::spawn(answer(Rc::clone(shared), Rc::clone(&socket), client));
+    let path = ClientPath {
+        socket: Rc::clone(&socket),
+        _task: task,
+    };
+    shared.state.borrow_mut().clients.insert(client, path);
+    Some(socket)
+}
+
+fn bind() -> Result<UdpSocket> {
+    let open = || {
+        let socket = Socket::new(Domain::IPV4, Type::DGRAM, Some(Protocol::UDP))?;
+        // The system may grant less, which only raises the loss under bursts.
+        let _ = socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES);
+        let _ = socket.set_send_buffer_size(SOCKET_BUFFER_BYTES);
+        socket.set_nonblocking(true)?;
+        socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into())?;
+        UdpSocket::from_std(socket.into())
+    };
+    open().map_err(bind_failed)
+}
+
+fn bind_failed(source: std::io::Error) -> Error {
+    let detail = "the fabric double can't bind a loopback port";
+    Error::io(ResultCode::BindFailed, detail, source)
+}
--- a/crates/fes-testkit/src/platform.rs
+++ b/crates/fes-testkit/src/platform.rs
@@ -13,7 +13,10 @@
 use fes_protocol::Error;
 use fes_protocol::Result;
 use fes_protocol::ResultCode;
+use fes_protocol::Ticket;
 use fes_protocol::headers;
+use fes_tickets::MAX_TICKET_BYTES;
+use fes_tickets::TicketWire;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -38,8 +41,6 @@
 use crate::platform_state::PlatformState;
 use crate::task::Task;
 
-/// Largest value that the platform holds.
-const MAX_VALUE_BYTES: usize = 1 << 20;
 /// Larger than any reply that a reader has to accept.
 const OVERSIZED_REPLY_BYTES: usize = 17 << 20;
 const MAX_WAIT_MS: u64 = 60_000;
@@ -90,7 +91,7 @@
     /// Returns [`ResultCode::TicketTooLarge`] if the value is larger than the platform holds.
     pub fn publish(&self, number: u64, ticket: Value) -> Result<()> {
         let size = ticket.to_string().len();
-        if size > MAX_VALUE_BYTES {
+        if size > MAX_TICKET_BYTES {
             let detail = format!("ticket {number} has {size} bytes");
             return Err(Error::coded(ResultCode::TicketTooLarge, detail));
         }
@@ -99,6 +100,19 @@
         Ok(())
     }
 
+    /// Publishes a ticket.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::TicketTooLarge`] if the value is larger than the platform holds.
+    pub fn publish_ticket(&self, ticket: &Ticket) -> Result<()> {
+        let wire = serde_json::to_value(TicketWire::from(ticket)).map_err(|error| {
+            let detail = format!("ticket {} has no JSON form: {error}", ticket.number);
+            Error::coded(ResultCode::TicketSyntax, detail)
+        })?;
+        self.publish(ticket.number.0, wire)
+    }
+
     /// Changes how the platform answers. Waiting watches are answered at once in the new mode.
     pub fn set_mode(&self, mode: PlatformMode) {
         self.state.mode.set(mode);
--- a/crates/fes-testkit/tests/platform.rs
+++ b/crates/fes-testkit/tests/platform.rs
@@ -10,6 +10,7 @@
 use fes_testkit::Vm;
 use fes_testkit::VmState;
 use fes_testkit::until;
+use fes_tickets::MAX_TICKET_BYTES;
 use http::Request;
 use http_body_util::BodyExt;
 use http_body_util::Empty;
@@ -118,7 +119,7 @@
 async fn values_above_1_mb_are_refused() {
     let platform = platform_with(&[]).await;
 
-    let refused = platform.publish(1, json!("x".repeat(1 << 20)));
+    let refused = platform.publish(1, json!("x".repeat(MAX_TICKET_BYTES)));
 
     let code = refused.expect_err("refusal").code();
     assert_eq!(code, ResultCode::TicketTooLarge);
