Add the measurement tool with three experiments

Change: a virtual-time fleet drives admission and offload, or a plain baseline, with seeded arrivals, delays and losses; imbalance, demand peak and head-of-line experiments report target, baseline and current as a table, JSON and SVG.

--- /dev/null
+++ b/crates/fes-measure/src/experiment.rs
@@ -0,0 +1,54 @@
+//! Experiments by name.
+
+/// What is measured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Experiment {
+    /// Flows broken by planned changes, entry deaths and upstream deaths.
+    BrokenFlows,
+    /// Spread of utilisation over upstreams of different speeds.
+    Imbalance,
+    /// Goodput and latency around a demand peak.
+    Crest,
+    /// Waiting of short requests behind long ones.
+    HeadOfLine,
+    /// All of the above.
+    All,
+}
+
+impl Experiment {
+    /// All names, `all` last.
+    pub const ALL: [Self; 5] = [
+        Self::BrokenFlows,
+        Self::Imbalance,
+        Self::Crest,
+        Self::HeadOfLine,
+        Self::All,
+    ];
+
+    /// Returns the name used on the command line.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::BrokenFlows => "broken-flows",
+            Self::Imbalance => "imbalance",
+            Self::Crest => "crest",
+            Self::HeadOfLine => "head-of-line",
+            Self::All => "all",
+        }
+    }
+
+    /// Returns the experiment of this name.
+    #[must_use]
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|e| e.name() == name)
+    }
+
+    /// Returns the experiments that this one stands for.
+    #[must_use]
+    pub fn parts(self) -> Vec<Self> {
+        if self == Self::All {
+            return Self::ALL[..4].to_vec();
+        }
+        vec![self]
+    }
+}
--- /dev/null
+++ b/crates/fes-measure/src/experiments/head_of_line.rs
@@ -0,0 +1,151 @@
+//! Waiting of short requests among 2 % stragglers of 50 times their length at 70 % load.
+
+use fes_protocol::MonoTime;
+
+use super::Measured;
+use super::RawFigure;
+use super::mix::STRAGGLER_FACTOR;
+use super::mix::mixed_speeds;
+use super::mix::short_classes;
+use super::mix::straggler_classes;
+use super::statistics::ms_or_never;
+use super::statistics::percentile;
+use super::statistics::sent_in;
+use super::statistics::share;
+use crate::Policy;
+use crate::Profile;
+use crate::Series;
+use crate::sim::ClassMix;
+use crate::sim::Fleet;
+use crate::sim::Outcome;
+use crate::sim::RunResult;
+use crate::sim::Scenario;
+
+/// Demand as a share of capacity, with and without stragglers.
+const LOAD: f64 = 0.7;
+
+const FROM: MonoTime = MonoTime::from_ms(30_000);
+const TO: MonoTime = MonoTime::from_ms(150_000);
+
+/// Requests sent before `TO` have this long to finish, in milliseconds.
+const TAIL_MS: u64 = 15_000;
+
+/// Largest permitted p99 waiting time of short requests over that without stragglers.
+const MAX_WAIT_RATIO: f64 = 2.0;
+
+/// Bound for long requests as a multiple of their mean service time on a reference VM: the age
+/// bound of 4, a slot that becomes free and a long service on the slowest VM.
+const LONG_BOUND_MULTIPLE: f64 = 10.0;
+
+pub(crate) fn head_of_line(profile: &Profile, seed: u64) -> Measured {
+    let with = both_policies(profile, seed, straggler_classes(profile), LOAD);
+    let without = both_policies(profile, seed, short_classes(profile), LOAD);
+    let queueing = |runs: &[RunResult; 2], i: usize| wait_p99_ms(&runs[i], queueing_us);
+    let with_hops = |runs: &[RunResult; 2], i: usize| wait_p99_ms(&runs[i], Outcome::wait_us);
+    let long_bound_ms = LONG_BOUND_MULTIPLE * STRAGGLER_FACTOR * profile.short_service_us / 1e3;
+    let figures = vec![
+        RawFigure::at_most(
+            "p99 queueing of short requests over without stragglers",
+            "ratio",
+            MAX_WAIT_RATIO,
+            [0, 1].map(|i| queueing(&with, i) / queueing(&without, i)),
+        ),
+        RawFigure::at_most(
+            "longest time to finish a long request",
+            "ms",
+            long_bound_ms,
+            [0, 1].map(|i| longest_ms(&with[i])),
+        ),
+        RawFigure::note(
+            "p99 queueing of short requests with stragglers",
+            "ms",
+            [0, 1].map(|i| queueing(&with, i)),
+        ),
+        RawFigure::note(
+            "p99 queueing of short requests without stragglers",
+            "ms",
+            [0, 1].map(|i| queueing(&without, i)),
+        ),
+        RawFigure::note(
+            "p99 wait with hops of short requests over without stragglers",
+            "ratio",
+            [0, 1].map(|i| with_hops(&with, i) / with_hops(&without, i)),
+        ),
+        RawFigure::note(
+            "short requests refused or late with stragglers",
+            "share",
+            [0, 1].map(|i| bad_share(&with[i], false)),
+        ),
+        RawFigure::note(
+            "long requests refused or late",
+            "share",
+            [0, 1].map(|i| bad_share(&with[i], true)),
+        ),
+    ];
+    let curve = |label: &str, run: &RunResult| Series {
+        plot: "head-of-line",
+        x_label: "percentile",
+        y_label: "queueing of short requests in ms",
+        label: label.to_owned(),
+        points: (50..100)
+            .map(|percent| {
+                let wait_ms = wait_ms(run, queueing_us, f64::from(percent));
+                (f64::from(percent), wait_ms.min(10_000.0))
+            })
+            .collect(),
+    };
+    Measured {
+        series: vec![
+            curve("baseline", &with[0]),
+            curve("current", &with[1]),
+            curve("current without stragglers", &without[1]),
+        ],
+        figures,
+    }
+}
+
+fn both_policies(
+    profile: &Profile,
+    seed: u64,
+    classes: Vec<ClassMix>,
+    load: f64,
+) -> [RunResult; 2] {
+    let scenario = Scenario {
+        profile: profile.clone(),
+        seed,
+        speeds: mixed_speeds(profile, seed),
+        classes,
+        load: vec![(0, load)],
+        end: TO.plus_ms(TAIL_MS),
+        clients_retry: false,
+    };
+    [Policy::Baseline, Policy::Current].map(|p| Fleet::run(scenario.clone(), p))
+}
+
+/// Time in the queue of the agent that ran the request.
+fn queueing_us(outcome: &Outcome) -> Option<u64> {
+    outcome.started_at.map(|at| at.us_since(outcome.handled_at))
+}
+
+fn wait_p99_ms(run: &RunResult, wait_us: fn(&Outcome) -> Option<u64>) -> f64 {
+    wait_ms(run, wait_us, 99.0)
+}
+
+/// Requests that never started count as waiting for ever.
+fn wait_ms(run: &RunResult, wait_us: fn(&Outcome) -> Option<u64>, percent: f64) -> f64 {
+    let short = sent_in(&run.outcomes, FROM, TO).filter(|o| !o.long);
+    percentile(short.map(|o| ms_or_never(wait_us(o))).collect(), percent)
+}
+
+fn longest_ms(run: &RunResult) -> f64 {
+    let long = sent_in(&run.outcomes, FROM, TO).filter(|o| o.long);
+    percentile(long.map(|o| ms_or_never(o.latency_us())).collect(), 100.0)
+}
+
+fn bad_share(run: &RunResult, long: bool) -> f64 {
+    let of_kind = || sent_in(&run.outcomes, FROM, TO).filter(|o| o.long == long);
+    share(
+        of_kind().filter(|o| !o.is_good()).count(),
+        of_kind().count(),
+    )
+}
--- /dev/null
+++ b/crates/fes-measure/src/experiments/mod.rs
@@ -0,0 +1,14 @@
+//! One experiment per file.
+
+mod crest;
+mod head_of_line;
+mod imbalance;
+mod measured;
+mod mix;
+mod statistics;
+
+pub(crate) use crest::crest;
+pub(crate) use head_of_line::head_of_line;
+pub(crate) use imbalance::imbalance;
+pub(crate) use measured::Measured;
+pub(crate) use measured::RawFigure;
--- a/crates/fes-measure/src/lib.rs
+++ b/crates/fes-measure/src/lib.rs
@@ -1,1 +1,23 @@
 //! Experiments on virtual time, baselines, reports and plots.
+//!
+//! [`run`] drives the decision crates with seeded fakes. The same arguments give the same bytes.
+
+mod experiment;
+mod experiments;
+mod plot;
+mod policy;
+mod profile;
+mod report;
+mod run;
+mod sim;
+mod table;
+
+pub use experiment::Experiment;
+pub use plot::write_plots;
+pub use policy::Policy;
+pub use profile::Profile;
+pub use report::Bound;
+pub use report::Figure;
+pub use report::Report;
+pub use report::Series;
+pub use run::run;
--- /dev/null
+++ b/crates/fes-measure/src/profile.rs
@@ -0,0 +1,102 @@
+//! The deployments of the design page.
+
+use crate::Experiment;
+
+/// Sizes, delays and weights of a deployment.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Profile {
+    /// Name used on the command line.
+    pub name: &'static str,
+    /// Targets of the main service.
+    pub targets: usize,
+    /// Slots of each target.
+    pub slots: u32,
+    /// Open connections of each target.
+    pub connections_per_target: usize,
+    /// Data centres.
+    pub data_centres: usize,
+    /// Delay between data centres one way, in milliseconds.
+    pub remote_delay_ms: u64,
+    /// Delay between clients and agents one way, in milliseconds.
+    pub client_delay_ms: u64,
+    /// Usual service time on a reference VM, in microseconds.
+    pub short_service_us: f64,
+    /// Usual time that a client waits for a short response, in milliseconds.
+    pub short_patience_ms: u64,
+    /// Share of requests that may not be repeated.
+    pub non_repeatable_share: f64,
+    /// Class of the usual repeatable requests.
+    pub query_class: &'static str,
+    /// Class of the non-repeatable requests.
+    pub entry_class: &'static str,
+    /// Class of the long requests.
+    pub long_class: &'static str,
+}
+
+impl Profile {
+    /// Staveworks Analytics: auction and reservation service.
+    #[must_use]
+    pub const fn staveworks() -> Self {
+        Self {
+            name: "staveworks",
+            targets: 7,
+            slots: 4,
+            connections_per_target: 2_000,
+            data_centres: 3,
+            remote_delay_ms: 4,
+            client_delay_ms: 3,
+            short_service_us: 20_000.0,
+            short_patience_ms: 500,
+            non_repeatable_share: 0.3,
+            query_class: "GET /inspections",
+            entry_class: "POST /reservations",
+            long_class: "GET /reports",
+        }
+    }
+
+    /// Al-Mafraq Tank Instruments: live gauging and reconciliation service.
+    #[must_use]
+    pub const fn al_mafraq() -> Self {
+        Self {
+            name: "al-mafraq",
+            targets: 7,
+            slots: 2,
+            connections_per_target: 2_000,
+            data_centres: 3,
+            remote_delay_ms: 3,
+            client_delay_ms: 1,
+            short_service_us: 20_000.0,
+            short_patience_ms: 500,
+            non_repeatable_share: 0.3,
+            query_class: "GET /levels",
+            entry_class: "POST /reconciliations",
+            long_class: "GET /charts",
+        }
+    }
+
+    /// Returns the profile of this name.
+    #[must_use]
+    pub fn from_name(name: &str) -> Option<Self> {
+        [Self::staveworks(), Self::al_mafraq()]
+            .into_iter()
+            .find(|profile| profile.name == name)
+    }
+
+    /// Returns how much the user cares about an experiment; the weights of all add up to 1.
+    ///
+    /// Staveworks gives broken flows the highest weight, Al-Mafraq the demand peak and the
+    /// waiting of short requests.
+    #[must_use]
+    pub fn weight(&self, experiment: Experiment) -> f64 {
+        let is_staveworks = self.name == "staveworks";
+        match experiment {
+            Experiment::BrokenFlows if is_staveworks => 0.4,
+            Experiment::BrokenFlows => 0.15,
+            Experiment::Imbalance if is_staveworks => 0.2,
+            Experiment::Imbalance => 0.15,
+            Experiment::Crest | Experiment::HeadOfLine if is_staveworks => 0.2,
+            Experiment::Crest | Experiment::HeadOfLine => 0.35,
+            Experiment::All => 1.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fes-measure/src/run.rs
@@ -0,0 +1,55 @@
+//! Runs experiments and judges their figures.
+
+use crate::Experiment;
+use crate::Figure;
+use crate::Policy;
+use crate::Profile;
+use crate::Report;
+use crate::experiments;
+use crate::experiments::Measured;
+
+/// Runs an experiment under the current policy and the baseline, and judges `policy`.
+#[must_use]
+pub fn run(experiment: Experiment, profile: &Profile, seed: u64, policy: Policy) -> Report {
+    let mut figures = Vec::new();
+    let mut series = Vec::new();
+    let mut score = 0.0;
+    let mut weight = 0.0;
+    for part in experiment.parts() {
+        let measured = measure(part, profile, seed);
+        let judged: Vec<Figure> = measured
+            .figures
+            .into_iter()
+            .map(|figure| figure.judge(part, policy))
+            .collect();
+        score += profile.weight(part) * met_share(&judged);
+        weight += profile.weight(part);
+        figures.extend(judged);
+        series.extend(measured.series);
+    }
+    Report {
+        experiment: experiment.name(),
+        profile: profile.name,
+        seed,
+        policy: policy.name(),
+        met: figures.iter().all(|figure| figure.met),
+        figures,
+        weighted_score: score / weight,
+        series,
+    }
+}
+
+fn measure(experiment: Experiment, profile: &Profile, seed: u64) -> Measured {
+    match experiment {
+        Experiment::Imbalance => experiments::imbalance(profile, seed),
+        Experiment::Crest => experiments::crest(profile, seed),
+        Experiment::HeadOfLine => experiments::head_of_line(profile, seed),
+        Experiment::BrokenFlows | Experiment::All => Measured::default(),
+    }
+}
+
+fn met_share(figures: &[Figure]) -> f64 {
+    let with_target = || figures.iter().filter(|figure| figure.target.is_some());
+    let met = with_target().filter(|figure| figure.met).count();
+    met as f64 / with_target().count().max(1) as f64
+}
--- /dev/null
+++ b/crates/fes-measure/src/sim/current.rs
@@ -0,0 +1,209 @@
+//! The current policy: admission and offload planner as agents use them.
+
+use fes_admission::Admission;
+use fes_admission::AdmissionAction;
+use fes_admission::AdmissionEvent;
+use fes_admission::AdmissionSettings;
+use fes_admission::Origin;
+use fes_protocol::Incarnation;
+use fes_protocol::Lifecycle;
+use fes_protocol::MonoTime;
+use fes_protocol::PeerHeartbeat;
+use fes_protocol::RequestId;
+use fes_protocol::ResultCode;
+use fes_protocol::ServiceId;
+use fes_protocol::TargetId;
+use fes_routing::OffloadChoice;
+use fes_routing::OffloadPeer;
+use fes_routing::OffloadPlanner;
+use fes_routing::OffloadRequest;
+use fes_routing::OffloadSettings;
+use fes_routing::OwnLoad;
+
+use super::AgentPolicy;
+use super::Arrival;
+use super::Step;
+
+/// Decisions of an agent with admission and offload.
+#[derive(Debug)]
+pub(crate) struct CurrentAgent {
+    own: usize,
+    admission: Admission,
+    planner: OffloadPlanner,
+    sequence: u64,
+}
+
+impl CurrentAgent {
+    pub(crate) fn new(
+        own: usize,
+        settings: AdmissionSettings,
+        peers: impl IntoIterator<Item = OffloadPeer>,
+        seed: u64,
+    ) -> Self {
+        let mut planner = OffloadPlanner::new(OffloadSettings::new(target(own), seed));
+        planner.set_peers(peers);
+        Self {
+            own,
+            admission: Admission::new(MonoTime::ZERO, settings),
+            planner,
+            sequence: 0,
+        }
+    }
+
+    fn own_load(&mut self, now: MonoTime) -> OwnLoad {
+        let load = self.admission.load(now);
+        OwnLoad {
+            capacity_milli: load.capacity_milli,
+            demand_milli: load.demand_milli,
+            movable_milli: load.movable_milli,
+            queue_wait_ms: load.queue_wait_ms,
+            has_free_slot: load.has_free_slot,
+        }
+    }
+
+    fn request(&mut self, arrival: &Arrival) -> OffloadRequest {
+        OffloadRequest {
+            deadline: arrival.deadline,
+            repeatable: arrival.repeatable,
+            passed_on: arrival.origin == Origin::Offloaded,
+            long: self.admission.is_long(&arrival.class),
+        }
+    }
+
+    fn admit(&mut self, now: MonoTime, arrival: &Arrival, origin: Origin) -> Vec<Step> {
+        let event = AdmissionEvent::Arrive {
+            id: arrival.id,
+            class: arrival.class.clone(),
+            deadline: arrival.deadline,
+            repeatable: arrival.repeatable,
+            origin,
+        };
+        let actions = self.admission.handle(now, event);
+        let mut steps = Vec::with_capacity(actions.len());
+        for action in actions {
+            steps.push(match action {
+                AdmissionAction::Refuse { id, code } if id == arrival.id => {
+                    self.rescue_or_refuse(now, arrival, origin, code)
+                }
+                action => step(action),
+            });
+        }
+        steps
+    }
+
+    fn rescue_or_refuse(
+        &mut self,
+        now: MonoTime,
+        arrival: &Arrival,
+        origin: Origin,
+        code: ResultCode,
+    ) -> Step {
+        let is_overload = matches!(
+            code,
+            ResultCode::NotRunOverloaded | ResultCode::NotRunQueueFull
+        );
+        if origin == Origin::Client && is_overload && !self.planner.are_peers_full(now) {
+            let own = self.own_load(now);
+            let request = self.request(arrival);
+            let choice = self.planner.choose_rescue(now, &own, &request);
+            if let OffloadChoice::Peer(peer) = choice
+                && self.admission.take_retry()
+            {
+                return Step::PassOn(arrival.id, index(peer), Origin::Offloaded);
+            }
+        }
+        Step::Refuse(arrival.id)
+    }
+
+    fn event(&mut self, now: MonoTime, event: AdmissionEvent) -> Vec<Step> {
+        let actions = self.admission.handle(now, event);
+        actions.into_iter().map(step).collect()
+    }
+}
+
+impl AgentPolicy for CurrentAgent {
+    fn arrive(&mut self, now: MonoTime, arrival: &Arrival) -> Vec<Step> {
+        if !arrival.repeatable && arrival.owner != self.own {
+            return vec![Step::PassOn(arrival.id, arrival.owner, Origin::Relayed)];
+        }
+        if arrival.origin == Origin::Client {
+            let own = self.own_load(now);
+            let request = self.request(arrival);
+            if let OffloadChoice::Peer(peer) = self.planner.choose(now, &own, &request) {
+                let class = arrival.class.clone();
+                let mut steps = self.event(now, AdmissionEvent::PassedOn { class });
+                steps.push(Step::PassOn(arrival.id, index(peer), Origin::Offloaded));
+                return steps;
+            }
+        }
+        self.admit(now, arrival, arrival.origin)
+    }
+
+    fn finished(&mut self, now: MonoTime, id: RequestId) -> Vec<Step> {
+        self.event(now, AdmissionEvent::Finished { id })
+    }
+
+    fn honours_cancellation(&self) -> bool {
+        true
+    }
+
+    fn cancelled(&mut self, now: MonoTime, id: RequestId) -> Vec<Step> {
+        self.event(now, AdmissionEvent::Cancelled { id })
+    }
+
+    fn peer_refused(&mut self, now: MonoTime, peer: usize, arrival: &Arrival) -> Vec<Step> {
+        self.planner.on_refused(now, target(peer));
+        // It was counted as demand when it was passed on.
+        self.admit(now, arrival, Origin::Offloaded)
+    }
+
+    fn timer(&mut self, now: MonoTime) -> Vec<Step> {
+        self.event(now, AdmissionEvent::Timer)
+    }
+
+    fn heartbeat(&mut self, now: MonoTime) -> Option<PeerHeartbeat> {
+        let load = self.admission.load(now);
+        self.sequence += 1;
+        Some(PeerHeartbeat {
+            service: ServiceId(1),
+            target: target(self.own),
+            incarnation: Incarnation(1),
+            sequence: self.sequence,
+            lifecycle: Lifecycle::Serving,
+            capacity_milli: load.capacity_milli,
+            demand_milli: load.demand_milli,
+            queue_wait_ms: load.queue_wait_ms,
+            flow_count: 0,
+            key_issue_ms: now.as_ms(),
+            heard: Vec::new(),
+        })
+    }
+
+    fn on_heartbeat(&mut self, now: MonoTime, heartbeat: &PeerHeartbeat) {
+        let own = self.own_load(now);
+        self.planner.on_heartbeat(now, &own, heartbeat);
+    }
+
+    fn issue_prefix(&mut self, now: MonoTime) -> usize {
+        let own = self.own_load(now);
+        let owner = self.planner.choose_prefix_owner(now, &own);
+        owner.map_or(self.own, |owner| index(owner.target))
+    }
+}
+
+fn step(action: AdmissionAction) -> Step {
+    match action {
+        AdmissionAction::Start { id } => Step::Start(id),
+        AdmissionAction::Refuse { id, .. } => Step::Refuse(id),
+        AdmissionAction::Timer { at } => Step::Timer(at),
+    }
+}
+
+/// Target IDs start at 1.
+pub(crate) fn target(index: usize) -> TargetId {
+    TargetId(index as u32 + 1)
+}
+
+fn index(target: TargetId) -> usize {
+    target.0 as usize - 1
+}
