--- a/crates/fes-measure/src/experiments/mod.rs
+++ b/crates/fes-measure/src/experiments/mod.rs
@@ -1,5 +1,6 @@
 //! One experiment per file.
 
+mod broken_flows;
 mod crest;
 mod head_of_line;
 mod imbalance;
@@ -7,6 +8,7 @@
 mod mix;
 mod statistics;
 
+pub(crate) use broken_flows::broken_flows;
 pub(crate) use crest::crest;
 pub(crate) use head_of_line::head_of_line;
 pub(crate) use imbalance::imbalance;
--- /dev/null
+++ b/crates/fes-measure/src/flows/liveness.rs
@@ -0,0 +1,37 @@
+//! One process's view of targets, as verdicts reach it.
+
+use std::collections::BTreeMap;
+
+use fes_protocol::MonoTime;
+use fes_protocol::ServiceId;
+use fes_protocol::TargetId;
+use fes_routing::LivenessView;
+
+/// When verdicts take effect at a process.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Verdicts {
+    /// Targets that take no new flows, from when until when.
+    pub(crate) suspected: BTreeMap<TargetId, (MonoTime, MonoTime)>,
+    /// Targets whose loss enough observers agree on, from when.
+    pub(crate) lost: BTreeMap<TargetId, MonoTime>,
+}
+
+/// The verdicts in effect at one point in time.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ViewAt<'a> {
+    pub(crate) now: MonoTime,
+    pub(crate) verdicts: &'a Verdicts,
+}
+
+impl LivenessView for ViewAt<'_> {
+    fn is_placeable(&self, service: ServiceId, target: TargetId) -> bool {
+        let suspected = self.verdicts.suspected.get(&target);
+        let is_suspected = suspected.is_some_and(|(from, to)| (*from..*to).contains(&self.now));
+        !is_suspected && !self.is_confirmed_lost(service, target)
+    }
+
+    fn is_confirmed_lost(&self, _service: ServiceId, target: TargetId) -> bool {
+        let lost_at = self.verdicts.lost.get(&target);
+        lost_at.is_some_and(|at| self.now >= *at)
+    }
+}
--- a/crates/fes-measure/src/lib.rs
+++ b/crates/fes-measure/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod experiment;
 mod experiments;
+mod flows;
 mod plot;
 mod policy;
 mod profile;
--- a/crates/fes-measure/src/run.rs
+++ b/crates/fes-measure/src/run.rs
@@ -44,7 +44,8 @@
         Experiment::Imbalance => experiments::imbalance(profile, seed),
         Experiment::Crest => experiments::crest(profile, seed),
         Experiment::HeadOfLine => experiments::head_of_line(profile, seed),
-        Experiment::BrokenFlows | Experiment::All => Measured::default(),
+        Experiment::BrokenFlows => experiments::broken_flows(profile, seed),
+        Experiment::All => Measured::default(),
     }
 }
 
