Add gossip, readiness and platform readers for tickets

Cause: tickets must reach 8,790 processes within 7 s without each of them watching the platform.

Change: Distribution composes the store, gossip (push to four peers on first receipt, a digest each second, pull of what is missing), the readiness rule of a starting process, urgent pushes for leaving upstreams and the choice of platform readers by hash rank with takeover by age. fes-kernel gets a virtual network with delay, loss, duplication and partitions. LivenessVerdict names its observer, because receivers count observers; LivenessDigest and Verdict::Impaired are new.

--- a/crates/fes-kernel/src/lib.rs
+++ b/crates/fes-kernel/src/lib.rs
@@ -6,6 +6,7 @@
 mod component;
 mod kernel;
 mod timers;
+mod virtual_network;
 
 pub use component::Component;
 pub use component::ComponentName;
@@ -14,3 +15,6 @@
 pub use component::TimerToken;
 pub use kernel::Effect;
 pub use kernel::Kernel;
+pub use virtual_network::Arrival;
+pub use virtual_network::PathQuality;
+pub use virtual_network::VirtualNetwork;
--- a/crates/fes-protocol/src/control.rs
+++ b/crates/fes-protocol/src/control.rs
@@ -87,11 +87,16 @@
     Dead,
     /// Accepts no new work.
     Leaving,
+    /// Heard, but its link works one way only or keeps failing; gets no new work for now.
+    Impaired,
 }
 
 /// A verdict that spreads by gossip.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LivenessVerdict {
+    /// Who holds the opinion. Receivers count observers, because one opinion alone must not cause
+    /// a reset.
+    pub observer: NodeId,
     /// Service of the target.
     pub service: ServiceId,
     /// The target judged.
@@ -100,10 +105,21 @@
     pub incarnation: Incarnation,
     /// The opinion.
     pub verdict: Verdict,
-    /// Orders verdicts about one incarnation; the higher one wins.
+    /// Orders the verdicts of one observer about one target; the higher one wins.
     pub version: u32,
 }
 
+/// Summary of the verdicts that a process holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LivenessDigest {
+    /// Sender.
+    pub node: NodeId,
+    /// Order-independent hash over all verdicts held.
+    pub hash: u64,
+    /// Number of verdicts held.
+    pub count: u32,
+}
+
 /// Announces a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Goodbye {
@@ -141,6 +157,8 @@
     TicketDigest(TicketDigest),
     /// Verdicts that spread by gossip.
     Liveness(Vec<LivenessVerdict>),
+    /// Summary of verdicts held.
+    LivenessDigest(LivenessDigest),
 }
 
 /// Encodes a control message.
--- a/crates/fes-protocol/src/lib.rs
+++ b/crates/fes-protocol/src/lib.rs
@@ -25,6 +25,7 @@
 pub use control::Goodbye;
 pub use control::HeardPeer;
 pub use control::Lifecycle;
+pub use control::LivenessDigest;
 pub use control::LivenessVerdict;
 pub use control::PeerHeartbeat;
 pub use control::TicketDigest;
--- /dev/null
+++ b/crates/fes-tickets/src/freshness.rs
@@ -0,0 +1,86 @@
+//! How long ago any process was in contact with the platform, as far as this process knows.
+
+use fes_protocol::EntryId;
+use fes_protocol::MonoTime;
+
+/// The freshest platform contact that a process knows of. Ages, not times, travel in digests,
+/// because processes don't compare their clocks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlatformContact {
+    /// Entry that had the contact; `None` if an agent had it.
+    pub reader: Option<EntryId>,
+    age_ms: u32,
+    learnt_at: MonoTime,
+}
+
+impl PlatformContact {
+    /// Records a contact of this process.
+    #[must_use]
+    pub const fn own(reader: Option<EntryId>, now: MonoTime) -> Self {
+        Self::heard(reader, 0, now)
+    }
+
+    /// Records a contact that a digest reported.
+    #[must_use]
+    pub const fn heard(reader: Option<EntryId>, age_ms: u32, now: MonoTime) -> Self {
+        Self {
+            reader,
+            age_ms,
+            learnt_at: now,
+        }
+    }
+
+    /// Returns the age of the contact in milliseconds.
+    #[must_use]
+    pub fn age_ms(&self, now: MonoTime) -> u32 {
+        let since_ms = now.ms_since(self.learnt_at);
+        self.age_ms
+            .saturating_add(u32::try_from(since_ms).unwrap_or(u32::MAX))
+    }
+}
+
+/// Keeps the freshest of the contacts of this process and of all others apart, so that a stand-in
+/// reader notices when others are back.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Freshness {
+    own: Option<PlatformContact>,
+    others: Option<PlatformContact>,
+}
+
+impl Freshness {
+    /// Records a contact of this process.
+    pub const fn learn_own(&mut self, contact: PlatformContact) {
+        self.own = Some(contact);
+    }
+
+    /// Records a contact of another process.
+    pub fn learn_other(&mut self, contact: PlatformContact, now: MonoTime) {
+        if contact.age_ms(now) < self.others_age_ms(now) {
+            self.others = Some(contact);
+        }
+    }
+
+    /// Returns the age of the freshest contact in milliseconds, `u32::MAX` if none is known.
+    #[must_use]
+    pub fn age_ms(&self, now: MonoTime) -> u32 {
+        self.freshest(now)
+            .map_or(u32::MAX, |contact| contact.age_ms(now))
+    }
+
+    /// Returns the age of the freshest contact of another process in milliseconds.
+    #[must_use]
+    pub fn others_age_ms(&self, now: MonoTime) -> u32 {
+        self.others.map_or(u32::MAX, |contact| contact.age_ms(now))
+    }
+
+    /// Returns the entry that had the freshest contact.
+    #[must_use]
+    pub fn reader(&self, now: MonoTime) -> Option<EntryId> {
+        self.freshest(now).and_then(|contact| contact.reader)
+    }
+
+    fn freshest(&self, now: MonoTime) -> Option<PlatformContact> {
+        let known = [self.own, self.others].into_iter().flatten();
+        known.min_by_key(|contact| contact.age_ms(now))
+    }
+}
--- /dev/null
+++ b/crates/fes-tickets/src/gossip.rs
@@ -0,0 +1,295 @@
+//! Spreads tickets among processes: push on first receipt, digests and pull.
+
+use std::sync::Arc;
+
+use fes_protocol::DataCentreName;
+use fes_protocol::MonoTime;
+use fes_protocol::NodeId;
+use fes_protocol::Ticket;
+use fes_protocol::TicketDigest;
+use fes_protocol::TicketNumber;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::Distance;
+use crate::Endpoint;
+use crate::MAX_TICKET_BYTES;
+use crate::PeerDirectory;
+use crate::Snapshot;
+use crate::TicketMessage;
+use crate::TicketVersion;
+use crate::encode_ticket;
+
+/// Distances of the peers that a new ticket is pushed to.
+const PUSH_DISTANCES: [Distance; 4] = [
+    Distance::SameDataCentre,
+    Distance::SameDataCentre,
+    Distance::SameRegion,
+    Distance::OtherRegion,
+];
+/// A ticket above this size is offered instead of pushed, because most pushes of a spreading
+/// ticket reach a process that has it already.
+const MAX_PUSHED_BYTES: usize = 4_096;
+/// Answers to an `Ask` up to this size carry the tickets, which saves a round trip.
+const MAX_DIRECT_ANSWER_BYTES: usize = 65_536;
+const MAX_VERSIONS_PER_MESSAGE: usize = 4_096;
+const DIGEST_PERIOD_MS: u64 = 1_000;
+const DIGEST_JITTER_MS: u64 = 100;
+/// Of 10 digests, 7 stay in the data centre, 2 in the region and 1 leaves it: far links are
+/// costly and lossy, but each of them carries news of every process behind it.
+const DIGEST_DISTANCE_WEIGHTS: [(Distance, u32); 3] = [
+    (Distance::SameDataCentre, 7),
+    (Distance::SameRegion, 2),
+    (Distance::OtherRegion, 1),
+];
+/// Least time between two comparisons of everything that is held.
+const FULL_COMPARISON_PERIOD_MS: u64 = 1_000;
+
+const FIRST_VERSION: TicketVersion = TicketVersion {
+    number: TicketNumber(0),
+    digest: 0,
+};
+
+/// A message to send.
+pub(crate) type Outgoing = (Endpoint, TicketMessage);
+
+/// Chooses peers and answers their messages. Holds no tickets itself.
+#[derive(Debug)]
+pub(crate) struct Gossip {
+    node: NodeId,
+    home: DataCentreName,
+    next_digest_at: MonoTime,
+    next_full_comparison_at: MonoTime,
+}
+
+impl Gossip {
+    pub(crate) fn new(
+        node: NodeId,
+        home: DataCentreName,
+        now: MonoTime,
+        random: &mut ChaCha8Rng,
+    ) -> Self {
+        Self {
+            node,
+            home,
+            next_digest_at: now.plus_ms(random.random_range(0..DIGEST_PERIOD_MS)),
+            next_full_comparison_at: MonoTime::ZERO,
+        }
+    }
+
+    pub(crate) const fn next_digest_at(&self) -> MonoTime {
+        self.next_digest_at
+    }
+
+    /// Returns the receiver of the digest that is due, if one is.
+    pub(crate) fn due_digest(
+        &mut self,
+        now: MonoTime,
+        directory: &PeerDirectory,
+        random: &mut ChaCha8Rng,
+    ) -> Option<NodeId> {
+        if now < self.next_digest_at {
+            return None;
+        }
+        let jitter_ms = random.random_range(0..=DIGEST_JITTER_MS);
+        let period_ms = DIGEST_PERIOD_MS - DIGEST_JITTER_MS / 2 + jitter_ms;
+        self.next_digest_at = now.plus_ms(period_ms);
+        self.random_peer(directory, random)
+    }
+
+    /// Returns a random peer, most often one of the own data centre.
+    pub(crate) fn random_peer(
+        &self,
+        directory: &PeerDirectory,
+        random: &mut ChaCha8Rng,
+    ) -> Option<NodeId> {
+        let total: u32 = DIGEST_DISTANCE_WEIGHTS.iter().map(|(_, w)| w).sum();
+        let mut nth = random.random_range(0..total);
+        for (distance, weight) in DIGEST_DISTANCE_WEIGHTS {
+            if nth < weight {
+                return directory.choose(self.node, &self.home, distance, random);
+            }
+            nth -= weight;
+        }
+        None
+    }
+
+    /// Returns the pushes of a ticket that is new here, one per chosen peer.
+    pub(crate) fn push(
+        &self,
+        ticket: &Arc<Ticket>,
+        source: Option<NodeId>,
+        directory: &PeerDirectory,
+        random: &mut ChaCha8Rng,
+    ) -> Vec<Outgoing> {
+        let message = push_or_offer(ticket);
+        let mut receivers: Vec<NodeId> = Vec::with_capacity(PUSH_DISTANCES.len());
+        for distance in PUSH_DISTANCES {
+            let peer = directory.choose(self.node, &self.home, distance, random);
+            let peer = peer.filter(|p| Some(*p) != source && !receivers.contains(p));
+            receivers.extend(peer);
+        }
+        let outgoing = |peer| (Endpoint::Node(peer), message.clone());
+        receivers.into_iter().map(outgoing).collect()
+    }
+
+    /// Reacts to a peer's digest that differs from the own state.
+    pub(crate) fn compare(
+        &mut self,
+        now: MonoTime,
+        theirs: &TicketDigest,
+        state: &Snapshot,
+    ) -> Comparison {
+        if theirs.state_hash == state.state_hash() {
+            return Comparison::Equal;
+        }
+        if theirs.highest > state.highest() {
+            let after = TicketVersion {
+                number: state.highest(),
+                digest: 0,
+            };
+            return Comparison::Ask(TicketMessage::Ask { after });
+        }
+        if theirs.highest < state.highest() {
+            return Comparison::SendDigest;
+        }
+        if now < self.next_full_comparison_at {
+            return Comparison::Equal;
+        }
+        self.next_full_comparison_at = now.plus_ms(FULL_COMPARISON_PERIOD_MS);
+        Comparison::Ask(ask_for_everything())
+    }
+
+    /// Returns the answers to a message that needs no change of state.
+    pub(crate) fn answer(
+        &self,
+        from: Endpoint,
+        message: &TicketMessage,
+        state: &Snapshot,
+    ) -> Vec<Outgoing> {
+        match message {
+            TicketMessage::Push(_) => Vec::new(),
+            TicketMessage::Offer(versions) => pull_missing(from, versions, state),
+            TicketMessage::Ask { after } => vec![(from, answer_ask(*after, state))],
+            TicketMessage::Pull(versions) => push_all(from, versions, state),
+            TicketMessage::Summary {
+                after,
+                versions,
+                complete,
+            } => answer_summary(from, *after, versions, *complete, state),
+        }
+    }
+}
+
+/// What to do about a peer's digest.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Comparison {
+    /// Nothing.
+    Equal,
+    /// Ask the peer.
+    Ask(TicketMessage),
+    /// Let the peer know the own state, so that it asks.
+    SendDigest,
+}
+
+pub(crate) const fn ask_for_everything() -> TicketMessage {
+    TicketMessage::Ask {
+        after: FIRST_VERSION,
+    }
+}
+
+fn push_or_offer(ticket: &Arc<Ticket>) -> TicketMessage {
+    let size_bytes = encode_ticket(ticket).map_or(usize::MAX, |bytes| bytes.len());
+    if size_bytes > MAX_PUSHED_BYTES {
+        return TicketMessage::Offer(vec![TicketVersion::of(ticket)]);
+    }
+    TicketMessage::Push(vec![Arc::clone(ticket)])
+}
+
+fn answer_ask(after: TicketVersion, state: &Snapshot) -> TicketMessage {
+    let newer = state.tickets_after(after);
+    let versions: Vec<TicketVersion> = newer
+        .clone()
+        .map(|(version, _)| version)
+        .take(MAX_VERSIONS_PER_MESSAGE + 1)
+        .collect();
+    if after != FIRST_VERSION && !versions.is_empty() {
+        let mut size_bytes = 0;
+        let fits = newer.clone().all(|(_, ticket)| {
+            size_bytes += encode_ticket(ticket).map_or(usize::MAX / 2, |bytes| bytes.len());
+            size_bytes <= MAX_DIRECT_ANSWER_BYTES
+        });
+        if fits {
+            return TicketMessage::Push(newer.map(|(_, t)| Arc::clone(t)).collect());
+        }
+    }
+    let complete = versions.len() <= MAX_VERSIONS_PER_MESSAGE;
+    let mut versions = versions;
+    versions.truncate(MAX_VERSIONS_PER_MESSAGE);
+    TicketMessage::Summary {
+        after,
+        versions,
+        complete,
+    }
+}
+
+fn pull_missing(from: Endpoint, versions: &[TicketVersion], state: &Snapshot) -> Vec<Outgoing> {
+    let missing: Vec<TicketVersion> = versions
+        .iter()
+        .copied()
+        .filter(|version| state.ticket(*version).is_none())
+        .take(MAX_VERSIONS_PER_MESSAGE)
+        .collect();
+    if missing.is_empty() {
+        return Vec::new();
+    }
+    vec![(from, TicketMessage::Pull(missing))]
+}
+
+/// Pushes the tickets that are held, in messages of bounded size.
+fn push_all(from: Endpoint, versions: &[TicketVersion], state: &Snapshot) -> Vec<Outgoing> {
+    let mut messages = Vec::new();
+    let mut batch = Vec::new();
+    let mut batch_bytes = 0;
+    let held = versions.iter().filter_map(|version| state.ticket(*version));
+    for ticket in held.take(MAX_VERSIONS_PER_MESSAGE) {
+        let size_bytes = encode_ticket(ticket).map_or(0, |bytes| bytes.len());
+        if !batch.is_empty() && batch_bytes + size_bytes > MAX_TICKET_BYTES {
+            let full = std::mem::take(&mut batch);
+            messages.push((from, TicketMessage::Push(full)));
+            batch_bytes = 0;
+        }
+        batch_bytes += size_bytes;
+        batch.push(Arc::clone(ticket));
+    }
+    if !batch.is_empty() {
+        messages.push((from, TicketMessage::Push(batch)));
+    }
+    messages
+}
+
+/// Pulls what is missing here and offers what the peer lacks within the range of its list.
+fn answer_summary(
+    from: Endpoint,
+    after: TicketVersion,
+    versions: &[TicketVersion],
+    complete: bool,
+    state: &Snapshot,
+) -> Vec<Outgoing> {
+    let mut answers = pull_missing(from, versions, state);
+    let last = versions.last().copied();
+    let covered = |version: &TicketVersion| complete || last.is_some_and(|last| *version <= last);
+    let lacking: Vec<TicketVersion> = state
+        .tickets_after(after)
+        .map(|(version, _)| version)
+        .filter(|version| covered(version) && versions.binary_search(version).is_err())
+        .take(MAX_VERSIONS_PER_MESSAGE)
+        .collect();
+    if !lacking.is_empty() {
+        answers.push((from, TicketMessage::Offer(lacking)));
+    }
+    if let Some(last) = last.filter(|_| !complete) {
+        answers.push((from, TicketMessage::Ask { after: last }));
+    }
+    answers
+}
--- /dev/null
+++ b/crates/fes-tickets/src/leaving.rs
@@ -0,0 +1,59 @@
+//! Finds the processes that must learn of a leaving upstream at once.
+
+use fes_protocol::FastSet;
+use fes_protocol::NodeId;
+use fes_protocol::ObjectKey;
+use fes_protocol::ServiceSpec;
+use fes_protocol::TargetId;
+use fes_protocol::UpstreamState;
+
+use crate::Snapshot;
+
+/// Most agents that get a ticket directly. The others of a large service get it by gossip.
+const MAX_RECEIVERS: usize = 32;
+
+/// Returns the agents of upstreams that a change makes leave, then their peers of the service.
+pub(crate) fn urgent_receivers(
+    old: &Snapshot,
+    new: &Snapshot,
+    changed: &[ObjectKey],
+) -> Vec<NodeId> {
+    let mut receivers = Vec::new();
+    for key in changed {
+        let ObjectKey::Service(id) = key else {
+            continue;
+        };
+        let before = old.service(*id).map(|service| &*service.value);
+        let after = new.service(*id).map(|service| &*service.value);
+        receivers.extend(receivers_of_service(before, after));
+    }
+    receivers.truncate(MAX_RECEIVERS);
+    receivers.into_iter().map(NodeId::Agent).collect()
+}
+
+fn receivers_of_service(
+    before: Option<&ServiceSpec>,
+    after: Option<&ServiceSpec>,
+) -> Vec<TargetId> {
+    let taking = |spec: Option<&ServiceSpec>| -> FastSet<TargetId> {
+        let upstreams = spec.into_iter().flat_map(|spec| &spec.upstreams);
+        let active = upstreams.filter(|upstream| upstream.state == UpstreamState::Active);
+        active.map(|upstream| upstream.target).collect()
+    };
+    let active_after = taking(after);
+    let mut leaving: Vec<TargetId> = taking(before)
+        .into_iter()
+        .filter(|target| !active_after.contains(target))
+        .collect();
+    if leaving.is_empty() {
+        return leaving;
+    }
+    leaving.sort_unstable();
+    let all = after.into_iter().flat_map(|spec| &spec.upstreams);
+    let peers: Vec<TargetId> = all
+        .map(|upstream| upstream.target)
+        .filter(|target| !leaving.contains(target))
+        .collect();
+    leaving.extend(peers);
+    leaving
+}
--- a/crates/fes-tickets/src/peer_directory.rs
+++ b/crates/fes-tickets/src/peer_directory.rs
@@ -51,13 +51,10 @@
 }
 
 impl PeerDirectory {
-    /// Collects the processes of a state and the seeds from the settings.
+    /// Collects the processes of a state.
     #[must_use]
-    pub fn new(state: &Snapshot, seeds: &[(Peer, DataCentreName)]) -> Self {
+    pub fn new(state: &Snapshot) -> Self {
         let mut located = processes(state);
-        let known: fes_protocol::FastSet<NodeId> = located.iter().map(|(_, p)| p.node).collect();
-        let unknown_seeds = seeds.iter().filter(|(peer, _)| !known.contains(&peer.node));
-        located.extend(unknown_seeds.map(|(peer, name)| (name.clone(), *peer)));
         located.sort_by(|a, b| (&a.0, a.1.node).cmp(&(&b.0, b.1.node)));
         located.dedup_by_key(|(_, peer)| peer.node);
         let mut directory = Self::default();
--- a/crates/fes-tickets/src/snapshot.rs
+++ b/crates/fes-tickets/src/snapshot.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::hash::Hasher;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::sync::Arc;
 
 use fes_protocol::DataCentreName;
@@ -139,6 +140,17 @@
             .map(|(version, held)| (*version, &held.ticket))
     }
 
+    /// Returns the held tickets after a version, in ascending order.
+    pub fn tickets_after(
+        &self,
+        after: TicketVersion,
+    ) -> impl Iterator<Item = (TicketVersion, &Arc<Ticket>)> + Clone {
+        let range = (Bound::Excluded(after), Bound::Unbounded);
+        self.held
+            .range(range)
+            .map(|(version, held)| (*version, &held.ticket))
+    }
+
     /// Returns a held ticket.
     #[must_use]
     pub fn ticket(&self, version: TicketVersion) -> Option<&Arc<Ticket>> {
--- a/crates/fes-tickets/src/store.rs
+++ b/crates/fes-tickets/src/store.rs
@@ -1,6 +1,7 @@
 //! The tickets in force at one process.
 
 use std::fmt;
+use std::marker::PhantomData;
 use std::sync::Arc;
 
 use fes_protocol::ObjectKey;
@@ -12,7 +13,9 @@
 use fes_protocol::TicketNumber;
 use fes_protocol::TicketObject;
 
+use crate::HighestWins;
 use crate::InForce;
+use crate::Precedence;
 use crate::Snapshot;
 use crate::TicketVersion;
 use crate::snapshot::HeldTicket;
@@ -125,8 +128,9 @@
 /// Keeps the highest ticket per object. Two stores that were given the same tickets in any order
 /// are in the same state.
 #[derive(Debug, Clone, Default)]
-pub struct TicketStore {
+pub struct TicketStore<P = HighestWins> {
     snapshot: Arc<Snapshot>,
+    precedence: PhantomData<P>,
 }
 
 impl TicketStore {
@@ -135,7 +139,9 @@
     pub fn new() -> Self {
         Self::default()
     }
+}
 
+impl<P: Precedence> TicketStore<P> {
     /// Returns the state in force. The caller's copy never changes.
     #[must_use]
     pub fn snapshot(&self) -> Arc<Snapshot> {
@@ -162,7 +168,7 @@
         }
         let mut next = Snapshot::clone(&self.snapshot);
         for object in &ticket.objects {
-            apply_object(&mut next, &ticket, version, object, &mut outcome);
+            apply_object::<P>(&mut next, &ticket, version, object, &mut outcome);
         }
         rebuild_addresses(&mut next, &mut outcome);
         self.snapshot = Arc::new(next);
@@ -173,7 +179,7 @@
     fn would_keep(&self, ticket: &Ticket, version: TicketVersion) -> bool {
         ticket.objects.iter().any(|object| {
             let in_force = self.snapshot.version_of(&object.key());
-            in_force.is_none_or(|held| held < version)
+            in_force.is_none_or(|held| P::replaces(version, held))
                 || retires_earlier(&self.snapshot, object, version)
         })
     }
@@ -189,7 +195,7 @@
     }
 }
 
-fn apply_object(
+fn apply_object<P: Precedence>(
     next: &mut Snapshot,
     ticket: &Arc<Ticket>,
     version: TicketVersion,
@@ -201,7 +207,7 @@
     }
     let key = object.key();
     if let Some(held) = next.version_of(&key) {
-        if held >= version {
+        if !P::replaces(version, held) {
             outcome.reports.push(report_loser(key, version, held));
             return;
         }
