Add the simulated ticket fleet and the convergence measurement

Cause: the bound of 7 s and 2,000 platform reads/s must be measured, not assumed.

A starting process no longer stands in as reader because it has heard of no platform contact yet.

--- a/crates/fes-kernel/src/virtual_network.rs
+++ b/crates/fes-kernel/src/virtual_network.rs
@@ -175,6 +175,11 @@
         self.push(at.max(self.now), owner, Arrival::Timer);
     }
 
+    /// Delivers an arrival later, for a receiver that is paused.
+    pub fn defer(&mut self, at: MonoTime, to: A, arrival: Arrival<A, M>) {
+        self.push(at.max(self.now), to, arrival);
+    }
+
     /// Returns the time of the next arrival.
     #[must_use]
     pub fn next_at(&self) -> Option<MonoTime> {
--- a/crates/fes-tickets/src/distribution.rs
+++ b/crates/fes-tickets/src/distribution.rs
@@ -83,7 +83,7 @@
 }
 
 impl<P: Precedence> Distribution<P> {
-    /// Makes a process that starts with the tickets of a store.
+    /// Makes a process that starts with the tickets of a store and is not ready yet.
     #[must_use]
     pub fn with_store(
         now: MonoTime,
@@ -91,17 +91,27 @@
         store: TicketStore<P>,
     ) -> Self {
         let directory = Arc::new(PeerDirectory::new(store.state()));
-        Self::with_directory(now, settings, store, directory)
+        Self::build(now, settings, store, directory, Join::new(now))
     }
 
-    /// Makes a process from a store and the directory of its state. Many processes of one
-    /// simulation share the directory.
+    /// Makes a process that is ready with the tickets of a store. Many processes of a simulation
+    /// share the directory of the store's state.
     #[must_use]
-    pub fn with_directory(
+    pub fn serving(
         now: MonoTime,
         settings: DistributionSettings,
         store: TicketStore<P>,
         directory: Arc<PeerDirectory>,
+    ) -> Self {
+        Self::build(now, settings, store, directory, Join::completed(now))
+    }
+
+    fn build(
+        now: MonoTime,
+        settings: DistributionSettings,
+        store: TicketStore<P>,
+        directory: Arc<PeerDirectory>,
+        join: Join,
     ) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(settings.random_seed);
         let home = settings.data_centre.clone();
@@ -114,7 +124,7 @@
             store,
             directory,
             gossip,
-            join: Join::new(now),
+            join,
             readers,
             freshness: Freshness::default(),
             last_handled_at: now,
--- a/crates/fes-tickets/src/gossip.rs
+++ b/crates/fes-tickets/src/gossip.rs
@@ -146,7 +146,7 @@
         if theirs.highest > state.highest() {
             let after = TicketVersion {
                 number: state.highest(),
-                digest: 0,
+                digest: u64::MAX,
             };
             return Comparison::Ask(TicketMessage::Ask { after });
         }
--- a/crates/fes-tickets/src/join.rs
+++ b/crates/fes-tickets/src/join.rs
@@ -27,6 +27,16 @@
         }
     }
 
+    /// Makes the state of a process that is ready already.
+    pub(crate) const fn completed(now: MonoTime) -> Self {
+        Self {
+            peer_answered: true,
+            platform_answered: true,
+            ready: true,
+            ..Self::new(now)
+        }
+    }
+
     pub(crate) const fn is_ready(&self) -> bool {
         self.ready
     }
--- a/crates/fes-tickets/src/peer_directory.rs
+++ b/crates/fes-tickets/src/peer_directory.rs
@@ -90,6 +90,15 @@
         &self.peers
     }
 
+    /// Returns all processes with their data centres, ordered by data centre and ID.
+    pub fn located(&self) -> impl Iterator<Item = (&DataCentreName, &Peer)> {
+        let in_range = |range: &DataCentreRange| range.start..range.end;
+        self.data_centres.iter().flat_map(move |range| {
+            let peers = &self.peers[in_range(range)];
+            peers.iter().map(move |peer| (&range.name, peer))
+        })
+    }
+
     /// Returns a random process at the given distance from `home`, or at any distance if there is
     /// none. Never returns `own`.
     pub fn choose(
@@ -150,7 +159,9 @@
     None
 }
 
-fn distance_between(home: &DataCentreName, other: &DataCentreName) -> Distance {
+/// Returns how far apart two data centres are.
+#[must_use]
+pub fn distance_between(home: &DataCentreName, other: &DataCentreName) -> Distance {
     if home == other {
         return Distance::SameDataCentre;
     }
--- a/crates/fes-tickets/src/readers.rs
+++ b/crates/fes-tickets/src/readers.rs
@@ -74,6 +74,7 @@
 pub(crate) struct Readers {
     entry: Option<EntryId>,
     home: DataCentreName,
+    started_at: MonoTime,
     rank: Option<usize>,
     phase: Phase,
     index: Option<u64>,
@@ -98,6 +99,7 @@
         Self {
             entry,
             home,
+            started_at: now,
             rank: None,
             phase: Phase::Idle { not_before },
             index: None,
@@ -236,7 +238,9 @@
             self.stands_in = false;
             return;
         };
-        let age_ms = freshness.others_age_ms(now);
+        // A process that just started has heard of no contact yet; that is no reason to take over.
+        let uptime_ms = u32::try_from(now.ms_since(self.started_at)).unwrap_or(u32::MAX);
+        let age_ms = freshness.others_age_ms(now).min(uptime_ms);
         if self.stands_in {
             self.stands_in = age_ms >= STEP_DOWN_AGE_MS;
             return;
--- /dev/null
+++ b/crates/fes-tickets/src/simulation/fleet.rs
@@ -0,0 +1,479 @@
+//! Processes, network and platform of a simulated fleet.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use fes_kernel::Arrival;
+use fes_kernel::PathQuality;
+use fes_kernel::VirtualNetwork;
+use fes_protocol::ControlMessage;
+use fes_protocol::DataCentreName;
+use fes_protocol::ENCAPSULATION_OVERHEAD_BYTES;
+use fes_protocol::FastMap;
+use fes_protocol::MonoTime;
+use fes_protocol::NodeId;
+use fes_protocol::ObjectKey;
+use fes_protocol::Ticket;
+use fes_protocol::TicketDigest;
+use fes_protocol::encode_control;
+
+use crate::Distribution;
+use crate::DistributionAction;
+use crate::DistributionEvent;
+use crate::DistributionReport;
+use crate::DistributionSettings;
+use crate::Endpoint;
+use crate::HighestWins;
+use crate::PeerDirectory;
+use crate::PlatformAnswer;
+use crate::PlatformRead;
+use crate::Precedence;
+use crate::Snapshot;
+use crate::TicketMessage;
+use crate::TicketStore;
+use crate::encode_message;
+use crate::simulation::FleetShape;
+use crate::simulation::Hop;
+use crate::simulation::RegionPaths;
+use crate::simulation::SimulatedPlatform;
+use crate::simulation::Trace;
+
+const UDP_IP_OVERHEAD_BYTES: usize = 28;
+/// IP and TCP headers, TLS record and HTTP/2 frame header of one message on an open link.
+const LINK_OVERHEAD_BYTES: usize = 40 + 22 + 9;
+const PLATFORM_PATH: PathQuality = PathQuality::perfect(2_000);
+const SEEDS_PER_PROCESS: u64 = 3;
+
+/// A place that sends and receives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Place {
+    /// A process.
+    Node(NodeId),
+    /// The platform.
+    Platform,
+}
+
+#[derive(Debug, Clone)]
+enum Packet {
+    Digest(TicketDigest),
+    Message {
+        from: Endpoint,
+        message: Arc<TicketMessage>,
+    },
+    Read(PlatformRead),
+    Answer(PlatformAnswer),
+}
+
+#[derive(Debug)]
+struct Process<P: Precedence> {
+    home: DataCentreName,
+    distribution: Distribution<P>,
+    started_at: MonoTime,
+    paused_until: MonoTime,
+    timer_at: MonoTime,
+    restarts: u64,
+    sent_bytes: u64,
+}
+
+/// A fleet on virtual time. All processes use the precedence rule `P`.
+#[derive(Debug)]
+pub struct SimulatedFleet<P: Precedence = HighestWins> {
+    /// The platform.
+    pub platform: SimulatedPlatform,
+    /// All objects that came into force.
+    pub trace: Trace,
+    /// All reports with the process that made them.
+    pub reports: Vec<(NodeId, DistributionReport)>,
+    network: VirtualNetwork<Place, Packet>,
+    paths: RegionPaths,
+    processes: FastMap<NodeId, Process<P>>,
+    order: Vec<NodeId>,
+    links: FastMap<SocketAddr, NodeId>,
+    seed: u64,
+}
+
+impl<P: Precedence> SimulatedFleet<P> {
+    /// Makes a fleet in which all processes and the platform hold the tickets of the shape.
+    #[must_use]
+    pub fn new(shape: &FleetShape, paths: RegionPaths, seed: u64) -> Self {
+        let tickets = shape.tickets();
+        let mut store = TicketStore::<P>::default();
+        for ticket in &tickets {
+            store.apply(Arc::clone(ticket));
+        }
+        let directory = Arc::new(PeerDirectory::new(store.state()));
+        let mut fleet = Self {
+            platform: SimulatedPlatform::new(tickets),
+            trace: Trace::default(),
+            reports: Vec::new(),
+            network: VirtualNetwork::new(seed),
+            paths,
+            processes: FastMap::default(),
+            order: Vec::new(),
+            links: FastMap::default(),
+            seed,
+        };
+        for (home, peer) in directory.located() {
+            let settings = fleet.settings(peer.node, home, 0);
+            let directory = Arc::clone(&directory);
+            let distribution =
+                Distribution::serving(MonoTime::ZERO, settings, store.clone(), directory);
+            fleet.links.insert(peer.addresses.link, peer.node);
+            fleet.order.push(peer.node);
+            fleet.add(peer.node, home.clone(), distribution, 0);
+        }
+        fleet
+    }
+
+    /// Returns the current virtual time.
+    #[must_use]
+    pub const fn now(&self) -> MonoTime {
+        self.network.now()
+    }
+
+    /// Returns all processes in order of data centre and ID.
+    #[must_use]
+    pub fn nodes(&self) -> &[NodeId] {
+        &self.order
+    }
+
+    /// Returns the data centre of a process.
+    #[must_use]
+    pub fn home(&self, node: NodeId) -> Option<&DataCentreName> {
+        self.processes.get(&node).map(|process| &process.home)
+    }
+
+    /// Returns the state in force at a process.
+    #[must_use]
+    pub fn snapshot(&self, node: NodeId) -> Option<Arc<Snapshot>> {
+        let process = self.processes.get(&node)?;
+        Some(process.distribution.snapshot())
+    }
+
+    /// Returns the distribution of a process.
+    #[must_use]
+    pub fn distribution(&self, node: NodeId) -> Option<&Distribution<P>> {
+        self.processes
+            .get(&node)
+            .map(|process| &process.distribution)
+    }
+
+    /// Returns whether all processes hold the same state.
+    #[must_use]
+    pub fn has_converged(&self) -> bool {
+        let mut hashes = self
+            .processes
+            .values()
+            .map(|process| process.distribution.snapshot().state_hash());
+        let first = hashes.next();
+        hashes.all(|hash| Some(hash) == first)
+    }
+
+    /// Returns the bytes that each process sent, in order of [`Self::nodes`].
+    #[must_use]
+    pub fn sent_bytes(&self) -> Vec<u64> {
+        let sent = |node| self.processes.get(node).map_or(0, |p| p.sent_bytes);
+        self.order.iter().map(sent).collect()
+    }
+
+    /// Sets the quality of all paths.
+    pub const fn set_paths(&mut self, paths: RegionPaths) {
+        self.paths = paths;
+    }
+
+    /// Publishes a ticket at the platform.
+    pub fn publish(&mut self, ticket: Ticket) {
+        let answers = self.platform.publish(Arc::new(ticket));
+        self.send_answers(answers);
+    }
+
+    /// Gives a ticket to one process as if a peer had pushed it.
+    pub fn inject(&mut self, node: NodeId, from: NodeId, ticket: Ticket) {
+        let message = Arc::new(TicketMessage::Push(vec![Arc::new(ticket)]));
+        let from_endpoint = Endpoint::Node(from);
+        let packet = Packet::Message {
+            from: from_endpoint,
+            message,
+        };
+        let path = PathQuality::perfect(1_000);
+        self.network
+            .send_reliable(Place::Node(from), Place::Node(node), packet, path);
+    }
+
+    /// Drops all later messages from one place to another, one way.
+    pub fn block(&mut self, from: Place, to: Place) {
+        self.network.block(from, to);
+    }
+
+    /// Lets all messages pass again.
+    pub fn heal(&mut self) {
+        self.network.unblock_all();
+    }
+
+    /// Stops a process from running for a time. Its messages wait.
+    pub fn pause(&mut self, node: NodeId, duration_ms: u64) {
+        let until = self.now().plus_ms(duration_ms);
+        if let Some(process) = self.processes.get_mut(&node) {
+            process.paused_until = until;
+        }
+    }
+
+    /// Replaces a process by a new one that holds no tickets and knows some seed peers.
+    pub fn restart(&mut self, node: NodeId) {
+        let Some(old) = self.processes.remove(&node) else {
+            return;
+        };
+        let restarts = old.restarts + 1;
+        let mut settings = self.settings(node, &old.home, restarts);
+        settings.seeds = self.seeds_for(node, restarts);
+        let distribution =
+            Distribution::with_store(MonoTime::ZERO, settings, TicketStore::default());
+        self.add(node, old.home, distribution, restarts);
+    }
+
+    /// Runs for a time.
+    pub fn run_ms(&mut self, duration_ms: u64) {
+        self.run_until(self.now().plus_ms(duration_ms), |_| false);
+    }
+
+    /// Runs until `stop` says so after an event, or until a time. Returns whether `stop` did.
+    pub fn run_until(&mut self, until: MonoTime, mut stop: impl FnMut(&Self) -> bool) -> bool {
+        while let Some((place, arrival)) = self.network.next_before(until) {
+            match place {
+                Place::Platform => self.arrive_at_platform(arrival),
+                Place::Node(node) => self.arrive_at_node(node, arrival),
+            }
+            if stop(self) {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn settings(&self, node: NodeId, home: &DataCentreName, restarts: u64) -> DistributionSettings {
+        let number = match node {
+            NodeId::Entry(id) => u64::from(id.0) << 1,
+            NodeId::Agent(id) => u64::from(id.0) << 1 | 1,
+        };
+        let mixed = number
+            .wrapping_add(restarts << 40)
+            .wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        DistributionSettings {
+            node,
+            data_centre: home.clone(),
+            seeds: Vec::new(),
+            random_seed: self.seed ^ mixed,
+        }
+    }
+
+    fn seeds_for(&self, node: NodeId, restarts: u64) -> Vec<SocketAddr> {
+        let mut links: Vec<(&SocketAddr, &NodeId)> = self.links.iter().collect();
+        links.sort();
+        let others: Vec<SocketAddr> = links
+            .into_iter()
+            .filter(|(_, other)| **other != node)
+            .map(|(address, _)| *address)
+            .collect();
+        let count = others.len().max(1) as u64;
+        let pick = |n| ((self.seed.wrapping_add(restarts * 31 + n * 7)) % count) as usize;
+        let chosen = (0..SEEDS_PER_PROCESS).filter_map(|n| others.get(pick(n)));
+        chosen.copied().collect()
+    }
+
+    fn add(
+        &mut self,
+        node: NodeId,
+        home: DataCentreName,
+        distribution: Distribution<P>,
+        restarts: u64,
+    ) {
+        let started_at = self.now();
+        let first = started_at.plus_us(distribution.next_deadline().as_us());
+        self.network.set_timer(first, Place::Node(node));
+        let process = Process {
+            home,
+            distribution,
+            started_at,
+            paused_until: MonoTime::ZERO,
+            timer_at: first,
+            restarts,
+            sent_bytes: 0,
+        };
+        self.processes.insert(node, process);
+    }
+
+    fn arrive_at_platform(&mut self, arrival: Arrival<Place, Packet>) {
+        let now = self.now();
+        let answers = match arrival {
+            Arrival::Message {
+                from: Place::Node(node),
+                body: Packet::Read(read),
+            } => self.platform.read(now, node, read),
+            Arrival::Message { .. } => Vec::new(),
+            Arrival::Timer => self.platform.end_waits(now),
+        };
+        self.send_answers(answers);
+        if let Some(at) = self.platform.next_wait_end() {
+            self.network.set_timer(at, Place::Platform);
+        }
+    }
+
+    fn send_answers(&mut self, answers: Vec<(NodeId, PlatformAnswer)>) {
+        for (node, answer) in answers {
+            self.network.send_reliable(
+                Place::Platform,
+                Place::Node(node),
+                Packet::Answer(answer),
+                PLATFORM_PATH,
+            );
+        }
+    }
+
+    fn arrive_at_node(&mut self, node: NodeId, arrival: Arrival<Place, Packet>) {
+        let now = self.now();
+        let Some(process) = self.processes.get_mut(&node) else {
+            return;
+        };
+        if now < process.paused_until {
+            let at = process.paused_until;
+            self.network.defer(at, Place::Node(node), arrival);
+            return;
+        }
+        let (from, event) = match arrival {
+            Arrival::Timer if now < process.timer_at => return,
+            Arrival::Timer => {
+                process.timer_at = MonoTime::NEVER;
+                (None, DistributionEvent::Tick)
+            }
+            Arrival::Message { from, body } => match event_of(body) {
+                Some(event) => (Some(from), event),
+                None => return,
+            },
+        };
+        let local_now = MonoTime::from_us(now.us_since(process.started_at));
+        let before = process.distribution.snapshot();
+        let actions = process.distribution.handle(local_now, event);
+        let deadline = process.distribution.next_deadline();
+        let timer_at = process.started_at.plus_us(deadline.as_us());
+        if timer_at < process.timer_at {
+            process.timer_at = timer_at;
+            self.network.set_timer(timer_at, Place::Node(node));
+        }
+        let sender = from.and_then(|place| match place {
+            Place::Node(node) => Some(node),
+            Place::Platform => None,
+        });
+        let mut before = before;
+        for action in actions {
+            self.carry_out(node, sender, &mut before, action);
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        node: NodeId,
+        sender: Option<NodeId>,
+        before: &mut Arc<Snapshot>,
+        action: DistributionAction,
+    ) {
+        match action {
+            DistributionAction::SendDigest { to, digest } => self.send_digest(node, to, digest),
+            DistributionAction::Send { to, message } => self.send_message(node, to, message),
+            DistributionAction::ReadPlatform(read) => self.network.send_reliable(
+                Place::Node(node),
+                Place::Platform,
+                Packet::Read(read),
+                PLATFORM_PATH,
+            ),
+            DistributionAction::InForce { snapshot, changed } => {
+                for object in changed {
+                    self.record_hop(node, sender, before, &snapshot, object);
+                }
+                *before = snapshot;
+            }
+            DistributionAction::Ready => {}
+            DistributionAction::Report(report) => self.reports.push((node, report)),
+        }
+    }
+
+    fn record_hop(
+        &mut self,
+        node: NodeId,
+        from: Option<NodeId>,
+        before: &Snapshot,
+        after: &Snapshot,
+        object: ObjectKey,
+    ) {
+        let Some(version) = after.version_of(&object) else {
+            return;
+        };
+        self.trace.push(Hop {
+            at: self.now(),
+            node,
+            from,
+            before: before.version_of(&object),
+            after: version,
+            object,
+        });
+    }
+
+    fn send_digest(&mut self, from: NodeId, to: NodeId, digest: TicketDigest) {
+        let encoded = encode_control(&ControlMessage::TicketDigest(digest));
+        let payload_bytes = encoded.map_or(0, |bytes| bytes.len());
+        let size_bytes = payload_bytes + ENCAPSULATION_OVERHEAD_BYTES + UDP_IP_OVERHEAD_BYTES;
+        let Some(path) = self.count_and_path(from, to, size_bytes) else {
+            return;
+        };
+        self.network.send_datagram(
+            Place::Node(from),
+            Place::Node(to),
+            Packet::Digest(digest),
+            path,
+        );
+    }
+
+    fn send_message(&mut self, from: NodeId, to: Endpoint, message: TicketMessage) {
+        let to = match to {
+            Endpoint::Node(node) => node,
+            Endpoint::Seed(address) => match self.links.get(&address) {
+                Some(node) => *node,
+                None => return,
+            },
+        };
+        let payload_bytes = encode_message(&message).map_or(0, |bytes| bytes.len());
+        let size_bytes = payload_bytes + LINK_OVERHEAD_BYTES;
+        let Some(path) = self.count_and_path(from, to, size_bytes) else {
+            return;
+        };
+        let packet = Packet::Message {
+            from: Endpoint::Node(from),
+            message: Arc::new(message),
+        };
+        self.network
+            .send_reliable(Place::Node(from), Place::Node(to), packet, path);
+    }
+
+    fn count_and_path(
+        &mut self,
+        from: NodeId,
+        to: NodeId,
+        size_bytes: usize,
+    ) -> Option<PathQuality> {
+        let to_home = self.processes.get(&to)?.home.clone();
+        let sender = self.processes.get_mut(&from)?;
+        sender.sent_bytes += size_bytes as u64;
+        Some(self.paths.between(&sender.home, &to_home))
+    }
+}
+
+fn event_of(packet: Packet) -> Option<DistributionEvent> {
+    match packet {
+        Packet::Digest(digest) => Some(DistributionEvent::Digest(digest)),
+        Packet::Message { from, message } => Some(DistributionEvent::Message {
+            from,
+            message: Arc::unwrap_or_clone(message),
+        }),
+        Packet::Answer(answer) => Some(DistributionEvent::PlatformAnswered(answer)),
+        Packet::Read(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/fes-tickets/src/simulation/trace.rs
@@ -0,0 +1,81 @@
+//! What happened to tickets in a run, one hop per line.
+
+use std::fmt;
+
+use fes_protocol::MonoTime;
+use fes_protocol::NodeId;
+use fes_protocol::ObjectKey;
+
+use crate::TicketVersion;
+
+/// An object that came into force at a process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Hop {
+    /// When.
+    pub at: MonoTime,
+    /// Where.
+    pub node: NodeId,
+    /// Who sent the ticket; `None` if it was the platform.
+    pub from: Option<NodeId>,
+    /// The object.
+    pub object: ObjectKey,
+    /// Ticket in force before.
+    pub before: Option<TicketVersion>,
+    /// Ticket in force now.
+    pub after: TicketVersion,
+}
+
+impl fmt::Display for Hop {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let from = self
+            .from
+            .map_or_else(|| "platform".to_owned(), |node| node.to_string());
+        let before = self
+            .before
+            .map_or_else(|| "none".to_owned(), |version| version.number.to_string());
+        write!(
+            f,
+            "{:>14} {from} -> {}: {} {before} -> {}",
+            self.at.to_string(),
+            self.node,
+            self.object,
+            self.after
+        )
+    }
+}
+
+/// All hops of a run in order.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Trace {
+    hops: Vec<Hop>,
+}
+
+impl Trace {
+    /// Adds a hop.
+    pub fn push(&mut self, hop: Hop) {
+        self.hops.push(hop);
+    }
+
+    /// Returns all hops.
+    #[must_use]
+    pub fn hops(&self) -> &[Hop] {
+        &self.hops
+    }
+
+    /// Returns the hops at which the number of an object went down at a process.
+    pub fn decreases(&self) -> impl Iterator<Item = &Hop> {
+        self.hops.iter().filter(|hop| {
+            hop.before
+                .is_some_and(|before| before.number > hop.after.number)
+        })
+    }
+}
+
+impl fmt::Display for Trace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for hop in &self.hops {
+            writeln!(f, "{hop}")?;
+        }
+        Ok(())
+    }
+}
