--- a/crates/fes-protocol/src/control.rs
+++ b/crates/fes-protocol/src/control.rs
@@ -32,8 +32,9 @@
 pub struct HeardPeer {
     /// The peer's target.
     pub target: TargetId,
-    /// Incarnation heard last.
-    pub incarnation: Incarnation,
+    /// Tag of the incarnation heard last. The whole incarnation would make a heartbeat among seven
+    /// agents a third larger.
+    pub incarnation_tag: u16,
 }
 
 /// Heartbeat among the agents of one service.
@@ -72,6 +73,8 @@
     pub target: TargetId,
     /// Sender's incarnation.
     pub incarnation: Incarnation,
+    /// Increases with each heartbeat of an incarnation.
+    pub sequence: u64,
     /// Sender's phase of life.
     pub lifecycle: Lifecycle,
     /// Open flows at the sender.
