--- a/crates/fes-kernel/src/lib.rs
+++ b/crates/fes-kernel/src/lib.rs
@@ -9,6 +9,7 @@
 mod driver;
 mod kernel;
 mod timers;
+mod virtual_network;
 
 pub use clock::ProcessClock;
 pub use component::Component;
@@ -19,3 +20,6 @@
 pub use driver::KernelDriver;
 pub use kernel::Effect;
 pub use kernel::Kernel;
+pub use virtual_network::Arrival;
+pub use virtual_network::PathQuality;
+pub use virtual_network::VirtualNetwork;
--- a/crates/fes-protocol/src/ids.rs
+++ b/crates/fes-protocol/src/ids.rs
@@ -63,6 +63,15 @@
     u64
 );
 
+impl Incarnation {
+    /// Returns a short tag that tells incarnations of one process apart with high probability.
+    #[must_use]
+    pub const fn tag(self) -> u16 {
+        let folded = self.0 ^ (self.0 >> 16) ^ (self.0 >> 32) ^ (self.0 >> 48);
+        (folded & 0xffff) as u16
+    }
+}
+
 /// A process of the system: an entry or the agent of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum NodeId {
--- a/crates/fes-tickets/src/peer_directory.rs
+++ b/crates/fes-tickets/src/peer_directory.rs
@@ -51,13 +51,10 @@
 }
 
 impl PeerDirectory {
-    /// Collects the processes of a state and the seeds from the settings.
+    /// Collects the processes of a state.
     #[must_use]
-    pub fn new(state: &Snapshot, seeds: &[(Peer, DataCentreName)]) -> Self {
+    pub fn new(state: &Snapshot) -> Self {
         let mut located = processes(state);
-        let known: fes_protocol::FastSet<NodeId> = located.iter().map(|(_, p)| p.node).collect();
-        let unknown_seeds = seeds.iter().filter(|(peer, _)| !known.contains(&peer.node));
-        located.extend(unknown_seeds.map(|(peer, name)| (name.clone(), *peer)));
         located.sort_by(|a, b| (&a.0, a.1.node).cmp(&(&b.0, b.1.node)));
         located.dedup_by_key(|(_, peer)| peer.node);
         let mut directory = Self::default();
@@ -93,6 +90,15 @@
         &self.peers
     }
 
+    /// Returns all processes with their data centres, ordered by data centre and ID.
+    pub fn located(&self) -> impl Iterator<Item = (&DataCentreName, &Peer)> {
+        let in_range = |range: &DataCentreRange| range.start..range.end;
+        self.data_centres.iter().flat_map(move |range| {
+            let peers = &self.peers[in_range(range)];
+            peers.iter().map(move |peer| (&range.name, peer))
+        })
+    }
+
     /// Returns a random process at the given distance from `home`, or at any distance if there is
     /// none. Never returns `own`.
     pub fn choose(
@@ -153,7 +159,9 @@
     None
 }
 
-fn distance_between(home: &DataCentreName, other: &DataCentreName) -> Distance {
+/// Returns how far apart two data centres are.
+#[must_use]
+pub fn distance_between(home: &DataCentreName, other: &DataCentreName) -> Distance {
     if home == other {
         return Distance::SameDataCentre;
     }
