Add the life cycle of a process

Cause: daemons need the graceful stop as decisions that they carry out.

Only a signal or an operator's order ends a process; a leaving ticket or hint can be taken back. The bound is set once, by the first final source.

--- a/crates/fes-membership/src/lib.rs
+++ b/crates/fes-membership/src/lib.rs
@@ -1,1 +1,3 @@
 //! Heartbeats, liveness, incarnations, clock jumps and process life cycle.
+
+pub mod lifecycle;
--- /dev/null
+++ b/crates/fes-membership/src/lifecycle/machine.rs
@@ -0,0 +1,300 @@
+//! Drives the typestate of a process from events, for entries and agents.
+
+use fes_protocol::Lifecycle;
+use fes_protocol::MonoTime;
+
+use super::CutOff;
+use super::Draining;
+use super::LifecycleAction;
+use super::LifecycleEvent;
+use super::ProbeReport;
+use super::Process;
+use super::Serving;
+use super::Starting;
+use super::Stopped;
+use super::WorkInProgress;
+
+/// Period of repeated goodbyes and of checks while draining, in milliseconds.
+const DRAIN_TICK_MS: u64 = 500;
+
+/// A tick that comes later than this after its time shows that the process was paused, in
+/// milliseconds.
+const PAUSE_MS: u64 = 1_000;
+
+/// How long a process that was paused past its drain bound reads what arrived meanwhile, in
+/// milliseconds.
+const RENEWAL_MS: u64 = 5_000;
+
+/// Kind of process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// Routes datagrams.
+    Entry,
+    /// Terminates flows and runs requests.
+    Agent,
+}
+
+/// Bounds of a graceful stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LifecycleSettings {
+    /// Time after SIGTERM at which work is cut off, in milliseconds.
+    pub drain_bound_ms: u64,
+    /// Shortest stay after a drain of a serving process, in milliseconds: within this time others
+    /// learn of the drain.
+    pub linger_ms: u64,
+    /// Silence after which an entry takes it that the fabric chooses it no longer, in
+    /// milliseconds.
+    pub quiet_ms: u64,
+}
+
+impl Default for LifecycleSettings {
+    fn default() -> Self {
+        Self {
+            drain_bound_ms: 3_600_000,
+            linger_ms: 3_000,
+            quiet_ms: 2_000,
+        }
+    }
+}
+
+#[derive(Debug)]
+enum AnyProcess {
+    Starting(Process<Starting>),
+    Serving(Process<Serving>),
+    Draining(Process<Draining>),
+    Stopped(Process<Stopped>),
+}
+
+/// Life cycle of one process.
+#[derive(Debug)]
+pub struct LifecycleMachine {
+    role: Role,
+    settings: LifecycleSettings,
+    process: AnyProcess,
+    work: WorkInProgress,
+    next_tick: MonoTime,
+}
+
+impl LifecycleMachine {
+    /// Makes the life cycle of a process that has just been started.
+    #[must_use]
+    pub fn new(role: Role, settings: LifecycleSettings) -> Self {
+        Self {
+            role,
+            settings,
+            process: AnyProcess::Starting(Process::new()),
+            work: WorkInProgress::default(),
+            next_tick: MonoTime::NEVER,
+        }
+    }
+
+    /// Returns the state as others see it.
+    #[must_use]
+    pub const fn lifecycle(&self) -> Lifecycle {
+        match self.process {
+            AnyProcess::Starting(_) => Lifecycle::Starting,
+            AnyProcess::Serving(_) => Lifecycle::Serving,
+            AnyProcess::Draining(_) => Lifecycle::Draining,
+            AnyProcess::Stopped(_) => Lifecycle::Stopped,
+        }
+    }
+
+    /// Returns what the probe endpoints say.
+    #[must_use]
+    pub const fn probe(&self) -> ProbeReport {
+        ProbeReport::of(self.lifecycle())
+    }
+
+    /// Returns when work is cut off, if the process is stopping.
+    #[must_use]
+    pub const fn bound_at(&self) -> Option<MonoTime> {
+        match &self.process {
+            AnyProcess::Draining(process) => process.bound_at(),
+            _ => None,
+        }
+    }
+
+    /// Returns what the stop cut off, if the process is stopped and the bound had passed.
+    #[must_use]
+    pub const fn cut_off(&self) -> Option<CutOff> {
+        match &self.process {
+            AnyProcess::Stopped(process) => process.cut_off(),
+            _ => None,
+        }
+    }
+
+    /// Reacts to an event; the daemon carries out the actions in order.
+    pub fn handle(&mut self, now: MonoTime, event: LifecycleEvent) -> Vec<LifecycleAction> {
+        let before = self.lifecycle();
+        if let LifecycleEvent::Progress(work) = event {
+            self.work = work;
+        }
+        let bound_at = now.plus_ms(self.settings.drain_bound_ms);
+        let linger_until = now.plus_ms(self.settings.linger_ms);
+        let placeholder = AnyProcess::Starting(Process::new());
+        self.process = match std::mem::replace(&mut self.process, placeholder) {
+            AnyProcess::Starting(process) => on_starting(process, now, event, bound_at),
+            AnyProcess::Serving(process) => on_serving(process, event, linger_until, bound_at),
+            AnyProcess::Draining(mut process) => {
+                if event == LifecycleEvent::ClockJumped || self.was_paused(now) {
+                    process.renew_bound(now.plus_ms(RENEWAL_MS));
+                }
+                on_draining(process, event, bound_at)
+            }
+            stopped @ AnyProcess::Stopped(_) => stopped,
+        };
+        let mut actions = Vec::new();
+        if self.lifecycle() != before {
+            self.enter(now, &mut actions);
+        }
+        self.try_stop(now, &mut actions);
+        actions
+    }
+
+    /// Adds what follows from entering the present state.
+    fn enter(&mut self, now: MonoTime, actions: &mut Vec<LifecycleAction>) {
+        let is_agent = self.role == Role::Agent;
+        self.next_tick = MonoTime::NEVER;
+        match self.lifecycle() {
+            Lifecycle::Starting | Lifecycle::Stopped => {}
+            Lifecycle::Serving => {
+                if is_agent {
+                    actions.push(LifecycleAction::ResumeAdmission);
+                }
+                actions.push(LifecycleAction::Announce(Lifecycle::Serving));
+            }
+            Lifecycle::Draining => {
+                if is_agent {
+                    actions.push(LifecycleAction::StopAdmission);
+                }
+                actions.push(LifecycleAction::Announce(Lifecycle::Draining));
+                actions.push(LifecycleAction::SendGoodbye);
+                if is_agent {
+                    actions.push(LifecycleAction::SendGoaway);
+                }
+                self.next_tick = now;
+            }
+        }
+    }
+
+    /// Returns whether the last tick is overdue by more than a loaded host explains.
+    fn was_paused(&self, now: MonoTime) -> bool {
+        now > self.next_tick.plus_ms(PAUSE_MS)
+    }
+
+    /// Keeps one timer running while the process drains. A timer from an earlier drain comes
+    /// before the tick is due and is ignored.
+    fn tick(
+        &mut self,
+        now: MonoTime,
+        bound_at: Option<MonoTime>,
+        actions: &mut Vec<LifecycleAction>,
+    ) {
+        if now < self.next_tick {
+            return;
+        }
+        if !actions.contains(&LifecycleAction::SendGoodbye) {
+            actions.push(LifecycleAction::SendGoodbye);
+        }
+        self.next_tick = now.plus_ms(DRAIN_TICK_MS);
+        if let Some(bound) = bound_at {
+            self.next_tick = self.next_tick.min(bound);
+        }
+        actions.push(LifecycleAction::SetTimer(self.next_tick));
+    }
+
+    fn try_stop(&mut self, now: MonoTime, actions: &mut Vec<LifecycleAction>) {
+        let placeholder = AnyProcess::Starting(Process::new());
+        self.process = match std::mem::replace(&mut self.process, placeholder) {
+            AnyProcess::Draining(process) => {
+                match process.stop(now, self.work, self.settings.quiet_ms) {
+                    Ok(stopped) => {
+                        self.add_stop(&stopped, actions);
+                        AnyProcess::Stopped(stopped)
+                    }
+                    Err(process) => {
+                        self.tick(now, process.bound_at(), actions);
+                        AnyProcess::Draining(process)
+                    }
+                }
+            }
+            other => other,
+        };
+    }
+
+    fn add_stop(&self, stopped: &Process<Stopped>, actions: &mut Vec<LifecycleAction>) {
+        let is_agent = self.role == Role::Agent;
+        if let Some(cut_off) = stopped.cut_off() {
+            if is_agent {
+                actions.push(LifecycleAction::CutOffWork(cut_off));
+            }
+            actions.push(LifecycleAction::LogCutOff(cut_off));
+        }
+        actions.push(LifecycleAction::Announce(Lifecycle::Stopped));
+        actions.push(LifecycleAction::SendGoodbye);
+        if is_agent {
+            actions.push(LifecycleAction::CloseConnections);
+        }
+        actions.push(LifecycleAction::CloseSockets);
+        let status = u8::from(stopped.cut_off().is_some());
+        actions.push(LifecycleAction::Exit { status });
+    }
+}
+
+fn on_starting(
+    mut process: Process<Starting>,
+    now: MonoTime,
+    event: LifecycleEvent,
+    bound_at: MonoTime,
+) -> AnyProcess {
+    match event {
+        LifecycleEvent::Ready => match process.serve(now) {
+            Ok(serving) => AnyProcess::Serving(serving),
+            Err(draining) => AnyProcess::Draining(draining),
+        },
+        LifecycleEvent::Drain(source) if source.is_final() => {
+            AnyProcess::Draining(process.drain(now, source, bound_at))
+        }
+        LifecycleEvent::Drain(source) => {
+            process.note(source);
+            AnyProcess::Starting(process)
+        }
+        LifecycleEvent::Withdrawn(source) => {
+            process.withdraw(source);
+            AnyProcess::Starting(process)
+        }
+        _ => AnyProcess::Starting(process),
+    }
+}
+
+fn on_serving(
+    process: Process<Serving>,
+    event: LifecycleEvent,
+    linger_until: MonoTime,
+    bound_at: MonoTime,
+) -> AnyProcess {
+    match event {
+        LifecycleEvent::Drain(source) => {
+            AnyProcess::Draining(process.drain(source, linger_until, bound_at))
+        }
+        _ => AnyProcess::Serving(process),
+    }
+}
+
+fn on_draining(
+    mut process: Process<Draining>,
+    event: LifecycleEvent,
+    bound_at: MonoTime,
+) -> AnyProcess {
+    match event {
+        LifecycleEvent::Drain(source) => {
+            process.add(source, bound_at);
+            AnyProcess::Draining(process)
+        }
+        LifecycleEvent::Withdrawn(source) => match process.withdraw(source) {
+            Ok(serving) => AnyProcess::Serving(serving),
+            Err(draining) => AnyProcess::Draining(draining),
+        },
+        _ => AnyProcess::Draining(process),
+    }
+}
--- /dev/null
+++ b/crates/fes-membership/src/lifecycle/process.rs
@@ -0,0 +1,213 @@
+//! Typestate of a process. A stopped process has no way back, and only a draining one can stop:
+//!
+//! ```compile_fail
+//! use fes_membership::lifecycle::{Process, Serving, Stopped, WorkInProgress};
+//! use fes_protocol::MonoTime;
+//!
+//! fn stop(serving: Process<Serving>) -> Result<Process<Stopped>, Process<Serving>> {
+//!     serving.stop(MonoTime::ZERO, WorkInProgress::default(), 0)
+//! }
+//! ```
+
+use fes_protocol::MonoTime;
+
+use super::CutOff;
+use super::DrainSource;
+use super::DrainSources;
+use super::WorkInProgress;
+
+/// A process in state `S`.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Process<S> {
+    state: S,
+}
+
+/// Not ready for work.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Starting {
+    sources: DrainSources,
+}
+
+/// Accepts new work.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Serving;
+
+/// Finishes work in progress and accepts no new work.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Draining {
+    sources: DrainSources,
+    linger_until: MonoTime,
+    bound_at: Option<MonoTime>,
+}
+
+/// Gone on purpose.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Stopped {
+    cut_off: Option<CutOff>,
+}
+
+impl Process<Starting> {
+    /// Makes a process that has just been started.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            state: Starting {
+                sources: DrainSources::default(),
+            },
+        }
+    }
+
+    /// Remembers a source that isn't final: the upstream was leaving before this process started.
+    pub const fn note(&mut self, source: DrainSource) {
+        self.state.sources.insert(source);
+    }
+
+    /// Takes back a remembered source.
+    pub const fn withdraw(&mut self, source: DrainSource) {
+        self.state.sources.withdraw(source);
+    }
+
+    /// Becomes ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns a draining process if a source already says that it is leaving.
+    pub fn serve(self, now: MonoTime) -> Result<Process<Serving>, Process<Draining>> {
+        if self.state.sources.is_empty() {
+            return Ok(Process { state: Serving });
+        }
+        Err(Process {
+            state: Draining {
+                sources: self.state.sources,
+                linger_until: now,
+                bound_at: None,
+            },
+        })
+    }
+
+    /// Goes straight to draining; there is no work yet, so nothing is waited for.
+    #[must_use]
+    pub fn drain(
+        self,
+        now: MonoTime,
+        source: DrainSource,
+        bound_at: MonoTime,
+    ) -> Process<Draining> {
+        let mut draining = Process {
+            state: Draining {
+                sources: self.state.sources,
+                linger_until: now,
+                bound_at: None,
+            },
+        };
+        draining.add(source, bound_at);
+        draining
+    }
+}
+
+impl Default for Process<Starting> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Process<Serving> {
+    /// Starts to drain. The process stays at least until `linger_until`, because others place work
+    /// on it until they have learnt of the drain.
+    #[must_use]
+    pub fn drain(
+        self,
+        source: DrainSource,
+        linger_until: MonoTime,
+        bound_at: MonoTime,
+    ) -> Process<Draining> {
+        let mut draining = Process {
+            state: Draining {
+                sources: DrainSources::default(),
+                linger_until,
+                bound_at: None,
+            },
+        };
+        draining.add(source, bound_at);
+        draining
+    }
+}
+
+impl Process<Draining> {
+    /// Adds a source. The first final one sets the bound; a later one never changes it.
+    pub fn add(&mut self, source: DrainSource, bound_at: MonoTime) -> bool {
+        if source.is_final() && self.state.bound_at.is_none() {
+            self.state.bound_at = Some(bound_at);
+        }
+        self.state.sources.insert(source)
+    }
+
+    /// Takes back a source that isn't final.
+    ///
+    /// # Errors
+    ///
+    /// Returns the process, still draining, if another source remains.
+    pub fn withdraw(mut self, source: DrainSource) -> Result<Process<Serving>, Self> {
+        self.state.sources.withdraw(source);
+        if self.state.sources.is_empty() {
+            Ok(Process { state: Serving })
+        } else {
+            Err(self)
+        }
+    }
+
+    /// Returns when work is cut off, if a final source set a bound.
+    #[must_use]
+    pub const fn bound_at(&self) -> Option<MonoTime> {
+        self.state.bound_at
+    }
+
+    /// Returns until when the process stays even without work.
+    #[must_use]
+    pub const fn linger_until(&self) -> MonoTime {
+        self.state.linger_until
+    }
+
+    /// Moves the bound to `earliest` if it is sooner. A process that was paused past its bound
+    /// first reads what arrived meanwhile.
+    pub fn renew_bound(&mut self, earliest: MonoTime) {
+        self.state.bound_at = self.state.bound_at.map(|bound| bound.max(earliest));
+    }
+
+    /// Stops if a final source asks for it and either no work is left or the bound has passed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the process, still draining, if it has to go on.
+    pub fn stop(
+        self,
+        now: MonoTime,
+        work: WorkInProgress,
+        quiet_ms: u64,
+    ) -> Result<Process<Stopped>, Self> {
+        if !self.state.sources.is_final() {
+            return Err(self);
+        }
+        if now >= self.state.linger_until && work.is_done(now, quiet_ms) {
+            let state = Stopped { cut_off: None };
+            return Ok(Process { state });
+        }
+        if self.state.bound_at.is_some_and(|bound| now >= bound) {
+            let cut_off = Some(CutOff {
+                request_count: work.request_count,
+                stream_count: work.stream_count,
+            });
+            let state = Stopped { cut_off };
+            return Ok(Process { state });
+        }
+        Err(self)
+    }
+}
+
+impl Process<Stopped> {
+    /// Returns what was cut off, if the bound passed before the work was done.
+    #[must_use]
+    pub const fn cut_off(&self) -> Option<CutOff> {
+        self.state.cut_off
+    }
+}
