--- a/crates/fes-protocol/src/result_code.rs
+++ b/crates/fes-protocol/src/result_code.rs
@@ -105,6 +105,8 @@
         "Raise drain_bound_ms above the longest request.";
     UnknownKeyEpoch = 3008, "the key's prefix can't be verified under the key epochs in use; the outcome is unknown",
         "Reconcile with the service's own records; rotate key epochs less often than keys expire.";
+    UnknownDeadline = 3009, "the deadline passed while the request was running; the outcome is unknown",
+        "Allow a longer deadline; reconcile with the service's own records.";
     TicketSyntax = 4001, "the ticket can't be parsed",
         "Correct the syntax at the reported place.";
     TicketInvalid = 4002, "the ticket has faults",
@@ -161,6 +163,10 @@
         "None needed unless the count grows.";
     DatagramHopLimit = 5012, "a first packet had already been passed on once",
         "None needed.";
+    DatagramNotSent = 5013, "a datagram could not be sent because the socket's buffer was full",
+        "Look for overload of the VM; QUIC sends the content again.";
+    DatagramNoEntry = 5014, "an agent knows no entry that could return a datagram",
+        "Check the fleet objects in the tickets and the network between agents and entries.";
     ControlMalformed = 6001, "a control message could not be parsed",
         "Upgrade the older processes.";
     ControlTooLarge = 6002, "a control message was too large",
