Check seeded concurrent runs of the at-most-once decisions

Cause: double execution and a false "not run" answer are the most damaging failures, and they need concurrency to show.

Change: simulated agents host the real coordinator, matcher and life cycle on virtual time; clients retry at random while agents crash, pause, drain and lose contact. Checks: at most once, true refusal, whole own response, one end for each request, and a linearizability check per request with todc-utils. Nine deliberately broken agents show that the checks see each kind of fault.

--- /dev/null
+++ b/crates/fes-idempotency/tests/histories.rs
@@ -0,0 +1,98 @@
+//! Seeded concurrent runs. Guards against double execution, a "not run" answer to a request that
+//! ran, a wrong or truncated response, and a request without an end.
+
+mod support;
+
+use rstest::rstest;
+use support::broken::Broken;
+use support::checks;
+use support::history;
+use support::world::World;
+
+const DEFAULT_RUN_COUNT: u64 = 400;
+const BROKEN_RUN_COUNT: u64 = 400;
+
+/// Number of runs; thousands by `FES_HISTORY_RUNS`.
+fn run_count() -> u64 {
+    let wanted = std::env::var("FES_HISTORY_RUNS").ok();
+    wanted
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(DEFAULT_RUN_COUNT)
+}
+
+/// First seed; set `FES_HISTORY_SEED` to repeat a failing run.
+fn first_seed() -> u64 {
+    let wanted = std::env::var("FES_HISTORY_SEED").ok();
+    wanted.and_then(|text| text.parse().ok()).unwrap_or(1)
+}
+
+fn report(seed: u64, world: &World, violations: &[String]) -> String {
+    let violations = violations.join("\n  ");
+    let trace = world.trace.join("\n");
+    format!("seed {seed}:\n  {violations}\ntrace:\n{trace}")
+}
+
+#[test]
+fn concurrent_runs_keep_every_promise() {
+    let seeds = first_seed()..first_seed() + run_count();
+    println!("seeds {seeds:?}");
+    let (mut tries, mut runs, mut answered) = (0, 0, 0);
+
+    for seed in seeds {
+        let world = history::run(seed, Broken::Nothing);
+        let violations = checks::violations(&world);
+        assert!(
+            violations.is_empty(),
+            "{}",
+            report(seed, &world, &violations)
+        );
+        tries += world.tries.len();
+        runs += world.runs.len();
+        answered += world.answered_count();
+    }
+
+    println!("{tries} tries, {runs} executions, {answered} complete responses");
+    assert!(
+        answered * 5 > tries,
+        "too few tries succeed for the checks to mean anything"
+    );
+}
+
+/// What a check must report about an agent that breaks a rule.
+#[rstest]
+#[case::refusal_is_not_final(Broken::RefusalNotFinal, "was answered F")]
+#[case::store_forgets_too_early(Broken::ForgetsEarly, "ran 2 times")]
+#[case::restart_answers_not_run(Broken::RestartAnswersNotRun, "was answered F2005, but ran")]
+#[case::lost_owner_is_replaced(Broken::RunsForLostOwner, "ran 2 times")]
+#[case::lost_upstream_is_retried(Broken::RetriesLostUpstream, "ran 2 times")]
+#[case::waiters_are_forgotten(Broken::SwallowsWaiters, "got no answer")]
+#[case::incarnation_is_ignored(Broken::IgnoresIncarnation, "got \"done")]
+#[case::truncated_is_whole(Broken::TruncatedIsWhole, "got \"done")]
+#[case::deadline_is_ignored(Broken::IgnoresDeadline, "past its deadline")]
+fn a_broken_agent_is_caught(#[case] broken: Broken, #[case] expected: &str) {
+    let mut caught = None;
+
+    for seed in 1..=BROKEN_RUN_COUNT {
+        let world = history::run(seed, broken);
+        let violations = checks::violations(&world);
+        if violations.iter().any(|text| text.contains(expected)) {
+            caught = Some((seed, violations));
+            break;
+        }
+    }
+
+    let (seed, violations) = caught.expect("the checks see nothing wrong");
+    println!("{broken:?} is caught by seed {seed}: {violations:?}");
+}
+
+/// The linearizability checker alone must see a run after a refusal.
+#[test]
+fn the_linearizability_check_sees_a_refusal_that_is_not_final() {
+    let seen = (1..=BROKEN_RUN_COUNT).find(|seed| {
+        let world = history::run(*seed, Broken::RefusalNotFinal);
+        !checks::linearizable(&world).is_empty()
+    });
+
+    println!("caught by seed {seen:?}");
+    assert!(seen.is_some());
+}
--- /dev/null
+++ b/crates/fes-idempotency/tests/support/agent.rs
@@ -0,0 +1,179 @@
+//! A simulated agent: the real coordinator, matcher and life cycle around a first-in-first-out
+//! admission.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use fes_idempotency::Coordinator;
+use fes_idempotency::KeyOwner;
+use fes_idempotency::ResponseMatcher;
+use fes_idempotency::StoreLimits;
+use fes_membership::lifecycle::LifecycleEvent;
+use fes_membership::lifecycle::LifecycleMachine;
+use fes_membership::lifecycle::LifecycleSettings;
+use fes_membership::lifecycle::Role;
+use fes_membership::lifecycle::WorkInProgress;
+use fes_protocol::Incarnation;
+use fes_protocol::KeyEpoch;
+use fes_protocol::KeyRing;
+use fes_protocol::MonoTime;
+use fes_protocol::RequestId;
+use fes_protocol::SecretKey;
+use fes_protocol::ServiceId;
+use fes_protocol::TargetId;
+
+use super::broken::Broken;
+use super::world::Event;
+
+pub const SERVICE: ServiceId = ServiceId(7);
+
+/// How an upstream treats the requests that it receives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpstreamMode {
+    /// Runs them and answers.
+    Answers,
+    /// Refuses them without running.
+    Refuses,
+    /// Runs them and loses the connection.
+    LosesConnection,
+    /// Runs them and ends the response early.
+    Truncates,
+}
+
+/// Where a request came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    Client {
+        try_id: usize,
+    },
+    Peer {
+        target: TargetId,
+        incarnation: Incarnation,
+        request: RequestId,
+    },
+}
+
+/// A request that an agent has not answered.
+#[derive(Debug, Clone)]
+pub struct OpenRequest {
+    pub origin: Origin,
+    pub key: String,
+    pub body: String,
+}
+
+pub struct Agent {
+    pub target: TargetId,
+    pub incarnation: Incarnation,
+    pub up: bool,
+    pub named_by_ticket: bool,
+    pub paused: bool,
+    pub backlog: Vec<Event>,
+    pub coordinator: Coordinator,
+    pub matcher: ResponseMatcher,
+    pub life: LifecycleMachine,
+    pub admitting: bool,
+    pub queue: VecDeque<RequestId>,
+    pub busy: BTreeSet<RequestId>,
+    pub slots: usize,
+    pub max_queue: usize,
+    pub requests: BTreeMap<RequestId, OpenRequest>,
+    pub relays: BTreeMap<RequestId, TargetId>,
+    pub upstream: UpstreamMode,
+    pub run_us: u64,
+    pub broken: Broken,
+    pub generations: BTreeMap<String, u32>,
+    pub finished_at: BTreeMap<String, MonoTime>,
+    pub waiters: BTreeSet<RequestId>,
+    pub executions: BTreeMap<RequestId, (String, String)>,
+    booted_at: MonoTime,
+    next_request: u64,
+}
+
+pub fn keys() -> KeyRing {
+    KeyRing::new(KeyEpoch(1), SecretKey::new([9; 16]))
+}
+
+impl Agent {
+    pub fn boot(target: TargetId, incarnation: Incarnation, now: MonoTime, broken: Broken) -> Self {
+        let me = KeyOwner {
+            service: SERVICE,
+            target,
+            incarnation,
+        };
+        let mut life = LifecycleMachine::new(Role::Agent, LifecycleSettings::default());
+        life.handle(MonoTime::ZERO, LifecycleEvent::Ready);
+        Self {
+            target,
+            incarnation,
+            up: true,
+            named_by_ticket: true,
+            paused: false,
+            backlog: Vec::new(),
+            coordinator: Coordinator::new(me, keys(), StoreLimits::default()),
+            matcher: ResponseMatcher::new(incarnation),
+            life,
+            admitting: true,
+            queue: VecDeque::new(),
+            busy: BTreeSet::new(),
+            slots: 2,
+            max_queue: 4,
+            requests: BTreeMap::new(),
+            relays: BTreeMap::new(),
+            upstream: UpstreamMode::Answers,
+            run_us: 10_000,
+            broken,
+            generations: BTreeMap::new(),
+            finished_at: BTreeMap::new(),
+            waiters: BTreeSet::new(),
+            executions: BTreeMap::new(),
+            booted_at: now,
+            next_request: 0,
+        }
+    }
+
+    /// Replaces the empty store by one with other limits.
+    pub fn set_limits(&mut self, limits: StoreLimits) {
+        let me = KeyOwner {
+            service: SERVICE,
+            target: self.target,
+            incarnation: self.incarnation,
+        };
+        self.coordinator = Coordinator::new(me, keys(), limits);
+    }
+
+    /// Time on the agent's own clock.
+    pub fn local(&self, now: MonoTime) -> MonoTime {
+        MonoTime::from_us(now.us_since(self.booted_at))
+    }
+
+    pub fn next_request(&mut self) -> RequestId {
+        self.next_request += 1;
+        RequestId(self.next_request)
+    }
+
+    pub fn work(&self) -> WorkInProgress {
+        WorkInProgress {
+            request_count: u32::try_from(self.requests.len()).unwrap_or(u32::MAX),
+            ..WorkInProgress::default()
+        }
+    }
+
+    /// The key that the coordinator sees. A broken agent forgets a key by renaming it.
+    pub fn seen_key(&mut self, key: &str, now: MonoTime) -> String {
+        let forgets = self.broken == Broken::ForgetsEarly;
+        if forgets
+            && self
+                .finished_at
+                .get(key)
+                .is_some_and(|at| now > at.plus_ms(50))
+        {
+            self.finished_at.remove(key);
+            *self.generations.entry(key.into()).or_default() += 1;
+        }
+        match self.generations.get(key) {
+            Some(generation) => format!("{key}~{generation}"),
+            None => key.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fes-idempotency/tests/support/checks.rs
@@ -0,0 +1,171 @@
+//! Checks of a finished run. Each returns the violations that it found.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use fes_protocol::MonoTime;
+use fes_protocol::ResultCode;
+use todc_utils::Specification;
+use todc_utils::linearizability::WGLChecker;
+use todc_utils::linearizability::history::Action;
+use todc_utils::linearizability::history::History;
+
+use super::world::End;
+use super::world::World;
+
+/// Key and body: the identity of a request.
+type Identity = (String, String);
+
+/// All checks; an empty result means that the run is correct.
+pub fn violations(world: &World) -> Vec<String> {
+    let mut found = world.violations.clone();
+    found.extend(at_most_once(world));
+    found.extend(true_refusal(world));
+    found.extend(whole_own_response(world));
+    found.extend(one_end(world));
+    found.extend(linearizable(world));
+    found
+}
+
+/// Each key runs at most once, with one body.
+pub fn at_most_once(world: &World) -> Vec<String> {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    world
+        .runs
+        .iter()
+        .for_each(|run| *counts.entry(&run.key).or_default() += 1);
+    let repeated = counts.into_iter().filter(|(_, count)| *count > 1);
+    repeated
+        .map(|(key, count)| format!("{} ran {count} times", world.alias(key)))
+        .collect()
+}
+
+/// A request that was answered "not run" never runs.
+pub fn true_refusal(world: &World) -> Vec<String> {
+    let ran: BTreeSet<Identity> = world
+        .runs
+        .iter()
+        .map(|run| (run.key.clone(), run.body.clone()))
+        .collect();
+    let mut found = Vec::new();
+    for attempt in &world.tries {
+        for (_, end) in &attempt.ends {
+            if let End::Code(code) = end
+                && code.is_not_run()
+                && ran.contains(&(attempt.key.clone(), attempt.body.clone()))
+            {
+                let number = code.number();
+                found.push(format!("{} was answered F{number}, but ran", attempt.name));
+            }
+        }
+    }
+    found
+}
+
+/// A response belongs to its request and is whole.
+pub fn whole_own_response(world: &World) -> Vec<String> {
+    let mut found = Vec::new();
+    for attempt in &world.tries {
+        let expected = format!("done {} {}", attempt.key, attempt.body);
+        for (_, end) in &attempt.ends {
+            if let End::Answered { body } = end
+                && *body != expected
+            {
+                found.push(format!("{} got \"{body}\"", attempt.name));
+            }
+        }
+    }
+    found
+}
+
+/// Every try is over, in exactly one of: answered, not run, unknown, connection lost.
+pub fn one_end(world: &World) -> Vec<String> {
+    let open = world.tries.iter().filter(|attempt| attempt.ends.is_empty());
+    open.map(|attempt| format!("{} has no end", attempt.name))
+        .collect()
+}
+
+/// What happens to a request, as operations on one object per request.
+#[derive(Debug, Clone, Copy)]
+pub enum Operation {
+    /// The upstream runs it.
+    Run,
+    /// A client learns that it ran.
+    SeenRun,
+    /// A client learns that it did not run.
+    SeenNotRun,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Fate {
+    Open,
+    Ran,
+    Refused,
+}
+
+/// A request runs at most once; nobody learns of a run before it, and a refusal is final. Unknown
+/// outcomes allow everything and are left out.
+pub struct AtMostOnce;
+
+impl Specification for AtMostOnce {
+    type State = Fate;
+    type Operation = Operation;
+
+    fn init() -> Fate {
+        Fate::Open
+    }
+
+    fn apply(operation: &Operation, state: &Fate) -> (bool, Fate) {
+        match operation {
+            Operation::Run => (*state == Fate::Open, Fate::Ran),
+            Operation::SeenRun => (*state == Fate::Ran, Fate::Ran),
+            Operation::SeenNotRun => (*state != Fate::Ran, Fate::Refused),
+        }
+    }
+}
+
+/// The history of each request is linearizable.
+pub fn linearizable(world: &World) -> Vec<String> {
+    let mut spans: BTreeMap<Identity, Vec<(MonoTime, MonoTime, Operation)>> = BTreeMap::new();
+    for run in &world.runs {
+        let identity = (run.key.clone(), run.body.clone());
+        spans
+            .entry(identity)
+            .or_default()
+            .push((run.at, run.at, Operation::Run));
+    }
+    for attempt in &world.tries {
+        let identity = (attempt.key.clone(), attempt.body.clone());
+        for (at, end) in &attempt.ends {
+            let operation = match end {
+                End::Answered { .. } | End::Code(ResultCode::FinishedNotHeld) => Operation::SeenRun,
+                End::Code(code) if code.is_not_run() => Operation::SeenNotRun,
+                End::Code(_) | End::ConnectionLost => continue,
+            };
+            spans
+                .entry(identity.clone())
+                .or_default()
+                .push((attempt.sent_at, *at, operation));
+        }
+    }
+    let wrong = spans
+        .into_iter()
+        .filter(|(_, spans)| !is_linearizable(spans));
+    wrong
+        .map(|((key, body), _)| format!("{} / {body} is not linearizable", world.alias(&key)))
+        .collect()
+}
+
+fn is_linearizable(spans: &[(MonoTime, MonoTime, Operation)]) -> bool {
+    let mut actions = Vec::new();
+    for (process, (from, to, operation)) in spans.iter().enumerate() {
+        actions.push((*from, 0, process, Action::Call(*operation)));
+        actions.push((*to, 1, process, Action::Response(*operation)));
+    }
+    actions.sort_by_key(|(at, order, process, _)| (*at, *order, *process));
+    let actions = actions
+        .into_iter()
+        .map(|(_, _, process, action)| (process, action))
+        .collect();
+    WGLChecker::<AtMostOnce>::is_linearizable(History::from_actions(actions))
+}
--- /dev/null
+++ b/crates/fes-idempotency/tests/support/history.rs
@@ -0,0 +1,218 @@
+//! Seeded concurrent runs: clients retry at random while agents crash, pause, drain and lose
+//! contact.
+
+use fes_idempotency::StoreLimits;
+use fes_protocol::EntryId;
+use fes_protocol::NodeId;
+use fes_protocol::TargetId;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+
+use super::agent::UpstreamMode;
+use super::broken::Broken;
+use super::world::Event;
+use super::world::Try;
+use super::world::World;
+
+const AGENT_COUNT: u32 = 3;
+const STEP_COUNT: usize = 80;
+const SETTLE_MS: u64 = 60_000;
+
+/// Past the validity of every key issued before, in milliseconds.
+const RETENTION_LEAP_MS: u64 = 620_000;
+
+struct Generator {
+    rng: ChaCha8Rng,
+    world: World,
+    keys: Vec<(String, String)>,
+    /// Share of steps in which an agent dies, and how long it stays down.
+    crash_per_mille: u32,
+    max_down_ms: u64,
+}
+
+/// Runs one seeded history to its end.
+pub fn run(seed: u64, broken: Broken) -> World {
+    let rng = ChaCha8Rng::seed_from_u64(seed);
+    let world = World::new(seed, AGENT_COUNT, broken);
+    let mut generator = Generator {
+        rng,
+        world,
+        keys: Vec::new(),
+        crash_per_mille: 30,
+        max_down_ms: 200,
+    };
+    generator.configure();
+    for _ in 0..STEP_COUNT {
+        generator.step();
+    }
+    let mut world = generator.world;
+    world.network.loss_per_mille = 0;
+    world.network.heal();
+    world.settle(SETTLE_MS);
+    world
+}
+
+impl Generator {
+    fn configure(&mut self) {
+        self.world.network.min_delay_us = 500;
+        self.world.network.max_delay_us = 12_000;
+        self.world.network.loss_per_mille = 10;
+        self.world.network.duplicate_per_mille = 30;
+        if self.rng.random_ratio(1, 4) {
+            // Short-lived incarnations give out the same request IDs again and again.
+            (self.crash_per_mille, self.max_down_ms) = (250, 10);
+        }
+        if self.rng.random_ratio(1, 3) {
+            let max_keys = self.rng.random_range(8..24);
+            self.world.limits = StoreLimits {
+                max_keys,
+                ..StoreLimits::default()
+            };
+        }
+        for target in self.targets() {
+            let run_us = self.rng.random_range(2_000..60_000);
+            let limits = self.world.limits;
+            let agent = self.world.agents.get_mut(&target).expect("agent exists");
+            agent.run_us = run_us;
+            agent.set_limits(limits);
+        }
+    }
+
+    fn targets(&self) -> Vec<TargetId> {
+        self.world.agents.keys().copied().collect()
+    }
+
+    fn any_target(&mut self) -> TargetId {
+        TargetId(self.rng.random_range(1..=AGENT_COUNT))
+    }
+
+    fn any_entry(&mut self) -> NodeId {
+        NodeId::Entry(EntryId(self.rng.random_range(1..=2)))
+    }
+
+    fn step(&mut self) {
+        let wait_ms = self.rng.random_range(0..40);
+        self.world.run_ms(wait_ms);
+        if self.rng.random_range(0..1_000) < self.crash_per_mille {
+            self.crash();
+            return;
+        }
+        match self.rng.random_range(0..1_000) {
+            0..400 => self.first_try(),
+            400..780 => self.retry(),
+            780..840 => self.cancel(),
+            840..890 => self.pause(),
+            890..930 => self.cut(),
+            930..970 => self.change_upstream(),
+            970..985 => self.drain(),
+            985..995 => self.world.run_ms(5_000),
+            _ => self.world.run_ms(RETENTION_LEAP_MS),
+        }
+    }
+
+    fn first_try(&mut self) {
+        let issuer = self.any_target();
+        if !self.world.agents[&issuer].up {
+            return;
+        }
+        let name = format!("k{}", self.keys.len());
+        let key = self.world.issue_key(issuer, &name);
+        let body = format!("b{}", self.keys.len());
+        self.keys.push((key.clone(), body.clone()));
+        self.send(key, body);
+    }
+
+    fn retry(&mut self) {
+        let recent = self.keys.len().saturating_sub(8);
+        let Some((key, mut body)) = self.keys[recent..].choose(&mut self.rng).cloned() else {
+            return;
+        };
+        if self.rng.random_ratio(1, 12) {
+            body.push_str("-other");
+        }
+        self.send(key, body);
+    }
+
+    fn send(&mut self, key: String, body: String) {
+        let attempt = Try {
+            name: format!("r{}", self.world.tries.len()),
+            key,
+            body,
+            agent: self.any_target(),
+            entry: self.any_entry(),
+            deadline_ms: self.rng.random_range(10..400),
+            sent_at: self.world.now,
+            excuse: None,
+            ends: Vec::new(),
+        };
+        self.world.send(attempt);
+    }
+
+    fn cancel(&mut self) {
+        let recent = self.world.tries.len().saturating_sub(5);
+        let open = (recent..self.world.tries.len())
+            .filter(|id| self.world.tries[*id].ends.is_empty())
+            .collect::<Vec<_>>();
+        if let Some(try_id) = open.choose(&mut self.rng) {
+            self.world.cancel(*try_id);
+        }
+    }
+
+    fn crash(&mut self) {
+        let target = self.any_target();
+        self.world.crash(target);
+        let down_ms = self.rng.random_range(1..=self.max_down_ms);
+        self.world.at_ms(down_ms, Event::Restart { at: target });
+    }
+
+    fn pause(&mut self) {
+        let target = self.any_target();
+        let ms = self.rng.random_range(10..900);
+        if self.world.agents[&target].up {
+            self.world.pause(target, ms);
+        }
+    }
+
+    fn cut(&mut self) {
+        let a = NodeId::Agent(self.any_target());
+        let b = if self.rng.random_bool(0.5) {
+            self.any_entry()
+        } else {
+            NodeId::Agent(self.any_target())
+        };
+        if a == b {
+            return;
+        }
+        self.world.cut(a, b);
+        let ms = self.rng.random_range(10..2_000);
+        self.world.at_ms(ms, Event::Heal);
+    }
+
+    fn change_upstream(&mut self) {
+        let modes = [
+            UpstreamMode::Answers,
+            UpstreamMode::Answers,
+            UpstreamMode::Refuses,
+            UpstreamMode::LosesConnection,
+            UpstreamMode::Truncates,
+        ];
+        let target = self.any_target();
+        let mode = *modes.choose(&mut self.rng).expect("modes are not empty");
+        self.world
+            .agents
+            .get_mut(&target)
+            .expect("agent exists")
+            .upstream = mode;
+    }
+
+    fn drain(&mut self) {
+        let target = self.any_target();
+        if self.world.agents[&target].up {
+            self.world.drain(target);
+            let ms = self.rng.random_range(1..8_000);
+            self.world.at_ms(ms, Event::Restart { at: target });
+        }
+    }
+}
--- /dev/null
+++ b/crates/fes-idempotency/tests/support/hosting.rs
@@ -0,0 +1,615 @@
+//! Delivery of events to the simulated nodes and execution of the agents' actions.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use fes_idempotency::Answer;
+use fes_idempotency::CoordinatorAction;
+use fes_idempotency::CoordinatorEvent;
+use fes_idempotency::Delivery;
+use fes_idempotency::FinishedResponse;
+use fes_idempotency::FlowId;
+use fes_idempotency::NotRun;
+use fes_idempotency::PURGE_PERIOD_MS;
+use fes_idempotency::RelayAction;
+use fes_idempotency::RelayEvent;
+use fes_idempotency::RequestDigester;
+use fes_idempotency::ResponsePart;
+use fes_idempotency::ResponseTag;
+use fes_idempotency::StoreAction;
+use fes_idempotency::StoreEvent;
+use fes_idempotency::StoredResponse;
+use fes_idempotency::UpstreamRefusal;
+use fes_membership::lifecycle::LifecycleAction;
+use fes_membership::lifecycle::LifecycleEvent;
+use fes_protocol::MonoTime;
+use fes_protocol::NodeId;
+use fes_protocol::RequestId;
+use fes_protocol::ResultCode;
+use fes_protocol::SecretKey;
+use fes_protocol::TargetId;
+
+use super::agent::OpenRequest;
+use super::agent::Origin;
+use super::agent::UpstreamMode;
+use super::broken::Broken;
+use super::network::Fate;
+use super::world::End;
+use super::world::Event;
+use super::world::Run;
+use super::world::UpstreamReply;
+use super::world::World;
+use super::world::short;
+
+/// Delay between an agent and its own upstream.
+const LOCAL_DELAY_US: u64 = 100;
+
+impl World {
+    pub fn dispatch(&mut self, event: Event) {
+        if let Some(target) = self.addressee(&event) {
+            let agent = self.agents.get_mut(&target).expect("agent exists");
+            if agent.paused && !matches!(event, Event::Resume { .. } | Event::Restart { .. }) {
+                agent.backlog.push(event);
+                return;
+            }
+        }
+        match event {
+            Event::Request { try_id } => self.on_request(try_id),
+            Event::Cancel { try_id } => self.on_cancel(try_id),
+            Event::Answer { try_id, answer } => self.on_answer(try_id, answer),
+            Event::Relayed {
+                to,
+                origin,
+                key,
+                body,
+                left_us,
+            } => {
+                self.on_relayed(to, origin, key, body, left_us);
+            }
+            Event::RelayAnswer {
+                to,
+                incarnation,
+                request,
+                answer,
+            } => {
+                if self.agents[&to].up && self.agents[&to].incarnation == incarnation {
+                    let event = RelayEvent::OwnerAnswered { request, answer };
+                    self.decide(to, CoordinatorEvent::Relay(event));
+                }
+            }
+            Event::LinkLost {
+                to,
+                incarnation,
+                request,
+            } => {
+                if self.agents[&to].up && self.agents[&to].incarnation == incarnation {
+                    self.decide(
+                        to,
+                        CoordinatorEvent::Relay(RelayEvent::LinkLost { request }),
+                    );
+                }
+            }
+            Event::Run { at, tag, key, body } => self.on_run(at, tag, key, body),
+            Event::Reply { to, tag, reply } => self.on_reply(to, tag, reply),
+            Event::Timer { at } => {
+                if self.agents[&at].up {
+                    self.decide(at, CoordinatorEvent::Timer);
+                }
+                self.at_ms(PURGE_PERIOD_MS, Event::Timer { at });
+            }
+            Event::LifeTimer { at } => self.life(at, LifecycleEvent::Timer),
+            Event::Restart { at } => {
+                if !self.agents[&at].up {
+                    self.boot(at);
+                }
+            }
+            Event::Resume { at } => self.on_resume(at),
+            Event::Heal => {
+                self.say("all links heal".into());
+                self.network.heal();
+            }
+        }
+    }
+
+    fn addressee(&self, event: &Event) -> Option<TargetId> {
+        match event {
+            Event::Request { try_id } | Event::Cancel { try_id } => Some(self.tries[*try_id].agent),
+            Event::Relayed { to, .. }
+            | Event::RelayAnswer { to, .. }
+            | Event::LinkLost { to, .. }
+            | Event::Reply { to, .. } => Some(*to),
+            Event::Timer { at } | Event::LifeTimer { at } => Some(*at),
+            _ => None,
+        }
+    }
+
+    fn on_resume(&mut self, target: TargetId) {
+        let agent = self.agents.get_mut(&target).expect("agent exists");
+        agent.paused = false;
+        let backlog = std::mem::take(&mut agent.backlog);
+        self.say(format!("a{target} resumes"));
+        backlog.into_iter().for_each(|event| self.dispatch(event));
+    }
+
+    fn on_request(&mut self, try_id: usize) {
+        let attempt = &mut self.tries[try_id];
+        let (target, deadline_ms) = (attempt.agent, attempt.deadline_ms);
+        if !self.agents[&target].up {
+            attempt.excuse = Some("agent is down");
+            return;
+        }
+        let (key, body) = (attempt.key.clone(), attempt.body.clone());
+        let left_us = attempt.sent_at.plus_ms(deadline_ms).us_since(self.now);
+        let origin = Origin::Client { try_id };
+        self.accept(target, OpenRequest { origin, key, body }, left_us, false);
+    }
+
+    fn on_relayed(
+        &mut self,
+        to: TargetId,
+        origin: Origin,
+        key: String,
+        body: String,
+        left_us: u64,
+    ) {
+        if self.agents[&to].up {
+            self.accept(to, OpenRequest { origin, key, body }, left_us, true);
+        }
+    }
+
+    fn accept(&mut self, target: TargetId, open: OpenRequest, left_us: u64, relayed: bool) {
+        let now = self.now;
+        let agent = self.agents.get_mut(&target).expect("agent exists");
+        let request = agent.next_request();
+        let key_value = agent.seen_key(&open.key, now).into_bytes();
+        let digester = RequestDigester::new(&SecretKey::new([3; 16]));
+        let digest = digester.field(open.body.as_bytes()).finish();
+        let deadline = agent.local(now).plus_us(left_us);
+        agent.requests.insert(request, open);
+        let event = CoordinatorEvent::Request {
+            request,
+            key_value,
+            digest,
+            deadline,
+            relayed,
+        };
+        self.decide(target, event);
+    }
+
+    fn on_cancel(&mut self, try_id: usize) {
+        let target = self.tries[try_id].agent;
+        let agent = self.agents.get_mut(&target).expect("agent exists");
+        if !agent.up {
+            return;
+        }
+        let origin = Origin::Client { try_id };
+        let open = agent
+            .requests
+            .iter()
+            .find(|(_, open)| open.origin == origin);
+        if let Some(request) = open.map(|(request, _)| *request) {
+            agent.requests.remove(&request);
+            agent.waiters.remove(&request);
+            self.decide(target, CoordinatorEvent::ClientCancelled { request });
+        }
+    }
+
+    fn on_answer(&mut self, try_id: usize, answer: Answer) {
+        let end = match answer {
+            Answer::Response(response) => End::Answered {
+                body: String::from_utf8_lossy(&response.body).into_owned(),
+            },
+            Answer::Code { code, .. } => End::Code(code),
+        };
+        self.end(try_id, end);
+    }
+
+    /// Gives an event to the agent's coordinator and carries out what follows from it.
+    pub fn decide(&mut self, target: TargetId, event: CoordinatorEvent) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let now = self.now;
+            let agent = self.agents.get_mut(&target).expect("agent exists");
+            let is_start = matches!(event, CoordinatorEvent::Store(StoreEvent::MayStart { .. }));
+            let local = if is_start && agent.broken == Broken::IgnoresDeadline {
+                MonoTime::ZERO
+            } else {
+                agent.local(now)
+            };
+            for action in agent.coordinator.handle(local, event) {
+                self.act(target, action, &mut events);
+            }
+            self.admit(target, &mut events);
+        }
+        self.report_progress(target);
+    }
+
+    /// First-in-first-out admission: gives free slots to the queue.
+    fn admit(&mut self, target: TargetId, events: &mut VecDeque<CoordinatorEvent>) {
+        let agent = self.agents.get_mut(&target).expect("agent exists");
+        while agent.busy.len() < agent.slots
+            && let Some(request) = agent.queue.pop_front()
+        {
+            agent.busy.insert(request);
+            events.push_back(CoordinatorEvent::Store(StoreEvent::MayStart { request }));
+        }
+    }
+
+    fn act(
+        &mut self,
+        target: TargetId,
+        action: CoordinatorAction,
+        events: &mut VecDeque<CoordinatorEvent>,
+    ) {
+        match action {
+            CoordinatorAction::Answer { request, answer } => self.answer(target, request, answer),
+            CoordinatorAction::Store(action) => self.act_for_store(target, action, events),
+            CoordinatorAction::Relay(RelayAction::Forward {
+                request,
+                owner,
+                deadline,
+            }) => {
+                self.forward(target, request, owner.target, deadline, events);
+            }
+            CoordinatorAction::Relay(_) => {}
+        }
+    }
+
+    fn act_for_store(
+        &mut self,
+        target: TargetId,
+        action: StoreAction,
+        events: &mut VecDeque<CoordinatorEvent>,
+    ) {
+        let now = self.now;
+        let agent = self.agents.get_mut(&target).expect("agent exists");
+        match action {
+            StoreAction::Enqueue { request, .. } => {
+                agent.busy.remove(&request);
+                let refusal = match (agent.admitting, agent.queue.len() < agent.max_queue) {
+                    (false, _) => Some(ResultCode::NotRunDraining),
+                    (true, false) => Some(ResultCode::NotRunQueueFull),
+                    (true, true) => None,
+                };
+                let open = agent.requests[&request].clone();
+                agent.executions.insert(request, (open.key, open.body));
+                match refusal.and_then(|code| NotRun::try_from(code).ok()) {
+                    Some(code) => {
+                        events.push_back(CoordinatorEvent::Store(StoreEvent::AdmissionRefused {
+                            request,
+                            code,
+                        }))
+                    }
+                    None => agent.queue.push_back(request),
+                }
+            }
+            StoreAction::Withdraw { request } => agent.queue.retain(|id| *id != request),
+            StoreAction::Start { request, deadline } => {
+                if agent.local(now) > deadline {
+                    let text = format!("a{target} started request {request} past its deadline");
+                    self.violations.push(text);
+                }
+                self.start(target, request);
+            }
+            StoreAction::ReleaseSlot { request } => {
+                agent.busy.remove(&request);
+            }
+            StoreAction::Wait { request, .. } => {
+                agent.waiters.insert(request);
+                self.say(format!(
+                    "a{target} lets the request wait for the same outcome"
+                ));
+            }
+            StoreAction::Forget { key_count, .. } => {
+                self.say(format!("a{target} forgets {key_count} keys"));
+            }
+            StoreAction::Answer { request, answer } => self.answer(target, request, answer),
+        }
+    }
+
+    fn start(&mut self, target: TargetId, request: RequestId) {
+        let agent = self.agents.get_mut(&target).expect("agent exists");
+        let flow = FlowId {
+            connection: agent.incarnation.0,
+            stream: request.0,
+        };
+        let tag = agent.matcher.expect(flow, request);
+        let (key, body) = agent.executions[&request].clone();
+        self.say(format!(
+            "a{target} -> upstream {target}: start {}",
+            self.alias(&key)
+        ));
+        self.at_us(
+            LOCAL_DELAY_US,
+            Event::Run {
+                at: target,
+                tag,
+                key,
+                body,
+            },
+        );
+    }
+
+    fn on_run(&mut self, at: TargetId, tag: ResponseTag, key: String, body: String) {
+        let (mode, run_us) = (self.agents[&at].upstream, self.agents[&at].run_us);
+        if mode == UpstreamMode::Refuses {
+            self.say(format!(
+                "upstream {at} refuses {} without running it",
+                self.alias(&key)
+            ));
+            let reply = UpstreamReply::Refused;
+            self.at_us(LOCAL_DELAY_US, Event::Reply { to: at, tag, reply });
+            return;
+        }
+        self.say(format!(
+            "upstream {at} runs {}, body {body}",
+            self.alias(&key)
+        ));
+        let answer = format!("done {key} {body}");
+        self.runs.push(Run {
+            at: self.now,
+            key,
+            body,
+        });
+        let reply = match mode {
+            UpstreamMode::LosesConnection => UpstreamReply::Lost,
+            UpstreamMode::Truncates => UpstreamReply::Truncated { body: answer },
+            _ => UpstreamReply::Finished { body: answer },
+        };
+        let delays = match self.network.fate(NodeId::Agent(at), NodeId::Agent(at)) {
+            Fate::Arrives(delays) => delays,
+            Fate::Lost => vec![self.network.delay_us()],
+        };
+        for delay_us in delays {
+            let event = Event::Reply {
+                to: at,
+                tag,
+                reply: reply.clone(),
+            };
+            self.at_us(run_us + delay_us, event);
+        }
+    }
+
+    fn on_reply(&mut self, to: TargetId, mut tag: ResponseTag, reply: UpstreamReply) {
+        let agent = self.agents.get_mut(&to).expect("agent exists");
+        if !agent.up {
+            return;
+        }
+        if agent.broken == Broken::IgnoresIncarnation {
+            tag.incarnation = agent.incarnation;
+            tag.flow.connection = agent.incarnation.0;
+        }
+        let request = tag.request;
+        let event = match (reply, agent.broken) {
+            (UpstreamReply::Refused, _) => StoreEvent::UpstreamRefused {
+                request,
+                proof: UpstreamRefusal::RefusedStream,
+                retry: false,
+            },
+            (UpstreamReply::Lost, Broken::RetriesLostUpstream)
+                if agent.executions.contains_key(&request) =>
+            {
+                let (key, body) = agent.executions.remove(&request).expect("was just found");
+                self.at_us(
+                    LOCAL_DELAY_US,
+                    Event::Run {
+                        at: to,
+                        tag,
+                        key,
+                        body,
+                    },
+                );
+                return;
+            }
+            (UpstreamReply::Lost, _) => StoreEvent::UpstreamLost { request },
+            (UpstreamReply::Truncated { body }, Broken::TruncatedIsWhole) => {
+                finished(request, &body[..body.len() / 2])
+            }
+            (UpstreamReply::Truncated { body }, _) => {
+                match agent.receive(tag, body.len(), body.len() / 2) {
+                    Delivery::Reset(_) => StoreEvent::UpstreamLost { request },
+                    _ => return,
+                }
+            }
+            (UpstreamReply::Finished { body }, _) => {
+                match agent.receive(tag, body.len(), body.len()) {
+                    Delivery::Complete(_) => finished(request, &body),
+                    _ => {
+                        self.say(format!("a{to} drops a late or doubled response"));
+                        return;
+                    }
+                }
+            }
+        };
+        agent.busy.remove(&request);
+        self.decide(to, CoordinatorEvent::Store(event));
+    }
+
+    fn forward(
+        &mut self,
+        from: TargetId,
+        request: RequestId,
+        to: TargetId,
+        deadline: MonoTime,
+        events: &mut VecDeque<CoordinatorEvent>,
+    ) {
+        let (a, b) = (NodeId::Agent(from), NodeId::Agent(to));
+        let owner = self.agents.get(&to);
+        let is_linked = owner.is_some_and(|owner| owner.up && owner.named_by_ticket)
+            && !self.network.is_cut(a, b);
+        let agent = self.agents.get_mut(&from).expect("agent exists");
+        let open = agent.requests[&request].clone();
+        if !is_linked {
+            if agent.broken == Broken::RunsForLostOwner {
+                agent.executions.insert(request, (open.key, open.body));
+                self.start(from, request);
+            } else {
+                events.push_back(CoordinatorEvent::Relay(RelayEvent::LinkRefused { request }));
+            }
+            return;
+        }
+        agent.relays.insert(request, to);
+        let incarnation = agent.incarnation;
+        let left_us = deadline.us_since(agent.local(self.now));
+        events.push_back(CoordinatorEvent::Relay(RelayEvent::Forwarded { request }));
+        self.say(format!(
+            "a{from} -> a{to}: relays {}",
+            self.alias(&open.key)
+        ));
+        let origin = Origin::Peer {
+            target: from,
+            incarnation,
+            request,
+        };
+        match self.network.fate(a, b) {
+            Fate::Arrives(delays) => {
+                // A doubled request keeps its try: the owner must run it once all the same.
+                for delay_us in delays {
+                    let (key, body) = (open.key.clone(), open.body.clone());
+                    self.at_us(
+                        delay_us,
+                        Event::Relayed {
+                            to,
+                            origin,
+                            key,
+                            body,
+                            left_us,
+                        },
+                    );
+                }
+            }
+            Fate::Lost => self.queue_link_lost(from, incarnation, request),
+        }
+    }
+
+    fn answer(&mut self, target: TargetId, request: RequestId, mut answer: Answer) {
+        let now = self.now;
+        let agent = self.agents.get_mut(&target).expect("agent exists");
+        agent.relays.remove(&request);
+        let Some(open) = agent.requests.remove(&request) else {
+            let text = format!("a{target} answered request {request} twice");
+            self.violations.push(text);
+            return;
+        };
+        if agent.waiters.remove(&request) && agent.broken == Broken::SwallowsWaiters {
+            return;
+        }
+        match (&answer, agent.broken) {
+            (Answer::Response(_), _) => {
+                agent.finished_at.insert(open.key.clone(), now);
+            }
+            (Answer::Code { code, .. }, Broken::RefusalNotFinal)
+                if code.is_not_run() && *code != ResultCode::NotRunKeyReused =>
+            {
+                *agent.generations.entry(open.key.clone()).or_default() += 1;
+            }
+            (Answer::Code { code, .. }, Broken::RestartAnswersNotRun)
+                if *code == ResultCode::UnknownOwnerLost =>
+            {
+                answer = Answer::code(ResultCode::NotRunNoKeyPrefix);
+            }
+            _ => {}
+        }
+        self.send_answer(target, open.origin, answer);
+    }
+
+    fn send_answer(&mut self, from: TargetId, origin: Origin, answer: Answer) {
+        let agent = NodeId::Agent(from);
+        match origin {
+            Origin::Client { try_id } => {
+                let entry = self.tries[try_id].entry;
+                self.carry_for_try(try_id, agent, entry, Event::Answer { try_id, answer });
+            }
+            Origin::Peer {
+                target,
+                incarnation,
+                request,
+            } => match self.network.fate(agent, NodeId::Agent(target)) {
+                Fate::Arrives(delays) => delays.iter().for_each(|us| {
+                    let answer = answer.clone();
+                    let to = target;
+                    let event = Event::RelayAnswer {
+                        to,
+                        incarnation,
+                        request,
+                        answer,
+                    };
+                    self.at_us(*us, event);
+                }),
+                Fate::Lost => {
+                    let to = short(NodeId::Agent(target));
+                    self.say(format!("a{from} loses a message to {to}"));
+                    self.queue_link_lost(target, incarnation, request);
+                }
+            },
+        }
+    }
+
+    pub fn report_progress(&mut self, target: TargetId) {
+        let work = self.agents[&target].work();
+        self.life(target, LifecycleEvent::Progress(work));
+    }
+
+    pub fn life(&mut self, target: TargetId, event: LifecycleEvent) {
+        let now = self.now;
+        let agent = self.agents.get_mut(&target).expect("agent exists");
+        if !agent.up {
+            return;
+        }
+        for action in agent.life.handle(agent.local(now), event) {
+            self.act_for_life(target, action);
+        }
+    }
+
+    fn act_for_life(&mut self, target: TargetId, action: LifecycleAction) {
+        let now = self.now;
+        let agent = self.agents.get_mut(&target).expect("agent exists");
+        match action {
+            LifecycleAction::StopAdmission => agent.admitting = false,
+            LifecycleAction::ResumeAdmission => agent.admitting = true,
+            LifecycleAction::SetTimer(deadline) => {
+                let delay_us = deadline.us_since(agent.local(now));
+                self.at_us(delay_us, Event::LifeTimer { at: target });
+            }
+            LifecycleAction::CutOffWork(cut_off) => {
+                let count = cut_off.request_count;
+                self.say(format!(
+                    "a{target} reaches its drain bound, {count} requests open"
+                ));
+                self.decide(target, CoordinatorEvent::DrainBoundReached);
+            }
+            LifecycleAction::Exit { status } => {
+                agent.up = false;
+                self.say(format!("a{target} exits with status {status}"));
+                self.lose_links(target);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn finished(request: RequestId, body: &str) -> StoreEvent {
+    let response = StoredResponse {
+        status: 200,
+        fields: Vec::new(),
+        body: body.as_bytes().to_vec().into(),
+    };
+    let response = FinishedResponse::Whole(Arc::new(response));
+    StoreEvent::UpstreamFinished { request, response }
+}
+
+impl super::agent::Agent {
+    /// Passes a response of which `sent` of `announced` bytes arrive through the matcher.
+    fn receive(&mut self, tag: ResponseTag, announced: usize, sent: usize) -> Delivery {
+        let body_bytes = Some(announced as u64);
+        let len_bytes = sent as u64;
+        self.matcher.receive(tag, ResponsePart::Head { body_bytes });
+        self.matcher.receive(tag, ResponsePart::Body { len_bytes });
+        let end = if announced == sent {
+            ResponsePart::End
+        } else {
+            ResponsePart::Broken
+        };
+        self.matcher.receive(tag, end)
+    }
+}
--- /dev/null
+++ b/crates/fes-idempotency/tests/support/network.rs
@@ -0,0 +1,78 @@
+//! Links between nodes: delay, loss, duplication, partition. Delays of different messages differ,
+//! so that messages are reordered.
+
+use std::collections::BTreeSet;
+
+use fes_protocol::NodeId;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// What happens to one message.
+pub enum Fate {
+    /// Copies arrive after these delays, in microseconds.
+    Arrives(Vec<u64>),
+    /// It is lost.
+    Lost,
+}
+
+/// All links of a run.
+pub struct Network {
+    pub rng: ChaCha8Rng,
+    pub min_delay_us: u64,
+    pub max_delay_us: u64,
+    pub loss_per_mille: u32,
+    pub duplicate_per_mille: u32,
+    pub drop_next: bool,
+    pub duplicate_next: bool,
+    cuts: BTreeSet<(NodeId, NodeId)>,
+}
+
+impl Network {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            min_delay_us: 1_000,
+            max_delay_us: 1_000,
+            loss_per_mille: 0,
+            duplicate_per_mille: 0,
+            drop_next: false,
+            duplicate_next: false,
+            cuts: BTreeSet::new(),
+        }
+    }
+
+    pub fn cut(&mut self, a: NodeId, b: NodeId) {
+        self.cuts.insert((a.min(b), a.max(b)));
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    pub fn is_cut(&self, a: NodeId, b: NodeId) -> bool {
+        self.cuts.contains(&(a.min(b), a.max(b)))
+    }
+
+    pub fn fate(&mut self, from: NodeId, to: NodeId) -> Fate {
+        let dropped = std::mem::take(&mut self.drop_next);
+        if dropped || self.is_cut(from, to) || self.roll(self.loss_per_mille) {
+            return Fate::Lost;
+        }
+        let doubled = std::mem::take(&mut self.duplicate_next);
+        let copies = if doubled || self.roll(self.duplicate_per_mille) {
+            2
+        } else {
+            1
+        };
+        Fate::Arrives((0..copies).map(|_| self.delay_us()).collect())
+    }
+
+    pub fn delay_us(&mut self) -> u64 {
+        self.rng.random_range(self.min_delay_us..=self.max_delay_us)
+    }
+
+    fn roll(&mut self, per_mille: u32) -> bool {
+        per_mille > 0 && self.rng.random_range(0..1_000) < per_mille
+    }
+}
