--- a/crates/fes-agent/src/core.rs
+++ b/crates/fes-agent/src/core.rs
@@ -28,6 +28,7 @@
 use fes_protocol::ResultCode;
 use fes_protocol::SecretKey;
 use fes_protocol::TargetId;
+use fes_protocol::headers::KEY_PREFIX;
 use fes_settings::AgentSettings;
 use http::HeaderName;
 use http::HeaderValue;
@@ -49,7 +50,6 @@
 use crate::quic::EncapsulatedSocket;
 use crate::quic::SharedKeys;
 use crate::request::Exchange;
-use crate::request::KEY_PREFIX_HEADER;
 use crate::request::RequestStep;
 use crate::request::RequestTable;
 use crate::request::announced_bytes;
@@ -156,7 +156,7 @@
     pub(crate) fn client_head(&self, mut head: Response<()>) -> Response<()> {
         let prefix = self.coordinator.borrow_mut().issue_prefix(self.now());
         if let Ok(value) = HeaderValue::from_str(&prefix) {
-            let name = HeaderName::from_static(KEY_PREFIX_HEADER);
+            let name = HeaderName::from_static(KEY_PREFIX);
             head.headers_mut().insert(name, value);
         }
         head
--- a/crates/fes-agent/src/http3_server.rs
+++ b/crates/fes-agent/src/http3_server.rs
@@ -11,6 +11,7 @@
 use fes_idempotency::Answer;
 use fes_idempotency::FlowId;
 use fes_protocol::ResultCode;
+use fes_protocol::headers::KEY_PREFIX_PATH;
 use h3::error::Code;
 use h3::server::RequestResolver;
 use http::Method;
@@ -43,9 +44,6 @@
 /// and closes the connection itself.
 const GOAWAY_GRACE: Duration = Duration::from_secs(1);
 
-/// Path that gives out a key prefix.
-const KEY_PREFIX_PATH: &str = "/.well-known/fescueshift/key-prefix";
-
 /// Accepts connections; returns when the endpoint is closed.
 pub(crate) async fn accept_connections(core: Rc<AgentCore>) {
     while let Some(incoming) = core.endpoint.accept().await {
--- a/crates/fes-agent/src/request/execute.rs
+++ b/crates/fes-agent/src/request/execute.rs
@@ -12,6 +12,7 @@
 use fes_protocol::MonoTime;
 use fes_protocol::RequestId;
 use fes_protocol::ResultCode;
+use fes_protocol::headers::DEADLINE_MS;
 use h2::RecvStream;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -25,7 +26,6 @@
 use super::Exchange;
 use super::ResponseSink;
 use super::SinkClosed;
-use super::inbound::DEADLINE_HEADER;
 use crate::core::AgentCore;
 use crate::decisions::UpstreamOutcome;
 use crate::decisions::WorkEvent;
@@ -197,6 +197,6 @@
     let left_ms = deadline.ms_since(now);
     parts
         .headers
-        .insert(DEADLINE_HEADER, HeaderValue::from(left_ms));
+        .insert(DEADLINE_MS, HeaderValue::from(left_ms));
     parts
 }
--- a/crates/fes-agent/src/request/inbound.rs
+++ b/crates/fes-agent/src/request/inbound.rs
@@ -7,17 +7,13 @@
 use fes_admission::Origin;
 use fes_idempotency::FlowId;
 use fes_protocol::MonoTime;
+use fes_protocol::headers::DEADLINE_MS;
+use fes_protocol::headers::IDEMPOTENCY_KEY;
 use http::HeaderMap;
 use http::request::Parts;
 
 use super::ResponseSink;
 
-/// Header with the time that the client allows, in milliseconds from arrival.
-pub(crate) const DEADLINE_HEADER: &str = "fescueshift-deadline-ms";
-
-/// Header that marks a request as non-repeatable.
-const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
-
 /// Longest deadline that a client may ask for, in milliseconds.
 const MAX_DEADLINE_MS: u64 = 86_400_000;
 
@@ -38,7 +34,7 @@
 impl Inbound {
     /// Returns the idempotency key of a non-repeatable request.
     pub(crate) fn idempotency_key(&self) -> Option<&[u8]> {
-        let value = self.parts.headers.get(IDEMPOTENCY_KEY_HEADER)?;
+        let value = self.parts.headers.get(IDEMPOTENCY_KEY)?;
         Some(value.as_bytes())
     }
 }
@@ -46,7 +42,7 @@
 /// Returns the deadline of a request that arrived at `arrival`.
 pub(crate) fn deadline(headers: &HeaderMap, arrival: MonoTime, default_ms: u64) -> MonoTime {
     let asked_ms = headers
-        .get(DEADLINE_HEADER)
+        .get(DEADLINE_MS)
         .and_then(|value| value.to_str().ok())
         .and_then(|text| text.parse::<u64>().ok());
     arrival.plus_ms(asked_ms.unwrap_or(default_ms).min(MAX_DEADLINE_MS))
--- a/crates/fes-agent/src/request/mod.rs
+++ b/crates/fes-agent/src/request/mod.rs
@@ -16,7 +16,6 @@
 pub(crate) use inbound::Inbound;
 pub(crate) use inbound::deadline;
 pub(crate) use keyed::run_keyed;
-pub(crate) use render::KEY_PREFIX_HEADER;
 pub(crate) use render::plain_response;
 pub(crate) use response_sink::Http3Sink;
 pub(crate) use response_sink::ResponseSink;
--- a/crates/fes-agent/src/request/render.rs
+++ b/crates/fes-agent/src/request/render.rs
@@ -5,6 +5,7 @@
 use fes_idempotency::AnswerDetail;
 use fes_idempotency::StoredResponse;
 use fes_protocol::ResultCode;
+use fes_protocol::headers::RESULT_CODE;
 use http::HeaderName;
 use http::HeaderValue;
 use http::Response;
@@ -13,12 +14,6 @@
 use http::header::CONTENT_TYPE;
 use serde::Serialize;
 
-/// Response header with the number of a result code.
-const CODE_HEADER: &str = "fescueshift-code";
-
-/// Response header that gives clients a prefix for idempotency keys.
-pub(crate) const KEY_PREFIX_HEADER: &str = "fescueshift-key-prefix";
-
 #[derive(Serialize)]
 struct AnswerBody<'a> {
     code: u16,
@@ -76,7 +71,9 @@
         false => StatusCode::BAD_GATEWAY,
     };
     let headers = response.headers_mut();
-    headers.insert(CODE_HEADER, HeaderValue::from(code.number()));
+    if let Ok(value) = HeaderValue::from_str(&format!("F{:04}", code.number())) {
+        headers.insert(RESULT_CODE, value);
+    }
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
     (response, body)
