Add the shared host of tickets and life cycle (in progress)

Cause: both daemons host the distribution of tickets and the life cycle. Change: new crate fes-node with kernel components, ticket messages over links, stop signals and the clock watch.

--- /dev/null
+++ b/crates/fes-node/src/lib.rs
@@ -0,0 +1,19 @@
+//! What the entry and the agent daemon share: hosting of ticket distribution and life cycle.
+
+mod clock_watch;
+mod host_message;
+mod lifecycle_component;
+mod signals;
+mod ticket_links;
+mod tickets_component;
+
+pub use clock_watch::watch_clock;
+pub use host_message::HOST;
+pub use host_message::HostMessage;
+pub use host_message::LIFECYCLE;
+pub use host_message::TICKETS;
+pub use lifecycle_component::LifecycleComponent;
+pub use signals::on_stop_signal;
+pub use ticket_links::TICKETS_KIND;
+pub use ticket_links::TicketLinks;
+pub use tickets_component::TicketsComponent;
