Add the agent mesh of the membership crate

Cause: agents must agree on which peers take work, despite one-way links, flapping links, restarts, replayed datagrams and their own pauses.

Change: PeerTable follows heartbeats, incarnations and heard sets, and publishes versioned verdicts to two entries chosen by rendezvous hash.

--- /dev/null
+++ b/crates/fes-membership/src/flap_damper.rs
@@ -0,0 +1,44 @@
+//! Keeps a link that fails again and again from being used each time that it comes back.
+
+use fes_protocol::MonoTime;
+
+/// A failure is forgotten after this time without another.
+const MEMORY_MS: u64 = 60_000;
+const FIRST_HOLD_MS: u64 = 2_000;
+const MAX_HOLD_MS: u64 = 30_000;
+
+/// Counts recoveries of a link and holds it back longer with each.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FlapDamper {
+    recoveries: u32,
+    forgotten_at: MonoTime,
+    stable_at: MonoTime,
+}
+
+impl FlapDamper {
+    /// Takes note that the link works again after a failure. The first recovery is free: a single
+    /// failure is no pattern.
+    pub fn note_recovery(&mut self, now: MonoTime) {
+        if now >= self.forgotten_at {
+            self.recoveries = 0;
+        }
+        self.recoveries += 1;
+        self.forgotten_at = now.plus_ms(MEMORY_MS);
+        if let Some(repeats) = self.recoveries.checked_sub(2) {
+            let hold_ms = (FIRST_HOLD_MS << repeats.min(10)).min(MAX_HOLD_MS);
+            self.stable_at = now.plus_ms(hold_ms);
+        }
+    }
+
+    /// Returns until when the link is not to be used.
+    #[must_use]
+    pub const fn stable_at(&self) -> MonoTime {
+        self.stable_at
+    }
+
+    /// Returns whether the link is still held back.
+    #[must_use]
+    pub fn holds_back(&self, now: MonoTime) -> bool {
+        now < self.stable_at
+    }
+}
--- /dev/null
+++ b/crates/fes-membership/src/incarnation.rs
@@ -0,0 +1,129 @@
+//! Tells the running incarnation of a process from earlier ones.
+
+use fes_protocol::Incarnation;
+use fes_protocol::MonoTime;
+
+/// Time over which another incarnation must be heard before it replaces one that was heard
+/// lately. Incarnations have no order that can be relied on, so that a delayed message of an old
+/// one looks like the first message of a new one.
+const TAKEOVER_MS: u64 = 900;
+const MAX_REMEMBERED: usize = 4;
+
+/// What to do with a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It is new and of the running incarnation.
+    Accepted,
+    /// It is the first message of the running incarnation.
+    NewIncarnation,
+    /// It was received before, or overtaken by a later one.
+    Replayed,
+    /// It is of another incarnation that isn't taken for the running one.
+    OtherIncarnation,
+}
+
+impl Admission {
+    /// Returns whether the message is to be used.
+    #[must_use]
+    pub const fn is_accepted(self) -> bool {
+        matches!(self, Self::Accepted | Self::NewIncarnation)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Seen {
+    incarnation: Incarnation,
+    sequence: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Candidate {
+    seen: Seen,
+    takes_over_at: MonoTime,
+}
+
+/// Follows the incarnations of one process.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct IncarnationTracker {
+    current: Option<Seen>,
+    candidate: Option<Candidate>,
+    replaced: Vec<Seen>,
+}
+
+impl IncarnationTracker {
+    /// Returns the incarnation that is taken for the running one.
+    #[must_use]
+    pub fn current(&self) -> Option<Incarnation> {
+        self.current.map(|seen| seen.incarnation)
+    }
+
+    /// Judges a message. `current_is_silent` says that the running incarnation was not heard
+    /// within the suspicion timeout.
+    pub fn admit(
+        &mut self,
+        now: MonoTime,
+        incarnation: Incarnation,
+        sequence: u64,
+        current_is_silent: bool,
+    ) -> Admission {
+        let seen = Seen {
+            incarnation,
+            sequence,
+        };
+        let Some(current) = self.current else {
+            self.current = Some(seen);
+            return Admission::NewIncarnation;
+        };
+        if current.incarnation == incarnation {
+            return self.admit_current(current, seen);
+        }
+        let is_replay = |old: &Seen| old.incarnation == incarnation && sequence <= old.sequence;
+        if self.replaced.iter().any(is_replay) {
+            return Admission::Replayed;
+        }
+        if current_is_silent || self.candidate_takes_over(now, seen) {
+            self.replace(current, seen);
+            return Admission::NewIncarnation;
+        }
+        Admission::OtherIncarnation
+    }
+
+    fn admit_current(&mut self, current: Seen, seen: Seen) -> Admission {
+        if seen.sequence <= current.sequence {
+            return Admission::Replayed;
+        }
+        self.current = Some(seen);
+        self.candidate = None;
+        Admission::Accepted
+    }
+
+    /// Returns whether another incarnation has been heard for long enough, with no message of the
+    /// current one in between.
+    fn candidate_takes_over(&mut self, now: MonoTime, seen: Seen) -> bool {
+        match &mut self.candidate {
+            Some(candidate) if candidate.seen.incarnation == seen.incarnation => {
+                let is_newer = seen.sequence > candidate.seen.sequence;
+                candidate.seen.sequence = candidate.seen.sequence.max(seen.sequence);
+                is_newer && now >= candidate.takes_over_at
+            }
+            _ => {
+                self.candidate = Some(Candidate {
+                    seen,
+                    takes_over_at: now.plus_ms(TAKEOVER_MS),
+                });
+                false
+            }
+        }
+    }
+
+    fn replace(&mut self, old: Seen, new: Seen) {
+        self.replaced
+            .retain(|seen| seen.incarnation != new.incarnation);
+        self.replaced.push(old);
+        if self.replaced.len() > MAX_REMEMBERED {
+            self.replaced.remove(0);
+        }
+        self.current = Some(new);
+        self.candidate = None;
+    }
+}
--- a/crates/fes-membership/src/lib.rs
+++ b/crates/fes-membership/src/lib.rs
@@ -1,1 +1,33 @@
 //! Heartbeats, liveness, incarnations, clock jumps and process life cycle.
+//!
+//! Nothing in this crate reads a clock or a socket.
+
+mod clock_guard;
+mod flap_damper;
+mod incarnation;
+mod mesh_plan;
+mod peer;
+mod peer_table;
+mod publisher;
+mod timing;
+
+pub use clock_guard::ClockEvent;
+pub use clock_guard::ClockGuard;
+pub use flap_damper::FlapDamper;
+pub use incarnation::Admission;
+pub use incarnation::IncarnationTracker;
+pub use mesh_plan::MAX_WATCHERS;
+pub use mesh_plan::agent_watchers;
+pub use mesh_plan::entry_watchers;
+pub use mesh_plan::watched_by;
+pub use peer::PeerLoad;
+pub use peer::PeerState;
+pub use peer_table::AgentIdentity;
+pub use peer_table::NEVER_HEARD;
+pub use peer_table::PeerTable;
+pub use peer_table::PeerTableAction;
+pub use peer_table::PeerTableEvent;
+pub use timing::DEAD_AFTER_MS;
+pub use timing::ENTRY_HEARTBEAT_PERIOD_MS;
+pub use timing::HEARTBEAT_PERIOD_MS;
+pub use timing::SUSPECT_AFTER_MS;
--- /dev/null
+++ b/crates/fes-membership/src/mesh_plan.rs
@@ -0,0 +1,72 @@
+//! Which processes watch an agent.
+
+use std::hash::Hasher;
+use std::sync::Arc;
+
+use fes_protocol::DataCentreName;
+use fes_protocol::EntryId;
+use fes_protocol::FleetSpec;
+use fes_protocol::ServiceSpec;
+use fes_protocol::TargetId;
+use siphasher::sip::SipHasher24;
+
+/// Most agents that watch an agent. Services up to one more target have a full mesh; in larger
+/// ones the watchers are chosen by rendezvous hash, which keeps the cost per agent constant.
+pub const MAX_WATCHERS: usize = 8;
+
+/// Returns the agents that watch `target`, in ascending order.
+#[must_use]
+pub fn agent_watchers(service: &ServiceSpec, target: TargetId) -> Vec<TargetId> {
+    let others = service.upstreams.iter().map(|upstream| upstream.target);
+    let mut others: Vec<TargetId> = others.filter(|other| *other != target).collect();
+    if others.len() > MAX_WATCHERS {
+        others.sort_by_key(|other| std::cmp::Reverse((score(target.0, other.0), *other)));
+        others.truncate(MAX_WATCHERS);
+    }
+    others.sort_unstable();
+    others
+}
+
+/// Returns the targets that `own` watches, in ascending order.
+#[must_use]
+pub fn watched_by(service: &ServiceSpec, own: TargetId) -> Vec<TargetId> {
+    let targets = service.upstreams.iter().map(|upstream| upstream.target);
+    let mut targets: Vec<TargetId> = targets.filter(|target| *target != own).collect();
+    if targets.len() > MAX_WATCHERS {
+        targets.retain(|target| agent_watchers(service, *target).contains(&own));
+    }
+    targets.sort_unstable();
+    targets
+}
+
+/// Returns the entries that watch `target`: one of its own data centre and one of another, so
+/// that some entry hears it on either side of a partition between data centres.
+#[must_use]
+pub fn entry_watchers(
+    fleets: &[Arc<FleetSpec>],
+    target: TargetId,
+    home: &DataCentreName,
+) -> Vec<EntryId> {
+    let entries_where = |near: bool| {
+        fleets
+            .iter()
+            .filter(move |fleet| (fleet.data_centre == *home) == near)
+            .flat_map(|fleet| fleet.entries.iter().map(|entry| entry.id))
+    };
+    let mut near: Vec<EntryId> = entries_where(true).collect();
+    let mut far: Vec<EntryId> = entries_where(false).collect();
+    near.sort_by_key(|entry| std::cmp::Reverse((score(target.0, entry.0), *entry)));
+    far.sort_by_key(|entry| std::cmp::Reverse((score(target.0, entry.0), *entry)));
+    let from_near = if far.is_empty() { 2 } else { 1 };
+    let mut watchers: Vec<EntryId> = near.into_iter().take(from_near).collect();
+    let wanted = 2 - watchers.len();
+    watchers.extend(far.into_iter().take(wanted));
+    watchers
+}
+
+fn score(watched: u32, watcher: u32) -> u64 {
+    let mut hasher = SipHasher24::new();
+    hasher.write_u32(watched);
+    hasher.write_u32(watcher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/fes-membership/src/peer.rs
@@ -0,0 +1,204 @@
+//! What an agent knows about one peer.
+
+use fes_protocol::HeardPeer;
+use fes_protocol::Incarnation;
+use fes_protocol::Lifecycle;
+use fes_protocol::MonoTime;
+use fes_protocol::PeerHeartbeat;
+use fes_protocol::TargetId;
+
+use crate::Admission;
+use crate::FlapDamper;
+use crate::IncarnationTracker;
+use crate::timing::DEAD_AFTER_MS;
+use crate::timing::SUSPECT_AFTER_MS;
+
+/// How a peer looks to an agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum PeerState {
+    /// Not heard since this process started or woke up.
+    Unknown,
+    /// Heard lately; the link works both ways.
+    Alive,
+    /// Heard lately, but doesn't hear this process.
+    OneWay,
+    /// Heard lately, but hears fewer than half of its peers.
+    Deaf,
+    /// Heard lately, but its link failed several times within a minute.
+    Unstable,
+    /// Finishes its work and takes no new work.
+    Leaving,
+    /// Silent past the suspicion timeout.
+    Suspect,
+    /// Silent past the failure timeout here, but heard by another peer.
+    HeardByOthers,
+    /// Silent past the failure timeout, and no peer hears it.
+    Dead,
+}
+
+impl PeerState {
+    /// Returns whether new work may be sent to the peer.
+    #[must_use]
+    pub const fn takes_work(self) -> bool {
+        matches!(self, Self::Alive)
+    }
+}
+
+/// Load that a peer reported.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct PeerLoad {
+    /// Learnt capacity in milli-slots of a reference VM.
+    pub capacity_milli: u32,
+    /// Demand in the same unit.
+    pub demand_milli: u32,
+    /// Work in the queue, in milliseconds.
+    pub queue_wait_ms: u32,
+    /// Open flows.
+    pub flow_count: u32,
+    /// The peer's monotonic clock for key prefixes, in milliseconds.
+    pub key_issue_ms: u64,
+}
+
+/// Record of one peer.
+#[derive(Debug, Clone)]
+pub(crate) struct Peer {
+    pub(crate) tracker: IncarnationTracker,
+    pub(crate) lifecycle: Lifecycle,
+    pub(crate) load: PeerLoad,
+    pub(crate) state: PeerState,
+    heard: Vec<HeardPeer>,
+    verified: bool,
+    failed: bool,
+    suspect_at: MonoTime,
+    dead_at: MonoTime,
+    hears_us_until: MonoTime,
+    damper: FlapDamper,
+}
+
+impl Peer {
+    pub(crate) fn new(now: MonoTime) -> Self {
+        Self {
+            tracker: IncarnationTracker::default(),
+            lifecycle: Lifecycle::Starting,
+            load: PeerLoad::default(),
+            state: PeerState::Unknown,
+            heard: Vec::new(),
+            verified: false,
+            failed: false,
+            suspect_at: now.plus_ms(SUSPECT_AFTER_MS),
+            dead_at: now.plus_ms(DEAD_AFTER_MS),
+            hears_us_until: now.plus_ms(DEAD_AFTER_MS),
+            damper: FlapDamper::default(),
+        }
+    }
+
+    /// Takes a heartbeat. `own_tag` identifies this process in the peer's list.
+    pub(crate) fn take(
+        &mut self,
+        now: MonoTime,
+        heartbeat: &PeerHeartbeat,
+        own: TargetId,
+        own_tag: u16,
+    ) -> Admission {
+        let silent = now >= self.suspect_at;
+        let admission = self
+            .tracker
+            .admit(now, heartbeat.incarnation, heartbeat.sequence, silent);
+        if !admission.is_accepted() {
+            return admission;
+        }
+        if admission == Admission::NewIncarnation {
+            self.hears_us_until = now.plus_ms(DEAD_AFTER_MS);
+            self.damper = FlapDamper::default();
+        } else if self.failed {
+            self.damper.note_recovery(now);
+        }
+        self.failed = false;
+        self.verified = true;
+        self.suspect_at = now.plus_ms(SUSPECT_AFTER_MS);
+        self.dead_at = now.plus_ms(DEAD_AFTER_MS);
+        self.lifecycle = heartbeat.lifecycle;
+        self.load = load_of(heartbeat);
+        self.heard.clone_from(&heartbeat.heard);
+        let hears_us = |peer: &HeardPeer| peer.target == own && peer.incarnation_tag == own_tag;
+        if heartbeat.heard.iter().any(hears_us) {
+            self.hears_us_until = now.plus_ms(SUSPECT_AFTER_MS);
+        }
+        admission
+    }
+
+    /// Starts all timeouts again. Nothing that was known before counts until the peer is heard.
+    pub(crate) fn renew(&mut self, now: MonoTime) {
+        self.verified = false;
+        self.suspect_at = now.plus_ms(SUSPECT_AFTER_MS);
+        self.dead_at = now.plus_ms(DEAD_AFTER_MS);
+        self.hears_us_until = now.plus_ms(DEAD_AFTER_MS);
+        self.heard.clear();
+    }
+
+    /// Returns whether the peer was heard within the suspicion timeout.
+    pub(crate) fn is_fresh(&self, now: MonoTime) -> bool {
+        self.verified && now < self.suspect_at
+    }
+
+    /// Returns whether the peer said lately that it hears an incarnation.
+    pub(crate) fn hears(&self, now: MonoTime, target: TargetId, incarnation: Incarnation) -> bool {
+        let tag = incarnation.tag();
+        let is_it = |peer: &HeardPeer| peer.target == target && peer.incarnation_tag == tag;
+        self.is_fresh(now) && self.heard.iter().any(is_it)
+    }
+
+    /// Returns how many of its peers this peer hears, this process not counted.
+    pub(crate) fn heard_count(&self, own: TargetId) -> usize {
+        self.heard.iter().filter(|peer| peer.target != own).count()
+    }
+
+    pub(crate) fn hears_us(&self, now: MonoTime) -> bool {
+        now < self.hears_us_until
+    }
+
+    /// Returns the state that follows from the timeouts of this peer alone.
+    pub(crate) fn state_by_timeouts(&mut self, now: MonoTime) -> PeerState {
+        if now >= self.dead_at {
+            self.failed = true;
+            return PeerState::Dead;
+        }
+        if now >= self.suspect_at {
+            self.failed = true;
+            return PeerState::Suspect;
+        }
+        if !self.verified {
+            return PeerState::Unknown;
+        }
+        match self.lifecycle {
+            Lifecycle::Draining | Lifecycle::Stopped => PeerState::Leaving,
+            Lifecycle::Starting => PeerState::Unknown,
+            Lifecycle::Serving if self.damper.holds_back(now) => PeerState::Unstable,
+            Lifecycle::Serving => PeerState::Alive,
+        }
+    }
+
+    /// Returns the next time at which the state can change without a heartbeat.
+    pub(crate) fn next_deadline(&self, now: MonoTime) -> MonoTime {
+        [
+            self.suspect_at,
+            self.dead_at,
+            self.hears_us_until,
+            self.damper.stable_at(),
+        ]
+        .into_iter()
+        .filter(|at| *at > now)
+        .min()
+        .unwrap_or(MonoTime::NEVER)
+    }
+}
+
+const fn load_of(heartbeat: &PeerHeartbeat) -> PeerLoad {
+    PeerLoad {
+        capacity_milli: heartbeat.capacity_milli,
+        demand_milli: heartbeat.demand_milli,
+        queue_wait_ms: heartbeat.queue_wait_ms,
+        flow_count: heartbeat.flow_count,
+        key_issue_ms: heartbeat.key_issue_ms,
+    }
+}
--- /dev/null
+++ b/crates/fes-membership/src/peer_table.rs
@@ -0,0 +1,408 @@
+//! The mesh of the agents of one service, as one agent sees it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use fes_protocol::DataCentreName;
+use fes_protocol::EntryHeartbeat;
+use fes_protocol::EntryId;
+use fes_protocol::FleetSpec;
+use fes_protocol::HeardPeer;
+use fes_protocol::Incarnation;
+use fes_protocol::Lifecycle;
+use fes_protocol::LivenessVerdict;
+use fes_protocol::MonoTime;
+use fes_protocol::NodeId;
+use fes_protocol::PeerHeartbeat;
+use fes_protocol::ServiceId;
+use fes_protocol::ServiceSpec;
+use fes_protocol::TargetId;
+use fes_protocol::Verdict;
+
+use crate::PeerLoad;
+use crate::PeerState;
+use crate::agent_watchers;
+use crate::clock_guard::PauseDetector;
+use crate::entry_watchers;
+use crate::peer::Peer;
+use crate::publisher::Publisher;
+use crate::timing::DEAD_AFTER_MS;
+use crate::timing::ENTRY_HEARTBEAT_PERIOD_MS;
+use crate::timing::HEARTBEAT_PERIOD_MS;
+use crate::timing::PAUSE_MS;
+use crate::watched_by;
+
+/// Who this agent is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AgentIdentity {
+    /// Service of the target.
+    pub service: ServiceId,
+    /// The target.
+    pub target: TargetId,
+    /// This run of the process.
+    pub incarnation: Incarnation,
+    /// Data centre of the VM.
+    pub data_centre: DataCentreName,
+}
+
+/// What the table reacts to.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PeerTableEvent {
+    /// The deadline that was returned by `next_deadline` has come.
+    Tick,
+    /// A heartbeat of a peer arrived.
+    Heartbeat(PeerHeartbeat),
+    /// Verdicts arrived. Those that name this agent as observer are checked.
+    Verdicts(Vec<LivenessVerdict>),
+    /// The service in force changed.
+    Service(Arc<ServiceSpec>),
+    /// The entries in force changed.
+    Fleets(Vec<Arc<FleetSpec>>),
+    /// The load to report from now on.
+    Load(PeerLoad),
+    /// The phase of life to report from now on.
+    Lifecycle(Lifecycle),
+    /// The clock jumped or the process was paused.
+    ClockJumped,
+}
+
+/// What the host has to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PeerTableAction {
+    /// Send a heartbeat to a peer.
+    SendHeartbeat {
+        /// Receiver.
+        to: TargetId,
+        /// Content.
+        heartbeat: PeerHeartbeat,
+    },
+    /// Send a heartbeat to an entry.
+    SendEntryHeartbeat {
+        /// Receiver.
+        to: EntryId,
+        /// Content.
+        heartbeat: EntryHeartbeat,
+    },
+    /// Send verdicts to an entry.
+    SendVerdicts {
+        /// Receiver.
+        to: EntryId,
+        /// Content.
+        verdicts: Vec<LivenessVerdict>,
+    },
+    /// A peer looks different from now on.
+    PeerChanged {
+        /// The peer.
+        target: TargetId,
+        /// Its state.
+        state: PeerState,
+    },
+}
+
+/// Decides what an agent believes about its peers and tells them about itself.
+#[derive(Debug)]
+pub struct PeerTable {
+    identity: AgentIdentity,
+    service: Option<Arc<ServiceSpec>>,
+    watchers: Vec<TargetId>,
+    entries: Vec<EntryId>,
+    peers: BTreeMap<TargetId, Peer>,
+    publisher: Publisher,
+    load: PeerLoad,
+    lifecycle: Lifecycle,
+    sequence: u64,
+    heartbeat_at: MonoTime,
+    entry_heartbeat_at: MonoTime,
+    judges_after: MonoTime,
+    pause: PauseDetector,
+    replayed_count: u64,
+}
+
+impl PeerTable {
+    /// Makes a table without peers.
+    #[must_use]
+    pub fn new(now: MonoTime, identity: AgentIdentity) -> Self {
+        let publisher = Publisher::new(NodeId::Agent(identity.target));
+        Self {
+            identity,
+            service: None,
+            watchers: Vec::new(),
+            entries: Vec::new(),
+            peers: BTreeMap::new(),
+            publisher,
+            load: PeerLoad::default(),
+            lifecycle: Lifecycle::Starting,
+            sequence: 0,
+            heartbeat_at: now,
+            entry_heartbeat_at: now,
+            judges_after: now.plus_ms(DEAD_AFTER_MS),
+            pause: PauseDetector::new(now, PAUSE_MS),
+            replayed_count: 0,
+        }
+    }
+
+    /// Returns how a peer looks.
+    #[must_use]
+    pub fn state(&self, target: TargetId) -> PeerState {
+        self.peers
+            .get(&target)
+            .map_or(PeerState::Unknown, |peer| peer.state)
+    }
+
+    /// Returns all peers with state, incarnation and load, in ascending order of target.
+    pub fn peers(
+        &self,
+    ) -> impl Iterator<Item = (TargetId, PeerState, Option<Incarnation>, PeerLoad)> {
+        self.peers
+            .iter()
+            .map(|(target, peer)| (*target, peer.state, peer.tracker.current(), peer.load))
+    }
+
+    /// Returns the incarnation of a peer that is taken for the running one.
+    #[must_use]
+    pub fn incarnation(&self, target: TargetId) -> Option<Incarnation> {
+        self.peers.get(&target)?.tracker.current()
+    }
+
+    /// Returns how many heartbeats were ignored as replayed or of another incarnation.
+    #[must_use]
+    pub const fn replayed_count(&self) -> u64 {
+        self.replayed_count
+    }
+
+    /// Returns when the next `Tick` is due.
+    #[must_use]
+    pub fn next_deadline(&self, now: MonoTime) -> MonoTime {
+        let peers = self.peers.values().map(|peer| peer.next_deadline(now));
+        peers.fold(
+            self.heartbeat_at.min(self.entry_heartbeat_at),
+            MonoTime::min,
+        )
+    }
+
+    /// Reacts to an event.
+    pub fn handle(&mut self, now: MonoTime, event: PeerTableEvent) -> Vec<PeerTableAction> {
+        let mut actions = Vec::new();
+        if self.pause.is_pause(now) {
+            self.renew(now);
+        }
+        match event {
+            PeerTableEvent::Tick => {}
+            PeerTableEvent::Heartbeat(heartbeat) => self.take_heartbeat(now, &heartbeat),
+            PeerTableEvent::Verdicts(held) => self.correct(now, &held),
+            PeerTableEvent::Service(service) => self.set_service(now, service),
+            PeerTableEvent::Fleets(fleets) => {
+                let identity = &self.identity;
+                self.entries = entry_watchers(&fleets, identity.target, &identity.data_centre);
+            }
+            PeerTableEvent::Load(load) => self.load = load,
+            PeerTableEvent::Lifecycle(lifecycle) => self.set_lifecycle(now, lifecycle),
+            PeerTableEvent::ClockJumped => self.renew(now),
+        }
+        let has_news = self.judge_all(now, &mut actions);
+        self.send_due(now, has_news, &mut actions);
+        actions
+    }
+
+    fn take_heartbeat(&mut self, now: MonoTime, heartbeat: &PeerHeartbeat) {
+        if heartbeat.service != self.identity.service {
+            return;
+        }
+        let (own, own_tag) = (self.identity.target, self.identity.incarnation.tag());
+        let Some(peer) = self.peers.get_mut(&heartbeat.target) else {
+            return;
+        };
+        if !peer.take(now, heartbeat, own, own_tag).is_accepted() {
+            self.replayed_count += 1;
+        }
+    }
+
+    fn set_service(&mut self, now: MonoTime, service: Arc<ServiceSpec>) {
+        let own = self.identity.target;
+        let watched = watched_by(&service, own);
+        self.watchers = agent_watchers(&service, own);
+        self.peers
+            .retain(|target, _| watched.binary_search(target).is_ok());
+        self.publisher
+            .retain(|target| watched.binary_search(&target).is_ok());
+        for target in watched {
+            self.peers.entry(target).or_insert_with(|| Peer::new(now));
+        }
+        self.service = Some(service);
+    }
+
+    /// A change of phase is told at once: peers and entries must not send new work to a leaving
+    /// agent.
+    fn set_lifecycle(&mut self, now: MonoTime, lifecycle: Lifecycle) {
+        if self.lifecycle == lifecycle {
+            return;
+        }
+        self.lifecycle = lifecycle;
+        self.heartbeat_at = now;
+        self.entry_heartbeat_at = now;
+    }
+
+    /// Drops everything that rests on deadlines. Peers heard before the pause count again only
+    /// after they are heard, and none is declared dead before a whole timeout has passed.
+    fn renew(&mut self, now: MonoTime) {
+        self.judges_after = now.plus_ms(DEAD_AFTER_MS);
+        for peer in self.peers.values_mut() {
+            peer.renew(now);
+        }
+    }
+
+    fn correct(&mut self, now: MonoTime, held: &[LivenessVerdict]) {
+        for verdict in held {
+            let Some(peer) = self.peers.get(&verdict.target) else {
+                continue;
+            };
+            let opinion = opinion(now, self.judges_after, peer);
+            let Some(current) = opinion else {
+                continue;
+            };
+            if self.publisher.correct(verdict, current) {
+                self.entry_heartbeat_at = now;
+            }
+        }
+    }
+
+    /// Updates the state of all peers. Returns whether there is a new verdict to send.
+    fn judge_all(&mut self, now: MonoTime, actions: &mut Vec<PeerTableAction>) -> bool {
+        let targets: Vec<TargetId> = self.peers.keys().copied().collect();
+        let mut has_news = false;
+        for target in targets {
+            let state = self.judge(now, target);
+            let Some(peer) = self.peers.get_mut(&target) else {
+                continue;
+            };
+            if peer.state != state {
+                peer.state = state;
+                actions.push(PeerTableAction::PeerChanged { target, state });
+            }
+            if let Some((incarnation, verdict)) = opinion(now, self.judges_after, peer) {
+                let service = self.identity.service;
+                has_news |= self.publisher.set(service, target, incarnation, verdict);
+            }
+        }
+        has_news
+    }
+
+    fn judge(&mut self, now: MonoTime, target: TargetId) -> PeerState {
+        let own = self.identity.target;
+        let fresh_count = self.peers.values().filter(|p| p.is_fresh(now)).count();
+        let heard_by_others = self.is_heard_by_others(now, target);
+        let Some(peer) = self.peers.get_mut(&target) else {
+            return PeerState::Unknown;
+        };
+        match peer.state_by_timeouts(now) {
+            PeerState::Dead if heard_by_others => PeerState::HeardByOthers,
+            PeerState::Alive => {
+                // Peers that this agent hears, without the one in question.
+                let audible = fresh_count.saturating_sub(1);
+                if peer.hears_us(now) {
+                    PeerState::Alive
+                } else if audible > 0 && peer.heard_count(own) * 2 < audible {
+                    PeerState::Deaf
+                } else {
+                    PeerState::OneWay
+                }
+            }
+            other => other,
+        }
+    }
+
+    fn is_heard_by_others(&self, now: MonoTime, target: TargetId) -> bool {
+        let Some(incarnation) = self.incarnation(target) else {
+            return false;
+        };
+        let others = self.peers.iter().filter(|(other, _)| **other != target);
+        let mut others = others.map(|(_, peer)| peer);
+        others.any(|peer| peer.hears(now, target, incarnation))
+    }
+
+    fn send_due(&mut self, now: MonoTime, has_news: bool, actions: &mut Vec<PeerTableAction>) {
+        if now >= self.heartbeat_at {
+            self.heartbeat_at = now.plus_ms(HEARTBEAT_PERIOD_MS);
+            self.sequence += 1;
+            let heartbeat = self.heartbeat(now);
+            let send = |to: &TargetId| PeerTableAction::SendHeartbeat {
+                to: *to,
+                heartbeat: heartbeat.clone(),
+            };
+            actions.extend(self.watchers.iter().map(send));
+        }
+        let entry_heartbeat_is_due = now >= self.entry_heartbeat_at;
+        if entry_heartbeat_is_due {
+            self.entry_heartbeat_at = now.plus_ms(ENTRY_HEARTBEAT_PERIOD_MS);
+            self.sequence += 1;
+            let heartbeat = self.entry_heartbeat();
+            let send = |to: &EntryId| PeerTableAction::SendEntryHeartbeat {
+                to: *to,
+                heartbeat: heartbeat.clone(),
+            };
+            actions.extend(self.entries.iter().map(send));
+        }
+        if has_news || entry_heartbeat_is_due {
+            let verdicts = self.publisher.take_due();
+            if verdicts.is_empty() {
+                return;
+            }
+            let send = |to: &EntryId| PeerTableAction::SendVerdicts {
+                to: *to,
+                verdicts: verdicts.clone(),
+            };
+            actions.extend(self.entries.iter().map(send));
+        }
+    }
+
+    fn heartbeat(&self, now: MonoTime) -> PeerHeartbeat {
+        let fresh = self.peers.iter().filter(|(_, peer)| peer.is_fresh(now));
+        let heard = fresh.filter_map(|(target, peer)| {
+            Some(HeardPeer {
+                target: *target,
+                incarnation_tag: peer.tracker.current()?.tag(),
+            })
+        });
+        PeerHeartbeat {
+            service: self.identity.service,
+            target: self.identity.target,
+            incarnation: self.identity.incarnation,
+            sequence: self.sequence,
+            lifecycle: self.lifecycle,
+            capacity_milli: self.load.capacity_milli,
+            demand_milli: self.load.demand_milli,
+            queue_wait_ms: self.load.queue_wait_ms,
+            flow_count: self.load.flow_count,
+            key_issue_ms: self.load.key_issue_ms,
+            heard: heard.collect(),
+        }
+    }
+
+    const fn entry_heartbeat(&self) -> EntryHeartbeat {
+        EntryHeartbeat {
+            service: self.identity.service,
+            target: self.identity.target,
+            incarnation: self.identity.incarnation,
+            sequence: self.sequence,
+            lifecycle: self.lifecycle,
+            flow_count: self.load.flow_count,
+        }
+    }
+}
+
+/// Returns what to tell entries about a peer: nothing while the state is open or concerns only
+/// the link to this agent.
+fn opinion(now: MonoTime, judges_after: MonoTime, peer: &Peer) -> Option<(Incarnation, Verdict)> {
+    let verdict = match peer.state {
+        PeerState::Alive | PeerState::OneWay | PeerState::HeardByOthers => Verdict::Alive,
+        PeerState::Deaf | PeerState::Unstable => Verdict::Impaired,
+        PeerState::Leaving => Verdict::Leaving,
+        PeerState::Dead if now >= judges_after => Verdict::Dead,
+        PeerState::Dead | PeerState::Unknown | PeerState::Suspect => return None,
+    };
+    Some((peer.tracker.current().unwrap_or(NEVER_HEARD), verdict))
+}
+
+/// Stands for a target of which no incarnation was ever heard. Verdicts about it exclude the
+/// target from placement but never confirm a loss.
+pub const NEVER_HEARD: Incarnation = Incarnation(0);
--- /dev/null
+++ b/crates/fes-membership/src/publisher.rs
@@ -0,0 +1,120 @@
+//! Versions and repeats the verdicts of one observer.
+
+use fes_protocol::FastMap;
+use fes_protocol::Incarnation;
+use fes_protocol::LivenessVerdict;
+use fes_protocol::NodeId;
+use fes_protocol::ServiceId;
+use fes_protocol::TargetId;
+use fes_protocol::Verdict;
+
+/// A verdict goes out this many times, because datagrams get lost.
+const SENDS: u8 = 3;
+
+#[derive(Debug, Clone, Copy)]
+struct Published {
+    verdict: LivenessVerdict,
+    sends_left: u8,
+}
+
+/// The latest verdict of this observer about each target that it ever doubted.
+#[derive(Debug, Clone)]
+pub(crate) struct Publisher {
+    observer: NodeId,
+    published: FastMap<TargetId, Published>,
+}
+
+impl Publisher {
+    pub(crate) fn new(observer: NodeId) -> Self {
+        Self {
+            observer,
+            published: FastMap::default(),
+        }
+    }
+
+    /// Takes the current opinion. Returns whether it is news. That a target is alive is news only
+    /// if something else was said about it before.
+    pub(crate) fn set(
+        &mut self,
+        service: ServiceId,
+        target: TargetId,
+        incarnation: Incarnation,
+        verdict: Verdict,
+    ) -> bool {
+        let last = self
+            .published
+            .get(&target)
+            .map(|published| published.verdict);
+        let unchanged = match last {
+            None => verdict == Verdict::Alive,
+            Some(last) => last.verdict == verdict && last.incarnation == incarnation,
+        };
+        if unchanged {
+            return false;
+        }
+        let version = last.map_or(1, |last| last.version.saturating_add(1));
+        self.publish(LivenessVerdict {
+            observer: self.observer,
+            service,
+            target,
+            incarnation,
+            verdict,
+            version,
+        });
+        true
+    }
+
+    /// Takes a verdict that others hold as this observer's. If it isn't the current opinion, for
+    /// example after a restart, the current opinion is published with a higher version.
+    pub(crate) fn correct(
+        &mut self,
+        held: &LivenessVerdict,
+        current: (Incarnation, Verdict),
+    ) -> bool {
+        if held.observer != self.observer {
+            return false;
+        }
+        let own = self.published.get(&held.target).map(|p| p.verdict);
+        let own_is_newer = own.is_some_and(|own| own.version > held.version);
+        if own == Some(*held) || own_is_newer {
+            return false;
+        }
+        let (incarnation, verdict) = current;
+        self.publish(LivenessVerdict {
+            incarnation,
+            verdict,
+            version: held.version.saturating_add(1),
+            ..*held
+        });
+        true
+    }
+
+    /// Returns the verdicts to send now.
+    pub(crate) fn take_due(&mut self) -> Vec<LivenessVerdict> {
+        let mut due: Vec<LivenessVerdict> = Vec::new();
+        for published in self.published.values_mut() {
+            if published.sends_left > 0 {
+                published.sends_left -= 1;
+                due.push(published.verdict);
+            }
+        }
+        due.sort_by_key(|verdict| verdict.target);
+        due
+    }
+
+    /// Forgets targets that the service no longer has.
+    pub(crate) fn retain(&mut self, is_member: impl Fn(TargetId) -> bool) {
+        self.published.retain(|target, _| is_member(*target));
+    }
+
+    fn publish(&mut self, verdict: LivenessVerdict) {
+        let sends_left = SENDS;
+        self.published.insert(
+            verdict.target,
+            Published {
+                verdict,
+                sends_left,
+            },
+        );
+    }
+}
