--- a/crates/fes-admission/src/admission.rs
+++ b/crates/fes-admission/src/admission.rs
@@ -83,7 +83,8 @@
     ///   belong to an earlier start of the request.
     /// - `UpstreamShed` of a repeatable request puts it back into the queue if the retry budget
     ///   and its deadline permit; a second `Start` follows. Otherwise it is refused.
-    /// - `Drain`, `UpstreamUp` and `UpstreamDown` may be repeated. A drain is final.
+    /// - `Drain`, `Resume`, `UpstreamUp` and `UpstreamDown` may be repeated. A drain ends only with
+    ///   `Resume`.
     /// - A `Timer` that is late only delays refusals of expired requests; an extra one does
     ///   nothing.
     pub fn handle(&mut self, now: MonoTime, event: AdmissionEvent) -> Vec<AdmissionAction> {
@@ -114,6 +115,7 @@
             AdmissionEvent::UpstreamUp => self.upstream_up(now),
             AdmissionEvent::UpstreamDown => self.upstream_down(&mut actions),
             AdmissionEvent::Drain => self.gate = Gate::Draining,
+            AdmissionEvent::Resume => self.resume(),
             AdmissionEvent::Timer => self.armed = MonoTime::NEVER,
         }
         self.refuse_expired(now, &mut actions);
@@ -296,6 +298,12 @@
         }
     }
 
+    fn resume(&mut self) {
+        if self.gate == Gate::Draining {
+            self.gate = Gate::Open;
+        }
+    }
+
     fn upstream_down(&mut self, actions: &mut Vec<AdmissionAction>) {
         if self.gate != Gate::Open {
             return;
--- a/crates/fes-admission/src/message.rs
+++ b/crates/fes-admission/src/message.rs
@@ -69,6 +69,8 @@
     UpstreamDown,
     /// The agent leaves: nothing new is admitted, what is queued or started completes.
     Drain,
+    /// The agent stays after all, because the ticket or VM list that said otherwise changed.
+    Resume,
     /// A timer asked for by [`AdmissionAction::Timer`].
     Timer,
 }
--- /dev/null
+++ b/crates/fes-agent/src/build.rs
@@ -0,0 +1,234 @@
+//! Builds the state of an agent from its settings.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use fes_admission::Admission;
+use fes_admission::AdmissionSettings;
+use fes_admission::ClassName;
+use fes_idempotency::Coordinator;
+use fes_idempotency::KeyOwner;
+use fes_idempotency::ResponseMatcher;
+use fes_idempotency::StoreLimits;
+use fes_kernel::Kernel;
+use fes_kernel::KernelDriver;
+use fes_kernel::ProcessClock;
+use fes_link::DropCounters;
+use fes_link::LinkPool;
+use fes_link::Tasks;
+use fes_membership::AgentIdentity;
+use fes_membership::PeerTable;
+use fes_membership::lifecycle::LifecycleMachine;
+use fes_membership::lifecycle::LifecycleSettings;
+use fes_membership::lifecycle::Role;
+use fes_node::LifecycleComponent;
+use fes_node::TicketLinks;
+use fes_node::TicketsComponent;
+use fes_protocol::EncapsulationCodec;
+use fes_protocol::Error;
+use fes_protocol::Incarnation;
+use fes_protocol::KeyRing;
+use fes_protocol::MonoTime;
+use fes_protocol::NodeId;
+use fes_protocol::Result;
+use fes_protocol::ResultCode;
+use fes_protocol::SecretKey;
+use fes_routing::AgentIngress;
+use fes_routing::OffloadPlanner;
+use fes_routing::OffloadSettings;
+use fes_routing::PlacementHasher;
+use fes_routing::Router;
+use fes_settings::AgentSettings;
+use fes_telemetry::Health;
+use fes_tickets::Distribution;
+use fes_tickets::DistributionSettings;
+use tokio::sync::Notify;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
+
+use crate::core::AgentCore;
+use crate::decisions::AgentMessage;
+use crate::decisions::KEYS;
+use crate::decisions::KeysComponent;
+use crate::decisions::PeersComponent;
+use crate::decisions::WorkComponent;
+use crate::decisions::WorkStatus;
+use crate::quic::ControlDatagram;
+use crate::quic::EncapsulatedSocket;
+use crate::quic::IngressState;
+use crate::quic::SharedKeys;
+use crate::quic::make_endpoint;
+use crate::request::RequestTable;
+use crate::upstream::Upstream;
+
+/// Decision components that the host also reads.
+struct Components {
+    coordinator: Rc<RefCell<Coordinator>>,
+    work: Rc<RefCell<WorkStatus>>,
+    distribution: Rc<RefCell<Distribution>>,
+    machine: Rc<RefCell<LifecycleMachine>>,
+    peers: Rc<RefCell<PeerTable>>,
+}
+
+/// Binds the agent's socket and builds its state.
+pub(crate) fn build_core(
+    settings: AgentSettings,
+    links: LinkPool,
+    control: UnboundedSender<ControlDatagram>,
+) -> Result<Rc<AgentCore>> {
+    let clock = ProcessClock::start();
+    let ring = settings.node.keys.initial_ring();
+    let drops = Arc::new(DropCounters::default());
+    let socket = bind_socket(&settings, clock, &ring, &drops, control)?;
+    let keys = SharedKeys::new(&ring);
+    let endpoint = make_endpoint(
+        Arc::clone(&socket),
+        &keys,
+        settings.service,
+        settings.target,
+        &settings.client_tls,
+    )?;
+    // 0 stands for an incarnation that was never heard.
+    let incarnation = Incarnation(rand::random::<u64>().max(1));
+    let limits = StoreLimits {
+        max_keys: settings.key_limit as usize,
+        max_responses_bytes: usize::try_from(settings.response_store_bytes).unwrap_or(usize::MAX),
+        ..StoreLimits::default()
+    };
+    let components = make_components(&settings, clock, incarnation, ring, limits);
+    let kernel = make_kernel(&settings, clock, &components);
+    let node = NodeId::Agent(settings.target);
+    Ok(Rc::new(AgentCore {
+        upstream: Upstream::new(settings.upstream_address),
+        ticket_links: TicketLinks::new(node, links.clone()),
+        links,
+        requests: RequestTable::default(),
+        matcher: RefCell::new(ResponseMatcher::new(incarnation)),
+        coordinator: components.coordinator,
+        work: components.work,
+        distribution: components.distribution,
+        machine: components.machine,
+        peers: components.peers,
+        service: RefCell::default(),
+        health: Health::default(),
+        metrics: Arc::default(),
+        reported: RefCell::default(),
+        exit_status: watch::Sender::new(None),
+        is_cut_off: Cell::new(false),
+        counters: Default::default(),
+        codes: DropCounters::default(),
+        drops,
+        digest_secret: SecretKey::new(rand::random()),
+        max_held_response_bytes: limits.max_response_bytes,
+        peer_links: RefCell::default(),
+        draining: watch::Sender::new(false),
+        ended: Notify::new(),
+        flows_open: Cell::new(0),
+        streams_open: Cell::new(0),
+        handshakes_open: Cell::new(0),
+        buffered_bytes: Cell::new(0),
+        next_connection: Cell::new(0),
+        tasks: Tasks::default(),
+        driver: KernelDriver::new(kernel, clock),
+        settings,
+        incarnation,
+        socket,
+        endpoint,
+        keys,
+    }))
+}
+
+fn bind_socket(
+    settings: &AgentSettings,
+    clock: ProcessClock,
+    ring: &KeyRing,
+    drops: &Arc<DropCounters>,
+    control: UnboundedSender<ControlDatagram>,
+) -> Result<Arc<EncapsulatedSocket>> {
+    let udp = fes_link::bind_udp(settings.agent_address)?;
+    let placement = PlacementHasher::new(ring.current().clone());
+    let state = IngressState::new(
+        EncapsulationCodec::new(ring.clone()),
+        Router::new(Arc::default(), ring),
+        AgentIngress::new(settings.service, settings.target, placement),
+    );
+    let socket = EncapsulatedSocket::new(
+        udp,
+        settings.service,
+        settings.target,
+        clock,
+        state,
+        Arc::clone(drops),
+        control,
+    );
+    let read_failed = |e| Error::io(ResultCode::BindFailed, "reading the agent's address", e);
+    socket.map(Arc::new).map_err(read_failed)
+}
+
+fn make_components(
+    settings: &AgentSettings,
+    clock: ProcessClock,
+    incarnation: Incarnation,
+    ring: KeyRing,
+    limits: StoreLimits,
+) -> Components {
+    let owner = KeyOwner {
+        service: settings.service,
+        target: settings.target,
+        incarnation,
+    };
+    let identity = AgentIdentity {
+        service: settings.service,
+        target: settings.target,
+        incarnation,
+        data_centre: settings.node.data_centre.clone(),
+    };
+    let distribution = DistributionSettings {
+        node: NodeId::Agent(settings.target),
+        data_centre: settings.node.data_centre.clone(),
+        seeds: settings.node.seed_peers.clone(),
+        random_seed: rand::random(),
+    };
+    let lifecycle = LifecycleSettings {
+        drain_bound_ms: settings.drain_bound_ms,
+        ..LifecycleSettings::default()
+    };
+    let now = clock.now();
+    Components {
+        coordinator: Rc::new(RefCell::new(Coordinator::new(owner, ring, limits))),
+        work: Rc::default(),
+        distribution: Rc::new(RefCell::new(Distribution::new(now, distribution))),
+        machine: Rc::new(RefCell::new(LifecycleMachine::new(Role::Agent, lifecycle))),
+        peers: Rc::new(RefCell::new(PeerTable::new(now, identity))),
+    }
+}
+
+fn make_kernel(
+    settings: &AgentSettings,
+    clock: ProcessClock,
+    components: &Components,
+) -> Kernel<AgentMessage> {
+    let planner = OffloadPlanner::new(OffloadSettings::new(settings.target, rand::random()));
+    let admission = Admission::new(clock.now(), admission_settings(settings));
+    let work = Rc::clone(&components.work);
+    let mut kernel = Kernel::new();
+    kernel.register(WorkComponent::new(admission, planner, work));
+    kernel.register(KeysComponent::new(Rc::clone(&components.coordinator)));
+    kernel.register(PeersComponent::new(Rc::clone(&components.peers)));
+    kernel.register(TicketsComponent::new(Rc::clone(&components.distribution)));
+    kernel.register(LifecycleComponent::new(Rc::clone(&components.machine)));
+    kernel.set_timer(MonoTime::ZERO, KEYS, KeysComponent::FIRST_TIMER);
+    kernel
+}
+
+fn admission_settings(settings: &AgentSettings) -> AdmissionSettings {
+    let mut admission = AdmissionSettings::for_slots(settings.slots);
+    admission.queue_capacity = settings.queue_limit_requests as usize;
+    let priors = settings.class_priors.iter();
+    priors.fold(admission, |admission, prior| {
+        let class = ClassName::from(prior.class.as_str());
+        admission.with_prior(class, prior.mean_ms.saturating_mul(1_000))
+    })
+}
--- a/crates/fes-agent/src/core.rs
+++ b/crates/fes-agent/src/core.rs
@@ -21,15 +21,29 @@
 use fes_link::DropCounters;
 use fes_link::LinkPool;
 use fes_link::Tasks;
+use fes_membership::PeerTable;
+use fes_membership::PeerTableEvent;
+use fes_membership::lifecycle::LifecycleEvent;
+use fes_membership::lifecycle::LifecycleMachine;
+use fes_membership::lifecycle::WorkInProgress;
+use fes_node::HOST;
+use fes_node::LIFECYCLE;
+use fes_node::TICKETS;
+use fes_node::TicketLinks;
 use fes_protocol::FastMap;
 use fes_protocol::Incarnation;
 use fes_protocol::MonoTime;
 use fes_protocol::RequestId;
 use fes_protocol::ResultCode;
 use fes_protocol::SecretKey;
+use fes_protocol::ServiceSpec;
 use fes_protocol::TargetId;
 use fes_protocol::headers::KEY_PREFIX;
 use fes_settings::AgentSettings;
+use fes_telemetry::Health;
+use fes_telemetry::Metrics;
+use fes_tickets::Distribution;
+use fes_tickets::DistributionEvent;
 use http::HeaderName;
 use http::HeaderValue;
 use http::Response;
@@ -40,15 +54,16 @@
 use crate::AgentCounters;
 use crate::counters::LiveCounters;
 use crate::decisions::AgentMessage;
-use crate::decisions::DRIVER;
 use crate::decisions::KEYS;
 use crate::decisions::KeysEvent;
+use crate::decisions::PEERS;
 use crate::decisions::RequestEffect;
 use crate::decisions::WORK;
 use crate::decisions::WorkEvent;
 use crate::decisions::WorkStatus;
 use crate::quic::EncapsulatedSocket;
 use crate::quic::SharedKeys;
+use crate::report::Reported;
 use crate::request::Exchange;
 use crate::request::RequestStep;
 use crate::request::RequestTable;
@@ -83,7 +98,22 @@
     pub(crate) draining: watch::Sender<bool>,
     /// Notified when a request or a flow ends.
     pub(crate) ended: Notify,
+    pub(crate) distribution: Rc<RefCell<Distribution>>,
+    pub(crate) machine: Rc<RefCell<LifecycleMachine>>,
+    pub(crate) peers: Rc<RefCell<PeerTable>>,
+    /// The agent's service as tickets have it.
+    pub(crate) service: RefCell<Option<Arc<ServiceSpec>>>,
+    pub(crate) ticket_links: TicketLinks,
+    pub(crate) health: Health,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) reported: RefCell<Reported>,
+    /// Set once the process may end.
+    pub(crate) exit_status: watch::Sender<Option<u8>>,
+    /// Whether the drain bound cut work off.
+    pub(crate) is_cut_off: Cell<bool>,
     pub(crate) flows_open: Cell<u32>,
+    /// Requests of clients whose responses aren't delivered completely.
+    pub(crate) streams_open: Cell<u32>,
     pub(crate) handshakes_open: Cell<u32>,
     pub(crate) buffered_bytes: Cell<u64>,
     pub(crate) next_connection: Cell<u64>,
@@ -108,11 +138,23 @@
     }
 
     pub(crate) fn post_work(&self, event: WorkEvent) {
-        self.driver.post(DRIVER, WORK, AgentMessage::Work(event));
+        self.driver.post(HOST, WORK, AgentMessage::Work(event));
     }
 
     pub(crate) fn post_keys(&self, event: KeysEvent) {
-        self.driver.post(DRIVER, KEYS, AgentMessage::Keys(event));
+        self.driver.post(HOST, KEYS, AgentMessage::Keys(event));
+    }
+
+    pub(crate) fn post_peers(&self, event: PeerTableEvent) {
+        self.driver.post(HOST, PEERS, AgentMessage::Peers(event));
+    }
+
+    pub(crate) fn post_tickets(&self, event: DistributionEvent) {
+        self.driver.post(HOST, TICKETS, event.into());
+    }
+
+    pub(crate) fn post_lifecycle(&self, event: LifecycleEvent) {
+        self.driver.post(HOST, LIFECYCLE, event.into());
     }
 
     pub(crate) fn post_relay(&self, event: RelayEvent) {
@@ -121,8 +163,16 @@
 
     /// Carries out what a component asked of the host.
     pub(crate) fn on_effect(self: &Rc<Self>, effect: Effect<AgentMessage>) {
-        if let AgentMessage::Request(effect) = effect.body {
-            self.on_request_effect(effect);
+        match effect.body {
+            AgentMessage::Request(effect) => self.on_request_effect(effect),
+            AgentMessage::TicketsAction(action) => self.on_tickets_action(action),
+            AgentMessage::PeersAction(action) => self.on_peers_action(action),
+            AgentMessage::LifecycleAction(action) => self.on_lifecycle_action(action),
+            AgentMessage::Work(_)
+            | AgentMessage::Keys(_)
+            | AgentMessage::Peers(_)
+            | AgentMessage::Tickets(_)
+            | AgentMessage::Lifecycle(_) => {}
         }
     }
 
@@ -207,6 +257,15 @@
         self.update_fullness();
     }
 
+    pub(crate) fn work_in_progress(&self) -> WorkInProgress {
+        let request_count = u32::try_from(self.work.borrow().open_requests).unwrap_or(u32::MAX);
+        WorkInProgress {
+            request_count,
+            stream_count: self.streams_open.get().saturating_sub(request_count),
+            last_datagram_at: None,
+        }
+    }
+
     pub(crate) fn flow_closed(&self) {
         self.flows_open.set(self.flows_open.get().saturating_sub(1));
         self.update_fullness();
--- a/crates/fes-agent/src/decisions/message.rs
+++ b/crates/fes-agent/src/decisions/message.rs
@@ -7,19 +7,25 @@
 use fes_idempotency::CoordinatorEvent;
 use fes_idempotency::FinishedResponse;
 use fes_idempotency::KeyOwner;
-use fes_idempotency::RelayEvent;
 use fes_idempotency::RequestDigest;
 use fes_idempotency::UpstreamRefusal;
 use fes_kernel::ComponentName;
+use fes_membership::PeerTableAction;
+use fes_membership::PeerTableEvent;
+use fes_membership::lifecycle::LifecycleAction;
+use fes_membership::lifecycle::LifecycleEvent;
+use fes_node::HostMessage;
 use fes_protocol::KeyRing;
 use fes_protocol::MonoTime;
 use fes_protocol::PeerHeartbeat;
 use fes_protocol::RequestId;
 use fes_protocol::TargetId;
 use fes_routing::OffloadPeer;
+use fes_tickets::DistributionAction;
+use fes_tickets::DistributionEvent;
 
-/// The host itself.
-pub(crate) const DRIVER: ComponentName = ComponentName("driver");
+/// Beliefs about the other agents of the service.
+pub(crate) const PEERS: ComponentName = ComponentName("peers");
 
 /// The part of the host that carries out requests.
 pub(crate) const REQUESTS: ComponentName = ComponentName("requests");
@@ -36,6 +42,52 @@
     Work(WorkEvent),
     Keys(KeysEvent),
     Request(RequestEffect),
+    Peers(PeerTableEvent),
+    PeersAction(PeerTableAction),
+    Tickets(DistributionEvent),
+    TicketsAction(DistributionAction),
+    Lifecycle(LifecycleEvent),
+    LifecycleAction(LifecycleAction),
+}
+
+impl From<DistributionEvent> for AgentMessage {
+    fn from(event: DistributionEvent) -> Self {
+        Self::Tickets(event)
+    }
+}
+
+impl From<DistributionAction> for AgentMessage {
+    fn from(action: DistributionAction) -> Self {
+        Self::TicketsAction(action)
+    }
+}
+
+impl From<LifecycleEvent> for AgentMessage {
+    fn from(event: LifecycleEvent) -> Self {
+        Self::Lifecycle(event)
+    }
+}
+
+impl From<LifecycleAction> for AgentMessage {
+    fn from(action: LifecycleAction) -> Self {
+        Self::LifecycleAction(action)
+    }
+}
+
+impl HostMessage for AgentMessage {
+    fn into_tickets_event(self) -> Option<DistributionEvent> {
+        match self {
+            Self::Tickets(event) => Some(event),
+            _ => None,
+        }
+    }
+
+    fn into_lifecycle_event(self) -> Option<LifecycleEvent> {
+        match self {
+            Self::Lifecycle(event) => Some(event),
+            _ => None,
+        }
+    }
 }
 
 /// The idempotency key of a request.
@@ -95,6 +147,7 @@
     UpstreamUp,
     UpstreamDown,
     Drain,
+    Resume,
 }
 
 /// What the keys component reacts to.
@@ -104,7 +157,7 @@
     PeerHeartbeat(PeerHeartbeat),
     OwnSpare(u32),
     SetKeys(KeyRing),
-    Drain,
+    Draining(bool),
 }
 
 /// What the host does with a request.
@@ -125,9 +178,3 @@
     /// Nobody needs the request any more.
     Forget { id: RequestId },
 }
-
-impl AgentMessage {
-    pub(crate) const fn relay(event: RelayEvent) -> Self {
-        Self::Keys(KeysEvent::Coordinator(CoordinatorEvent::Relay(event)))
-    }
-}
--- a/crates/fes-agent/src/decisions/work_component.rs
+++ b/crates/fes-agent/src/decisions/work_component.rs
@@ -98,6 +98,7 @@
             WorkEvent::UpstreamUp => self.admission(now, AdmissionEvent::UpstreamUp, outbox),
             WorkEvent::UpstreamDown => self.admission(now, AdmissionEvent::UpstreamDown, outbox),
             WorkEvent::Drain => self.admission(now, AdmissionEvent::Drain, outbox),
+            WorkEvent::Resume => self.admission(now, AdmissionEvent::Resume, outbox),
         }
     }
 
--- /dev/null
+++ b/crates/fes-agent/src/host.rs
@@ -0,0 +1,324 @@
+//! Carries out what the components decide outside of requests.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use fes_idempotency::CoordinatorEvent;
+use fes_membership::PeerState;
+use fes_membership::PeerTableAction;
+use fes_membership::PeerTableEvent;
+use fes_membership::lifecycle::DrainSource;
+use fes_membership::lifecycle::LifecycleAction;
+use fes_membership::lifecycle::LifecycleEvent;
+use fes_protocol::ControlMessage;
+use fes_protocol::EncapsulationCodec;
+use fes_protocol::Goodbye;
+use fes_protocol::KeyRing;
+use fes_protocol::NodeId;
+use fes_protocol::ResultCode;
+use fes_protocol::ServiceSpec;
+use fes_protocol::TicketNumber;
+use fes_protocol::UpstreamState;
+use fes_routing::OffloadPeer;
+use fes_routing::ReturnEntry;
+use fes_routing::RouteTable;
+use fes_tickets::DistributionAction;
+use fes_tickets::DistributionEvent;
+use fes_tickets::Endpoint;
+use fes_tickets::PlatformRead;
+use fes_tickets::Snapshot;
+use fes_tickets::TicketMessage;
+use quinn::VarInt;
+
+use crate::core::AgentCore;
+use crate::decisions::KeysEvent;
+use crate::decisions::WorkEvent;
+use crate::quic::ControlDatagram;
+
+const H3_NO_ERROR: u32 = 0x100;
+const H3_INTERNAL_ERROR: u32 = 0x102;
+
+/// Way to a peer of the same data centre and back, in milliseconds.
+const NEAR_HOP_MS: u32 = 1;
+
+/// Way to a peer of another data centre and back, in milliseconds: twice the 4 ms of the current
+/// deployments.
+const FAR_HOP_MS: u32 = 8;
+
+/// Share of the peers above which a belief that they are dead is distrusted: more than half.
+const PANIC_DIVISOR: usize = 2;
+
+impl AgentCore {
+    /// Handles a control message of another process.
+    pub(crate) fn on_control(&self, datagram: ControlDatagram) {
+        match datagram.message {
+            ControlMessage::PeerHeartbeat(heartbeat) => {
+                if heartbeat.service != self.settings.service {
+                    self.drops.count(ResultCode::DatagramWrongService);
+                    return;
+                }
+                self.post_peers(PeerTableEvent::Heartbeat(heartbeat.clone()));
+                self.post_work(WorkEvent::PeerHeartbeat(heartbeat.clone()));
+                self.post_keys(KeysEvent::PeerHeartbeat(heartbeat));
+            }
+            ControlMessage::TicketDigest(digest) => {
+                if let NodeId::Entry(entry) = digest.node {
+                    let entry = ReturnEntry {
+                        entry,
+                        address: datagram.from,
+                    };
+                    let mut state = self.socket.state();
+                    state.return_path.record_entry(self.now(), entry);
+                }
+                self.post_tickets(DistributionEvent::Digest(digest));
+            }
+            ControlMessage::Liveness(verdicts) => {
+                self.post_peers(PeerTableEvent::Verdicts(verdicts));
+            }
+            ControlMessage::Goodbye(goodbye) => {
+                if let NodeId::Entry(entry) = goodbye.node {
+                    self.socket.state().return_path.remove(entry);
+                }
+            }
+            ControlMessage::EntryHeartbeat(_) => self.drops.count(ResultCode::ControlMalformed),
+        }
+    }
+
+    /// Carries out a decision about tickets.
+    pub(crate) fn on_tickets_action(self: &Rc<Self>, action: DistributionAction) {
+        match action {
+            DistributionAction::SendDigest { to, digest } => {
+                let addresses = self.distribution.borrow().directory().addresses(to);
+                if let Some(addresses) = addresses {
+                    let message = ControlMessage::TicketDigest(digest);
+                    self.socket.send_control(addresses.control, &message);
+                }
+            }
+            DistributionAction::Send { to, message } => self.send_tickets(to, message),
+            DistributionAction::ReadPlatform(read) => {
+                self.spawn(read_platform(Rc::clone(self), read));
+            }
+            DistributionAction::InForce { snapshot, .. } => self.put_in_force(&snapshot),
+            DistributionAction::Ready => self.post_lifecycle(LifecycleEvent::Ready),
+            DistributionAction::Report(report) => {
+                log::warn!("agent: {}: {report}", report.code());
+            }
+        }
+    }
+
+    fn send_tickets(self: &Rc<Self>, to: Endpoint, message: TicketMessage) {
+        let Some(message) = self.ticket_links.keep_answer(to, message) else {
+            return;
+        };
+        let address = match to {
+            Endpoint::Seed(address) => Some(address),
+            Endpoint::Node(node) => {
+                let distribution = self.distribution.borrow();
+                distribution.directory().addresses(node).map(|a| a.link)
+            }
+        };
+        let Some(address) = address else {
+            return;
+        };
+        let core = Rc::clone(self);
+        self.spawn(async move {
+            match core.ticket_links.send(address, &message).await {
+                Ok(answers) => {
+                    for message in answers {
+                        core.post_tickets(DistributionEvent::Message { from: to, message });
+                    }
+                }
+                Err(e) => log::debug!("agent: tickets to {to}: {e}"),
+            }
+        });
+    }
+
+    fn put_in_force(self: &Rc<Self>, snapshot: &Snapshot) {
+        if let Some(epoch) = snapshot.key_epoch() {
+            if let Some(ring) = self.settings.node.keys.ring(epoch.value.current) {
+                self.use_keys(&ring);
+            } else {
+                log::error!("agent: no key of epoch {} in the settings", epoch.value.current);
+            }
+        }
+        let fleets: Vec<_> = snapshot.fleets().map(|f| Arc::clone(&f.value)).collect();
+        self.socket.state().known_entries = fleets
+            .iter()
+            .flat_map(|fleet| &fleet.entries)
+            .map(|entry| ReturnEntry {
+                entry: entry.id,
+                address: entry.control_address,
+            })
+            .collect();
+        self.post_peers(PeerTableEvent::Fleets(fleets));
+        if let Some(service) = snapshot.service(self.settings.service) {
+            self.use_service(service.version.number, &service.value);
+        }
+    }
+
+    fn use_service(self: &Rc<Self>, number: TicketNumber, spec: &Arc<ServiceSpec>) {
+        let links = spec.upstreams.iter().map(|u| (u.target, u.link_address));
+        *self.peer_links.borrow_mut() = links.collect();
+        {
+            let mut state = self.socket.state();
+            let services = [(number, Arc::clone(spec))];
+            let table = RouteTable::rebuild(state.router.table(), self.now(), services);
+            state.router.set_table(Arc::new(table));
+        }
+        *self.service.borrow_mut() = Some(Arc::clone(spec));
+        self.post_peers(PeerTableEvent::Service(Arc::clone(spec)));
+        self.update_peers();
+        let own = spec.upstreams.iter().find(|u| u.target == self.settings.target);
+        self.post_lifecycle(match own.map(|own| own.state) {
+            Some(UpstreamState::Active) => LifecycleEvent::Withdrawn(DrainSource::Ticket),
+            Some(UpstreamState::Leaving) | None => LifecycleEvent::Drain(DrainSource::Ticket),
+        });
+    }
+
+    fn use_keys(&self, ring: &KeyRing) {
+        self.keys.replace(ring);
+        let mut state = self.socket.state();
+        state.codec = EncapsulationCodec::new(ring.clone());
+        state.router.set_keys(ring);
+        drop(state);
+        self.post_keys(KeysEvent::SetKeys(ring.clone()));
+    }
+
+    /// Carries out a decision about peers.
+    pub(crate) fn on_peers_action(&self, action: PeerTableAction) {
+        match action {
+            PeerTableAction::SendHeartbeat { to, heartbeat } => {
+                let message = ControlMessage::PeerHeartbeat(heartbeat);
+                self.send_control(NodeId::Agent(to), &message);
+            }
+            PeerTableAction::SendEntryHeartbeat { to, heartbeat } => {
+                let message = ControlMessage::EntryHeartbeat(heartbeat);
+                self.send_control(NodeId::Entry(to), &message);
+            }
+            PeerTableAction::SendVerdicts { to, verdicts } => {
+                self.send_control(NodeId::Entry(to), &ControlMessage::Liveness(verdicts));
+            }
+            PeerTableAction::PeerChanged { target, state } => {
+                log::info!("agent: peer {target} is {state:?}");
+                self.update_peers();
+            }
+        }
+    }
+
+    fn send_control(&self, to: NodeId, message: &ControlMessage) {
+        let addresses = self.distribution.borrow().directory().addresses(to);
+        if let Some(addresses) = addresses {
+            self.socket.send_control(addresses.control, message);
+        }
+    }
+
+    /// Tells first-packet handling and offload which peers take work.
+    pub(crate) fn update_peers(&self) {
+        let Some(spec) = self.service.borrow().clone() else {
+            return;
+        };
+        let own = self.settings.target;
+        let table = self.peers.borrow();
+        let mut state = self.socket.state();
+        let view = &mut state.peers;
+        view.flow_counts = table
+            .peers()
+            .filter(|(_, state, ..)| state.takes_work())
+            .map(|(target, _, _, load)| (target, load.flow_count))
+            .collect();
+        let in_state = |wanted: &[PeerState]| {
+            let peers = table.peers().filter(|(_, state, ..)| wanted.contains(state));
+            peers.map(|(target, ..)| target).collect()
+        };
+        view.lost = in_state(&[PeerState::Dead]);
+        view.not_placeable = in_state(&[PeerState::Dead, PeerState::Leaving]);
+        if view.lost.len() > spec.upstreams.len() / PANIC_DIVISOR {
+            view.not_placeable = in_state(&[PeerState::Leaving]);
+        }
+        drop(state);
+        let active = spec.upstreams.iter().filter(|upstream| {
+            upstream.target != own
+                && upstream.state == UpstreamState::Active
+                && table.state(upstream.target).takes_work()
+        });
+        let peers = active.map(|upstream| OffloadPeer {
+            target: upstream.target,
+            hop_ms: match upstream.data_centre == self.settings.node.data_centre {
+                true => NEAR_HOP_MS,
+                false => FAR_HOP_MS,
+            },
+        });
+        let peers = peers.collect();
+        drop(table);
+        self.post_work(WorkEvent::SetPeers(peers));
+    }
+
+    /// Carries out a step of the life cycle.
+    pub(crate) fn on_lifecycle_action(&self, action: LifecycleAction) {
+        match action {
+            LifecycleAction::Announce(lifecycle) => {
+                log::info!("agent: {lifecycle:?}");
+                self.health.set(lifecycle, "life cycle");
+                self.post_peers(PeerTableEvent::Lifecycle(lifecycle));
+            }
+            LifecycleAction::StopAdmission => {
+                self.post_work(WorkEvent::Drain);
+                self.post_keys(KeysEvent::Draining(true));
+            }
+            LifecycleAction::ResumeAdmission => {
+                self.draining.send_replace(false);
+                self.update_fullness();
+                self.post_work(WorkEvent::Resume);
+                self.post_keys(KeysEvent::Draining(false));
+            }
+            LifecycleAction::SendGoaway => {
+                self.draining.send_replace(true);
+                self.update_fullness();
+            }
+            LifecycleAction::SendGoodbye => self.send_goodbye(),
+            // The component sets its own timers.
+            LifecycleAction::SetTimer(_) | LifecycleAction::CloseSockets => {}
+            LifecycleAction::CutOffWork(_) => {
+                self.post_keys(KeysEvent::Coordinator(CoordinatorEvent::DrainBoundReached));
+                self.is_cut_off.set(true);
+            }
+            LifecycleAction::LogCutOff(cut_off) => log::error!(
+                "agent: {}: {} requests, {} streams",
+                ResultCode::DrainBoundReached,
+                cut_off.request_count,
+                cut_off.stream_count
+            ),
+            LifecycleAction::CloseConnections => {
+                let code = match self.is_cut_off.get() {
+                    true => H3_INTERNAL_ERROR,
+                    false => H3_NO_ERROR,
+                };
+                self.endpoint.close(VarInt::from_u32(code), b"stopped");
+            }
+            LifecycleAction::Exit { status } => {
+                self.exit_status.send_replace(Some(status));
+            }
+        }
+    }
+
+    fn send_goodbye(&self) {
+        let goodbye = ControlMessage::Goodbye(Goodbye {
+            node: NodeId::Agent(self.settings.target),
+            incarnation: self.incarnation,
+        });
+        let spec = self.service.borrow().clone();
+        let own = self.settings.target;
+        let peers = spec.iter().flat_map(|spec| &spec.upstreams);
+        for upstream in peers.filter(|upstream| upstream.target != own) {
+            self.socket.send_control(upstream.agent_address, &goodbye);
+        }
+        let entries = self.socket.state().known_entries.clone();
+        for entry in entries {
+            self.socket.send_control(entry.address, &goodbye);
+        }
+    }
+}
+
+async fn read_platform(core: Rc<AgentCore>, _read: PlatformRead) {
+    core.post_tickets(DistributionEvent::PlatformFailed);
+}
--- a/crates/fes-agent/src/http3_server.rs
+++ b/crates/fes-agent/src/http3_server.rs
@@ -87,19 +87,30 @@
     changed: Notify,
 }
 
-struct OpenRequest(Rc<OpenRequests>);
+struct OpenRequest {
+    core: Rc<AgentCore>,
+    of_connection: Rc<OpenRequests>,
+}
 
 impl OpenRequest {
-    fn new(open: &Rc<OpenRequests>) -> Self {
-        open.count.set(open.count.get() + 1);
-        Self(Rc::clone(open))
+    fn new(core: &Rc<AgentCore>, of_connection: &Rc<OpenRequests>) -> Self {
+        of_connection.count.set(of_connection.count.get() + 1);
+        core.streams_open.set(core.streams_open.get() + 1);
+        Self {
+            core: Rc::clone(core),
+            of_connection: Rc::clone(of_connection),
+        }
     }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        self.0.count.set(self.0.count.get() - 1);
-        self.0.changed.notify_one();
+        let open = &self.of_connection;
+        open.count.set(open.count.get() - 1);
+        open.changed.notify_one();
+        let core = &self.core;
+        core.streams_open.set(core.streams_open.get() - 1);
+        core.ended.notify_waiters();
     }
 }
 
@@ -124,7 +135,7 @@
         tokio::select! {
             accepted = http3.accept() => match accepted {
                 Ok(Some(resolver)) => {
-                    let request = OpenRequest::new(&open);
+                    let request = OpenRequest::new(core, &open);
                     let task = Http3Request {
                         core: Rc::clone(core),
                         connection: number,
--- a/crates/fes-agent/src/lib.rs
+++ b/crates/fes-agent/src/lib.rs
@@ -3,13 +3,17 @@
 //! An agent stands beside one upstream. It terminates QUIC and HTTP/3 and decides what runs.
 
 mod agent;
+mod build;
 mod core;
 mod counters;
 mod decisions;
+mod host;
 mod http3_server;
 mod quic;
 mod relay;
+mod report;
 mod request;
+mod tasks;
 mod upstream;
 
 pub use agent::Agent;
--- /dev/null
+++ b/crates/fes-agent/src/report.rs
@@ -0,0 +1,134 @@
+//! Metrics and status of an agent.
+
+use fes_protocol::FastMap;
+use fes_protocol::ResultCode;
+use fes_telemetry::CodeLabel;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::AgentCounters;
+use crate::core::AgentCore;
+
+/// What was passed on to the metrics already.
+#[derive(Debug, Default)]
+pub(crate) struct Reported {
+    counters: AgentCounters,
+    answers: FastMap<ResultCode, u64>,
+    drops: FastMap<ResultCode, u64>,
+}
+
+impl AgentCore {
+    /// Brings the metrics up to date.
+    pub(crate) fn update_metrics(&self) {
+        let now = self.snapshot();
+        let mut reported = self.reported.borrow_mut();
+        let before = std::mem::replace(&mut reported.counters, now.clone());
+        let metrics = &self.metrics;
+        let pairs = [
+            (&metrics.flows_opened, now.flows_opened, before.flows_opened),
+            (&metrics.flows_refused, now.flows_refused, before.flows_refused),
+            (
+                &metrics.first_packets_handed_off,
+                now.first_packets_passed_on,
+                before.first_packets_passed_on,
+            ),
+            (
+                &metrics.requests_received,
+                now.requests_received,
+                before.requests_received,
+            ),
+            (
+                &metrics.requests_started,
+                now.requests_started,
+                before.requests_started,
+            ),
+            (
+                &metrics.requests_finished,
+                now.requests_finished,
+                before.requests_finished,
+            ),
+            (
+                &metrics.requests_cancelled,
+                now.requests_cancelled,
+                before.requests_cancelled,
+            ),
+            (
+                &metrics.requests_offloaded,
+                now.requests_offloaded,
+                before.requests_offloaded,
+            ),
+            (
+                &metrics.requests_relayed,
+                now.requests_relayed,
+                before.requests_relayed,
+            ),
+            (
+                &metrics.upstream_refusals,
+                now.upstream_refusals,
+                before.upstream_refusals,
+            ),
+        ];
+        for (counter, now, before) in pairs {
+            counter.inc_by(now - before);
+        }
+        for (code, count) in &now.answers {
+            let before = reported.answers.insert(*code, *count).unwrap_or(0);
+            let counter = metrics.requests_failed.get_or_create(&CodeLabel::from(*code));
+            counter.inc_by(count - before);
+        }
+        for (code, count) in &now.drops {
+            let before = reported.drops.insert(*code, *count).unwrap_or(0);
+            let counter = metrics.datagrams_dropped.get_or_create(&CodeLabel::from(*code));
+            counter.inc_by(count - before);
+        }
+        metrics.flows_open.set(gauge(now.flows_open));
+        metrics.slots_used.set(gauge(now.slots_used));
+        metrics.queue_requests.set(gauge(self.work.borrow().queued as u64));
+        let distribution = self.distribution.borrow();
+        let highest = distribution.snapshot().highest();
+        metrics.ticket_highest.set(gauge(highest.0));
+        let age_ms = distribution.platform_age_ms(self.now());
+        metrics.platform_age_ms.set(i64::from(age_ms));
+        let peers = self.peers.borrow();
+        let alive = peers.peers().filter(|(_, state, ..)| state.takes_work());
+        metrics.peers_alive.set(gauge(alive.count() as u64));
+    }
+
+    /// Returns the body of `/status`.
+    pub(crate) fn status(&self) -> Value {
+        let counters = self.snapshot();
+        let load = self.work.borrow().load;
+        let snapshot = self.distribution.borrow().snapshot();
+        let peers: Vec<Value> = self
+            .peers
+            .borrow()
+            .peers()
+            .map(|(target, state, _, load)| {
+                json!({
+                    "target": target.0,
+                    "state": format!("{state:?}"),
+                    "capacity_milli": load.capacity_milli,
+                    "demand_milli": load.demand_milli,
+                })
+            })
+            .collect();
+        json!({
+            "node": format!("agent-{}", self.settings.target),
+            "service": self.settings.service.0,
+            "incarnation": self.incarnation.0,
+            "ticket_highest": snapshot.highest().0,
+            "flows_open": counters.flows_open,
+            "requests_open": counters.requests_open,
+            "slots_used": counters.slots_used,
+            "slots": self.settings.slots,
+            "capacity_milli": load.capacity_milli,
+            "demand_milli": load.demand_milli,
+            "queue_wait_ms": load.queue_wait_ms,
+            "peers": peers,
+        })
+    }
+}
+
+fn gauge(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
