Measure capacity slopes and derive the budget of each role

Cause: the fleet of 790 entries and 8,000 targets can't be run on one machine; its cost has to be derived from slopes that can be measured again.

Change: fes_measure::capacity measures memory (growth of the process over many copies), processor time and message sizes at four sizes each, simulates the spread of a ticket up to the whole fleet, fits lines and derives a budget per role at 1, 2 and 10 times the design size.

--- /dev/null
+++ b/crates/fes-measure/src/capacity/budget.rs
@@ -0,0 +1,360 @@
+//! What each role needs at a size, against its budget.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::DesignSize;
+use super::Slope;
+
+/// Heartbeats that an agent sends to each peer of its service per second.
+const PEER_HEARTBEATS_PER_S: f64 = 2.0;
+
+/// Heartbeats that an agent sends to each entry that watches it per second.
+const ENTRY_HEARTBEATS_PER_S: f64 = 1.0;
+
+/// Entries that watch an agent.
+const WATCHERS_PER_AGENT: f64 = 2.0;
+
+/// Non-repeatable requests per target and second: one in four of what the slots of a target
+/// finish at 70 % load with the mean service time of the profiles.
+const KEYS_PER_TARGET_PER_S: f64 = 20.0;
+
+/// Seconds for which a key is kept.
+const KEY_VALIDITY_S: f64 = 600.0;
+
+/// A process of the system.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// An entry.
+    Entry,
+    /// An agent.
+    Agent,
+    /// The fleet as a whole.
+    Fleet,
+}
+
+/// One quantity of one role.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BudgetLine {
+    /// Who pays.
+    pub role: Role,
+    /// What is paid for.
+    pub quantity: String,
+    /// Unit of the figures.
+    pub unit: String,
+    /// Mechanism that carries the cost.
+    pub mechanism: String,
+    /// Bound, if the requirements name one.
+    pub bound: Option<f64>,
+    /// Cost at the design size.
+    pub at_design: f64,
+    /// Cost at twice the design size.
+    pub at_2x: f64,
+    /// Cost at ten times the design size.
+    pub at_10x: f64,
+    /// Slopes that the figures are derived from.
+    pub slopes: Vec<String>,
+    /// How far the largest used size lies beyond the measured ones, as a factor.
+    pub extrapolation: f64,
+}
+
+/// All lines.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Budget {
+    /// Lines in a fixed order.
+    pub lines: Vec<BudgetLine>,
+}
+
+/// The slopes of a run, found by name.
+struct Slopes<'a>(&'a [Slope]);
+
+/// How a line's figure follows from sizes and slopes.
+struct Rule {
+    role: Role,
+    quantity: &'static str,
+    unit: &'static str,
+    mechanism: &'static str,
+    bound: fn(&DesignSize) -> Option<f64>,
+    slopes: &'static [&'static str],
+    size: fn(&DesignSize) -> f64,
+    cost: fn(&Slopes<'_>, &DesignSize) -> f64,
+}
+
+impl Budget {
+    /// Derives all lines from measured slopes. The arithmetic depends on the arguments only.
+    #[must_use]
+    pub fn derive(slopes: &[Slope], design: &DesignSize) -> Self {
+        let slopes = Slopes(slopes);
+        let lines = RULES
+            .iter()
+            .map(|rule| rule.line(&slopes, design))
+            .collect();
+        Self { lines }
+    }
+
+    /// Returns the lines whose figure at the design size exceeds their bound.
+    pub fn exceeded(&self) -> impl Iterator<Item = &BudgetLine> {
+        self.lines
+            .iter()
+            .filter(|line| line.bound.is_some_and(|bound| line.at_design > bound))
+    }
+
+    /// Returns the line that uses the largest part of its bound, among those whose slopes were
+    /// measured.
+    #[must_use]
+    pub fn tightest(&self) -> Option<&BudgetLine> {
+        let bounded = self
+            .lines
+            .iter()
+            .filter(|line| line.used_share().is_finite());
+        bounded.max_by(|a, b| a.used_share().total_cmp(&b.used_share()))
+    }
+}
+
+impl BudgetLine {
+    /// Returns the part of the bound that is used at the design size, or 0 without a bound.
+    #[must_use]
+    pub fn used_share(&self) -> f64 {
+        self.bound.map_or(0.0, |bound| self.at_design / bound)
+    }
+}
+
+impl Rule {
+    fn line(&self, slopes: &Slopes<'_>, design: &DesignSize) -> BudgetLine {
+        let extrapolation = self
+            .slopes
+            .iter()
+            .map(|name| slopes.extrapolation(name, (self.size)(design)))
+            .fold(0.0, f64::max);
+        BudgetLine {
+            role: self.role,
+            quantity: self.quantity.into(),
+            unit: self.unit.into(),
+            mechanism: self.mechanism.into(),
+            bound: (self.bound)(design),
+            at_design: (self.cost)(slopes, design),
+            at_2x: (self.cost)(slopes, &design.scaled(2.0)),
+            at_10x: (self.cost)(slopes, &design.scaled(10.0)),
+            slopes: self.slopes.iter().map(|name| (*name).into()).collect(),
+            extrapolation,
+        }
+    }
+}
+
+impl Slopes<'_> {
+    fn at(&self, name: &str, size: f64) -> f64 {
+        self.find(name).map_or(f64::NAN, |slope| slope.at(size))
+    }
+
+    fn extrapolation(&self, name: &str, size: f64) -> f64 {
+        self.find(name)
+            .map_or(f64::NAN, |slope| slope.extrapolation(size))
+    }
+
+    fn find(&self, name: &str) -> Option<&Slope> {
+        self.0.iter().find(|slope| slope.name == name)
+    }
+}
+
+fn peers(size: &DesignSize) -> f64 {
+    (size.targets_per_service() - 1.0).max(0.0)
+}
+
+fn watched_per_entry(size: &DesignSize) -> f64 {
+    size.targets * WATCHERS_PER_AGENT / size.entries
+}
+
+fn processes(size: &DesignSize) -> f64 {
+    size.entries + size.targets
+}
+
+fn core_percent(ns_per_s: f64) -> f64 {
+    ns_per_s / 1e9 * 100.0
+}
+
+const fn memory_bound(size: &DesignSize) -> Option<f64> {
+    Some(size.control_memory_bytes)
+}
+
+const fn traffic_bound(size: &DesignSize) -> Option<f64> {
+    Some(size.control_bytes_per_s)
+}
+
+const fn processor_bound(size: &DesignSize) -> Option<f64> {
+    Some(size.control_core_percent)
+}
+
+const RULES: &[Rule] = &[
+    Rule {
+        role: Role::Entry,
+        quantity: "memory for routes and tickets",
+        unit: "bytes",
+        mechanism: "weighted Maglev table per service; whole tickets in memory",
+        bound: memory_bound,
+        slopes: &["route_table_memory", "ticket_store_memory"],
+        size: |size| size.services,
+        // Two route tables exist while one replaces the other.
+        cost: |slopes, size| {
+            2.0 * slopes.at("route_table_memory", size.targets)
+                + slopes.at("ticket_store_memory", size.services)
+        },
+    },
+    Rule {
+        role: Role::Entry,
+        quantity: "control traffic",
+        unit: "bytes/s",
+        mechanism: "heartbeats from the agents it watches; gossip of tickets",
+        bound: traffic_bound,
+        slopes: &["entry_heartbeat_size", "ticket_traffic_sent_max"],
+        size: processes,
+        cost: |slopes, size| {
+            watched_per_entry(size)
+                * ENTRY_HEARTBEATS_PER_S
+                * slopes.at("entry_heartbeat_size", 0.0)
+                + slopes.at("ticket_traffic_sent_max", processes(size))
+        },
+    },
+    Rule {
+        role: Role::Entry,
+        quantity: "processor time for control",
+        unit: "% of a core",
+        mechanism: "heartbeats, applying tickets, rebuilding the changed service's table",
+        bound: processor_bound,
+        slopes: &[
+            "entry_heartbeat_time",
+            "ticket_apply_one",
+            "route_table_one_change",
+        ],
+        size: |size| size.services,
+        cost: |slopes, size| {
+            let heartbeats = watched_per_entry(size)
+                * ENTRY_HEARTBEATS_PER_S
+                * slopes.at("entry_heartbeat_time", 0.0);
+            let change_us = slopes.at("ticket_apply_one", size.services)
+                + slopes.at("route_table_one_change", size.targets);
+            core_percent(heartbeats + size.changes_per_s() * change_us * 1e3)
+        },
+    },
+    Rule {
+        role: Role::Entry,
+        quantity: "routing decision, established flow",
+        unit: "ns",
+        mechanism: "one AES block, two table look-ups",
+        bound: |size| Some(size.decision_ns),
+        slopes: &["decision_established"],
+        size: |size| size.targets,
+        cost: |slopes, size| slopes.at("decision_established", size.targets),
+    },
+    Rule {
+        role: Role::Entry,
+        quantity: "routing decision, first packet",
+        unit: "ns",
+        mechanism: "one keyed hash, one Maglev look-up",
+        bound: |size| Some(size.decision_ns),
+        slopes: &["decision_first_packet"],
+        size: |size| size.targets,
+        cost: |slopes, size| slopes.at("decision_first_packet", size.targets),
+    },
+    Rule {
+        role: Role::Entry,
+        quantity: "encapsulation of a 1,200-byte datagram",
+        unit: "ns",
+        mechanism: "keyed MAC over header and payload; counts as data, not control",
+        bound: |_| None,
+        slopes: &["encapsulation_encode"],
+        size: |_| 1_200.0,
+        cost: |slopes, _| slopes.at("encapsulation_encode", 1_200.0),
+    },
+    Rule {
+        role: Role::Agent,
+        quantity: "control traffic",
+        unit: "bytes/s",
+        mechanism: "heartbeats among the agents of a service, both ways; heartbeats to entries; gossip of tickets",
+        bound: traffic_bound,
+        slopes: &[
+            "peer_heartbeat_size",
+            "entry_heartbeat_size",
+            "ticket_traffic_sent_max",
+        ],
+        size: processes,
+        cost: |slopes, size| {
+            let peer = peers(size)
+                * PEER_HEARTBEATS_PER_S
+                * 2.0
+                * slopes.at("peer_heartbeat_size", peers(size));
+            let entry = WATCHERS_PER_AGENT
+                * ENTRY_HEARTBEATS_PER_S
+                * slopes.at("entry_heartbeat_size", 0.0);
+            peer + entry + slopes.at("ticket_traffic_sent_max", processes(size))
+        },
+    },
+    Rule {
+        role: Role::Agent,
+        quantity: "processor time for control",
+        unit: "% of a core",
+        mechanism: "heartbeats among the agents of a service, to entries, one key per non-repeatable request",
+        bound: processor_bound,
+        slopes: &[
+            "peer_heartbeat_time",
+            "entry_heartbeat_time",
+            "idempotency_time",
+        ],
+        size: peers,
+        cost: |slopes, size| {
+            let peer = peers(size)
+                * PEER_HEARTBEATS_PER_S
+                * 2.0
+                * slopes.at("peer_heartbeat_time", peers(size));
+            let entry = WATCHERS_PER_AGENT
+                * ENTRY_HEARTBEATS_PER_S
+                * slopes.at("entry_heartbeat_time", 0.0);
+            let held = KEYS_PER_TARGET_PER_S * KEY_VALIDITY_S;
+            let per_key_ns = slopes.at("idempotency_time", held) / held * 1e3;
+            core_percent(peer + entry + KEYS_PER_TARGET_PER_S * per_key_ns)
+        },
+    },
+    Rule {
+        role: Role::Agent,
+        quantity: "memory for idempotency keys",
+        unit: "bytes",
+        mechanism: "one record per key until its prefix expires; low-water mark purges",
+        bound: memory_bound,
+        slopes: &["idempotency_memory"],
+        size: |_| KEYS_PER_TARGET_PER_S * KEY_VALIDITY_S,
+        cost: |slopes, _| slopes.at("idempotency_memory", KEYS_PER_TARGET_PER_S * KEY_VALIDITY_S),
+    },
+    Rule {
+        role: Role::Agent,
+        quantity: "memory for tickets and routes",
+        unit: "bytes",
+        mechanism: "whole tickets in memory, as at an entry",
+        bound: memory_bound,
+        slopes: &["ticket_store_memory", "route_table_memory"],
+        size: |size| size.services,
+        cost: |slopes, size| {
+            2.0 * slopes.at("route_table_memory", size.targets)
+                + slopes.at("ticket_store_memory", size.services)
+        },
+    },
+    Rule {
+        role: Role::Fleet,
+        quantity: "ticket in force everywhere",
+        unit: "ms",
+        mechanism: "readers watch the platform; push to 4 peers; digest with one peer per second",
+        bound: |_| Some(7_000.0),
+        slopes: &["ticket_in_force_everywhere"],
+        size: processes,
+        cost: |slopes, size| slopes.at("ticket_in_force_everywhere", processes(size)),
+    },
+    Rule {
+        role: Role::Fleet,
+        quantity: "platform reads, highest second",
+        unit: "reads/s",
+        mechanism: "3 readers per data centre, chosen by hash rank",
+        bound: |_| Some(2_000.0),
+        slopes: &["platform_reads_peak"],
+        size: processes,
+        cost: |slopes, size| slopes.at("platform_reads_peak", processes(size)),
+    },
+];
--- /dev/null
+++ b/crates/fes-measure/src/capacity/convergence.rs
@@ -0,0 +1,60 @@
+//! Spread of a ticket through the whole fleet, on virtual time.
+
+use fes_tickets::simulation::ConvergenceSettings;
+use fes_tickets::simulation::FleetShape;
+use fes_tickets::simulation::RegionPaths;
+use fes_tickets::simulation::measure_convergence;
+
+use super::DesignSize;
+use super::Point;
+use super::Slope;
+
+/// Parts of the design size that are simulated; the last one is the whole.
+const DIVISORS: [u32; 4] = [8, 4, 2, 1];
+
+const LOSS: f64 = 0.01;
+const DUPLICATION: f64 = 0.001;
+
+pub(super) fn slopes(design: &DesignSize, seed: u64) -> Vec<Slope> {
+    let mut last = Vec::new();
+    let mut reads = Vec::new();
+    let mut sent = Vec::new();
+    for divisor in DIVISORS {
+        let part = design.scaled(1.0 / f64::from(divisor));
+        let shape = FleetShape::scaled(
+            part.entries as u32,
+            part.services as u32,
+            part.targets as u32,
+        );
+        let settings = ConvergenceSettings {
+            shape,
+            paths: RegionPaths::with_loss(LOSS, DUPLICATION),
+            seed,
+        };
+        let report = measure_convergence(&settings);
+        let size = report.process_count as f64;
+        let reached_all = report.reached_count == report.process_count;
+        let last_ms = if reached_all {
+            report.last_ms as f64
+        } else {
+            f64::INFINITY
+        };
+        last.push(Point {
+            size,
+            cost: last_ms,
+        });
+        reads.push(Point {
+            size,
+            cost: report.peak_platform_reads_per_second as f64,
+        });
+        sent.push(Point {
+            size,
+            cost: report.max_sent_bytes_per_second as f64,
+        });
+    }
+    vec![
+        Slope::new("ticket_in_force_everywhere", "processes", "ms", last),
+        Slope::new("platform_reads_peak", "processes", "reads/s", reads),
+        Slope::new("ticket_traffic_sent_max", "processes", "bytes/s", sent),
+    ]
+}
--- /dev/null
+++ b/crates/fes-measure/src/capacity/mod.rs
@@ -0,0 +1,28 @@
+//! Cost per role at the design size, extrapolated from slopes measured on this machine.
+
+mod budget;
+mod design_size;
+mod fit;
+mod measurement;
+mod resident_memory;
+mod slope;
+
+mod control_messages;
+mod convergence;
+mod datagram;
+mod idempotency;
+mod routing;
+mod tickets;
+
+mod report;
+mod run;
+
+pub use budget::Budget;
+pub use budget::BudgetLine;
+pub use budget::Role;
+pub use design_size::DesignSize;
+pub use fit::LinearFit;
+pub use fit::Point;
+pub use report::CapacityReport;
+pub use run::run_capacity;
+pub use slope::Slope;
--- /dev/null
+++ b/crates/fes-measure/src/capacity/run.rs
@@ -0,0 +1,25 @@
+//! Runs all capacity measurements.
+
+use super::CapacityReport;
+use super::DesignSize;
+use super::control_messages;
+use super::convergence;
+use super::datagram;
+use super::idempotency;
+use super::routing;
+use super::tickets;
+
+/// Measures all slopes on this machine and derives the budget at the required size.
+///
+/// Times and memory differ between runs; sizes and the spread of tickets depend on `seed` only.
+#[must_use]
+pub fn run_capacity(seed: u64) -> CapacityReport {
+    let design = DesignSize::required();
+    let mut slopes = routing::slopes(&design);
+    slopes.extend(datagram::slopes());
+    slopes.extend(tickets::slopes(&design));
+    slopes.extend(control_messages::slopes());
+    slopes.extend(idempotency::slopes());
+    slopes.extend(convergence::slopes(&design, seed));
+    CapacityReport::new(design, slopes)
+}
--- a/crates/fes-measure/src/lib.rs
+++ b/crates/fes-measure/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! [`run`] drives the decision crates with seeded fakes. The same arguments give the same bytes.
 
+pub mod capacity;
+
 mod experiment;
 mod experiments;
 mod flows;
--- /dev/null
+++ b/crates/fes-measure/tests/capacity.rs
@@ -0,0 +1,69 @@
+//! Guards against arithmetic of the capacity page that can't be redone.
+
+use fes_measure::capacity::Budget;
+use fes_measure::capacity::DesignSize;
+use fes_measure::capacity::LinearFit;
+use fes_measure::capacity::Point;
+use fes_measure::capacity::Slope;
+use rstest::rstest;
+
+fn points(values: &[(f64, f64)]) -> Vec<Point> {
+    values
+        .iter()
+        .map(|(size, cost)| Point {
+            size: *size,
+            cost: *cost,
+        })
+        .collect()
+}
+
+#[rstest]
+#[case::line(&[(1.0, 5.0), (2.0, 7.0), (4.0, 11.0)], 2.0, 3.0, 1.0)]
+#[case::flat(&[(1.0, 5.0), (2.0, 5.0)], 0.0, 5.0, 1.0)]
+#[case::one_size(&[(3.0, 5.0), (3.0, 7.0)], 0.0, 6.0, 0.0)]
+fn fit_is_the_least_squares_line(
+    #[case] values: &[(f64, f64)],
+    #[case] slope: f64,
+    #[case] intercept: f64,
+    #[case] r_squared: f64,
+) {
+    let fit = LinearFit::of(&points(values));
+
+    assert!((fit.slope - slope).abs() < 1e-9);
+    assert!((fit.intercept - intercept).abs() < 1e-9);
+    assert!((fit.r_squared - r_squared).abs() < 1e-9);
+}
+
+#[test]
+fn extrapolation_is_told_as_a_factor_of_the_largest_measured_size() {
+    let slope = Slope::new(
+        "s",
+        "targets",
+        "bytes",
+        points(&[(1_000.0, 1.0), (4_000.0, 4.0)]),
+    );
+
+    assert!((slope.extrapolation(8_000.0) - 2.0).abs() < 1e-9);
+    assert!((slope.at(8_000.0) - 8.0).abs() < 1e-9);
+}
+
+#[test]
+fn a_bound_that_is_exceeded_is_reported() {
+    let steep = Slope::new(
+        "decision_established",
+        "targets",
+        "ns",
+        points(&[(1_000.0, 100.0), (2_000.0, 200.0)]),
+    );
+
+    let budget = Budget::derive(&[steep], &DesignSize::required());
+
+    let exceeded: Vec<_> = budget
+        .exceeded()
+        .map(|line| line.quantity.as_str())
+        .collect();
+    assert_eq!(exceeded, ["routing decision, established flow"]);
+    let line = budget.tightest().unwrap();
+    assert!((line.at_design - 800.0).abs() < 1e-6);
+    assert!((line.extrapolation - 4.0).abs() < 1e-9);
+}
