--- a/crates/fes-testkit/src/fabric.rs
+++ b/crates/fes-testkit/src/fabric.rs
@@ -188,14 +188,14 @@
         shared.state.borrow_mut().counts.forwarded += 1;
         let delay_ms = shared.state.borrow().delay_ms;
         if delay_ms == 0 {
-            // A full socket buffer loses the datagram, as on a real network.
-            let _ = socket.try_send_to(&buffer[..length], entry);
+            // An error loses the datagram, as a real network does.
+            let _ = socket.send_to(&buffer[..length], entry).await;
             continue;
         }
         let datagram = buffer[..length].to_vec();
         actix_rt::spawn(async move {
             sleep(Duration::from_millis(delay_ms)).await;
-            let _ = socket.try_send_to(&datagram, entry);
+            let _ = socket.send_to(&datagram, entry).await;
         });
     }
 }
@@ -221,14 +221,14 @@
             continue;
         }
         if delay_ms == 0 {
-            let _ = shared.socket.try_send_to(&buffer[..length], client);
+            let _ = shared.socket.send_to(&buffer[..length], client).await;
             continue;
         }
         let datagram = buffer[..length].to_vec();
         let shared = Rc::clone(&shared);
         actix_rt::spawn(async move {
             sleep(Duration::from_millis(delay_ms)).await;
-            let _ = shared.socket.try_send_to(&datagram, client);
+            let _ = shared.socket.send_to(&datagram, client).await;
         });
     }
 }
