Read and watch the platform

Readers need tickets from a platform that may be down, slow, stale or wrong. Every call has a deadline and a bounded reply; tickets are validated one by one, so that a bad one doesn't hide the others. A connection is kept only after a complete reply. Delays after failures grow to 2 s with jitter. The reply names the platform's highest number: with 'after=N' alone a rolled-back platform returns nothing and can't be told from an idle one.

--- /dev/null
+++ b/crates/fes-platform/src/client.rs
@@ -0,0 +1,94 @@
+//! Reads and watches tickets and VMs.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fes_protocol::Error;
+use fes_protocol::Result;
+use fes_protocol::ResultCode;
+use fes_protocol::TicketNumber;
+use tokio::time::timeout;
+
+use crate::TicketReply;
+use crate::VmHint;
+use crate::connection::Connection;
+use crate::reply::parse_vms;
+
+/// The platform answers in milliseconds; a connection that takes longer is given up.
+const REPLY_TIMEOUT_MS: u64 = 2_000;
+
+/// A reader of the platform. It keeps one connection open between calls.
+#[derive(Debug)]
+pub struct PlatformClient {
+    address: SocketAddr,
+    reader: Arc<str>,
+    connection: Option<Connection>,
+}
+
+impl PlatformClient {
+    /// Makes a client that the platform knows as `reader`; it connects with its first call.
+    #[must_use]
+    pub fn new(address: SocketAddr, reader: impl Into<Arc<str>>) -> Self {
+        Self {
+            address,
+            reader: reader.into(),
+            connection: None,
+        }
+    }
+
+    /// Reads all tickets above `after`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::PlatformUnreachable`] or [`ResultCode::PlatformMalformed`].
+    pub async fn read(&mut self, after: TicketNumber) -> Result<TicketReply> {
+        let path = format!("/v1/tickets?after={after}");
+        let body = self.call(&path, REPLY_TIMEOUT_MS).await?;
+        TicketReply::parse(&body, after)
+    }
+
+    /// Waits up to `wait_ms` for a ticket above `after`. The reply may be empty.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::PlatformUnreachable`] or [`ResultCode::PlatformMalformed`].
+    pub async fn watch(&mut self, after: TicketNumber, wait_ms: u64) -> Result<TicketReply> {
+        let path = format!("/v1/tickets/watch?after={after}&wait_ms={wait_ms}");
+        let timeout_ms = wait_ms.saturating_add(REPLY_TIMEOUT_MS);
+        let body = self.call(&path, timeout_ms).await?;
+        TicketReply::parse(&body, after)
+    }
+
+    /// Reads the list of live and leaving VMs, which lags.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::PlatformUnreachable`] or [`ResultCode::PlatformMalformed`].
+    pub async fn vms(&mut self) -> Result<Vec<VmHint>> {
+        let body = self.call("/v1/vms", REPLY_TIMEOUT_MS).await?;
+        parse_vms(&body)
+    }
+
+    async fn call(&mut self, path: &str, timeout_ms: u64) -> Result<Bytes> {
+        // The connection is put back only after a complete reply: after an error, a timeout or a
+        // cancelled call it may still hold the rest of an old reply.
+        let kept = self.connection.take();
+        let exchange = async {
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => Connection::open(self.address).await?,
+            };
+            let body = connection.get(path, &self.reader).await?;
+            Ok((connection, body))
+        };
+        let bounded = timeout(Duration::from_millis(timeout_ms), exchange).await;
+        let (connection, body) = bounded.map_err(|_| {
+            let detail = format!("the platform did not answer within {timeout_ms} ms");
+            Error::coded(ResultCode::PlatformUnreachable, detail)
+        })??;
+        self.connection = Some(connection);
+        Ok(body)
+    }
+}
--- /dev/null
+++ b/crates/fes-platform/src/connection.rs
@@ -0,0 +1,88 @@
+//! One HTTP/1.1 connection to the platform.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use fes_protocol::Error;
+use fes_protocol::Result;
+use fes_protocol::ResultCode;
+use fes_protocol::headers;
+use http::Request;
+use http::StatusCode;
+use http::header::HOST;
+use http_body_util::BodyExt;
+use http_body_util::Empty;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// Bounds the memory of a reply: all tickets in force of a fleet at design size take about 3 MB.
+const MAX_REPLY_BYTES: usize = 16 << 20;
+
+/// An open connection. Dropping it also ends a call in progress.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    address: SocketAddr,
+    sender: SendRequest<Empty<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Connection {
+    pub(crate) async fn open(address: SocketAddr) -> Result<Self> {
+        let stream = TcpStream::connect(address).await.map_err(|source| {
+            let detail = format!("no connection to the platform at {address}");
+            Error::io(ResultCode::PlatformUnreachable, detail, source)
+        })?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| unreachable(&error))?;
+        let driver = tokio::spawn(async move {
+            // The call in progress reports the error.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            address,
+            sender,
+            driver,
+        })
+    }
+
+    /// Reads `path` and returns the body of a reply with status 200.
+    pub(crate) async fn get(&mut self, path: &str, reader: &str) -> Result<Bytes> {
+        let request = Request::get(path)
+            .header(HOST, self.address.to_string())
+            .header(headers::READER, reader)
+            .body(Empty::new())
+            .map_err(|error| unreachable(&error))?;
+        let sent = self.sender.send_request(request).await;
+        let response = sent.map_err(|error| unreachable(&error))?;
+        let status = response.status();
+        if status != StatusCode::OK {
+            return Err(unreachable(&format_args!("status {status}")));
+        }
+        let limited = Limited::new(response.into_body(), MAX_REPLY_BYTES).collect();
+        let body = limited.await.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                let detail = format!("the platform's reply is larger than {MAX_REPLY_BYTES} bytes");
+                return Error::coded(ResultCode::PlatformMalformed, detail);
+            }
+            unreachable(&error)
+        })?;
+        Ok(body.to_bytes())
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+fn unreachable(error: &dyn std::fmt::Display) -> Error {
+    let detail = format!("the platform gave no usable answer: {error}");
+    Error::coded(ResultCode::PlatformUnreachable, detail)
+}
--- a/crates/fes-platform/src/lib.rs
+++ b/crates/fes-platform/src/lib.rs
@@ -1,1 +1,18 @@
-//! Client of the platform's read and watch interface.
+//! Client of the platform's read and watch interface: HTTP/1.1 with JSON.
+//!
+//! The platform is only read. Every call has a deadline, replies are bounded and validated, and a
+//! bad ticket in a reply doesn't hide the good ones.
+
+mod backoff;
+mod client;
+mod connection;
+mod reply;
+mod watcher;
+
+pub use backoff::Backoff;
+pub use client::PlatformClient;
+pub use reply::RejectedTicket;
+pub use reply::TicketReply;
+pub use reply::VmHint;
+pub use reply::VmHintState;
+pub use watcher::Watcher;
--- /dev/null
+++ b/crates/fes-platform/tests/client.rs
@@ -0,0 +1,179 @@
+//! The platform client survives every mode of the platform double.
+
+use std::sync::Arc;
+
+use fes_platform::Backoff;
+use fes_platform::PlatformClient;
+use fes_platform::VmHintState;
+use fes_platform::Watcher;
+use fes_protocol::KeyEpoch;
+use fes_protocol::KeyEpochSpec;
+use fes_protocol::MonoTime;
+use fes_protocol::ResultCode;
+use fes_protocol::Ticket;
+use fes_protocol::TicketNumber;
+use fes_protocol::TicketObject;
+use fes_testkit::Platform;
+use fes_testkit::PlatformMode;
+use fes_testkit::Vm;
+use fes_testkit::VmState;
+use fes_testkit::until;
+use rstest::rstest;
+use serde_json::json;
+
+const SEED: u64 = 11;
+
+async fn platform_with(numbers: &[u64]) -> Platform {
+    let platform = Platform::start().await.expect("platform");
+    for number in numbers {
+        platform
+            .publish_ticket(&ticket(*number))
+            .expect("published");
+    }
+    platform
+}
+
+fn ticket(number: u64) -> Ticket {
+    Ticket {
+        number: TicketNumber(number),
+        objects: vec![TicketObject::KeyEpoch(KeyEpochSpec {
+            current: KeyEpoch(0),
+        })],
+    }
+}
+
+fn client_of(platform: &Platform) -> PlatformClient {
+    PlatformClient::new(platform.address(), "entry-1")
+}
+
+/// Guards against tickets that are lost or altered on the way.
+#[actix_rt::test]
+async fn tickets_above_a_number_are_read() {
+    let platform = platform_with(&[1, 2, 5]).await;
+
+    let reply = client_of(&platform)
+        .read(TicketNumber(1))
+        .await
+        .expect("reply");
+
+    assert_eq!(reply.tickets, [ticket(2), ticket(5)]);
+    assert_eq!(reply.highest, Some(TicketNumber(5)));
+    assert_eq!(platform.calls_of("entry-1"), 1);
+}
+
+/// Guards against a bad ticket that hides good ones or ends the process.
+#[rstest]
+#[case::not_an_object(json!(7))]
+#[case::negative_number(json!({"number": -1}))]
+#[case::unknown_field(json!({"number": 3, "colour": "red"}))]
+#[case::deep(serde_json::from_str(&format!("{}{}", "[".repeat(100), "]".repeat(100))).expect("JSON"))]
+#[actix_rt::test]
+async fn a_bad_ticket_is_rejected_alone(#[case] bad: serde_json::Value) {
+    let platform = platform_with(&[1, 5]).await;
+    platform.publish(3, bad).expect("published");
+
+    let reply = client_of(&platform)
+        .read(TicketNumber(0))
+        .await
+        .expect("reply");
+
+    assert_eq!(reply.tickets, [ticket(1), ticket(5)]);
+    assert_eq!(reply.rejected.len(), 1);
+    assert!(!reply.rejected[0].faults.is_empty());
+}
+
+/// Guards against a platform fault that is taken for an empty reply, or that a later call can't
+/// recover from.
+#[rstest]
+#[case(PlatformMode::Down, ResultCode::PlatformUnreachable)]
+#[case(PlatformMode::Failing, ResultCode::PlatformUnreachable)]
+#[case(PlatformMode::Malformed, ResultCode::PlatformMalformed)]
+#[case(PlatformMode::Oversized, ResultCode::PlatformMalformed)]
+#[actix_rt::test]
+async fn faults_are_reported_and_pass(#[case] mode: PlatformMode, #[case] expected: ResultCode) {
+    let platform = platform_with(&[1]).await;
+    let mut client = client_of(&platform);
+    client.read(TicketNumber(0)).await.expect("reply");
+
+    platform.set_mode(mode);
+    let failed = client.read(TicketNumber(0)).await;
+    platform.set_mode(PlatformMode::Up);
+    let passed = client.read(TicketNumber(0)).await;
+
+    assert_eq!(failed.expect_err("fault").code(), expected);
+    assert_eq!(passed.expect("reply").tickets, [ticket(1)]);
+}
+
+/// Guards against a rolled-back platform that goes unnoticed, because it has nothing to send.
+#[actix_rt::test]
+async fn a_rolled_back_platform_is_noticed() {
+    let platform = platform_with(&[1, 2]).await;
+    platform.set_mode(PlatformMode::Stale { highest: 1 });
+
+    let reply = client_of(&platform)
+        .read(TicketNumber(2))
+        .await
+        .expect("reply");
+
+    assert!(reply.is_stale(TicketNumber(2)));
+    assert!(reply.tickets.is_empty());
+}
+
+/// Guards against a watch that misses a ticket, and against a call cut off by its caller that
+/// leaves half a reply for the next call.
+#[actix_rt::test]
+async fn a_watch_returns_a_new_ticket_and_can_be_cut_off() {
+    let platform = platform_with(&[1]).await;
+    let mut watcher = Watcher::new(platform.address(), "entry-1", SEED);
+    let cut_off = tokio::select! {
+        reply = watcher.next(TicketNumber(1)) => Some(reply),
+        () = until("the watch waits", || platform.waiting_watches() == 1) => None,
+    };
+    assert!(cut_off.is_none());
+
+    let publish = async {
+        until("the next watch waits", || platform.waiting_watches() > 0).await;
+        platform.publish_ticket(&ticket(2)).expect("published");
+    };
+    let (reply, ()) = tokio::join!(watcher.next(TicketNumber(1)), publish);
+
+    assert_eq!(reply.expect("reply").tickets, [ticket(2)]);
+}
+
+/// Guards against a VM list with another meaning on each side.
+#[actix_rt::test]
+async fn vms_are_read() {
+    let platform = platform_with(&[]).await;
+    platform.stage_vms([Vm {
+        name: "vm-3".to_owned(),
+        state: VmState::Leaving,
+    }]);
+    platform.reveal_vms();
+
+    let vms = client_of(&platform).vms().await.expect("reply");
+
+    assert_eq!(vms.len(), 1);
+    assert_eq!(vms[0].vm.as_str(), "vm-3");
+    assert_eq!(vms[0].state, VmHintState::Leaving);
+}
+
+/// Guards against readers that return together after an outage, or wait for ever longer.
+#[test]
+fn delays_grow_to_a_bound_and_differ_between_readers() {
+    let delays = |seed| {
+        let mut backoff = Backoff::new(seed);
+        let delay = |_| {
+            backoff.record_failure(MonoTime::ZERO);
+            backoff.retry_at().as_ms()
+        };
+        let delays: Arc<[u64]> = (0..12).map(delay).collect();
+        delays
+    };
+
+    let (one, other) = (delays(SEED), delays(SEED + 1));
+
+    assert!((50..=100).contains(&one[0]), "seed {SEED}: {one:?}");
+    assert!(one.iter().all(|delay| *delay <= 2_000));
+    assert!(one[8..].iter().all(|delay| *delay >= 1_000));
+    assert_ne!(one, other);
+}
--- a/crates/fes-testkit/src/platform.rs
+++ b/crates/fes-testkit/src/platform.rs
@@ -1,6 +1,7 @@
 //! Double of the platform's configuration service: HTTP/1.1 with JSON, read and watch only.
 //!
-//! - `GET /v1/tickets?after=N` answers `{"tickets": [...]}` with all tickets above N.
+//! - `GET /v1/tickets?after=N` answers `{"tickets": [...], "highest": H}` with all tickets above N
+//!   and the highest number held.
 //! - `GET /v1/tickets/watch?after=N&wait_ms=M` does the same as soon as there is one, or after M.
 //! - `GET /v1/vms` answers `{"vms": [{"name": ..., "state": "live" | "leaving"}]}`, with a lag.
 
@@ -209,7 +210,8 @@
         }
         (_, "/v1/tickets" | "/v1/tickets/watch") => {
             let tickets = state.tickets_above(after);
-            answer(StatusCode::OK, json!({"tickets": tickets}).to_string())
+            let body = json!({"tickets": tickets, "highest": state.highest()});
+            answer(StatusCode::OK, body.to_string())
         }
         (_, "/v1/vms") => {
             let vms = state.vms.borrow();
@@ -223,7 +225,7 @@
     let deadline = Instant::now() + Duration::from_millis(wait_ms);
     let waiting = Waiting::enter(state);
     let mode = state.mode.get();
-    while state.tickets_above(after).is_empty() && state.mode.get() == mode {
+    while state.highest() == after && state.mode.get() == mode {
         if timeout_at(deadline, state.changed.notified())
             .await
             .is_err()
--- a/crates/fes-testkit/src/platform_state.rs
+++ b/crates/fes-testkit/src/platform_state.rs
@@ -82,16 +82,24 @@
 impl PlatformState {
     /// Returns the tickets above `after`, as the mode allows.
     pub(crate) fn tickets_above(&self, after: u64) -> Vec<Value> {
-        let highest = match self.mode.get() {
+        let tickets = self.tickets.borrow();
+        let visible = tickets.range(..=self.limit());
+        let above = visible.filter(|(number, _)| **number > after);
+        above.map(|(_, ticket)| ticket.clone()).collect()
+    }
+
+    /// Returns the highest number held, as the mode allows; 0 if there is none.
+    pub(crate) fn highest(&self) -> u64 {
+        let tickets = self.tickets.borrow();
+        let visible = tickets.range(..=self.limit()).next_back();
+        visible.map_or(0, |(number, _)| *number)
+    }
+
+    fn limit(&self) -> u64 {
+        match self.mode.get() {
             PlatformMode::Stale { highest } => highest,
             _ => u64::MAX,
-        };
-        if after >= highest {
-            return Vec::new();
         }
-        let tickets = self.tickets.borrow();
-        let range = tickets.range(after + 1..=highest);
-        range.map(|(_, ticket)| ticket.clone()).collect()
     }
 
     pub(crate) fn count_call(&self, reader: &str) {
--- a/crates/fes-testkit/tests/platform.rs
+++ b/crates/fes-testkit/tests/platform.rs
@@ -56,7 +56,10 @@
         .await
         .expect("reply");
 
-    assert_eq!(reply, json!({"tickets": [{"number": 2}, {"number": 5}]}));
+    assert_eq!(
+        reply,
+        json!({"tickets": [{"number": 2}, {"number": 5}], "highest": 5})
+    );
     assert_eq!(platform.calls_of("entry-1"), 1);
 }
 
@@ -71,7 +74,7 @@
     publish(&platform, 2);
 
     let reply = watch.await.expect("task").expect("reply");
-    assert_eq!(reply, json!({"tickets": [{"number": 2}]}));
+    assert_eq!(reply, json!({"tickets": [{"number": 2}], "highest": 2}));
     assert_eq!(platform.waiting_watches(), 0);
 }
 
