Let a new target settle before it opens flows

Cause: a flow that a new target opened was reset when its next datagram came through an entry without the ticket, because neither that entry nor the agent it asked knew the target. Flows of a removed target depended on one placement owner at entries that had restarted; when that agent died, they broke with it. Change (fes-routing): an agent opens no flow until 7 s after its tables name its target; rule 3 picks the answering agent by the end of the datagram, so that retransmissions reach another one. An agent process that starts within 7 s of its ticket takes itself for settled, because it can't tell a new target from an old one.

--- a/crates/fes-measure/src/flows/route.rs
+++ b/crates/fes-measure/src/flows/route.rs
@@ -96,8 +96,9 @@
         if self.policy == Policy::Baseline {
             return self.deliver_by_plain_hash(entry, service, flow);
         }
+        let mut datagram = self.flows[flow].datagram.clone();
+        randomise_tail(&mut datagram, self.variates.bits());
         let process = &self.entries[entry];
-        let datagram = self.flows[flow].datagram.clone();
         let decision = process
             .router
             .decide(service, &datagram, &self.view(process));
@@ -225,6 +226,13 @@
     }
 }
 
+/// Each packet of a flow ends with its own authentication tag.
+fn randomise_tail(datagram: &mut [u8], bits: u64) {
+    let bits = bits.to_be_bytes();
+    let start = datagram.len() - bits.len();
+    datagram[start..].copy_from_slice(&bits);
+}
+
 fn client_address(number: usize) -> SocketAddr {
     SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + number as u32), 443))
 }
--- a/crates/fes-routing/src/agent_ingress.rs
+++ b/crates/fes-routing/src/agent_ingress.rs
@@ -144,7 +144,7 @@
             }
             Some(FirstPacketOutcome::PassedOn(_)) | None => {}
         }
-        let wanted = self.wanted_target(router, packet, query);
+        let wanted = self.wanted_target(now, router, packet, query);
         match wanted {
             Some(target) if target == self.target => {
                 self.recent
@@ -163,17 +163,19 @@
     /// Returns who should open the flow, or `None` if nobody has room for it.
     fn wanted_target<L: LivenessView, F: Fn(TargetId) -> Option<u32>>(
         &self,
+        now: MonoTime,
         router: &Router,
         packet: QuicPacket<'_>,
         query: &IngressQuery<'_, L, F>,
     ) -> Option<TargetId> {
+        let is_closed = query.is_full || !self.is_settled(now, router);
         if query.header.hop_count > 0 {
-            return (!query.is_full).then_some(self.target);
+            return (!is_closed).then_some(self.target);
         }
         let Some(table) = router.table().service(self.service) else {
-            return (!query.is_full).then_some(self.target);
+            return (!is_closed).then_some(self.target);
         };
-        if query.is_full {
+        if is_closed {
             return self.less_loaded_candidate(router, table, packet, query);
         }
         let is_table_current = table.ticket() >= query.header.ticket;
@@ -181,6 +183,13 @@
         owner.filter(|_| is_table_current).or(Some(self.target))
     }
 
+    /// Returns whether every process should know this target by now. An agent that holds no
+    /// ticket with its own target heard of itself from an entry that is ahead.
+    fn is_settled(&self, now: MonoTime, router: &Router) -> bool {
+        let route = router.table().target(self.service, self.target);
+        route.is_some_and(|route| now >= route.settled_deadline)
+    }
+
     fn less_loaded_candidate<L: LivenessView, F: Fn(TargetId) -> Option<u32>>(
         &self,
         router: &Router,
--- a/crates/fes-routing/src/decision.rs
+++ b/crates/fes-routing/src/decision.rs
@@ -18,6 +18,10 @@
 use crate::RouteTable;
 use crate::ServiceTable;
 
+/// Bytes at the end of a datagram that pick the agent for a lost target; the length of the
+/// authentication tag of a QUIC packet.
+const SPREAD_BYTES: usize = 16;
+
 /// Which rule decided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RoutingRule {
@@ -107,7 +111,7 @@
             return Decision::Drop(ResultCode::DatagramNoTarget);
         };
         match self.connection_ids.decode(packet.destination_id, service) {
-            Some(id) => self.follow_connection_id(table, id.target, packet, liveness),
+            Some(id) => self.follow_connection_id(table, id.target, datagram, liveness),
             None => self.place(table, packet, liveness),
         }
     }
@@ -153,7 +157,7 @@
         &self,
         table: &ServiceTable,
         target: TargetId,
-        packet: QuicPacket<'_>,
+        datagram: &[u8],
         liveness: &impl LivenessView,
     ) -> Decision {
         let service = table.spec().id;
@@ -167,7 +171,10 @@
                 rule: RoutingRule::ConnectionId,
             };
         }
-        let owner = self.placement_owner(table, packet.destination_id, liveness);
+        // Every agent can answer for a lost target. The end of a datagram differs between the
+        // packets of a flow, so that a retransmission reaches another agent if one is dead.
+        let tail = &datagram[datagram.len().saturating_sub(SPREAD_BYTES)..];
+        let owner = self.placement_owner(table, tail, liveness);
         self.forward_to(table, owner, RoutingRule::LostTarget)
     }
 
--- a/crates/fes-routing/src/route_table.rs
+++ b/crates/fes-routing/src/route_table.rs
@@ -16,6 +16,11 @@
 /// drain bound, so that flows that still drain keep their route.
 const DEPARTED_RETENTION_MS: u64 = 3_600_000;
 
+/// How long a target that a ticket adds to a service opens no flows, in milliseconds. Until every
+/// entry and agent holds the ticket, some would take the target's flows for lost ones; a ticket is
+/// in force everywhere within this time.
+const SETTLE_MS: u64 = 7_000;
+
 /// Where the agent of a target receives datagrams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TargetRoute {
@@ -25,6 +30,8 @@
     pub agent_address: SocketAddr,
     /// When the route is forgotten; [`MonoTime::NEVER`] while a ticket names the target.
     pub forget_deadline: MonoTime,
+    /// When the target starts to open flows.
+    pub settled_deadline: MonoTime,
 }
 
 /// Immutable routing state, replaced as a whole when tickets change.
@@ -48,7 +55,7 @@
             targets: previous.departed(now),
         };
         for (ticket, spec) in objects {
-            next.insert_service(previous, ticket, spec);
+            next.insert_service(previous, now, ticket, spec);
         }
         next
     }
@@ -91,12 +98,19 @@
         tables + routes + services
     }
 
-    fn insert_service(&mut self, previous: &Self, ticket: TicketNumber, spec: Arc<ServiceSpec>) {
+    fn insert_service(
+        &mut self,
+        previous: &Self,
+        now: MonoTime,
+        ticket: TicketNumber,
+        spec: Arc<ServiceSpec>,
+    ) {
         for upstream in &spec.upstreams {
             let route = TargetRoute {
                 service: spec.id,
                 agent_address: upstream.agent_address,
                 forget_deadline: MonoTime::NEVER,
+                settled_deadline: previous.settled_deadline(now, spec.id, upstream.target),
             };
             self.targets.insert(upstream.target, route);
         }
@@ -109,6 +123,16 @@
         self.services.insert(table.spec().id, table);
     }
 
+    /// A process that learns of the whole service at once can't tell new targets from old ones
+    /// and takes all for settled.
+    fn settled_deadline(&self, now: MonoTime, service: ServiceId, target: TargetId) -> MonoTime {
+        match self.target(service, target) {
+            Some(route) => route.settled_deadline,
+            None if self.services.contains_key(&service) => now.plus_ms(SETTLE_MS),
+            None => MonoTime::ZERO,
+        }
+    }
+
     fn departed(&self, now: MonoTime) -> FastMap<TargetId, TargetRoute> {
         let remembered = self
             .targets
--- /dev/null
+++ b/crates/fes-routing/tests/settling.rs
@@ -0,0 +1,126 @@
+//! Guards against flows that are reset because not every process knows a new target yet, and
+//! against flows that depend on a single agent's answer.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use fes_protocol::DatagramKind;
+use fes_protocol::Encapsulation;
+use fes_protocol::EntryId;
+use fes_protocol::MonoTime;
+use fes_protocol::ServiceId;
+use fes_protocol::TargetId;
+use fes_protocol::TicketNumber;
+use fes_routing::AgentIngress;
+use fes_routing::AllAlive;
+use fes_routing::Decision;
+use fes_routing::IngressDecision;
+use fes_routing::IngressQuery;
+use fes_routing::PlacementHasher;
+use fes_routing::RouteTable;
+use fes_routing::Router;
+use support::Gone;
+use support::address;
+use support::established;
+use support::initial;
+use support::ring;
+use support::router;
+use support::service;
+use support::table;
+
+const NEW: TargetId = TargetId(3);
+
+/// Returns the tables before and after a ticket that adds target 3 at 10 s.
+fn before_and_after() -> (Router, Router) {
+    let before = table(1, [service(1, 1..=2)]);
+    let objects = [(TicketNumber(2), service(1, 1..=3))];
+    let after = RouteTable::rebuild(&before, MonoTime::from_ms(10_000), objects);
+    (router(before), router(after))
+}
+
+fn first_packet_at_new_target(now_ms: u64, router: &Router, hop_count: u8) -> IngressDecision {
+    let hasher = PlacementHasher::new(ring().current().clone());
+    let mut ingress = AgentIngress::new(ServiceId(1), NEW, hasher);
+    let header = Encapsulation {
+        kind: DatagramKind::Forward,
+        service: ServiceId(1),
+        target: NEW,
+        entry: EntryId(1),
+        ticket: TicketNumber(2),
+        client: address(900),
+        address_tag: 0,
+        hop_count,
+        sent_ms: 0,
+    };
+    let query = IngressQuery {
+        header: &header,
+        datagram: &owned_by_new_target(),
+        is_full: false,
+        liveness: &AllAlive,
+        peer_flow_count: |target: TargetId| Some(target.0),
+    };
+    ingress.decide(MonoTime::from_ms(now_ms), router, &query)
+}
+
+fn owned_by_new_target() -> Vec<u8> {
+    let (_, after) = before_and_after();
+    let table = Arc::clone(after.table().service(ServiceId(1)).unwrap());
+    let owned = |id: &[u8; 8]| after.placement_owner(&table, id, &AllAlive) == Some(NEW);
+    initial(&(0..=255).map(|byte| [byte; 8]).find(owned).unwrap())
+}
+
+/// Fails if a new target opens a flow while an entry may still lack its ticket: that entry would
+/// send the flow's next datagram to an agent that resets it.
+#[test]
+fn new_target_opens_no_flow_until_every_process_knows_it() {
+    let (before, after) = before_and_after();
+
+    let without_ticket = first_packet_at_new_target(11_000, &before, 0);
+    let early = first_packet_at_new_target(16_999, &after, 0);
+    let early_passed_on = first_packet_at_new_target(16_999, &after, 1);
+    let settled = first_packet_at_new_target(17_000, &after, 0);
+
+    assert!(matches!(without_ticket, IngressDecision::PassOn { target, .. } if target != NEW));
+    assert!(matches!(early, IngressDecision::PassOn { target, .. } if target != NEW));
+    assert_eq!(early_passed_on, IngressDecision::RefuseNewFlow);
+    assert_eq!(settled, IngressDecision::Accept);
+}
+
+/// Fails if the time to settle starts again with each ticket, which would keep a target closed
+/// while tickets follow each other.
+#[test]
+fn later_tickets_dont_restart_the_time_to_settle() {
+    let (_, after) = before_and_after();
+    let objects = [(TicketNumber(3), service(1, 1..=4))];
+    let later = RouteTable::rebuild(after.table(), MonoTime::from_ms(16_000), objects);
+
+    let settled = first_packet_at_new_target(17_000, &router(later), 1);
+
+    assert_eq!(settled, IngressDecision::Accept);
+}
+
+/// Fails if all packets of a flow whose target this entry doesn't know go to the same agent: the
+/// flow would break with that agent.
+#[test]
+fn packets_for_a_lost_target_spread_over_the_agents() {
+    let router = router(table(1, [service(1, 1..=7)]));
+    let flow = established(&router, 1, 4, 1);
+
+    let answering: BTreeSet<u32> = (0..64_u8)
+        .map(|tag| {
+            let mut datagram = flow.clone();
+            datagram.extend([tag; 16]);
+            datagram
+        })
+        .filter_map(
+            |datagram| match router.decide(ServiceId(1), &datagram, &Gone(vec![4])) {
+                Decision::Forward { target, .. } => Some(target.0),
+                Decision::Drop(_) => None,
+            },
+        )
+        .collect();
+
+    assert_eq!(answering, BTreeSet::from([1, 2, 3, 5, 6, 7]));
+}
