Give admission the time at which a response must leave

Cause: responses that completed just before the client's deadline reached the client after it. Change: the deadline of Arrive is the client's deadline less the way back; the host subtracts it.

--- a/crates/fes-admission/src/message.rs
+++ b/crates/fes-admission/src/message.rs
@@ -29,7 +29,7 @@
         id: RequestId,
         /// The request's class.
         class: ClassName,
-        /// When its response loses its value.
+        /// When its response must leave this agent: the client's deadline less the way back.
         deadline: MonoTime,
         /// Whether it may run more than once.
         repeatable: bool,
--- a/crates/fes-measure/src/sim/fleet.rs
+++ b/crates/fes-measure/src/sim/fleet.rs
@@ -143,6 +143,9 @@
                 let attempt = &mut self.attempts[id.0 as usize];
                 attempt.reach(now, attempt.home);
                 let home = attempt.home;
+                attempt.arrival.deadline =
+                    self.network
+                        .deadline_at(attempt.outcome.deadline, home, home);
                 let steps = self.agents[home].peer_refused(now, peer, &attempt.arrival);
                 self.carry_out(home, steps);
             }
@@ -193,7 +196,7 @@
                 owner,
             },
         );
-        let patience = attempt.arrival.deadline;
+        let patience = attempt.outcome.deadline;
         self.attempts.push(attempt);
         let at = self.network.client(self.now);
         let origin = Origin::Client;
@@ -212,6 +215,9 @@
         let attempt = &mut self.attempts[id.0 as usize];
         attempt.reach(self.now, agent);
         attempt.arrival.origin = origin;
+        attempt.arrival.deadline =
+            self.network
+                .deadline_at(attempt.outcome.deadline, attempt.home, agent);
         let steps = self.agents[agent].arrive(self.now, &attempt.arrival);
         self.carry_out(agent, steps);
     }
--- a/crates/fes-measure/src/sim/network.rs
+++ b/crates/fes-measure/src/sim/network.rs
@@ -57,6 +57,22 @@
         (2.0 * self.delay_us(from, to) / 1e3).ceil() as u32
     }
 
+    /// Returns when the response must leave the upstream of `agent`, so that it reaches the client
+    /// of `home` in time. Agents know round trips from QUIC and from their peer links.
+    pub(crate) fn deadline_at(
+        &self,
+        client_deadline: MonoTime,
+        home: usize,
+        agent: usize,
+    ) -> MonoTime {
+        let mut back_us = self.client_delay_us;
+        if home != agent {
+            back_us += self.delay_us(agent, home);
+        }
+        let back_us = back_us * (1.0 + 2.0 * JITTER_SHARE);
+        MonoTime::from_us(client_deadline.as_us().saturating_sub(back_us as u64))
+    }
+
     fn delay_us(&self, from: usize, to: usize) -> f64 {
         if from % self.data_centre_count == to % self.data_centre_count {
             LOCAL_DELAY_US
