Add a safety margin to the forecast of completion

Cause: requests were admitted up to a mean completion at their deadline, and half of those at the end of the queue were late; the class mean, with a weight of 0.05, erred by 8 % of the whole wait. Change: classes keep a variance, the forecast adds two deviations, and the weight is 0.01.

--- a/crates/fes-admission/src/class_table.rs
+++ b/crates/fes-admission/src/class_table.rs
@@ -5,8 +5,12 @@
 use crate::AdmissionSettings;
 use crate::ClassName;
 
-/// Weight of a new observation in the mean.
-const MEAN_WEIGHT: f64 = 0.05;
+/// Weight of a new observation in mean and variance. The errors of a class mean add up over a
+/// queue of the same class: with a weight of 0.05 they were 8 % of the whole wait.
+const MEAN_WEIGHT: f64 = 0.01;
+
+/// Deviation of service times over their mean that is assumed until there are observations.
+const PRIOR_DEVIATION: f64 = 0.5;
 
 /// Weight of an arrival in the share of its class.
 const SHARE_WEIGHT: f64 = 0.002;
@@ -23,6 +27,7 @@
     /// Expected time on a reference VM, if settings give one.
     prior_us: Option<f64>,
     mean_us: f64,
+    variance_us2: f64,
     observations: u64,
     share: f64,
 }
@@ -84,7 +89,10 @@
         estimate.observations += 1;
         // The plain mean of the first observations replaces a wrong prior quickly.
         let weight = MEAN_WEIGHT.max(1.0 / (estimate.observations as f64 + 1.0));
-        estimate.mean_us += (service_us - estimate.mean_us) * weight;
+        let difference_us = service_us - estimate.mean_us;
+        estimate.mean_us += difference_us * weight;
+        let spread_us2 = difference_us * difference_us - estimate.variance_us2;
+        estimate.variance_us2 += spread_us2 * weight;
     }
 
     /// Returns the expected service time at this agent, in microseconds.
@@ -93,6 +101,12 @@
         self.estimates[class.0].mean_us
     }
 
+    /// Returns the variance of the service time at this agent, in square microseconds.
+    #[must_use]
+    pub fn variance_us2(&self, class: ClassIndex) -> f64 {
+        self.estimates[class.0].variance_us2
+    }
+
     /// Returns the prior, if settings give one. Only such classes tell the speed of a VM.
     #[must_use]
     pub fn prior_us(&self, class: ClassIndex) -> Option<f64> {
@@ -136,6 +150,7 @@
         Self {
             prior_us,
             mean_us,
+            variance_us2: mean_us * mean_us * PRIOR_DEVIATION * PRIOR_DEVIATION,
             observations: 0,
             share: 0.0,
         }
--- a/crates/fes-admission/src/forecast.rs
+++ b/crates/fes-admission/src/forecast.rs
@@ -1,5 +1,7 @@
 //! Forecast of start and completion from running requests, queue content and class estimates.
 
+use std::cmp::Ordering;
+
 use fes_protocol::MonoTime;
 
 use crate::ClassTable;
@@ -10,11 +12,22 @@
 /// Least remaining share of the mean that is assumed of a request that overran it.
 const MIN_REMAINING_SHARE: f64 = 0.1;
 
+/// Deviations of the completion time that are added to its mean. A request that is admitted and
+/// completes late wastes its slot, so that only about one in fifty may.
+const SAFETY_DEVIATIONS: f64 = 2.0;
+
+/// A slot of the forecast.
+#[derive(Debug, Clone, Copy, Default)]
+struct Slot {
+    free_in_us: f64,
+    variance_us2: f64,
+}
+
 /// When each slot becomes free, in microseconds from now. Slots that long classes may use come
 /// first.
 #[derive(Debug, Clone)]
 pub(crate) struct Forecast {
-    free_in_us: Vec<f64>,
+    slots: Vec<Slot>,
     long_slots: usize,
 }
 
@@ -26,40 +39,44 @@
         limit: u32,
         long_slots: u32,
     ) -> Self {
-        let mut slots: Vec<(bool, f64)> = running
+        let mut slots: Vec<(bool, Slot)> = running
             .iter()
             .map(|r| {
                 let mean_us = classes.mean_us(r.class);
                 let left_us = mean_us - now.us_since(r.started_at) as f64;
-                (!r.long, left_us.max(mean_us * MIN_REMAINING_SHARE))
+                let slot = Slot {
+                    free_in_us: left_us.max(mean_us * MIN_REMAINING_SHARE),
+                    variance_us2: classes.variance_us2(r.class),
+                };
+                (!r.long, slot)
             })
             .collect();
-        slots.sort_by(|a, b| b.1.total_cmp(&a.1));
+        slots.sort_by(|a, b| latest_first(&a.1, &b.1));
         // After a reduction of the limit, the first slots that become free stay empty.
         slots.truncate(limit as usize);
-        slots.resize(limit.max(1) as usize, (true, 0.0));
-        slots.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
+        slots.resize(limit.max(1) as usize, (true, Slot::default()));
+        slots.sort_by(|a, b| a.0.cmp(&b.0).then(latest_first(&a.1, &b.1)));
         Self {
-            free_in_us: slots.into_iter().map(|slot| slot.1).collect(),
+            slots: slots.into_iter().map(|slot| slot.1).collect(),
             long_slots: long_slots as usize,
         }
     }
 
-    /// Assigns the request to the slot that is free first; returns its completion in
-    /// microseconds from now.
+    /// Assigns the request to the slot that is free first; returns its completion with the safety
+    /// margin, in microseconds from now.
     pub(crate) fn assign(&mut self, waiting: &Waiting, classes: &ClassTable) -> f64 {
         let usable = if waiting.long {
-            self.long_slots.min(self.free_in_us.len())
+            self.long_slots.min(self.slots.len())
         } else {
-            self.free_in_us.len()
+            self.slots.len()
         };
-        let first = self.free_in_us[..usable]
+        let first = self.slots[..usable]
             .iter_mut()
-            .min_by(|a, b| a.total_cmp(b));
-        let mean_us = classes.mean_us(waiting.class);
+            .min_by(|a, b| a.free_in_us.total_cmp(&b.free_in_us));
         first.map_or(f64::INFINITY, |slot| {
-            *slot += mean_us;
-            *slot
+            slot.free_in_us += classes.mean_us(waiting.class);
+            slot.variance_us2 += classes.variance_us2(waiting.class);
+            slot.free_in_us + SAFETY_DEVIATIONS * slot.variance_us2.sqrt()
         })
     }
 
@@ -88,6 +105,10 @@
     }
 }
 
+fn latest_first(a: &Slot, b: &Slot) -> Ordering {
+    b.free_in_us.total_cmp(&a.free_in_us)
+}
+
 fn is_late(now: MonoTime, completion_us: f64, deadline: MonoTime) -> bool {
     completion_us > deadline.us_since(now) as f64
 }
