Add the entry's view of liveness

Cause: entries must stop placing flows on dead or leaving targets, and must not reset flows of a target that only one observer lost.

Change: EntryView holds verdicts per observer, repairs them by digests within a byte budget, and derives placeable and lost targets. A panic threshold keeps a service usable when more than half of it looks dead; the VM list is a hint that cannot take a service away.

--- /dev/null
+++ b/crates/fes-membership/src/entry_view.rs
@@ -0,0 +1,481 @@
+//! Liveness of all targets, as one entry sees it.
+
+use std::sync::Arc;
+
+use fes_protocol::DataCentreName;
+use fes_protocol::EntryHeartbeat;
+use fes_protocol::EntryId;
+use fes_protocol::FastMap;
+use fes_protocol::FastSet;
+use fes_protocol::FleetSpec;
+use fes_protocol::Goodbye;
+use fes_protocol::LivenessDigest;
+use fes_protocol::LivenessVerdict;
+use fes_protocol::MonoTime;
+use fes_protocol::NodeId;
+use fes_protocol::ServiceId;
+use fes_protocol::ServiceSpec;
+use fes_protocol::TargetId;
+use fes_protocol::Verdict;
+use fes_routing::LivenessView;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::Merge;
+use crate::VerdictBook;
+use crate::VmHint;
+use crate::VmList;
+use crate::assessment::Assessment;
+use crate::assessment::Evidence;
+use crate::clock_guard::PauseDetector;
+use crate::entry_watchers;
+use crate::publisher::Publisher;
+use crate::timing::DEAD_AFTER_MS;
+use crate::timing::PAUSE_MS;
+use crate::verdict_gossip::MAX_PER_DATAGRAM;
+use crate::verdict_gossip::VerdictGossip;
+use crate::watch::Watch;
+
+/// Withdrawn verdicts are cleaned up this often.
+const CLEAN_PERIOD_MS: u64 = 60_000;
+
+/// What the view reacts to.
+#[derive(Debug, Clone, PartialEq)]
+pub enum EntryViewEvent {
+    /// The deadline that was returned by `next_deadline` has come.
+    Tick,
+    /// The services in force. All of them, or only the changed ones.
+    Services(Vec<Arc<ServiceSpec>>),
+    /// All fleets in force.
+    Fleets(Vec<Arc<FleetSpec>>),
+    /// A heartbeat of an agent arrived.
+    Heartbeat(EntryHeartbeat),
+    /// Verdicts arrived.
+    Verdicts {
+        /// Sender.
+        from: NodeId,
+        /// Content.
+        verdicts: Vec<LivenessVerdict>,
+    },
+    /// A digest of another entry arrived.
+    Digest(LivenessDigest),
+    /// An agent announced its stop.
+    Goodbye(Goodbye),
+    /// A new list of VMs was read.
+    VmList(Vec<VmHint>),
+    /// The clock jumped or the process was paused.
+    ClockJumped,
+}
+
+/// What the host has to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum EntryViewAction {
+    /// Send verdicts.
+    SendVerdicts {
+        /// Receiver.
+        to: NodeId,
+        /// Content.
+        verdicts: Vec<LivenessVerdict>,
+    },
+    /// Send a digest.
+    SendDigest {
+        /// Receiver.
+        to: EntryId,
+        /// Content.
+        digest: LivenessDigest,
+    },
+    /// The answers about a service's targets changed.
+    ServiceChanged {
+        /// The service.
+        service: ServiceId,
+        /// Targets that new flows may be placed on, in ascending order.
+        placeable: Vec<TargetId>,
+        /// Targets whose loss is confirmed, in ascending order.
+        lost: Vec<TargetId>,
+        /// More than half of the service looks dead, so that deadness is ignored.
+        panic: bool,
+    },
+}
+
+/// Decides where an entry may place new flows and which targets are lost.
+#[derive(Debug)]
+pub struct EntryView {
+    own: EntryId,
+    services: FastMap<ServiceId, Arc<ServiceSpec>>,
+    members: FastMap<TargetId, (ServiceId, DataCentreName)>,
+    fleets: Vec<Arc<FleetSpec>>,
+    watches: FastMap<TargetId, Watch>,
+    verdicts: VerdictBook,
+    publisher: Publisher,
+    gossip: VerdictGossip,
+    vms: VmList,
+    assessments: FastMap<ServiceId, Assessment>,
+    placeable: FastSet<TargetId>,
+    lost: FastSet<TargetId>,
+    dirty: FastSet<ServiceId>,
+    page_after: Option<(TargetId, NodeId)>,
+    next_watch_at: MonoTime,
+    clean_at: MonoTime,
+    verified_at: MonoTime,
+    pause: PauseDetector,
+}
+
+impl EntryView {
+    /// Makes a view that knows no services.
+    #[must_use]
+    pub fn new(now: MonoTime, own: EntryId, random_seed: u64) -> Self {
+        let random = ChaCha8Rng::seed_from_u64(random_seed);
+        Self {
+            own,
+            services: FastMap::default(),
+            members: FastMap::default(),
+            fleets: Vec::new(),
+            watches: FastMap::default(),
+            verdicts: VerdictBook::default(),
+            publisher: Publisher::new(NodeId::Entry(own)),
+            gossip: VerdictGossip::new(own, now, random),
+            vms: VmList::default(),
+            assessments: FastMap::default(),
+            placeable: FastSet::default(),
+            lost: FastSet::default(),
+            dirty: FastSet::default(),
+            page_after: None,
+            next_watch_at: MonoTime::NEVER,
+            clean_at: now.plus_ms(CLEAN_PERIOD_MS),
+            verified_at: now,
+            pause: PauseDetector::new(now, PAUSE_MS),
+        }
+    }
+
+    /// Returns whether new flows of the service may be placed on the target.
+    #[must_use]
+    pub fn placeable(&self, target: TargetId) -> bool {
+        self.placeable.contains(&target)
+    }
+
+    /// Returns whether the target is lost: no ticket in force names it, or enough of its peers
+    /// report it dead.
+    #[must_use]
+    pub fn confirmed_lost(&self, target: TargetId) -> bool {
+        !self.members.contains_key(&target) || self.lost.contains(&target)
+    }
+
+    /// Returns whether more than half of the service looks dead.
+    #[must_use]
+    pub fn panics(&self, service: ServiceId) -> bool {
+        self.assessments
+            .get(&service)
+            .is_some_and(|assessment| assessment.panic)
+    }
+
+    /// Returns whether everything was renewed since the process last woke up.
+    #[must_use]
+    pub fn is_verified(&self, now: MonoTime) -> bool {
+        now >= self.verified_at
+    }
+
+    /// Returns the open flows that the agent reported last, if this entry watches it.
+    #[must_use]
+    pub fn flow_count(&self, target: TargetId) -> Option<u32> {
+        self.watches.get(&target).map(Watch::flow_count)
+    }
+
+    /// Returns the verdicts held.
+    #[must_use]
+    pub const fn verdicts(&self) -> &VerdictBook {
+        &self.verdicts
+    }
+
+    /// Returns when the next `Tick` is due.
+    #[must_use]
+    pub fn next_deadline(&self) -> MonoTime {
+        self.gossip
+            .next_deadline()
+            .min(self.next_watch_at)
+            .min(self.clean_at)
+    }
+
+    /// Reacts to an event.
+    pub fn handle(&mut self, now: MonoTime, event: EntryViewEvent) -> Vec<EntryViewAction> {
+        let mut actions = Vec::new();
+        if self.pause.is_pause(now) {
+            self.renew(now);
+        }
+        match event {
+            EntryViewEvent::Tick => {}
+            EntryViewEvent::Services(services) => self.set_services(now, services),
+            EntryViewEvent::Fleets(fleets) => self.set_fleets(fleets),
+            EntryViewEvent::Heartbeat(heartbeat) => self.take_heartbeat(now, &heartbeat),
+            EntryViewEvent::Verdicts { from, verdicts } => {
+                self.take_verdicts(now, from, verdicts, &mut actions);
+            }
+            EntryViewEvent::Digest(digest) => self.compare(now, &digest, &mut actions),
+            EntryViewEvent::Goodbye(goodbye) => self.take_goodbye(&goodbye),
+            EntryViewEvent::VmList(hints) => {
+                self.vms.set(&hints);
+                self.dirty.extend(self.services.keys());
+            }
+            EntryViewEvent::ClockJumped => self.renew(now),
+        }
+        self.judge_watches(now);
+        self.send_due(now, &mut actions);
+        self.reassess(now, &mut actions);
+        actions
+    }
+
+    fn set_services(&mut self, now: MonoTime, services: Vec<Arc<ServiceSpec>>) {
+        for service in services {
+            self.dirty.insert(service.id);
+            let id = service.id;
+            self.members.retain(|_, (member_of, _)| *member_of != id);
+            for upstream in &service.upstreams {
+                let home = upstream.data_centre.clone();
+                self.members.insert(upstream.target, (id, home));
+            }
+            self.services.insert(id, service);
+        }
+        self.clean(now);
+    }
+
+    fn set_fleets(&mut self, fleets: Vec<Arc<FleetSpec>>) {
+        let entries = fleets.iter().flat_map(|fleet| &fleet.entries);
+        self.gossip.set_entries(entries.map(|entry| entry.id));
+        self.fleets = fleets;
+    }
+
+    fn take_heartbeat(&mut self, now: MonoTime, heartbeat: &EntryHeartbeat) {
+        let Some((service, _)) = self.members.get(&heartbeat.target) else {
+            return;
+        };
+        if *service != heartbeat.service {
+            return;
+        }
+        self.dirty.insert(*service);
+        let watch = self.watches.entry(heartbeat.target);
+        let watch = watch.or_insert_with(|| Watch::new(now));
+        if watch.take(now, heartbeat) {
+            self.next_watch_at = self.next_watch_at.min(watch.next_deadline(now));
+        }
+    }
+
+    fn take_goodbye(&mut self, goodbye: &Goodbye) {
+        let NodeId::Agent(target) = goodbye.node else {
+            return;
+        };
+        if let Some(watch) = self.watches.get_mut(&target) {
+            watch.take_goodbye(goodbye.incarnation);
+        }
+        self.dirty.extend(self.members.get(&target).map(|m| m.0));
+    }
+
+    fn take_verdicts(
+        &mut self,
+        now: MonoTime,
+        from: NodeId,
+        verdicts: Vec<LivenessVerdict>,
+        actions: &mut Vec<EntryViewAction>,
+    ) {
+        let mut corrections = Vec::new();
+        for verdict in verdicts {
+            let member = self.members.get(&verdict.target);
+            if member.is_none_or(|(service, _)| *service != verdict.service) {
+                continue;
+            }
+            match self.verdicts.merge(now, verdict) {
+                Merge::Known => {}
+                Merge::Outdated(later) => corrections.push(later),
+                Merge::New => {
+                    self.dirty.insert(verdict.service);
+                    let others = self.verdicts.about(verdict.target).count();
+                    self.gossip.push(now, verdict, others <= 2);
+                    self.echo(from, verdict, actions);
+                }
+            }
+        }
+        corrections.truncate(MAX_PER_DATAGRAM);
+        if !corrections.is_empty() && self.gossip.spend(now, corrections.len(), 1) {
+            actions.push(EntryViewAction::SendVerdicts {
+                to: from,
+                verdicts: corrections,
+            });
+        }
+    }
+
+    /// Shows an observer what is said in its name, if this entry hears it. An observer that
+    /// restarted, or that was cut off, corrects it.
+    fn echo(&self, from: NodeId, verdict: LivenessVerdict, actions: &mut Vec<EntryViewAction>) {
+        let NodeId::Agent(observer) = verdict.observer else {
+            return;
+        };
+        if from != verdict.observer && self.watches.contains_key(&observer) {
+            actions.push(EntryViewAction::SendVerdicts {
+                to: verdict.observer,
+                verdicts: vec![verdict],
+            });
+        }
+    }
+
+    fn compare(
+        &mut self,
+        now: MonoTime,
+        digest: &LivenessDigest,
+        actions: &mut Vec<EntryViewAction>,
+    ) {
+        if digest.hash == self.verdicts.hash() {
+            return;
+        }
+        let verdicts = self.verdicts.page(self.page_after, MAX_PER_DATAGRAM);
+        self.page_after = verdicts.last().map(|v| (v.target, v.observer));
+        if !verdicts.is_empty() && self.gossip.spend(now, verdicts.len(), 1) {
+            let to = digest.node;
+            actions.push(EntryViewAction::SendVerdicts { to, verdicts });
+        }
+    }
+
+    /// Drops everything that rests on deadlines. Losses are confirmed again only after a whole
+    /// timeout, in which heartbeats and digests renew what is known.
+    fn renew(&mut self, now: MonoTime) {
+        self.verified_at = now.plus_ms(DEAD_AFTER_MS);
+        for watch in self.watches.values_mut() {
+            watch.renew(now);
+        }
+        self.next_watch_at = self.verified_at;
+        self.dirty.extend(self.services.keys());
+    }
+
+    /// Publishes this entry's own verdicts about the agents that it watches.
+    fn judge_watches(&mut self, now: MonoTime) {
+        if now < self.next_watch_at {
+            return;
+        }
+        let mut next = MonoTime::NEVER;
+        let mut gone = Vec::new();
+        let mut opinions = Vec::new();
+        for (target, watch) in &self.watches {
+            next = next.min(watch.next_deadline(now));
+            let Some((service, home)) = self.members.get(target) else {
+                gone.push(*target);
+                continue;
+            };
+            let Some(incarnation) = watch.incarnation() else {
+                continue;
+            };
+            if watch.is_heard(now) {
+                opinions.push((*service, *target, incarnation, Verdict::Alive));
+            } else if watch.is_silent(now) {
+                if entry_watchers(&self.fleets, *target, home).contains(&self.own) {
+                    opinions.push((*service, *target, incarnation, Verdict::Dead));
+                } else {
+                    gone.push(*target);
+                }
+            }
+            self.dirty.insert(*service);
+        }
+        for target in gone {
+            self.watches.remove(&target);
+        }
+        if now < self.verified_at {
+            next = next.min(self.verified_at);
+        }
+        self.next_watch_at = next;
+        opinions.sort_by_key(|opinion| opinion.1);
+        for (service, target, incarnation, verdict) in opinions {
+            self.publisher.set(service, target, incarnation, verdict);
+        }
+        for verdict in self.publisher.take_due() {
+            if self.verdicts.merge(now, verdict) == Merge::New {
+                self.dirty.insert(verdict.service);
+                self.gossip.push(now, verdict, true);
+            }
+        }
+    }
+
+    fn send_due(&mut self, now: MonoTime, actions: &mut Vec<EntryViewAction>) {
+        if let Some((receivers, verdicts)) = self.gossip.due(now) {
+            let send = |to| EntryViewAction::SendVerdicts {
+                to: NodeId::Entry(to),
+                verdicts: verdicts.clone(),
+            };
+            actions.extend(receivers.into_iter().map(send));
+        }
+        if let Some(to) = self.gossip.due_digest(now) {
+            let digest = LivenessDigest {
+                node: NodeId::Entry(self.own),
+                hash: self.verdicts.hash(),
+                count: self.verdicts.doubt_count(),
+            };
+            actions.push(EntryViewAction::SendDigest { to, digest });
+        }
+        if now >= self.clean_at {
+            self.clean(now);
+        }
+    }
+
+    fn clean(&mut self, now: MonoTime) {
+        self.clean_at = now.plus_ms(CLEAN_PERIOD_MS);
+        let members = &self.members;
+        self.verdicts.clean(now, |verdict| {
+            let service = |target| members.get(&target).map(|(service, _)| *service);
+            let target_is_member = service(verdict.target) == Some(verdict.service);
+            let observer_is_member = match verdict.observer {
+                NodeId::Agent(observer) => service(observer) == Some(verdict.service),
+                NodeId::Entry(_) => true,
+            };
+            target_is_member && observer_is_member
+        });
+    }
+
+    fn reassess(&mut self, now: MonoTime, actions: &mut Vec<EntryViewAction>) {
+        if self.dirty.is_empty() {
+            return;
+        }
+        let mut dirty: Vec<ServiceId> = std::mem::take(&mut self.dirty).into_iter().collect();
+        dirty.sort_unstable();
+        for id in dirty {
+            let Some(service) = self.services.get(&id) else {
+                continue;
+            };
+            let evidence = Evidence {
+                now,
+                verdicts: &self.verdicts,
+                watches: &self.watches,
+                vms: &self.vms,
+                verified: now >= self.verified_at,
+            };
+            let new = evidence.assess(service);
+            if self.assessments.get(&id) != Some(&new) {
+                self.put(id, new, actions);
+            }
+        }
+    }
+
+    fn put(&mut self, id: ServiceId, new: Assessment, actions: &mut Vec<EntryViewAction>) {
+        if let Some(old) = self.assessments.get(&id) {
+            for target in &old.placeable {
+                self.placeable.remove(target);
+            }
+            for target in &old.lost {
+                self.lost.remove(target);
+            }
+        }
+        self.placeable.extend(new.placeable.iter().copied());
+        self.lost.extend(new.lost.iter().copied());
+        actions.push(EntryViewAction::ServiceChanged {
+            service: id,
+            placeable: new.placeable.clone(),
+            lost: new.lost.clone(),
+            panic: new.panic,
+        });
+        self.assessments.insert(id, new);
+    }
+}
+
+impl LivenessView for EntryView {
+    fn is_placeable(&self, _service: ServiceId, target: TargetId) -> bool {
+        self.placeable(target)
+    }
+
+    fn is_confirmed_lost(&self, _service: ServiceId, target: TargetId) -> bool {
+        self.confirmed_lost(target)
+    }
+}
--- a/crates/fes-membership/src/lib.rs
+++ b/crates/fes-membership/src/lib.rs
@@ -2,7 +2,9 @@
 //!
 //! Nothing in this crate reads a clock or a socket.
 
+mod assessment;
 mod clock_guard;
+mod entry_view;
 mod flap_damper;
 mod incarnation;
 mod mesh_plan;
@@ -10,9 +12,16 @@
 mod peer_table;
 mod publisher;
 mod timing;
+mod verdict_book;
+mod verdict_gossip;
+mod vm_list;
+mod watch;
 
 pub use clock_guard::ClockEvent;
 pub use clock_guard::ClockGuard;
+pub use entry_view::EntryView;
+pub use entry_view::EntryViewAction;
+pub use entry_view::EntryViewEvent;
 pub use flap_damper::FlapDamper;
 pub use incarnation::Admission;
 pub use incarnation::IncarnationTracker;
@@ -31,3 +40,8 @@
 pub use timing::ENTRY_HEARTBEAT_PERIOD_MS;
 pub use timing::HEARTBEAT_PERIOD_MS;
 pub use timing::SUSPECT_AFTER_MS;
+pub use verdict_book::Merge;
+pub use verdict_book::VerdictBook;
+pub use vm_list::VmHint;
+pub use vm_list::VmList;
+pub use vm_list::VmState;
