--- a/crates/fes-membership/src/assessment.rs
+++ b/crates/fes-membership/src/assessment.rs
@@ -15,6 +15,7 @@
 use crate::VerdictBook;
 use crate::VmList;
 use crate::agent_watchers;
+use crate::mesh_plan::ENTRY_WATCHERS;
 use crate::watch::Watch;
 
 /// Observers that must agree before a target is taken out of placement, if there are that many.
@@ -39,6 +40,8 @@
     pub(crate) verdicts: &'a VerdictBook,
     pub(crate) watches: &'a fes_protocol::FastMap<TargetId, Watch>,
     pub(crate) vms: &'a VmList,
+    /// Entries of all fleets.
+    pub(crate) entry_count: usize,
     /// The verdicts were renewed since the process last woke up.
     pub(crate) verified: bool,
 }
@@ -102,7 +105,8 @@
             let doubts = matches!(verdict.verdict, Verdict::Dead | Verdict::Impaired);
             doubts && self.is_current(target, verdict.incarnation)
         });
-        let possible = agent_watchers(service, target).len() + usize::from(self.is_watched(target));
+        let entry_watchers = ENTRY_WATCHERS.min(self.entry_count);
+        let possible = agent_watchers(service, target).len() + entry_watchers;
         let needed = OBSERVERS_FOR_PLACEMENT.min(possible.max(1));
         doubters >= needed
     }
@@ -163,8 +167,4 @@
         let heard = watch.filter(|watch| watch.is_heard(self.now));
         heard.is_none_or(|watch| watch.incarnation() == Some(incarnation))
     }
-
-    fn is_watched(&self, target: TargetId) -> bool {
-        self.watches.contains_key(&target)
-    }
 }
--- a/crates/fes-membership/src/entry_view.rs
+++ b/crates/fes-membership/src/entry_view.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use fes_kernel::Decider;
 use fes_protocol::DataCentreName;
 use fes_protocol::EntryHeartbeat;
 use fes_protocol::EntryId;
@@ -117,6 +118,7 @@
     next_watch_at: MonoTime,
     clean_at: MonoTime,
     verified_at: MonoTime,
+    renewing: bool,
     pause: PauseDetector,
 }
 
@@ -143,6 +145,7 @@
             next_watch_at: MonoTime::NEVER,
             clean_at: now.plus_ms(CLEAN_PERIOD_MS),
             verified_at: now,
+            renewing: false,
             pause: PauseDetector::new(now, PAUSE_MS),
         }
     }
@@ -225,9 +228,9 @@
 
     fn set_services(&mut self, now: MonoTime, services: Vec<Arc<ServiceSpec>>) {
         for service in services {
-            self.dirty.insert(service.id);
             let id = service.id;
-            self.members.retain(|_, (member_of, _)| *member_of != id);
+            self.dirty.insert(id);
+            self.remove_members(id);
             for upstream in &service.upstreams {
                 let home = upstream.data_centre.clone();
                 self.members.insert(upstream.target, (id, home));
@@ -237,6 +240,18 @@
         self.clean(now);
     }
 
+    fn remove_members(&mut self, id: ServiceId) {
+        let Some(old) = self.services.get(&id) else {
+            return;
+        };
+        for upstream in &old.upstreams {
+            let member = self.members.get(&upstream.target);
+            if member.is_some_and(|(member_of, _)| *member_of == id) {
+                self.members.remove(&upstream.target);
+            }
+        }
+    }
+
     fn set_fleets(&mut self, fleets: Vec<Arc<FleetSpec>>) {
         let entries = fleets.iter().flat_map(|fleet| &fleet.entries);
         self.gossip.set_entries(entries.map(|entry| entry.id));
@@ -284,6 +299,10 @@
             match self.verdicts.merge(now, verdict) {
                 Merge::Known => {}
                 Merge::Outdated(later) => corrections.push(later),
+                Merge::New if verdict.observer == NodeId::Entry(self.own) => {
+                    self.dirty.insert(verdict.service);
+                    self.correct_own(now, &verdict);
+                }
                 Merge::New => {
                     self.dirty.insert(verdict.service);
                     let others = self.verdicts.about(verdict.target).count();
@@ -301,6 +320,30 @@
         }
     }
 
+    /// Replaces a verdict in this entry's name that it doesn't hold, for example from before a
+    /// restart. Without a sign of death the target counts as alive.
+    fn correct_own(&mut self, now: MonoTime, held: &LivenessVerdict) {
+        let watch = self.watches.get(&held.target);
+        let incarnation = watch.and_then(Watch::incarnation);
+        let verdict = match watch {
+            Some(watch) if watch.is_silent(now) => Verdict::Dead,
+            _ => Verdict::Alive,
+        };
+        let current = (incarnation.unwrap_or(held.incarnation), verdict);
+        if self.publisher.correct(held, current) {
+            self.publish_own(now);
+        }
+    }
+
+    fn publish_own(&mut self, now: MonoTime) {
+        for verdict in self.publisher.take_due() {
+            if self.verdicts.merge(now, verdict) == Merge::New {
+                self.dirty.insert(verdict.service);
+                self.gossip.push(now, verdict, true);
+            }
+        }
+    }
+
     /// Shows an observer what is said in its name, if this entry hears it. An observer that
     /// restarted, or that was cut off, corrects it.
     fn echo(&self, from: NodeId, verdict: LivenessVerdict, actions: &mut Vec<EntryViewAction>) {
@@ -336,6 +379,7 @@
     /// timeout, in which heartbeats and digests renew what is known.
     fn renew(&mut self, now: MonoTime) {
         self.verified_at = now.plus_ms(DEAD_AFTER_MS);
+        self.renewing = true;
         for watch in self.watches.values_mut() {
             watch.renew(now);
         }
@@ -345,6 +389,10 @@
 
     /// Publishes this entry's own verdicts about the agents that it watches.
     fn judge_watches(&mut self, now: MonoTime) {
+        if self.renewing && now >= self.verified_at {
+            self.renewing = false;
+            self.dirty.extend(self.services.keys());
+        }
         if now < self.next_watch_at {
             return;
         }
@@ -382,12 +430,7 @@
         for (service, target, incarnation, verdict) in opinions {
             self.publisher.set(service, target, incarnation, verdict);
         }
-        for verdict in self.publisher.take_due() {
-            if self.verdicts.merge(now, verdict) == Merge::New {
-                self.dirty.insert(verdict.service);
-                self.gossip.push(now, verdict, true);
-            }
-        }
+        self.publish_own(now);
     }
 
     fn send_due(&mut self, now: MonoTime, actions: &mut Vec<EntryViewAction>) {
@@ -440,6 +483,7 @@
                 verdicts: &self.verdicts,
                 watches: &self.watches,
                 vms: &self.vms,
+                entry_count: self.fleets.iter().map(|fleet| fleet.entries.len()).sum(),
                 verified: now >= self.verified_at,
             };
             let new = evidence.assess(service);
@@ -470,6 +514,23 @@
     }
 }
 
+impl Decider for EntryView {
+    type Event = EntryViewEvent;
+    type Action = EntryViewAction;
+
+    fn tick() -> EntryViewEvent {
+        EntryViewEvent::Tick
+    }
+
+    fn decide(&mut self, now: MonoTime, event: EntryViewEvent) -> Vec<EntryViewAction> {
+        self.handle(now, event)
+    }
+
+    fn next_deadline(&self, _now: MonoTime) -> MonoTime {
+        Self::next_deadline(self)
+    }
+}
+
 impl LivenessView for EntryView {
     fn is_placeable(&self, _service: ServiceId, target: TargetId) -> bool {
         self.placeable(target)
