--- a/crates/fes-membership/src/mesh_plan.rs
+++ b/crates/fes-membership/src/mesh_plan.rs
@@ -14,6 +14,9 @@
 /// ones the watchers are chosen by rendezvous hash, which keeps the cost per agent constant.
 pub const MAX_WATCHERS: usize = 8;
 
+/// Entries that watch an agent, if there are that many.
+pub const ENTRY_WATCHERS: usize = 2;
+
 /// Returns the agents that watch `target`, in ascending order.
 #[must_use]
 pub fn agent_watchers(service: &ServiceSpec, target: TargetId) -> Vec<TargetId> {
@@ -57,9 +60,9 @@
     let mut far: Vec<EntryId> = entries_where(false).collect();
     near.sort_by_key(|entry| std::cmp::Reverse((score(target.0, entry.0), *entry)));
     far.sort_by_key(|entry| std::cmp::Reverse((score(target.0, entry.0), *entry)));
-    let from_near = if far.is_empty() { 2 } else { 1 };
+    let from_near = if far.is_empty() { ENTRY_WATCHERS } else { 1 };
     let mut watchers: Vec<EntryId> = near.into_iter().take(from_near).collect();
-    let wanted = 2 - watchers.len();
+    let wanted = ENTRY_WATCHERS - watchers.len();
     watchers.extend(far.into_iter().take(wanted));
     watchers
 }
