Add scenarios and property tests of the at-most-once decisions

Cause: each failure case of the design needs a reading that an operator can follow, and every decoder and the store need arbitrary input.

Histories also stream responses, use small stores and short drain bounds, and must reach every answer code. An expired key no longer pushes out another one of a full store, which the early_forgetting scenario showed.

--- a/crates/fes-idempotency/src/store/request.rs
+++ b/crates/fes-idempotency/src/store/request.rs
@@ -48,7 +48,10 @@
         deadline: MonoTime,
         actions: &mut Vec<StoreAction>,
     ) {
-        self.make_room(actions);
+        // An expired key takes no room, so it must not push out another.
+        if key.issue_ms >= self.low_water_ms {
+            self.make_room(actions);
+        }
         if key.issue_ms < self.low_water_ms {
             let code = ResultCode::UnknownKeyExpired;
             actions.push(answer(request, Answer::code(code)));
--- a/crates/fes-idempotency/tests/histories.rs
+++ b/crates/fes-idempotency/tests/histories.rs
@@ -3,15 +3,25 @@
 
 mod support;
 
+use std::collections::BTreeMap;
+
 use rstest::rstest;
 use support::broken::Broken;
 use support::checks;
 use support::history;
+use support::world::End;
 use support::world::World;
 
 const DEFAULT_RUN_COUNT: u64 = 400;
 const BROKEN_RUN_COUNT: u64 = 400;
 
+/// Answers that the runs must reach, so that no rule goes untested: queue full, deadline, draining,
+/// key reused, upstream refused, sticky, store full, owner lost, owner unreachable, upstream lost,
+/// expired, response not held, drain bound.
+const REACHED_CODES: [u16; 13] = [
+    2002, 2003, 2004, 2006, 2007, 2010, 2012, 3001, 3002, 3003, 3004, 3005, 3007,
+];
+
 /// Number of runs; thousands by `FES_HISTORY_RUNS`.
 fn run_count() -> u64 {
     let wanted = std::env::var("FES_HISTORY_RUNS").ok();
@@ -26,6 +36,14 @@
     wanted.and_then(|text| text.parse().ok()).unwrap_or(1)
 }
 
+fn count_codes(world: &World, codes: &mut BTreeMap<u16, usize>) {
+    for (_, end) in world.tries.iter().flat_map(|attempt| &attempt.ends) {
+        if let End::Code(code) = end {
+            *codes.entry(code.number()).or_default() += 1;
+        }
+    }
+}
+
 fn report(seed: u64, world: &World, violations: &[String]) -> String {
     let violations = violations.join("\n  ");
     let trace = world.trace.join("\n");
@@ -37,6 +55,7 @@
     let seeds = first_seed()..first_seed() + run_count();
     println!("seeds {seeds:?}");
     let (mut tries, mut runs, mut answered) = (0, 0, 0);
+    let mut codes = BTreeMap::new();
 
     for seed in seeds {
         let world = history::run(seed, Broken::Nothing);
@@ -49,9 +68,19 @@
         tries += world.tries.len();
         runs += world.runs.len();
         answered += world.answered_count();
+        count_codes(&world, &mut codes);
     }
 
     println!("{tries} tries, {runs} executions, {answered} complete responses");
+    println!("codes: {codes:?}");
+    if run_count() < DEFAULT_RUN_COUNT {
+        return;
+    }
+    let missing: Vec<&u16> = REACHED_CODES
+        .iter()
+        .filter(|number| !codes.contains_key(number))
+        .collect();
+    assert!(missing.is_empty(), "no run reached {missing:?}");
     assert!(
         answered * 5 > tries,
         "too few tries succeed for the checks to mean anything"
--- /dev/null
+++ b/crates/fes-idempotency/tests/prefixes.rs
@@ -0,0 +1,224 @@
+//! Guards against keys that are accepted although no agent issued them, and against a "not run"
+//! for a key that can't be verified.
+
+use fes_idempotency::IdempotencyKey;
+use fes_idempotency::KeyClass;
+use fes_idempotency::KeyOwner;
+use fes_idempotency::KeyPrefix;
+use fes_idempotency::MAX_CLIENT_PART_BYTES;
+use fes_idempotency::PREFIX_LEN_CHARS;
+use fes_idempotency::PrefixCodec;
+use fes_idempotency::PrefixIssuer;
+use fes_idempotency::RequestDigester;
+use fes_protocol::Incarnation;
+use fes_protocol::KeyEpoch;
+use fes_protocol::KeyRing;
+use fes_protocol::Lifecycle;
+use fes_protocol::MonoTime;
+use fes_protocol::PeerHeartbeat;
+use fes_protocol::ResultCode;
+use fes_protocol::SecretKey;
+use fes_protocol::ServiceId;
+use fes_protocol::TargetId;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use rstest::rstest;
+
+fn key(fill: u8) -> SecretKey {
+    SecretKey::new([fill; 16])
+}
+
+fn codec() -> PrefixCodec {
+    PrefixCodec::new(KeyRing::new(KeyEpoch(1), key(1)))
+}
+
+fn owner(service: u32, target: u32, incarnation: u64) -> KeyOwner {
+    KeyOwner {
+        service: ServiceId(service),
+        target: TargetId(target),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+fn issued(owner: KeyOwner) -> String {
+    let prefix = KeyPrefix { owner, issue_ms: 5 };
+    codec().encode(&prefix) + ".client-part"
+}
+
+fn verified(owner: KeyOwner) -> IdempotencyKey {
+    IdempotencyKey {
+        prefix: KeyPrefix { owner, issue_ms: 5 },
+        client_part: "client-part".into(),
+    }
+}
+
+#[rstest]
+#[case::mine(owner(7, 1, 9), KeyClass::Mine(verified(owner(7, 1, 9))))]
+#[case::other_service(owner(8, 1, 9), KeyClass::OtherService)]
+#[case::other_target(owner(7, 2, 9), KeyClass::OtherTarget(verified(owner(7, 2, 9))))]
+#[case::other_incarnation(owner(7, 1, 8), KeyClass::OtherIncarnation(verified(owner(7, 1, 8))))]
+fn a_key_is_classified_by_the_owner_that_it_names(
+    #[case] named: KeyOwner,
+    #[case] expected: KeyClass,
+) {
+    let value = issued(named);
+
+    let class = KeyClass::of(value.as_bytes(), &codec(), owner(7, 1, 9));
+
+    assert_eq!(class, expected);
+}
+
+/// An epoch number that is used again with another key must not make an old key look forged: the
+/// key may have run.
+#[rstest]
+#[case::rotated_once(KeyRing::new(KeyEpoch(2), key(2)).with_previous(KeyEpoch(1), key(1)), None)]
+#[case::retired(KeyRing::new(KeyEpoch(3), key(3)), Some(ResultCode::UnknownKeyEpoch))]
+#[case::number_used_again(KeyRing::new(KeyEpoch(1), key(9)), Some(ResultCode::UnknownKeyEpoch))]
+fn a_key_outlives_one_rotation_and_is_unknown_afterwards(
+    #[case] keys: KeyRing,
+    #[case] expected: Option<ResultCode>,
+) {
+    let value = issued(owner(7, 1, 9));
+
+    let class = KeyClass::of(value.as_bytes(), &PrefixCodec::new(keys), owner(7, 1, 9));
+
+    assert_eq!(class.immediate_code(), expected);
+}
+
+#[rstest]
+#[case::no_prefix("lot-7", ResultCode::NotRunNoKeyPrefix)]
+#[case::no_client_part("fk1.", ResultCode::NotRunNoKeyPrefix)]
+#[case::later_version("fk2AAAA.part", ResultCode::UnknownKeyEpoch)]
+fn a_key_that_no_agent_issued_is_answered_at_once(#[case] value: &str, #[case] code: ResultCode) {
+    let class = KeyClass::of(value.as_bytes(), &codec(), owner(7, 1, 9));
+
+    assert_eq!(class.immediate_code(), Some(code));
+}
+
+/// Two spellings of one key must not be two keys.
+#[test]
+fn quotes_of_a_structured_field_do_not_matter() {
+    let bare = issued(owner(7, 1, 9));
+    let quoted = format!("\"{bare}\"");
+
+    let classes =
+        [bare, quoted].map(|value| KeyClass::of(value.as_bytes(), &codec(), owner(7, 1, 9)));
+
+    assert_eq!(classes[0], classes[1]);
+}
+
+/// A client part without a bound would leave the memory of a record without one.
+#[test]
+fn a_client_part_is_bounded() {
+    let prefix = issued(owner(7, 1, 9)).replace("client-part", "");
+    let longest = prefix.clone() + &"x".repeat(MAX_CLIENT_PART_BYTES);
+    let longer = longest.clone() + "x";
+
+    let classes =
+        [longest, longer].map(|value| KeyClass::of(value.as_bytes(), &codec(), owner(7, 1, 9)));
+
+    assert!(matches!(classes[0], KeyClass::Mine(_)));
+    assert_eq!(classes[1], KeyClass::NotWellFormed);
+}
+
+/// Fields that can be shifted into each other would give two requests one digest.
+#[test]
+fn digests_separate_neighbouring_fields() {
+    let digest = |a: &[u8], b: &[u8]| RequestDigester::new(&key(3)).field(a).field(b).finish();
+
+    let digests = [digest(b"POST", b"/lots"), digest(b"POST/", b"lots")];
+
+    assert_ne!(digests[0], digests[1]);
+}
+
+fn heartbeat(
+    target: u32,
+    sequence: u64,
+    capacity_milli: u32,
+    lifecycle: Lifecycle,
+) -> PeerHeartbeat {
+    PeerHeartbeat {
+        service: ServiceId(7),
+        target: TargetId(target),
+        incarnation: Incarnation(u64::from(target) * 10),
+        sequence,
+        lifecycle,
+        capacity_milli,
+        demand_milli: 0,
+        queue_wait_ms: 0,
+        flow_count: 0,
+        key_issue_ms: 77,
+        heard: Vec::new(),
+    }
+}
+
+/// A prefix that names a silent or leaving peer would be unknown from the start.
+#[rstest]
+#[case::most_spare(0, Lifecycle::Serving, 2, 77)]
+#[case::silent(2_001, Lifecycle::Serving, 1, 2_001)]
+#[case::leaving(0, Lifecycle::Draining, 1, 0)]
+fn a_prefix_names_the_serving_peer_with_the_most_spare_capacity(
+    #[case] now_ms: u64,
+    #[case] lifecycle: Lifecycle,
+    #[case] target: u32,
+    #[case] issue_ms: u64,
+) {
+    let mut issuer = PrefixIssuer::new(owner(7, 1, 9));
+    issuer.set_own_spare(50);
+    issuer.observe(MonoTime::ZERO, &heartbeat(2, 1, 900, Lifecycle::Serving));
+    issuer.observe(MonoTime::ZERO, &heartbeat(2, 2, 900, lifecycle));
+
+    let prefix = issuer.issue(MonoTime::from_ms(now_ms));
+
+    assert_eq!(
+        (prefix.owner.target, prefix.issue_ms),
+        (TargetId(target), issue_ms)
+    );
+}
+
+/// All prefixes between two heartbeats naming one peer would overload it.
+#[test]
+fn prefixes_are_spread_in_proportion_to_spare_capacity() {
+    let mut issuer = PrefixIssuer::new(owner(7, 1, 9));
+    issuer.observe(MonoTime::ZERO, &heartbeat(2, 1, 2_000, Lifecycle::Serving));
+    issuer.observe(MonoTime::ZERO, &heartbeat(3, 1, 1_000, Lifecycle::Serving));
+
+    let named = (0..300).map(|_| issuer.issue(MonoTime::ZERO).owner.target);
+    let to_second = named.filter(|target| *target == TargetId(2)).count();
+
+    assert_eq!(to_second, 200);
+}
+
+proptest! {
+    #[test]
+    fn classification_never_panics(value in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = KeyClass::of(&value, &codec(), owner(7, 1, 9));
+    }
+
+    #[test]
+    fn a_changed_prefix_is_never_accepted(position in 0..PREFIX_LEN_CHARS, change in 1_u8..) {
+        let mut value = issued(owner(7, 1, 9)).into_bytes();
+        value[position] ^= change;
+
+        let class = KeyClass::of(&value, &codec(), owner(7, 1, 9));
+
+        prop_assert!(class.immediate_code().is_some(), "{class:?}");
+    }
+
+    #[test]
+    fn a_prefix_round_trips_as_a_header_value(
+        service: u32, target: u32, incarnation: u64, issue_ms: u64,
+    ) {
+        let named = owner(service, target, incarnation);
+        let prefix = KeyPrefix { owner: named, issue_ms };
+        let value = codec().encode(&prefix) + ".x";
+
+        let class = KeyClass::of(value.as_bytes(), &codec(), named);
+
+        prop_assert!(value.bytes().all(|byte| byte.is_ascii_graphic()));
+        prop_assert_eq!(value.len(), PREFIX_LEN_CHARS + 2);
+        prop_assert_eq!(class, KeyClass::Mine(IdempotencyKey { prefix, client_part: "x".into() }));
+    }
+}
--- a/crates/fes-idempotency/tests/support/agent.rs
+++ b/crates/fes-idempotency/tests/support/agent.rs
@@ -33,6 +33,8 @@
 pub enum UpstreamMode {
     /// Runs them and answers.
     Answers,
+    /// Runs them; the agent streams the response to the first try and holds nothing.
+    Streams,
     /// Refuses them without running.
     Refuses,
     /// Runs them and loses the connection.
@@ -142,6 +144,16 @@
         self.coordinator = Coordinator::new(me, keys(), limits);
     }
 
+    /// Replaces the life cycle by a serving one with another drain bound.
+    pub fn set_drain_bound(&mut self, drain_bound_ms: u64) {
+        let settings = LifecycleSettings {
+            drain_bound_ms,
+            ..LifecycleSettings::default()
+        };
+        self.life = LifecycleMachine::new(Role::Agent, settings);
+        self.life.handle(MonoTime::ZERO, LifecycleEvent::Ready);
+    }
+
     /// Time on the agent's own clock.
     pub fn local(&self, now: MonoTime) -> MonoTime {
         MonoTime::from_us(now.us_since(self.booted_at))
--- a/crates/fes-idempotency/tests/support/history.rs
+++ b/crates/fes-idempotency/tests/support/history.rs
@@ -65,18 +65,23 @@
             (self.crash_per_mille, self.max_down_ms) = (250, 10);
         }
         if self.rng.random_ratio(1, 3) {
-            let max_keys = self.rng.random_range(8..24);
+            let max_keys = self.rng.random_range(3..24);
+            let max_responses_bytes = self.rng.random_range(400..2_000);
             self.world.limits = StoreLimits {
                 max_keys,
+                max_responses_bytes,
                 ..StoreLimits::default()
             };
         }
+        let longest_ms = *[40, 2_000].choose(&mut self.rng).expect("not empty");
+        self.world.drain_bound_ms = self.rng.random_range(5..longest_ms);
         for target in self.targets() {
             let run_us = self.rng.random_range(2_000..60_000);
             let limits = self.world.limits;
             let agent = self.world.agents.get_mut(&target).expect("agent exists");
             agent.run_us = run_us;
             agent.set_limits(limits);
+            agent.set_drain_bound(self.world.drain_bound_ms);
         }
     }
 
@@ -105,8 +110,8 @@
             780..840 => self.cancel(),
             840..890 => self.pause(),
             890..930 => self.cut(),
-            930..970 => self.change_upstream(),
-            970..985 => self.drain(),
+            930..960 => self.change_upstream(),
+            960..985 => self.drain(),
             985..995 => self.world.run_ms(5_000),
             _ => self.world.run_ms(RETENTION_LEAP_MS),
         }
@@ -117,6 +122,10 @@
         if !self.world.agents[&issuer].up {
             return;
         }
+        if self.rng.random_ratio(1, 3) {
+            let named = self.any_target();
+            self.world.heartbeat(named, issuer, 1_000);
+        }
         let name = format!("k{}", self.keys.len());
         let key = self.world.issue_key(issuer, &name);
         let body = format!("b{}", self.keys.len());
@@ -193,7 +202,7 @@
     fn change_upstream(&mut self) {
         let modes = [
             UpstreamMode::Answers,
-            UpstreamMode::Answers,
+            UpstreamMode::Streams,
             UpstreamMode::Refuses,
             UpstreamMode::LosesConnection,
             UpstreamMode::Truncates,
--- a/crates/fes-idempotency/tests/support/hosting.rs
+++ b/crates/fes-idempotency/tests/support/hosting.rs
@@ -1,25 +1,17 @@
 //! Delivery of events to the simulated nodes and execution of the agents' actions.
 
 use std::collections::VecDeque;
-use std::sync::Arc;
 
 use fes_idempotency::Answer;
 use fes_idempotency::CoordinatorAction;
 use fes_idempotency::CoordinatorEvent;
-use fes_idempotency::Delivery;
-use fes_idempotency::FinishedResponse;
-use fes_idempotency::FlowId;
 use fes_idempotency::NotRun;
 use fes_idempotency::PURGE_PERIOD_MS;
 use fes_idempotency::RelayAction;
 use fes_idempotency::RelayEvent;
 use fes_idempotency::RequestDigester;
-use fes_idempotency::ResponsePart;
-use fes_idempotency::ResponseTag;
 use fes_idempotency::StoreAction;
 use fes_idempotency::StoreEvent;
-use fes_idempotency::StoredResponse;
-use fes_idempotency::UpstreamRefusal;
 use fes_membership::lifecycle::LifecycleAction;
 use fes_membership::lifecycle::LifecycleEvent;
 use fes_protocol::MonoTime;
@@ -31,19 +23,13 @@
 
 use super::agent::OpenRequest;
 use super::agent::Origin;
-use super::agent::UpstreamMode;
 use super::broken::Broken;
 use super::network::Fate;
 use super::world::End;
 use super::world::Event;
-use super::world::Run;
-use super::world::UpstreamReply;
 use super::world::World;
 use super::world::short;
 
-/// Delay between an agent and its own upstream.
-const LOCAL_DELAY_US: u64 = 100;
-
 impl World {
     pub fn dispatch(&mut self, event: Event) {
         if let Some(target) = self.addressee(&event) {
@@ -307,124 +293,6 @@
         }
     }
 
-    fn start(&mut self, target: TargetId, request: RequestId) {
-        let agent = self.agents.get_mut(&target).expect("agent exists");
-        let flow = FlowId {
-            connection: agent.incarnation.0,
-            stream: request.0,
-        };
-        let tag = agent.matcher.expect(flow, request);
-        let (key, body) = agent.executions[&request].clone();
-        self.say(format!(
-            "a{target} -> upstream {target}: start {}",
-            self.alias(&key)
-        ));
-        self.at_us(
-            LOCAL_DELAY_US,
-            Event::Run {
-                at: target,
-                tag,
-                key,
-                body,
-            },
-        );
-    }
-
-    fn on_run(&mut self, at: TargetId, tag: ResponseTag, key: String, body: String) {
-        let (mode, run_us) = (self.agents[&at].upstream, self.agents[&at].run_us);
-        if mode == UpstreamMode::Refuses {
-            self.say(format!(
-                "upstream {at} refuses {} without running it",
-                self.alias(&key)
-            ));
-            let reply = UpstreamReply::Refused;
-            self.at_us(LOCAL_DELAY_US, Event::Reply { to: at, tag, reply });
-            return;
-        }
-        self.say(format!(
-            "upstream {at} runs {}, body {body}",
-            self.alias(&key)
-        ));
-        let answer = format!("done {key} {body}");
-        self.runs.push(Run {
-            at: self.now,
-            key,
-            body,
-        });
-        let reply = match mode {
-            UpstreamMode::LosesConnection => UpstreamReply::Lost,
-            UpstreamMode::Truncates => UpstreamReply::Truncated { body: answer },
-            _ => UpstreamReply::Finished { body: answer },
-        };
-        let delays = match self.network.fate(NodeId::Agent(at), NodeId::Agent(at)) {
-            Fate::Arrives(delays) => delays,
-            Fate::Lost => vec![self.network.delay_us()],
-        };
-        for delay_us in delays {
-            let event = Event::Reply {
-                to: at,
-                tag,
-                reply: reply.clone(),
-            };
-            self.at_us(run_us + delay_us, event);
-        }
-    }
-
-    fn on_reply(&mut self, to: TargetId, mut tag: ResponseTag, reply: UpstreamReply) {
-        let agent = self.agents.get_mut(&to).expect("agent exists");
-        if !agent.up {
-            return;
-        }
-        if agent.broken == Broken::IgnoresIncarnation {
-            tag.incarnation = agent.incarnation;
-            tag.flow.connection = agent.incarnation.0;
-        }
-        let request = tag.request;
-        let event = match (reply, agent.broken) {
-            (UpstreamReply::Refused, _) => StoreEvent::UpstreamRefused {
-                request,
-                proof: UpstreamRefusal::RefusedStream,
-                retry: false,
-            },
-            (UpstreamReply::Lost, Broken::RetriesLostUpstream)
-                if agent.executions.contains_key(&request) =>
-            {
-                let (key, body) = agent.executions.remove(&request).expect("was just found");
-                self.at_us(
-                    LOCAL_DELAY_US,
-                    Event::Run {
-                        at: to,
-                        tag,
-                        key,
-                        body,
-                    },
-                );
-                return;
-            }
-            (UpstreamReply::Lost, _) => StoreEvent::UpstreamLost { request },
-            (UpstreamReply::Truncated { body }, Broken::TruncatedIsWhole) => {
-                finished(request, &body[..body.len() / 2])
-            }
-            (UpstreamReply::Truncated { body }, _) => {
-                match agent.receive(tag, body.len(), body.len() / 2) {
-                    Delivery::Reset(_) => StoreEvent::UpstreamLost { request },
-                    _ => return,
-                }
-            }
-            (UpstreamReply::Finished { body }, _) => {
-                match agent.receive(tag, body.len(), body.len()) {
-                    Delivery::Complete(_) => finished(request, &body),
-                    _ => {
-                        self.say(format!("a{to} drops a late or doubled response"));
-                        return;
-                    }
-                }
-            }
-        };
-        agent.busy.remove(&request);
-        self.decide(to, CoordinatorEvent::Store(event));
-    }
-
     fn forward(
         &mut self,
         from: TargetId,
@@ -482,7 +350,7 @@
         }
     }
 
-    fn answer(&mut self, target: TargetId, request: RequestId, mut answer: Answer) {
+    pub fn answer(&mut self, target: TargetId, request: RequestId, mut answer: Answer) {
         let now = self.now;
         let agent = self.agents.get_mut(&target).expect("agent exists");
         agent.relays.remove(&request);
@@ -587,29 +455,3 @@
         }
     }
 }
-
-fn finished(request: RequestId, body: &str) -> StoreEvent {
-    let response = StoredResponse {
-        status: 200,
-        fields: Vec::new(),
-        body: body.as_bytes().to_vec().into(),
-    };
-    let response = FinishedResponse::Whole(Arc::new(response));
-    StoreEvent::UpstreamFinished { request, response }
-}
-
-impl super::agent::Agent {
-    /// Passes a response of which `sent` of `announced` bytes arrive through the matcher.
-    fn receive(&mut self, tag: ResponseTag, announced: usize, sent: usize) -> Delivery {
-        let body_bytes = Some(announced as u64);
-        let len_bytes = sent as u64;
-        self.matcher.receive(tag, ResponsePart::Head { body_bytes });
-        self.matcher.receive(tag, ResponsePart::Body { len_bytes });
-        let end = if announced == sent {
-            ResponsePart::End
-        } else {
-            ResponsePart::Broken
-        };
-        self.matcher.receive(tag, end)
-    }
-}
--- a/crates/fes-idempotency/tests/support/mod.rs
+++ b/crates/fes-idempotency/tests/support/mod.rs
@@ -7,4 +7,6 @@
 pub mod history;
 pub mod hosting;
 pub mod network;
+pub mod script;
+pub mod upstream;
 pub mod world;
--- a/crates/fes-idempotency/tests/support/network.rs
+++ b/crates/fes-idempotency/tests/support/network.rs
@@ -25,6 +25,7 @@
     pub duplicate_per_mille: u32,
     pub drop_next: bool,
     pub duplicate_next: bool,
+    pub delay_next_us: u64,
     cuts: BTreeSet<(NodeId, NodeId)>,
 }
 
@@ -38,6 +39,7 @@
             duplicate_per_mille: 0,
             drop_next: false,
             duplicate_next: false,
+            delay_next_us: 0,
             cuts: BTreeSet::new(),
         }
     }
@@ -69,7 +71,8 @@
     }
 
     pub fn delay_us(&mut self) -> u64 {
-        self.rng.random_range(self.min_delay_us..=self.max_delay_us)
+        let usual = self.min_delay_us..=self.max_delay_us;
+        std::mem::take(&mut self.delay_next_us) + self.rng.random_range(usual)
     }
 
     fn roll(&mut self, per_mille: u32) -> bool {
--- /dev/null
+++ b/crates/fes-idempotency/tests/support/script.rs
@@ -0,0 +1,210 @@
+//! The scenario language: one command per line, times in milliseconds, each hop one output line.
+
+use std::error::Error;
+
+use fes_idempotency::StoreLimits;
+use fes_protocol::EntryId;
+use fes_protocol::NodeId;
+use fes_protocol::TargetId;
+use goldenscript::ArgumentConsumer;
+use goldenscript::Command;
+use goldenscript::Context;
+use goldenscript::Runner;
+
+use super::agent::Agent;
+use super::agent::UpstreamMode;
+use super::broken::Broken;
+use super::checks;
+use super::world::Try;
+use super::world::World;
+
+const DEFAULT_DEADLINE_MS: u64 = 1_000;
+const SETTLE_MS: u64 = 10_000;
+
+type Output = Result<String, Box<dyn Error>>;
+
+/// Runs one scenario with three agents and any number of entries.
+pub struct Script {
+    world: World,
+}
+
+impl Script {
+    pub fn new() -> Self {
+        let mut world = World::new(1, 3, Broken::Nothing);
+        world.trace.clear();
+        Self { world }
+    }
+
+    fn agent(&mut self, args: &mut ArgumentConsumer<'_>) -> Result<&mut Agent, Box<dyn Error>> {
+        let target = target(position(args)?)?;
+        self.world
+            .agents
+            .get_mut(&target)
+            .ok_or("no such agent".into())
+    }
+
+    fn key_text(&self, name: &str) -> String {
+        let known = self.world.aliases.iter().find(|(_, alias)| *alias == name);
+        known.map_or_else(|| name.to_string(), |(key, _)| key.clone())
+    }
+
+    fn send(&mut self, args: &mut ArgumentConsumer<'_>) -> Result<(), Box<dyn Error>> {
+        let name = position(args)?.to_string();
+        let key = self.key_text(position(args)?);
+        let attempt = Try {
+            name,
+            key,
+            body: position(args)?.to_string(),
+            agent: target(args.take_key("to").ok_or("to= is missing")?)?,
+            entry: node(args.take_key("via").unwrap_or("e1"))?,
+            deadline_ms: number(args, "deadline")?.unwrap_or(DEFAULT_DEADLINE_MS),
+            sent_at: self.world.now,
+            excuse: None,
+            ends: Vec::new(),
+        };
+        self.world.send(attempt);
+        Ok(())
+    }
+
+    fn set_upstream(&mut self, args: &mut ArgumentConsumer<'_>) -> Result<(), Box<dyn Error>> {
+        let run_ms = number(args, "run")?;
+        let agent = self.agent(args)?;
+        agent.upstream = match args.next_pos() {
+            None | Some("answers") => UpstreamMode::Answers,
+            Some("streams") => UpstreamMode::Streams,
+            Some("refuses") => UpstreamMode::Refuses,
+            Some("loses") => UpstreamMode::LosesConnection,
+            Some("truncates") => UpstreamMode::Truncates,
+            Some(other) => return Err(format!("no upstream mode '{other}'").into()),
+        };
+        agent.run_us = run_ms.map_or(agent.run_us, |ms| ms * 1_000);
+        Ok(())
+    }
+
+    fn configure(&mut self, args: &mut ArgumentConsumer<'_>) -> Result<(), Box<dyn Error>> {
+        let (slots, queue) = (number(args, "slots")?, number(args, "queue")?);
+        let (keys, bound) = (number(args, "keys")?, number(args, "bound")?);
+        let agent = self.agent(args)?;
+        agent.slots = slots.map_or(agent.slots, |value| value as usize);
+        agent.max_queue = queue.map_or(agent.max_queue, |value| value as usize);
+        if let Some(keys) = keys {
+            let max_keys = keys as usize;
+            agent.set_limits(StoreLimits {
+                max_keys,
+                ..StoreLimits::default()
+            });
+        }
+        if let Some(bound) = bound {
+            agent.set_drain_bound(bound);
+        }
+        Ok(())
+    }
+
+    fn cancel(&mut self, args: &mut ArgumentConsumer<'_>) -> Result<(), Box<dyn Error>> {
+        let name = position(args)?;
+        let found = self
+            .world
+            .tries
+            .iter()
+            .position(|attempt| attempt.name == name);
+        self.world.cancel(found.ok_or("no such request")?);
+        Ok(())
+    }
+
+    /// Lets everything come to its end, and checks the run.
+    fn finish(&mut self) -> Output {
+        self.world.settle(SETTLE_MS);
+        let found = checks::violations(&self.world);
+        if !found.is_empty() {
+            return Err(found.join("; ").into());
+        }
+        let mut out = self.output();
+        for run in &self.world.runs {
+            out.push_str(&format!(
+                "executed: {} {}\n",
+                self.world.alias(&run.key),
+                run.body
+            ));
+        }
+        out.push_str(&format!("executions: {}\n", self.world.runs.len()));
+        Ok(out)
+    }
+
+    fn output(&mut self) -> String {
+        let lines = std::mem::take(&mut self.world.trace);
+        lines.into_iter().map(|line| line + "\n").collect()
+    }
+}
+
+impl Runner for Script {
+    type Command = Command;
+
+    fn run(&mut self, command: &Command, _context: &Context) -> Output {
+        let mut args = command.consume_args();
+        match command.name.as_str() {
+            "key" => {
+                let name = position(&mut args)?;
+                let issuer = target(args.take_key("from").ok_or("from= is missing")?)?;
+                self.world.issue_key(issuer, name);
+            }
+            "send" => self.send(&mut args)?,
+            "run" => self.world.run_ms(position(&mut args)?.parse()?),
+            "cancel" => self.cancel(&mut args)?,
+            "crash" => self.world.crash(target(position(&mut args)?)?),
+            "restart" => self.world.boot(target(position(&mut args)?)?),
+            "pause" => {
+                let agent = target(position(&mut args)?)?;
+                self.world.pause(agent, position(&mut args)?.parse()?);
+            }
+            "cut" => {
+                let (a, b) = (position(&mut args)?, position(&mut args)?);
+                self.world.cut(node(a)?, node(b)?);
+            }
+            "heal" => self.world.network.heal(),
+            "lose-next" => self.world.network.drop_next = true,
+            "double-next" => self.world.network.duplicate_next = true,
+            "delay-next" => {
+                self.world.network.delay_next_us = position(&mut args)?.parse::<u64>()? * 1_000
+            }
+            "sigterm" => self.world.drain(target(position(&mut args)?)?),
+            "leave" => self.agent(&mut args)?.named_by_ticket = false,
+            "heartbeat" => {
+                let from = target(position(&mut args)?)?;
+                let to = target(args.take_key("to").ok_or("to= is missing")?)?;
+                let spare = number(&mut args, "spare")?.unwrap_or(1_000);
+                self.world.heartbeat(from, to, u32::try_from(spare)?);
+            }
+            "upstream" => self.set_upstream(&mut args)?,
+            "agent" => self.configure(&mut args)?,
+            "finish" => return self.finish(),
+            other => return Err(format!("no command '{other}'").into()),
+        }
+        args.reject_next()?;
+        Ok(self.output())
+    }
+}
+
+fn position<'a>(args: &mut ArgumentConsumer<'a>) -> Result<&'a str, Box<dyn Error>> {
+    args.next_pos().ok_or("an argument is missing".into())
+}
+
+fn number(args: &mut ArgumentConsumer<'_>, key: &str) -> Result<Option<u64>, Box<dyn Error>> {
+    args.take_key(key)
+        .map(|text| text.parse().map_err(Into::into))
+        .transpose()
+}
+
+fn node(name: &str) -> Result<NodeId, Box<dyn Error>> {
+    match name.split_at_checked(1) {
+        Some(("a", id)) => Ok(NodeId::Agent(TargetId(id.parse()?))),
+        Some(("e", id)) => Ok(NodeId::Entry(EntryId(id.parse()?))),
+        _ => Err(format!("no node '{name}'").into()),
+    }
+}
+
+fn target(name: &str) -> Result<TargetId, Box<dyn Error>> {
+    match node(name)? {
+        NodeId::Agent(target) => Ok(target),
+        NodeId::Entry(_) => Err(format!("'{name}' is not an agent").into()),
+    }
+}
--- /dev/null
+++ b/crates/fes-idempotency/tests/support/upstream.rs
@@ -0,0 +1,194 @@
+//! Simulated upstreams, and what an agent makes of their responses.
+
+use std::sync::Arc;
+
+use fes_idempotency::Answer;
+use fes_idempotency::CoordinatorEvent;
+use fes_idempotency::Delivery;
+use fes_idempotency::FinishedResponse;
+use fes_idempotency::FlowId;
+use fes_idempotency::ResponsePart;
+use fes_idempotency::ResponseTag;
+use fes_idempotency::StoreEvent;
+use fes_idempotency::StoredResponse;
+use fes_idempotency::UpstreamRefusal;
+use fes_protocol::NodeId;
+use fes_protocol::RequestId;
+use fes_protocol::TargetId;
+
+use super::agent::Agent;
+use super::agent::UpstreamMode;
+use super::broken::Broken;
+use super::network::Fate;
+use super::world::Event;
+use super::world::Run;
+use super::world::UpstreamReply;
+use super::world::World;
+
+/// Delay between an agent and its own upstream.
+const LOCAL_DELAY_US: u64 = 100;
+
+impl World {
+    pub fn start(&mut self, target: TargetId, request: RequestId) {
+        let agent = self.agents.get_mut(&target).expect("agent exists");
+        let flow = FlowId {
+            connection: agent.incarnation.0,
+            stream: request.0,
+        };
+        let tag = agent.matcher.expect(flow, request);
+        let (key, body) = agent.executions[&request].clone();
+        self.say(format!(
+            "a{target} -> upstream {target}: start {}",
+            self.alias(&key)
+        ));
+        self.at_us(
+            LOCAL_DELAY_US,
+            Event::Run {
+                at: target,
+                tag,
+                key,
+                body,
+            },
+        );
+    }
+
+    pub fn on_run(&mut self, at: TargetId, tag: ResponseTag, key: String, body: String) {
+        let (mode, run_us) = (self.agents[&at].upstream, self.agents[&at].run_us);
+        if mode == UpstreamMode::Refuses {
+            self.say(format!(
+                "upstream {at} refuses {} without running it",
+                self.alias(&key)
+            ));
+            let reply = UpstreamReply::Refused;
+            self.at_us(LOCAL_DELAY_US, Event::Reply { to: at, tag, reply });
+            return;
+        }
+        self.say(format!(
+            "upstream {at} runs {}, body {body}",
+            self.alias(&key)
+        ));
+        let answer = format!("done {key} {body}");
+        self.runs.push(Run {
+            at: self.now,
+            key,
+            body,
+        });
+        let reply = match mode {
+            UpstreamMode::LosesConnection => UpstreamReply::Lost,
+            UpstreamMode::Truncates => UpstreamReply::Truncated { body: answer },
+            _ => UpstreamReply::Finished { body: answer },
+        };
+        let delays = match self.network.fate(NodeId::Agent(at), NodeId::Agent(at)) {
+            Fate::Arrives(delays) => delays,
+            Fate::Lost => vec![self.network.delay_us()],
+        };
+        for delay_us in delays {
+            let event = Event::Reply {
+                to: at,
+                tag,
+                reply: reply.clone(),
+            };
+            self.at_us(run_us + delay_us, event);
+        }
+    }
+
+    /// Answers the request that started the execution, unless its client is gone.
+    fn stream(&mut self, target: TargetId, request: RequestId, body: &str) {
+        let is_open = self.agents[&target].requests.contains_key(&request);
+        if is_open {
+            self.answer(target, request, Answer::Response(whole(body)));
+        }
+    }
+
+    pub fn on_reply(&mut self, to: TargetId, mut tag: ResponseTag, reply: UpstreamReply) {
+        let agent = self.agents.get_mut(&to).expect("agent exists");
+        if !agent.up {
+            return;
+        }
+        if agent.broken == Broken::IgnoresIncarnation {
+            tag.incarnation = agent.incarnation;
+            tag.flow.connection = agent.incarnation.0;
+        }
+        let request = tag.request;
+        let event = match (reply, agent.broken) {
+            (UpstreamReply::Refused, _) => StoreEvent::UpstreamRefused {
+                request,
+                proof: UpstreamRefusal::RefusedStream,
+                retry: false,
+            },
+            (UpstreamReply::Lost, Broken::RetriesLostUpstream)
+                if agent.executions.contains_key(&request) =>
+            {
+                let (key, body) = agent.executions.remove(&request).expect("was just found");
+                self.at_us(
+                    LOCAL_DELAY_US,
+                    Event::Run {
+                        at: to,
+                        tag,
+                        key,
+                        body,
+                    },
+                );
+                return;
+            }
+            (UpstreamReply::Lost, _) => StoreEvent::UpstreamLost { request },
+            (UpstreamReply::Truncated { body }, Broken::TruncatedIsWhole) => {
+                finished(request, &body[..body.len() / 2])
+            }
+            (UpstreamReply::Truncated { body }, _) => {
+                match agent.receive(tag, body.len(), body.len() / 2) {
+                    Delivery::Reset(_) => StoreEvent::UpstreamLost { request },
+                    _ => return,
+                }
+            }
+            (UpstreamReply::Finished { body }, _) => {
+                match agent.receive(tag, body.len(), body.len()) {
+                    Delivery::Complete(_) if agent.upstream == UpstreamMode::Streams => {
+                        self.stream(to, request, &body);
+                        StoreEvent::UpstreamFinished {
+                            request,
+                            response: FinishedResponse::Streamed,
+                        }
+                    }
+                    Delivery::Complete(_) => finished(request, &body),
+                    _ => {
+                        self.say(format!("a{to} drops a late or doubled response"));
+                        return;
+                    }
+                }
+            }
+        };
+        let agent = self.agents.get_mut(&to).expect("agent exists");
+        agent.busy.remove(&request);
+        self.decide(to, CoordinatorEvent::Store(event));
+    }
+}
+
+fn finished(request: RequestId, body: &str) -> StoreEvent {
+    let response = FinishedResponse::Whole(whole(body));
+    StoreEvent::UpstreamFinished { request, response }
+}
+
+impl Agent {
+    /// Passes a response of which `sent` of `announced` bytes arrive through the matcher.
+    fn receive(&mut self, tag: ResponseTag, announced: usize, sent: usize) -> Delivery {
+        let body_bytes = Some(announced as u64);
+        let len_bytes = sent as u64;
+        self.matcher.receive(tag, ResponsePart::Head { body_bytes });
+        self.matcher.receive(tag, ResponsePart::Body { len_bytes });
+        let end = if announced == sent {
+            ResponsePart::End
+        } else {
+            ResponsePart::Broken
+        };
+        self.matcher.receive(tag, end)
+    }
+}
+
+fn whole(body: &str) -> Arc<StoredResponse> {
+    Arc::new(StoredResponse {
+        status: 200,
+        fields: Vec::new(),
+        body: body.as_bytes().to_vec().into(),
+    })
+}
--- a/crates/fes-idempotency/tests/support/world.rs
+++ b/crates/fes-idempotency/tests/support/world.rs
@@ -11,12 +11,14 @@
 use fes_protocol::Incarnation;
 use fes_protocol::MonoTime;
 use fes_protocol::NodeId;
+use fes_protocol::PeerHeartbeat;
 use fes_protocol::RequestId;
 use fes_protocol::ResultCode;
 use fes_protocol::TargetId;
 
 use super::agent::Agent;
 use super::agent::Origin;
+use super::agent::SERVICE;
 use super::broken::Broken;
 use super::network::Fate;
 use super::network::Network;
@@ -126,6 +128,7 @@
     pub violations: Vec<String>,
     pub aliases: BTreeMap<String, String>,
     pub limits: StoreLimits,
+    pub drain_bound_ms: u64,
     queue: BTreeMap<(MonoTime, u64), Event>,
     sequence: u64,
     next_incarnation: u64,
@@ -144,6 +147,7 @@
             violations: Vec::new(),
             aliases: BTreeMap::new(),
             limits: StoreLimits::default(),
+            drain_bound_ms: 3_600_000,
             queue: BTreeMap::new(),
             sequence: 0,
             next_incarnation: 100,
@@ -169,6 +173,7 @@
             (agent.upstream, agent.run_us) = (before.upstream, before.run_us);
             (agent.slots, agent.named_by_ticket) = (before.slots, before.named_by_ticket);
             agent.set_limits(self.limits);
+            agent.set_drain_bound(self.drain_bound_ms);
         }
         self.excuse_tries_at(target, "agent restarted");
         self.say(format!("a{target} starts"));
@@ -206,6 +211,27 @@
         key
     }
 
+    /// Lets `to` learn the clock and the spare capacity of `from`.
+    pub fn heartbeat(&mut self, from: TargetId, to: TargetId, spare_milli: u32) {
+        let sender = &self.agents[&from];
+        let heartbeat = PeerHeartbeat {
+            service: SERVICE,
+            target: from,
+            incarnation: sender.incarnation,
+            sequence: self.now.as_us(),
+            lifecycle: sender.life.lifecycle(),
+            capacity_milli: spare_milli,
+            demand_milli: 0,
+            queue_wait_ms: 0,
+            flow_count: 0,
+            key_issue_ms: sender.local(self.now).as_ms(),
+            heard: Vec::new(),
+        };
+        let receiver = self.agents.get_mut(&to).expect("agent exists");
+        let local = receiver.local(self.now);
+        receiver.coordinator.observe_peer(local, &heartbeat);
+    }
+
     /// Sends a client's try.
     pub fn send(&mut self, attempt: Try) -> usize {
         let try_id = self.tries.len();
