Cover cancelled tries, retried refusals and relayed requests

Cause: trial mutations of the code left three faults unseen: a cancelled try that ends its waiting retry, a relayed request that is relayed again, and the detail of an unknown outcome.

--- a/crates/fes-idempotency/tests/histories.rs
+++ b/crates/fes-idempotency/tests/histories.rs
@@ -38,7 +38,7 @@
 
 fn count_codes(world: &World, codes: &mut BTreeMap<u16, usize>) {
     for (_, end) in world.tries.iter().flat_map(|attempt| &attempt.ends) {
-        if let End::Code(code) = end {
+        if let End::Code(code, _) = end {
             *codes.entry(code.number()).or_default() += 1;
         }
     }
--- a/crates/fes-idempotency/tests/support/agent.rs
+++ b/crates/fes-idempotency/tests/support/agent.rs
@@ -37,6 +37,8 @@
     Streams,
     /// Refuses them without running.
     Refuses,
+    /// Refuses one without running it, then answers.
+    RefusesOnce,
     /// Runs them and loses the connection.
     LosesConnection,
     /// Runs them and ends the response early.
@@ -79,6 +81,8 @@
     pub busy: BTreeSet<RequestId>,
     pub slots: usize,
     pub max_queue: usize,
+    /// What is left of the retry budget.
+    pub retries: u32,
     pub requests: BTreeMap<RequestId, OpenRequest>,
     pub relays: BTreeMap<RequestId, TargetId>,
     pub upstream: UpstreamMode,
@@ -120,6 +124,7 @@
             busy: BTreeSet::new(),
             slots: 2,
             max_queue: 4,
+            retries: 0,
             requests: BTreeMap::new(),
             relays: BTreeMap::new(),
             upstream: UpstreamMode::Answers,
--- a/crates/fes-idempotency/tests/support/checks.rs
+++ b/crates/fes-idempotency/tests/support/checks.rs
@@ -50,7 +50,7 @@
     let mut found = Vec::new();
     for attempt in &world.tries {
         for (_, end) in &attempt.ends {
-            if let End::Code(code) = end
+            if let End::Code(code, _) = end
                 && code.is_not_run()
                 && ran.contains(&(attempt.key.clone(), attempt.body.clone()))
             {
@@ -138,9 +138,11 @@
         let identity = (attempt.key.clone(), attempt.body.clone());
         for (at, end) in &attempt.ends {
             let operation = match end {
-                End::Answered { .. } | End::Code(ResultCode::FinishedNotHeld) => Operation::SeenRun,
-                End::Code(code) if code.is_not_run() => Operation::SeenNotRun,
-                End::Code(_) | End::ConnectionLost => continue,
+                End::Answered { .. } | End::Code(ResultCode::FinishedNotHeld, _) => {
+                    Operation::SeenRun
+                }
+                End::Code(code, _) if code.is_not_run() => Operation::SeenNotRun,
+                End::Code(..) | End::ConnectionLost => continue,
             };
             spans
                 .entry(identity.clone())
--- a/crates/fes-idempotency/tests/support/history.rs
+++ b/crates/fes-idempotency/tests/support/history.rs
@@ -209,11 +209,9 @@
         ];
         let target = self.any_target();
         let mode = *modes.choose(&mut self.rng).expect("modes are not empty");
-        self.world
-            .agents
-            .get_mut(&target)
-            .expect("agent exists")
-            .upstream = mode;
+        let agent = self.world.agents.get_mut(&target).expect("agent exists");
+        agent.upstream = mode;
+        agent.retries = self.rng.random_range(0..3);
     }
 
     fn drain(&mut self) {
--- a/crates/fes-idempotency/tests/support/hosting.rs
+++ b/crates/fes-idempotency/tests/support/hosting.rs
@@ -185,7 +185,7 @@
             Answer::Response(response) => End::Answered {
                 body: String::from_utf8_lossy(&response.body).into_owned(),
             },
-            Answer::Code { code, .. } => End::Code(code),
+            Answer::Code { code, detail } => End::Code(code, detail),
         };
         self.end(try_id, end);
     }
--- a/crates/fes-idempotency/tests/support/script.rs
+++ b/crates/fes-idempotency/tests/support/script.rs
@@ -72,6 +72,7 @@
         agent.upstream = match args.next_pos() {
             None | Some("answers") => UpstreamMode::Answers,
             Some("streams") => UpstreamMode::Streams,
+            Some("refuses-once") => UpstreamMode::RefusesOnce,
             Some("refuses") => UpstreamMode::Refuses,
             Some("loses") => UpstreamMode::LosesConnection,
             Some("truncates") => UpstreamMode::Truncates,
@@ -84,7 +85,9 @@
     fn configure(&mut self, args: &mut ArgumentConsumer<'_>) -> Result<(), Box<dyn Error>> {
         let (slots, queue) = (number(args, "slots")?, number(args, "queue")?);
         let (keys, bound) = (number(args, "keys")?, number(args, "bound")?);
+        let retries = number(args, "retries")?;
         let agent = self.agent(args)?;
+        agent.retries = retries.map_or(agent.retries, |value| value as u32);
         agent.slots = slots.map_or(agent.slots, |value| value as usize);
         agent.max_queue = queue.map_or(agent.max_queue, |value| value as usize);
         if let Some(keys) = keys {
--- a/crates/fes-idempotency/tests/support/upstream.rs
+++ b/crates/fes-idempotency/tests/support/upstream.rs
@@ -54,7 +54,10 @@
 
     pub fn on_run(&mut self, at: TargetId, tag: ResponseTag, key: String, body: String) {
         let (mode, run_us) = (self.agents[&at].upstream, self.agents[&at].run_us);
-        if mode == UpstreamMode::Refuses {
+        if mode == UpstreamMode::RefusesOnce {
+            self.agents.get_mut(&at).expect("agent exists").upstream = UpstreamMode::Answers;
+        }
+        if matches!(mode, UpstreamMode::Refuses | UpstreamMode::RefusesOnce) {
             self.say(format!(
                 "upstream {at} refuses {} without running it",
                 self.alias(&key)
@@ -111,11 +114,16 @@
         }
         let request = tag.request;
         let event = match (reply, agent.broken) {
-            (UpstreamReply::Refused, _) => StoreEvent::UpstreamRefused {
-                request,
-                proof: UpstreamRefusal::RefusedStream,
-                retry: false,
-            },
+            (UpstreamReply::Refused, _) => {
+                let retry = agent.retries > 0;
+                agent.retries = agent.retries.saturating_sub(1);
+                let proof = UpstreamRefusal::RefusedStream;
+                StoreEvent::UpstreamRefused {
+                    request,
+                    proof,
+                    retry,
+                }
+            }
             (UpstreamReply::Lost, Broken::RetriesLostUpstream)
                 if agent.executions.contains_key(&request) =>
             {
--- a/crates/fes-idempotency/tests/support/world.rs
+++ b/crates/fes-idempotency/tests/support/world.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use fes_idempotency::Answer;
+use fes_idempotency::AnswerDetail;
 use fes_idempotency::PURGE_PERIOD_MS;
 use fes_idempotency::ResponseTag;
 use fes_idempotency::StoreLimits;
@@ -94,7 +95,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum End {
     Answered { body: String },
-    Code(ResultCode),
+    Code(ResultCode, AnswerDetail),
     ConnectionLost,
 }
 
@@ -387,7 +388,8 @@
         self.tries[try_id].ends.push((self.now, end.clone()));
         let text = match end {
             End::Answered { body } => format!("answered \"{}\"", self.shorten(&body)),
-            End::Code(code) => format!("F{} {}", code.number(), code.name()),
+            End::Code(code, AnswerDetail::None) => format!("F{} {}", code.number(), code.name()),
+            End::Code(code, detail) => format!("F{} {}: {detail}", code.number(), code.name()),
             End::ConnectionLost => "connection lost".into(),
         };
         let late = if is_first { "" } else { " (late, dropped)" };
