--- a/crates/fes-idempotency/tests/support/agent.rs
+++ b/crates/fes-idempotency/tests/support/agent.rs
@@ -33,8 +33,12 @@
 pub enum UpstreamMode {
     /// Runs them and answers.
     Answers,
+    /// Runs them; the agent streams the response to the first try and holds nothing.
+    Streams,
     /// Refuses them without running.
     Refuses,
+    /// Refuses one without running it, then answers.
+    RefusesOnce,
     /// Runs them and loses the connection.
     LosesConnection,
     /// Runs them and ends the response early.
@@ -77,6 +81,8 @@
     pub busy: BTreeSet<RequestId>,
     pub slots: usize,
     pub max_queue: usize,
+    /// What is left of the retry budget.
+    pub retries: u32,
     pub requests: BTreeMap<RequestId, OpenRequest>,
     pub relays: BTreeMap<RequestId, TargetId>,
     pub upstream: UpstreamMode,
@@ -118,6 +124,7 @@
             busy: BTreeSet::new(),
             slots: 2,
             max_queue: 4,
+            retries: 0,
             requests: BTreeMap::new(),
             relays: BTreeMap::new(),
             upstream: UpstreamMode::Answers,
@@ -142,6 +149,16 @@
         self.coordinator = Coordinator::new(me, keys(), limits);
     }
 
+    /// Replaces the life cycle by a serving one with another drain bound.
+    pub fn set_drain_bound(&mut self, drain_bound_ms: u64) {
+        let settings = LifecycleSettings {
+            drain_bound_ms,
+            ..LifecycleSettings::default()
+        };
+        self.life = LifecycleMachine::new(Role::Agent, settings);
+        self.life.handle(MonoTime::ZERO, LifecycleEvent::Ready);
+    }
+
     /// Time on the agent's own clock.
     pub fn local(&self, now: MonoTime) -> MonoTime {
         MonoTime::from_us(now.us_since(self.booted_at))
