--- a/crates/fes-kernel/src/lib.rs
+++ b/crates/fes-kernel/src/lib.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod component;
 mod driver;
+mod hosted;
 mod kernel;
 mod timers;
 mod virtual_network;
@@ -18,6 +19,8 @@
 pub use component::Outbox;
 pub use component::TimerToken;
 pub use driver::KernelDriver;
+pub use hosted::Decider;
+pub use hosted::Hosted;
 pub use kernel::Effect;
 pub use kernel::Kernel;
 pub use virtual_network::Arrival;
--- a/crates/fes-membership/src/peer_table.rs
+++ b/crates/fes-membership/src/peer_table.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use fes_kernel::Decider;
 use fes_protocol::DataCentreName;
 use fes_protocol::EntryHeartbeat;
 use fes_protocol::EntryId;
@@ -390,6 +391,23 @@
     }
 }
 
+impl Decider for PeerTable {
+    type Event = PeerTableEvent;
+    type Action = PeerTableAction;
+
+    fn tick() -> PeerTableEvent {
+        PeerTableEvent::Tick
+    }
+
+    fn decide(&mut self, now: MonoTime, event: PeerTableEvent) -> Vec<PeerTableAction> {
+        self.handle(now, event)
+    }
+
+    fn next_deadline(&self, now: MonoTime) -> MonoTime {
+        Self::next_deadline(self, now)
+    }
+}
+
 /// Returns what to tell entries about a peer: nothing while the state is open or concerns only
 /// the link to this agent.
 fn opinion(now: MonoTime, judges_after: MonoTime, peer: &Peer) -> Option<(Incarnation, Verdict)> {
--- a/crates/fes-tickets/src/simulation/mod.rs
+++ b/crates/fes-tickets/src/simulation/mod.rs
@@ -14,6 +14,7 @@
 pub use fleet::Place;
 pub use fleet::SimulatedFleet;
 pub use paths::RegionPaths;
+pub use platform::Answer;
 pub use platform::PlatformState;
 pub use platform::SimulatedPlatform;
 pub use shape::FleetShape;
