--- a/crates/fes-agent/src/agent.rs
+++ b/crates/fes-agent/src/agent.rs
@@ -73,7 +73,11 @@
             core.settings.node.status_address,
             Arc::clone(&core.metrics),
             core.health.clone(),
-            move || status_core.upgrade().map_or(Value::Null, |core| core.status()),
+            move || {
+                status_core
+                    .upgrade()
+                    .map_or(Value::Null, |core| core.status())
+            },
         )
         .await?;
         start_tasks(&core, datagrams);
@@ -127,7 +131,8 @@
     pub fn offer(&self, ticket: Arc<Ticket>) {
         let from = Endpoint::Seed(self.link_address());
         let message = TicketMessage::Push(vec![ticket]);
-        self.core.post_tickets(DistributionEvent::Message { from, message });
+        self.core
+            .post_tickets(DistributionEvent::Message { from, message });
     }
 
     /// Returns the current counters.
@@ -139,7 +144,8 @@
     /// Starts a graceful stop: refuses new work, completes what is in progress, and closes at the
     /// drain bound with explicit errors. A second call doesn't shorten it.
     pub fn stop(&self) {
-        self.core.post_lifecycle(LifecycleEvent::Drain(DrainSource::Signal));
+        self.core
+            .post_lifecycle(LifecycleEvent::Drain(DrainSource::Signal));
     }
 
     /// Waits for the end of a graceful stop; returns the exit status of the process.
--- a/crates/fes-agent/src/decisions/keys_component.rs
+++ b/crates/fes-agent/src/decisions/keys_component.rs
@@ -85,11 +85,10 @@
                 coordinator.issuer_mut().set_own_spare(spare_milli);
             }
             KeysEvent::SetKeys(keys) => self.coordinator.borrow_mut().set_keys(keys),
-            KeysEvent::Drain => self
-                .coordinator
-                .borrow_mut()
-                .issuer_mut()
-                .set_draining(true),
+            KeysEvent::Draining(draining) => {
+                let mut coordinator = self.coordinator.borrow_mut();
+                coordinator.issuer_mut().set_draining(draining);
+            }
         }
     }
 }
--- a/crates/fes-agent/src/host.rs
+++ b/crates/fes-agent/src/host.rs
@@ -80,7 +80,10 @@
                     self.socket.state().return_path.remove(entry);
                 }
             }
-            ControlMessage::EntryHeartbeat(_) => self.drops.count(ResultCode::ControlMalformed),
+            // Only entries take these.
+            ControlMessage::EntryHeartbeat(_) | ControlMessage::LivenessDigest(_) => {
+                self.drops.count(ResultCode::ControlMalformed);
+            }
         }
     }
 
@@ -138,7 +141,10 @@
             if let Some(ring) = self.settings.node.keys.ring(epoch.value.current) {
                 self.use_keys(&ring);
             } else {
-                log::error!("agent: no key of epoch {} in the settings", epoch.value.current);
+                log::error!(
+                    "agent: no key of epoch {} in the settings",
+                    epoch.value.current
+                );
             }
         }
         let fleets: Vec<_> = snapshot.fleets().map(|f| Arc::clone(&f.value)).collect();
@@ -168,7 +174,10 @@
         *self.service.borrow_mut() = Some(Arc::clone(spec));
         self.post_peers(PeerTableEvent::Service(Arc::clone(spec)));
         self.update_peers();
-        let own = spec.upstreams.iter().find(|u| u.target == self.settings.target);
+        let own = spec
+            .upstreams
+            .iter()
+            .find(|u| u.target == self.settings.target);
         self.post_lifecycle(match own.map(|own| own.state) {
             Some(UpstreamState::Active) => LifecycleEvent::Withdrawn(DrainSource::Ticket),
             Some(UpstreamState::Leaving) | None => LifecycleEvent::Drain(DrainSource::Ticket),
@@ -227,7 +236,9 @@
             .map(|(target, _, _, load)| (target, load.flow_count))
             .collect();
         let in_state = |wanted: &[PeerState]| {
-            let peers = table.peers().filter(|(_, state, ..)| wanted.contains(state));
+            let peers = table
+                .peers()
+                .filter(|(_, state, ..)| wanted.contains(state));
             peers.map(|(target, ..)| target).collect()
         };
         view.lost = in_state(&[PeerState::Dead]);
--- a/crates/fes-agent/src/report.rs
+++ b/crates/fes-agent/src/report.rs
@@ -26,7 +26,11 @@
         let metrics = &self.metrics;
         let pairs = [
             (&metrics.flows_opened, now.flows_opened, before.flows_opened),
-            (&metrics.flows_refused, now.flows_refused, before.flows_refused),
+            (
+                &metrics.flows_refused,
+                now.flows_refused,
+                before.flows_refused,
+            ),
             (
                 &metrics.first_packets_handed_off,
                 now.first_packets_passed_on,
@@ -73,17 +77,23 @@
         }
         for (code, count) in &now.answers {
             let before = reported.answers.insert(*code, *count).unwrap_or(0);
-            let counter = metrics.requests_failed.get_or_create(&CodeLabel::from(*code));
+            let counter = metrics
+                .requests_failed
+                .get_or_create(&CodeLabel::from(*code));
             counter.inc_by(count - before);
         }
         for (code, count) in &now.drops {
             let before = reported.drops.insert(*code, *count).unwrap_or(0);
-            let counter = metrics.datagrams_dropped.get_or_create(&CodeLabel::from(*code));
+            let counter = metrics
+                .datagrams_dropped
+                .get_or_create(&CodeLabel::from(*code));
             counter.inc_by(count - before);
         }
         metrics.flows_open.set(gauge(now.flows_open));
         metrics.slots_used.set(gauge(now.slots_used));
-        metrics.queue_requests.set(gauge(self.work.borrow().queued as u64));
+        metrics
+            .queue_requests
+            .set(gauge(self.work.borrow().queued as u64));
         let distribution = self.distribution.borrow();
         let highest = distribution.snapshot().highest();
         metrics.ticket_highest.set(gauge(highest.0));
