Share the carrying out of ticket decisions between the daemons

Cause: entry and agent do the same with tickets. Change: TicketHost in fes-node: links, digests and platform reads. Conclusion: compiles; the agent uses it.

--- a/crates/fes-agent/src/agent.rs
+++ b/crates/fes-agent/src/agent.rs
@@ -124,7 +124,7 @@
     /// Returns the tickets in force.
     #[must_use]
     pub fn snapshot(&self) -> Arc<Snapshot> {
-        self.core.distribution.borrow().snapshot()
+        self.core.tickets.snapshot()
     }
 
     /// Offers a ticket, as a peer's push would.
@@ -177,6 +177,7 @@
         core.upstream.close();
         core.links.close();
         core.tasks.abort();
+        core.tickets.stop();
         core.requests.clear();
         core.driver.clear_effects();
     }
--- a/crates/fes-agent/src/build.rs
+++ b/crates/fes-agent/src/build.rs
@@ -24,7 +24,7 @@
 use fes_membership::lifecycle::LifecycleSettings;
 use fes_membership::lifecycle::Role;
 use fes_node::LifecycleComponent;
-use fes_node::TicketLinks;
+use fes_node::TicketHost;
 use fes_node::TicketsComponent;
 use fes_protocol::EncapsulationCodec;
 use fes_protocol::Error;
@@ -42,8 +42,6 @@
 use fes_routing::Router;
 use fes_settings::AgentSettings;
 use fes_telemetry::Health;
-use fes_tickets::Distribution;
-use fes_tickets::DistributionSettings;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
@@ -67,8 +65,6 @@
 struct Components {
     coordinator: Rc<RefCell<Coordinator>>,
     work: Rc<RefCell<WorkStatus>>,
-    distribution: Rc<RefCell<Distribution>>,
-    machine: Rc<RefCell<LifecycleMachine>>,
     peers: Rc<RefCell<PeerTable>>,
 }
 
@@ -98,18 +94,22 @@
         ..StoreLimits::default()
     };
     let components = make_components(&settings, clock, incarnation, ring, limits);
-    let kernel = make_kernel(&settings, clock, &components);
-    let node = NodeId::Agent(settings.target);
+    let tickets = TicketHost::new(
+        clock.now(),
+        NodeId::Agent(settings.target),
+        &settings.node,
+        links.clone(),
+        rand::random(),
+    );
+    let kernel = make_kernel(&settings, clock, &components, &tickets);
     Ok(Rc::new(AgentCore {
         upstream: Upstream::new(settings.upstream_address),
-        ticket_links: TicketLinks::new(node, links.clone()),
+        tickets,
         links,
         requests: RequestTable::default(),
         matcher: RefCell::new(ResponseMatcher::new(incarnation)),
         coordinator: components.coordinator,
         work: components.work,
-        distribution: components.distribution,
-        machine: components.machine,
         peers: components.peers,
         service: RefCell::default(),
         health: Health::default(),
@@ -185,23 +185,10 @@
         incarnation,
         data_centre: settings.node.data_centre.clone(),
     };
-    let distribution = DistributionSettings {
-        node: NodeId::Agent(settings.target),
-        data_centre: settings.node.data_centre.clone(),
-        seeds: settings.node.seed_peers.clone(),
-        random_seed: rand::random(),
-    };
-    let lifecycle = LifecycleSettings {
-        drain_bound_ms: settings.drain_bound_ms,
-        ..LifecycleSettings::default()
-    };
-    let now = clock.now();
     Components {
         coordinator: Rc::new(RefCell::new(Coordinator::new(owner, ring, limits))),
         work: Rc::default(),
-        distribution: Rc::new(RefCell::new(Distribution::new(now, distribution))),
-        machine: Rc::new(RefCell::new(LifecycleMachine::new(Role::Agent, lifecycle))),
-        peers: Rc::new(RefCell::new(PeerTable::new(now, identity))),
+        peers: Rc::new(RefCell::new(PeerTable::new(clock.now(), identity))),
     }
 }
 
@@ -209,7 +196,13 @@
     settings: &AgentSettings,
     clock: ProcessClock,
     components: &Components,
+    tickets: &TicketHost,
 ) -> Kernel<AgentMessage> {
+    let lifecycle = LifecycleSettings {
+        drain_bound_ms: settings.drain_bound_ms,
+        ..LifecycleSettings::default()
+    };
+    let machine = LifecycleMachine::new(Role::Agent, lifecycle);
     let planner = OffloadPlanner::new(OffloadSettings::new(settings.target, rand::random()));
     let admission = Admission::new(clock.now(), admission_settings(settings));
     let work = Rc::clone(&components.work);
@@ -217,8 +210,8 @@
     kernel.register(WorkComponent::new(admission, planner, work));
     kernel.register(KeysComponent::new(Rc::clone(&components.coordinator)));
     kernel.register(PeersComponent::new(Rc::clone(&components.peers)));
-    kernel.register(TicketsComponent::new(Rc::clone(&components.distribution)));
-    kernel.register(LifecycleComponent::new(Rc::clone(&components.machine)));
+    kernel.register(TicketsComponent::new(Rc::clone(tickets.distribution())));
+    kernel.register(LifecycleComponent::new(machine));
     kernel.set_timer(MonoTime::ZERO, KEYS, KeysComponent::FIRST_TIMER);
     kernel
 }
--- a/crates/fes-agent/src/core.rs
+++ b/crates/fes-agent/src/core.rs
@@ -24,12 +24,11 @@
 use fes_membership::PeerTable;
 use fes_membership::PeerTableEvent;
 use fes_membership::lifecycle::LifecycleEvent;
-use fes_membership::lifecycle::LifecycleMachine;
 use fes_membership::lifecycle::WorkInProgress;
 use fes_node::HOST;
 use fes_node::LIFECYCLE;
 use fes_node::TICKETS;
-use fes_node::TicketLinks;
+use fes_node::TicketHost;
 use fes_protocol::FastMap;
 use fes_protocol::Incarnation;
 use fes_protocol::MonoTime;
@@ -42,7 +41,6 @@
 use fes_settings::AgentSettings;
 use fes_telemetry::Health;
 use fes_telemetry::Metrics;
-use fes_tickets::Distribution;
 use fes_tickets::DistributionEvent;
 use http::HeaderName;
 use http::HeaderValue;
@@ -98,12 +96,10 @@
     pub(crate) draining: watch::Sender<bool>,
     /// Notified when a request or a flow ends.
     pub(crate) ended: Notify,
-    pub(crate) distribution: Rc<RefCell<Distribution>>,
-    pub(crate) machine: Rc<RefCell<LifecycleMachine>>,
+    pub(crate) tickets: TicketHost,
     pub(crate) peers: Rc<RefCell<PeerTable>>,
     /// The agent's service as tickets have it.
     pub(crate) service: RefCell<Option<Arc<ServiceSpec>>>,
-    pub(crate) ticket_links: TicketLinks,
     pub(crate) health: Health,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) reported: RefCell<Reported>,
--- a/crates/fes-agent/src/host.rs
+++ b/crates/fes-agent/src/host.rs
@@ -1,6 +1,5 @@
 //! Carries out what the components decide outside of requests.
 
-use std::rc::Rc;
 use std::sync::Arc;
 
 use fes_idempotency::CoordinatorEvent;
@@ -10,6 +9,7 @@
 use fes_membership::lifecycle::DrainSource;
 use fes_membership::lifecycle::LifecycleAction;
 use fes_membership::lifecycle::LifecycleEvent;
+use fes_node::TicketNews;
 use fes_protocol::ControlMessage;
 use fes_protocol::EncapsulationCodec;
 use fes_protocol::Goodbye;
@@ -24,10 +24,7 @@
 use fes_routing::RouteTable;
 use fes_tickets::DistributionAction;
 use fes_tickets::DistributionEvent;
-use fes_tickets::Endpoint;
-use fes_tickets::PlatformRead;
 use fes_tickets::Snapshot;
-use fes_tickets::TicketMessage;
 use quinn::VarInt;
 
 use crate::core::AgentCore;
@@ -88,55 +85,16 @@
     }
 
     /// Carries out a decision about tickets.
-    pub(crate) fn on_tickets_action(self: &Rc<Self>, action: DistributionAction) {
-        match action {
-            DistributionAction::SendDigest { to, digest } => {
-                let addresses = self.distribution.borrow().directory().addresses(to);
-                if let Some(addresses) = addresses {
-                    let message = ControlMessage::TicketDigest(digest);
-                    self.socket.send_control(addresses.control, &message);
-                }
-            }
-            DistributionAction::Send { to, message } => self.send_tickets(to, message),
-            DistributionAction::ReadPlatform(read) => {
-                self.spawn(read_platform(Rc::clone(self), read));
-            }
-            DistributionAction::InForce { snapshot, .. } => self.put_in_force(&snapshot),
-            DistributionAction::Ready => self.post_lifecycle(LifecycleEvent::Ready),
-            DistributionAction::Report(report) => {
-                log::warn!("agent: {}: {report}", report.code());
-            }
+    pub(crate) fn on_tickets_action(&self, action: DistributionAction) {
+        let send = |to, message: &ControlMessage| self.socket.send_control(to, message);
+        match self.tickets.carry_out(action, send) {
+            Some(TicketNews::InForce(snapshot)) => self.put_in_force(&snapshot),
+            Some(TicketNews::Ready) => self.post_lifecycle(LifecycleEvent::Ready),
+            None => {}
         }
     }
 
-    fn send_tickets(self: &Rc<Self>, to: Endpoint, message: TicketMessage) {
-        let Some(message) = self.ticket_links.keep_answer(to, message) else {
-            return;
-        };
-        let address = match to {
-            Endpoint::Seed(address) => Some(address),
-            Endpoint::Node(node) => {
-                let distribution = self.distribution.borrow();
-                distribution.directory().addresses(node).map(|a| a.link)
-            }
-        };
-        let Some(address) = address else {
-            return;
-        };
-        let core = Rc::clone(self);
-        self.spawn(async move {
-            match core.ticket_links.send(address, &message).await {
-                Ok(answers) => {
-                    for message in answers {
-                        core.post_tickets(DistributionEvent::Message { from: to, message });
-                    }
-                }
-                Err(e) => log::debug!("agent: tickets to {to}: {e}"),
-            }
-        });
-    }
-
-    fn put_in_force(self: &Rc<Self>, snapshot: &Snapshot) {
+    fn put_in_force(&self, snapshot: &Snapshot) {
         if let Some(epoch) = snapshot.key_epoch() {
             if let Some(ring) = self.settings.node.keys.ring(epoch.value.current) {
                 self.use_keys(&ring);
@@ -162,7 +120,7 @@
         }
     }
 
-    fn use_service(self: &Rc<Self>, number: TicketNumber, spec: &Arc<ServiceSpec>) {
+    fn use_service(&self, number: TicketNumber, spec: &Arc<ServiceSpec>) {
         let links = spec.upstreams.iter().map(|u| (u.target, u.link_address));
         *self.peer_links.borrow_mut() = links.collect();
         {
@@ -215,7 +173,7 @@
     }
 
     fn send_control(&self, to: NodeId, message: &ControlMessage) {
-        let addresses = self.distribution.borrow().directory().addresses(to);
+        let addresses = self.tickets.addresses(to);
         if let Some(addresses) = addresses {
             self.socket.send_control(addresses.control, message);
         }
@@ -329,7 +287,3 @@
         }
     }
 }
-
-async fn read_platform(core: Rc<AgentCore>, _read: PlatformRead) {
-    core.post_tickets(DistributionEvent::PlatformFailed);
-}
--- a/crates/fes-agent/src/report.rs
+++ b/crates/fes-agent/src/report.rs
@@ -94,7 +94,7 @@
         metrics
             .queue_requests
             .set(gauge(self.work.borrow().queued as u64));
-        let distribution = self.distribution.borrow();
+        let distribution = self.tickets.distribution().borrow();
         let highest = distribution.snapshot().highest();
         metrics.ticket_highest.set(gauge(highest.0));
         let age_ms = distribution.platform_age_ms(self.now());
@@ -108,7 +108,7 @@
     pub(crate) fn status(&self) -> Value {
         let counters = self.snapshot();
         let load = self.work.borrow().load;
-        let snapshot = self.distribution.borrow().snapshot();
+        let snapshot = self.tickets.distribution().borrow().snapshot();
         let peers: Vec<Value> = self
             .peers
             .borrow()
--- a/crates/fes-agent/src/tasks.rs
+++ b/crates/fes-agent/src/tasks.rs
@@ -51,14 +51,7 @@
 async fn serve_link(core: Rc<AgentCore>, request: LinkRequest) {
     match request.kind.as_str() {
         REQUEST_KIND => serve_peer(core, request).await,
-        TICKETS_KIND => {
-            let post = |from, message| {
-                core.post_tickets(DistributionEvent::Message { from, message });
-            };
-            if let Err(e) = core.ticket_links.serve(request, post).await {
-                log::debug!("agent: message about tickets: {e}");
-            }
-        }
+        TICKETS_KIND => core.tickets.serve(request).await,
         _ => request.responder.reject(),
     }
 }
@@ -71,6 +64,12 @@
             core.on_effect(effect);
         }
     });
+    let ticket_core = Rc::downgrade(core);
+    core.tickets.on_event(move |event| {
+        if let Some(core) = ticket_core.upgrade() {
+            core.post_tickets(event);
+        }
+    });
     let driver = core.driver.clone();
     core.spawn(async move { driver.run_timers().await });
     core.spawn(accept_connections(Rc::clone(core)));
--- a/crates/fes-node/src/lib.rs
+++ b/crates/fes-node/src/lib.rs
@@ -3,7 +3,9 @@
 mod clock_watch;
 mod host_message;
 mod lifecycle_component;
+mod platform_reader;
 mod signals;
+mod ticket_host;
 mod ticket_links;
 mod tickets_component;
 
@@ -14,6 +16,8 @@
 pub use host_message::TICKETS;
 pub use lifecycle_component::LifecycleComponent;
 pub use signals::on_stop_signal;
+pub use ticket_host::TicketHost;
+pub use ticket_host::TicketNews;
 pub use ticket_links::TICKETS_KIND;
 pub use ticket_links::TicketLinks;
 pub use tickets_component::TicketsComponent;
--- a/crates/fes-node/src/lifecycle_component.rs
+++ b/crates/fes-node/src/lifecycle_component.rs
@@ -1,8 +1,5 @@
 //! Hosts the life cycle of the process.
 
-use std::cell::RefCell;
-use std::rc::Rc;
-
 use fes_kernel::Component;
 use fes_kernel::ComponentName;
 use fes_kernel::Event;
@@ -19,16 +16,16 @@
 
 const TICK: TimerToken = TimerToken(0);
 
-/// Wraps the life cycle. The daemon shares it to read the phase.
+/// Wraps the life cycle.
 #[derive(Debug)]
 pub struct LifecycleComponent {
-    machine: Rc<RefCell<LifecycleMachine>>,
+    machine: LifecycleMachine,
 }
 
 impl LifecycleComponent {
     /// Makes the component.
     #[must_use]
-    pub const fn new(machine: Rc<RefCell<LifecycleMachine>>) -> Self {
+    pub const fn new(machine: LifecycleMachine) -> Self {
         Self { machine }
     }
 }
@@ -46,7 +43,7 @@
                 None => return,
             },
         };
-        for action in self.machine.borrow_mut().handle(now, event) {
+        for action in self.machine.handle(now, event) {
             match action {
                 LifecycleAction::SetTimer(deadline) => outbox.set_timer(deadline, TICK),
                 action => outbox.send(HOST, action.into()),
--- /dev/null
+++ b/crates/fes-node/src/platform_reader.rs
@@ -0,0 +1,91 @@
+//! Reads and watches of the platform.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use fes_platform::PlatformClient;
+use fes_platform::TicketReply;
+use fes_protocol::Result;
+use fes_protocol::TicketNumber;
+use fes_tickets::DistributionEvent;
+use fes_tickets::PlatformAnswer;
+use fes_tickets::PlatformRead;
+use tokio::sync::Mutex;
+use tokio::task::JoinHandle;
+
+/// Carries out reads; at most one is in flight.
+#[derive(Debug)]
+pub(crate) struct PlatformReader {
+    client: Rc<Mutex<PlatformClient>>,
+    in_flight: RefCell<Option<JoinHandle<()>>>,
+}
+
+impl PlatformReader {
+    pub(crate) fn new(client: PlatformClient) -> Self {
+        Self {
+            client: Rc::new(Mutex::new(client)),
+            in_flight: RefCell::new(None),
+        }
+    }
+
+    /// Starts a read, which replaces one in flight.
+    pub(crate) fn start(&self, read: PlatformRead, post: Rc<dyn Fn(DistributionEvent)>) {
+        let client = Rc::clone(&self.client);
+        let task = actix_rt::spawn(async move {
+            let answer = carry_out(&client, read).await;
+            post(match answer {
+                Ok(answer) => DistributionEvent::PlatformAnswered(answer),
+                Err(e) => {
+                    log::debug!("platform: {e}");
+                    DistributionEvent::PlatformFailed
+                }
+            });
+        });
+        if let Some(earlier) = self.in_flight.borrow_mut().replace(task) {
+            earlier.abort();
+        }
+    }
+}
+
+impl Drop for PlatformReader {
+    fn drop(&mut self) {
+        if let Some(task) = self.in_flight.borrow_mut().take() {
+            task.abort();
+        }
+    }
+}
+
+async fn carry_out(client: &Mutex<PlatformClient>, read: PlatformRead) -> Result<PlatformAnswer> {
+    let mut client = client.lock().await;
+    match read {
+        PlatformRead::Full => {
+            let reply = client.read(TicketNumber(0)).await?;
+            Ok(answer(reply, TicketNumber(0)))
+        }
+        // The platform's index is its highest ticket number.
+        PlatformRead::Watch {
+            after_index,
+            wait_ms,
+        } => {
+            let after = TicketNumber(after_index);
+            let reply = client.watch(after, u64::from(wait_ms)).await?;
+            Ok(answer(reply, after))
+        }
+    }
+}
+
+fn answer(reply: TicketReply, after: TicketNumber) -> PlatformAnswer {
+    for rejected in &reply.rejected {
+        for fault in &rejected.faults {
+            log::error!("platform: ticket {:?}: {fault:?}", rejected.number);
+        }
+    }
+    let last = reply.tickets.last().map_or(after, |ticket| ticket.number);
+    let highest = reply.highest.unwrap_or(last);
+    PlatformAnswer {
+        index: highest.0,
+        highest,
+        tickets: reply.tickets.into_iter().map(Arc::new).collect(),
+    }
+}
