--- a/crates/fes-entry/src/counters.rs
+++ b/crates/fes-entry/src/counters.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 
+use fes_protocol::MonoTime;
 use fes_protocol::ResultCode;
 
 /// Snapshot of an entry's counters.
@@ -39,6 +40,7 @@
     pub(crate) lost_target: Cell<u64>,
     pub(crate) returned: Cell<u64>,
     pub(crate) control: Cell<u64>,
+    pub(crate) last_client_datagram_at: Cell<Option<MonoTime>>,
 }
 
 pub(crate) fn add_one(counter: &Cell<u64>) {
--- a/crates/fes-entry/src/data_plane.rs
+++ b/crates/fes-entry/src/data_plane.rs
@@ -12,6 +12,7 @@
 use fes_protocol::EncapsulationCodec;
 use fes_protocol::EntryId;
 use fes_protocol::KeyRing;
+use fes_protocol::NodeId;
 use fes_protocol::ResultCode;
 use fes_protocol::ServiceId;
 use fes_protocol::TargetId;
@@ -112,6 +113,8 @@
     }
 
     fn from_client(&self, service: &ServiceSocket, datagram: &[u8], client: SocketAddr) {
+        let last = &self.counters.last_client_datagram_at;
+        last.set(Some(self.clock.now()));
         let decision = self
             .router
             .borrow()
@@ -165,7 +168,7 @@
         &self,
         datagram: &[u8],
         from: SocketAddr,
-        on_control: &impl Fn(ControlMessage, SocketAddr),
+        on_control: &impl Fn(ControlMessage, SocketAddr, NodeId),
     ) {
         let decoded = self.codec.borrow().decode(datagram);
         let (header, payload) = match decoded {
@@ -177,7 +180,7 @@
             DatagramKind::Control => match decode_control(payload) {
                 Ok(message) => {
                     add_one(&self.counters.control);
-                    on_control(message, from);
+                    on_control(message, from, sender_of(&header));
                 }
                 Err(code) => self.drops.count(code),
             },
@@ -198,7 +201,7 @@
 /// Handles datagrams from agents and entries; never returns.
 pub(crate) async fn run_control<L: LivenessView>(
     plane: Rc<DataPlane<L>>,
-    on_control: impl Fn(ControlMessage, SocketAddr),
+    on_control: impl Fn(ControlMessage, SocketAddr, NodeId),
 ) {
     receive(&plane.control, |datagram, from| {
         plane.from_process(datagram, from, &on_control);
@@ -206,6 +209,14 @@
     .await;
 }
 
+/// Returns who sent a control datagram: agents name their target, entries none.
+const fn sender_of(header: &Encapsulation) -> NodeId {
+    match header.target {
+        TargetId(0) => NodeId::Entry(header.entry),
+        target => NodeId::Agent(target),
+    }
+}
+
 async fn receive(socket: &UdpSocket, handle: impl Fn(&[u8], SocketAddr)) {
     let mut buffer = [0; BUFFER_BYTES];
     loop {
--- /dev/null
+++ b/crates/fes-entry/src/view_component.rs
@@ -0,0 +1,83 @@
+//! Hosts the entry's beliefs about targets.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use fes_kernel::Component;
+use fes_kernel::ComponentName;
+use fes_kernel::Event;
+use fes_kernel::Outbox;
+use fes_kernel::TimerToken;
+use fes_membership::EntryView;
+use fes_membership::EntryViewEvent;
+use fes_node::HOST;
+use fes_protocol::MonoTime;
+use fes_protocol::ServiceId;
+use fes_protocol::TargetId;
+use fes_routing::LivenessView;
+
+use crate::message::EntryMessage;
+use crate::message::VIEW;
+
+const TICK: TimerToken = TimerToken(0);
+
+/// The entry's view, shared with the routing decision.
+#[derive(Debug, Clone)]
+pub(crate) struct SharedView(pub(crate) Rc<RefCell<EntryView>>);
+
+impl LivenessView for SharedView {
+    fn is_placeable(&self, _service: ServiceId, target: TargetId) -> bool {
+        self.0.borrow().placeable(target)
+    }
+
+    fn is_confirmed_lost(&self, _service: ServiceId, target: TargetId) -> bool {
+        self.0.borrow().confirmed_lost(target)
+    }
+}
+
+/// Wraps the view.
+pub(crate) struct ViewComponent {
+    view: SharedView,
+    armed: MonoTime,
+}
+
+impl ViewComponent {
+    pub(crate) const fn new(view: SharedView) -> Self {
+        Self {
+            view,
+            armed: MonoTime::ZERO,
+        }
+    }
+}
+
+impl Component<EntryMessage> for ViewComponent {
+    fn name(&self) -> ComponentName {
+        VIEW
+    }
+
+    fn handle(
+        &mut self,
+        now: MonoTime,
+        event: Event<EntryMessage>,
+        outbox: &mut Outbox<EntryMessage>,
+    ) {
+        let event = match event {
+            Event::Timer(_) => EntryViewEvent::Tick,
+            Event::Message {
+                body: EntryMessage::View(event),
+                ..
+            } => event,
+            Event::Message { .. } => return,
+        };
+        let mut view = self.view.0.borrow_mut();
+        for action in view.handle(now, event) {
+            outbox.send(HOST, EntryMessage::ViewAction(action));
+        }
+        let deadline = view.next_deadline();
+        // Timers can't be cancelled, so only a deadline that no pending timer covers sets one.
+        if deadline < self.armed || self.armed <= now {
+            self.armed = deadline.max(now.plus_us(1));
+            outbox.set_timer(self.armed, TICK);
+        }
+    }
+}
