Seal control messages with a short header

Cause: control traffic of an agent at the design size was 4,726 bytes/s against a bound of 3,000; 52 bytes of each control datagram were a header made for clients' datagrams.

Change: control datagrams carry kind, service, target and entry only, 15 bytes instead of 52. The layout is chosen by the kind byte, which the MAC covers.

Result: a heartbeat among seven agents takes 133 instead of 170 bytes on the wire, one to an entry 84 instead of 121.

--- a/crates/fes-measure/src/capacity/control_messages.rs
+++ b/crates/fes-measure/src/capacity/control_messages.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
+use fes_protocol::CONTROL_OVERHEAD_BYTES;
 use fes_protocol::ControlMessage;
 use fes_protocol::DatagramKind;
-use fes_protocol::ENCAPSULATION_OVERHEAD_BYTES;
 use fes_protocol::Encapsulation;
 use fes_protocol::EncapsulationCodec;
 use fes_protocol::EntryHeartbeat;
@@ -80,7 +80,7 @@
 /// Returns the bytes of a message on the wire, headers included.
 fn wire_bytes(message: &ControlMessage) -> f64 {
     let payload_bytes = encode_control(message).map_or(0, |bytes| bytes.len());
-    (payload_bytes + ENCAPSULATION_OVERHEAD_BYTES) as f64 + UDP_IP_HEADER_BYTES
+    (payload_bytes + CONTROL_OVERHEAD_BYTES) as f64 + UDP_IP_HEADER_BYTES
 }
 
 /// Returns the time to encode, authenticate, verify and decode a message once.
--- a/crates/fes-membership/src/traffic.rs
+++ b/crates/fes-membership/src/traffic.rs
@@ -1,7 +1,7 @@
 //! Bytes that control traffic takes on the wire.
 
+use fes_protocol::CONTROL_OVERHEAD_BYTES;
 use fes_protocol::ControlMessage;
-use fes_protocol::ENCAPSULATION_OVERHEAD_BYTES;
 use fes_protocol::MonoTime;
 use fes_protocol::encode_control;
 
@@ -12,7 +12,7 @@
 #[must_use]
 pub fn datagram_bytes(message: &ControlMessage) -> usize {
     let payload_bytes = encode_control(message).map_or(0, |bytes| bytes.len());
-    payload_bytes + ENCAPSULATION_OVERHEAD_BYTES + UDP_IP_OVERHEAD_BYTES
+    payload_bytes + CONTROL_OVERHEAD_BYTES + UDP_IP_OVERHEAD_BYTES
 }
 
 /// Adds up sent and received bytes of a process.
--- a/crates/fes-protocol/src/encapsulation.rs
+++ b/crates/fes-protocol/src/encapsulation.rs
@@ -1,6 +1,8 @@
 //! Encapsulation of datagrams between entries and agents, authenticated by a keyed MAC.
 //!
-//! Layout: fixed-size `bincode` header, 16-byte MAC over header and payload, payload.
+//! Layout: fixed-size `bincode` header, 16-byte MAC over header and payload, payload. Control
+//! messages have a shorter header than clients' datagrams, because they are sent all the time and
+//! count against the budget for control.
 
 use std::net::IpAddr;
 use std::net::Ipv6Addr;
@@ -22,11 +24,19 @@
 
 const VERSION: u8 = 1;
 const HEADER_LEN_BYTES: usize = 52;
+const CONTROL_HEADER_LEN_BYTES: usize = 15;
 const MAC_LEN_BYTES: usize = 16;
+const KIND_POSITION: usize = 2;
+const KIND_FORWARD: u8 = 0;
+const KIND_RETURN: u8 = 1;
+const KIND_CONTROL: u8 = 2;
 
-/// Bytes that the encapsulation adds to a datagram.
+/// Bytes that the encapsulation adds to a client's datagram.
 pub const ENCAPSULATION_OVERHEAD_BYTES: usize = HEADER_LEN_BYTES + MAC_LEN_BYTES;
 
+/// Bytes that the encapsulation adds to a control message.
+pub const CONTROL_OVERHEAD_BYTES: usize = CONTROL_HEADER_LEN_BYTES + MAC_LEN_BYTES;
+
 /// Largest client datagram that entries pass on, in bytes. With encapsulation and IP headers it
 /// stays below an Ethernet MTU of 1,500.
 pub const MAX_CLIENT_DATAGRAM_BYTES: usize = 1_372;
@@ -42,7 +52,8 @@
     Control,
 }
 
-/// Decoded header of an encapsulated datagram.
+/// Decoded header of an encapsulated datagram. Control messages carry kind, service, target and
+/// entry only; the other fields are then zero.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Encapsulation {
     /// What the payload is.
@@ -82,6 +93,16 @@
     payload_bytes: u32,
 }
 
+#[derive(Serialize, Deserialize)]
+struct ControlHeaderWire {
+    version: u8,
+    key_epoch: u8,
+    kind: u8,
+    service_id: u32,
+    target_id: u32,
+    entry_id: u32,
+}
+
 /// Encodes and decodes encapsulated datagrams under the accepted key epochs.
 #[derive(Debug, Clone)]
 pub struct EncapsulationCodec {
@@ -98,14 +119,13 @@
     /// Encodes header and payload into one datagram.
     #[must_use]
     pub fn encode(&self, header: &Encapsulation, payload: &[u8]) -> Vec<u8> {
-        let wire = EncapsulationWire::from_header(header, self.keys.current_epoch(), payload.len());
-        let mut out = vec![0; ENCAPSULATION_OVERHEAD_BYTES + payload.len()];
-        // The header has a fixed size, so that encoding into this buffer can't fail.
-        let _ = bincode::serde::encode_into_slice(&wire, &mut out[..HEADER_LEN_BYTES], config());
-        out[ENCAPSULATION_OVERHEAD_BYTES..].copy_from_slice(payload);
-        let mac = mac(self.keys.current(), &out[..HEADER_LEN_BYTES], payload);
-        out[HEADER_LEN_BYTES..ENCAPSULATION_OVERHEAD_BYTES].copy_from_slice(&mac);
-        out
+        let epoch = self.keys.current_epoch();
+        if header.kind == DatagramKind::Control {
+            let wire = ControlHeaderWire::from_header(header, epoch);
+            return self.seal(&wire, CONTROL_HEADER_LEN_BYTES, payload);
+        }
+        let wire = EncapsulationWire::from_header(header, epoch, payload.len());
+        self.seal(&wire, HEADER_LEN_BYTES, payload)
     }
 
     /// Checks and decodes a datagram; returns its header and payload.
@@ -115,40 +135,99 @@
     /// Returns the drop reason if the datagram is short, has another version or key epoch, or was
     /// not made with an accepted key.
     pub fn decode<'a>(&self, datagram: &'a [u8]) -> Result<(Encapsulation, &'a [u8]), ResultCode> {
-        if datagram.len() < ENCAPSULATION_OVERHEAD_BYTES {
+        if datagram.get(KIND_POSITION) == Some(&KIND_CONTROL) {
+            let (header, payload) = self.open(datagram, CONTROL_HEADER_LEN_BYTES)?;
+            let wire: ControlHeaderWire = decode_header(header)?;
+            return Ok((wire.into(), payload));
+        }
+        let (header, payload) = self.open(datagram, HEADER_LEN_BYTES)?;
+        let wire: EncapsulationWire = decode_header(header)?;
+        if wire.payload_bytes as usize != payload.len() {
+            return Err(ResultCode::DatagramMalformed);
+        }
+        Ok((wire.try_into()?, payload))
+    }
+
+    fn seal(&self, header: &impl Serialize, header_bytes: usize, payload: &[u8]) -> Vec<u8> {
+        let overhead_bytes = header_bytes + MAC_LEN_BYTES;
+        let mut out = vec![0; overhead_bytes + payload.len()];
+        // The header has a fixed size, so that encoding into this buffer can't fail.
+        let _ = bincode::serde::encode_into_slice(header, &mut out[..header_bytes], config());
+        out[overhead_bytes..].copy_from_slice(payload);
+        let mac = mac(self.keys.current(), &out[..header_bytes], payload);
+        out[header_bytes..overhead_bytes].copy_from_slice(&mac);
+        out
+    }
+
+    /// Verifies version, key epoch and MAC; returns header bytes and payload.
+    fn open<'a>(
+        &self,
+        datagram: &'a [u8],
+        header_bytes: usize,
+    ) -> Result<(&'a [u8], &'a [u8]), ResultCode> {
+        if datagram.len() < header_bytes + MAC_LEN_BYTES {
             return Err(ResultCode::DatagramTooShort);
         }
-        let (head, payload) = datagram.split_at(ENCAPSULATION_OVERHEAD_BYTES);
-        let (header, received_mac) = head.split_at(HEADER_LEN_BYTES);
-        let (wire, _): (EncapsulationWire, usize) =
-            bincode::serde::decode_from_slice(header, config())
-                .map_err(|_| ResultCode::DatagramMalformed)?;
-        if wire.version != VERSION {
+        let (head, payload) = datagram.split_at(header_bytes + MAC_LEN_BYTES);
+        let (header, received_mac) = head.split_at(header_bytes);
+        if header[0] != VERSION {
             return Err(ResultCode::DatagramWrongVersion);
         }
         let key = self
             .keys
-            .get(KeyEpoch(wire.key_epoch))
+            .get(KeyEpoch(header[1]))
             .ok_or(ResultCode::DatagramUnknownKeyEpoch)?;
         if !equal_constant_time(&mac(key, header, payload), received_mac) {
             return Err(ResultCode::DatagramForged);
         }
-        if wire.payload_bytes as usize != payload.len() {
-            return Err(ResultCode::DatagramMalformed);
+        Ok((header, payload))
+    }
+}
+
+impl ControlHeaderWire {
+    fn from_header(header: &Encapsulation, epoch: KeyEpoch) -> Self {
+        Self {
+            version: VERSION,
+            key_epoch: epoch.0,
+            kind: KIND_CONTROL,
+            service_id: header.service.0,
+            target_id: header.target.0,
+            entry_id: header.entry.0,
         }
-        Ok((wire.try_into()?, payload))
     }
 }
 
+impl From<ControlHeaderWire> for Encapsulation {
+    fn from(wire: ControlHeaderWire) -> Self {
+        Self {
+            kind: DatagramKind::Control,
+            service: ServiceId(wire.service_id),
+            target: TargetId(wire.target_id),
+            entry: EntryId(wire.entry_id),
+            ticket: TicketNumber(0),
+            client: SocketAddr::from(([0, 0, 0, 0], 0)),
+            address_tag: 0,
+            hop_count: 0,
+            sent_ms: 0,
+        }
+    }
+}
+
+fn decode_header<T: for<'de> Deserialize<'de>>(header: &[u8]) -> Result<T, ResultCode> {
+    bincode::serde::decode_from_slice(header, config())
+        .map(|(wire, _)| wire)
+        .map_err(|_| ResultCode::DatagramMalformed)
+}
+
 impl EncapsulationWire {
     fn from_header(header: &Encapsulation, epoch: KeyEpoch, payload_len_bytes: usize) -> Self {
         Self {
             version: VERSION,
             key_epoch: epoch.0,
             kind: match header.kind {
-                DatagramKind::Forward => 0,
-                DatagramKind::Return => 1,
-                DatagramKind::Control => 2,
+                DatagramKind::Forward => KIND_FORWARD,
+                DatagramKind::Return => KIND_RETURN,
+                DatagramKind::Control => KIND_CONTROL,
             },
             hop_count: header.hop_count,
             service_id: header.service.0,
@@ -169,9 +248,8 @@
 
     fn try_from(wire: EncapsulationWire) -> Result<Self, ResultCode> {
         let kind = match wire.kind {
-            0 => DatagramKind::Forward,
-            1 => DatagramKind::Return,
-            2 => DatagramKind::Control,
+            KIND_FORWARD => DatagramKind::Forward,
+            KIND_RETURN => DatagramKind::Return,
             _ => return Err(ResultCode::DatagramMalformed),
         };
         Ok(Self {
--- a/crates/fes-protocol/src/lib.rs
+++ b/crates/fes-protocol/src/lib.rs
@@ -33,6 +33,7 @@
 pub use control::Verdict;
 pub use control::decode_control;
 pub use control::encode_control;
+pub use encapsulation::CONTROL_OVERHEAD_BYTES;
 pub use encapsulation::DatagramKind;
 pub use encapsulation::ENCAPSULATION_OVERHEAD_BYTES;
 pub use encapsulation::Encapsulation;
--- a/crates/fes-protocol/tests/codecs.rs
+++ b/crates/fes-protocol/tests/codecs.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use fes_protocol::CONTROL_OVERHEAD_BYTES;
 use fes_protocol::ConnectionIdCodec;
 use fes_protocol::DatagramKind;
 use fes_protocol::Encapsulation;
@@ -59,6 +60,31 @@
     );
 }
 
+#[test]
+fn control_message_is_sealed_with_a_short_header() {
+    let codec = EncapsulationCodec::new(ring());
+    let control = Encapsulation {
+        kind: DatagramKind::Control,
+        ..header("127.0.0.1:1")
+    };
+
+    let datagram = codec.encode(&control, b"digest");
+    let mut forged = datagram.clone();
+    forged[3] ^= 1;
+
+    let (decoded, payload) = codec.decode(&datagram).unwrap();
+    assert_eq!(
+        (decoded.kind, decoded.target, payload),
+        (control.kind, control.target, &b"digest"[..])
+    );
+    assert_eq!(datagram.len(), b"digest".len() + CONTROL_OVERHEAD_BYTES);
+    assert_eq!(codec.decode(&forged), Err(ResultCode::DatagramForged));
+    assert_eq!(
+        codec.decode(&datagram[..20]),
+        Err(ResultCode::DatagramTooShort)
+    );
+}
+
 #[test]
 fn previous_epoch_is_accepted_and_a_retired_one_refused() {
     let old = EncapsulationCodec::new(ring());
--- a/crates/fes-tickets/src/simulation/fleet.rs
+++ b/crates/fes-tickets/src/simulation/fleet.rs
@@ -6,9 +6,9 @@
 use fes_kernel::Arrival;
 use fes_kernel::PathQuality;
 use fes_kernel::VirtualNetwork;
+use fes_protocol::CONTROL_OVERHEAD_BYTES;
 use fes_protocol::ControlMessage;
 use fes_protocol::DataCentreName;
-use fes_protocol::ENCAPSULATION_OVERHEAD_BYTES;
 use fes_protocol::FastMap;
 use fes_protocol::MonoTime;
 use fes_protocol::NodeId;
@@ -420,7 +420,7 @@
     fn send_digest(&mut self, from: NodeId, to: NodeId, digest: TicketDigest) {
         let encoded = encode_control(&ControlMessage::TicketDigest(digest));
         let payload_bytes = encoded.map_or(0, |bytes| bytes.len());
-        let size_bytes = payload_bytes + ENCAPSULATION_OVERHEAD_BYTES + UDP_IP_OVERHEAD_BYTES;
+        let size_bytes = payload_bytes + CONTROL_OVERHEAD_BYTES + UDP_IP_OVERHEAD_BYTES;
         let Some(path) = self.count_and_path(from, to, size_bytes) else {
             return;
         };
