--- /dev/null
+++ b/crates/fes-command/src/commands/status.rs
@@ -0,0 +1,145 @@
+//! `fescueshift status`: reads the status page of running processes.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bytes::Bytes;
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use fes_protocol::Error;
+use fes_protocol::Result;
+use fes_protocol::ResultCode;
+use http::Request;
+use http::header::HOST;
+use http_body_util::BodyExt;
+use http_body_util::Empty;
+use http_body_util::Limited;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::output;
+
+pub(crate) const NAME: &str = "status";
+
+const UNREACHABLE_STATUS: u8 = 1;
+const READ_TIMEOUT_MS: u64 = 2_000;
+const MAX_PAGE_BYTES: usize = 4 << 20;
+
+pub(crate) fn command() -> Command {
+    Command::new(NAME)
+        .about("Show the state of running processes")
+        .arg(
+            Arg::new("address")
+                .help("Status address of a process, as IP:PORT")
+                .value_parser(value_parser!(SocketAddr))
+                .num_args(1..)
+                .required(true),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .help("Print one JSON object for each process and line")
+                .action(ArgAction::SetTrue),
+        )
+        .after_help(
+            "Exit status: 0 if all processes answered, 1 if one didn't.\n\n\
+             Examples:\n  \
+             fescueshift status 192.0.2.10:9001 192.0.2.11:9001\n  \
+             fescueshift status --json 192.0.2.10:9001",
+        )
+}
+
+pub(crate) fn run(matches: &ArgMatches) -> Result<ExitCode> {
+    let addresses = matches.get_many::<SocketAddr>("address");
+    let addresses: Vec<SocketAddr> = addresses.into_iter().flatten().copied().collect();
+    let pages = actix_rt::System::new().block_on(async {
+        let reads = addresses.iter().map(|address| read(*address));
+        futures::future::join_all(reads).await
+    });
+    let all_answered = pages.iter().all(Result::is_ok);
+    for (address, page) in addresses.iter().zip(pages) {
+        let text = if matches.get_flag("json") {
+            as_json(*address, page)
+        } else {
+            as_text(*address, page)
+        };
+        output::print(&text)?;
+    }
+    Ok(ExitCode::from(if all_answered {
+        0
+    } else {
+        UNREACHABLE_STATUS
+    }))
+}
+
+async fn read(address: SocketAddr) -> Result<Value> {
+    let unreachable = |error: &dyn std::fmt::Display| {
+        let detail = format!("{address} gave no status: {error}");
+        Error::coded(ResultCode::EndpointUnreachable, detail)
+    };
+    let bound = Duration::from_millis(READ_TIMEOUT_MS);
+    let body = timeout(bound, fetch(address)).await;
+    let body = body
+        .map_err(|error| unreachable(&error))?
+        .map_err(|error| unreachable(&error))?;
+    serde_json::from_slice(&body).map_err(|error| unreachable(&error))
+}
+
+async fn fetch(address: SocketAddr) -> std::result::Result<Bytes, Box<dyn std::error::Error>> {
+    let stream = TcpStream::connect(address).await?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    actix_rt::spawn(connection);
+    let request = Request::get("/status")
+        .header(HOST, address.to_string())
+        .body(Empty::<Bytes>::new())?;
+    let response = sender.send_request(request).await?;
+    let limited = Limited::new(response.into_body(), MAX_PAGE_BYTES);
+    let body = limited.collect().await.map_err(|error| error.to_string())?;
+    Ok(body.to_bytes())
+}
+
+fn as_json(address: SocketAddr, page: Result<Value>) -> String {
+    let line = match page {
+        Ok(status) => json!({"address": address, "status": status}),
+        Err(error) => json!({"address": address, "error": error.to_string()}),
+    };
+    format!("{line}\n")
+}
+
+fn as_text(address: SocketAddr, page: Result<Value>) -> String {
+    let text = match page {
+        Ok(Value::Object(fields)) => {
+            let mut rows = vec![vec![format!("{address}")]];
+            let row = |(key, value): (&String, &Value)| {
+                let value = match value {
+                    Value::String(text) => text.clone(),
+                    other => other.to_string(),
+                };
+                vec![format!("  {key}"), value]
+            };
+            rows.extend(fields.iter().map(row));
+            fields_text(&rows)
+        }
+        Ok(other) => format!("{address}\n  {other}\n"),
+        Err(error) => format!("{address}\n  {error}\n  help: {}\n", error.help()),
+    };
+    output::wrap(&text)
+}
+
+fn fields_text(rows: &[Vec<String>]) -> String {
+    let width = rows.iter().skip(1).map(|row| row[0].len()).max();
+    let width = width.unwrap_or_default();
+    let line = |row: &Vec<String>| match row.get(1) {
+        Some(value) => format!("{:<width$}  {value}\n", row[0]),
+        None => format!("{}\n", row[0]),
+    };
+    rows.iter().map(line).collect()
+}
--- a/crates/fes-protocol/src/headers.rs
+++ b/crates/fes-protocol/src/headers.rs
@@ -12,3 +12,5 @@
 pub const READER: &str = "fescueshift-reader";
 /// Path at which a client reads a key prefix.
 pub const KEY_PREFIX_PATH: &str = "/.well-known/fescueshift/key-prefix";
+/// Test response: how often the upstream double has run the request's idempotency key.
+pub const RUN_COUNT: &str = "fescueshift-run-count";
--- a/crates/fes-testkit/src/client.rs
+++ b/crates/fes-testkit/src/client.rs
@@ -50,6 +50,8 @@
     pub timeout_ms: u64,
     /// Sends of a request whose connection was lost, including the first.
     pub attempts: u32,
+    /// Whether response bodies must be those of an upstream double.
+    pub verifies_bodies: bool,
     /// Records the client's spans.
     pub tracer: Tracer,
 }
@@ -69,6 +71,7 @@
             name: name.into(),
             timeout_ms: DEFAULT_TIMEOUT_MS,
             attempts: DEFAULT_ATTEMPTS,
+            verifies_bodies: true,
             tracer: Tracer::disabled(),
         }
     }
@@ -193,10 +196,7 @@
     pub async fn submit(&self, path: impl Into<String>, body: impl Into<Bytes>) -> Outcome {
         let key = match self.next_key().await {
             Ok(key) => key,
-            Err(outcome) => {
-                self.inner.counts.borrow_mut().record(&outcome);
-                return outcome;
-            }
+            Err(outcome) => return self.record(outcome),
         };
         self.send(Call::post(path, key, body)).await
     }
@@ -205,6 +205,11 @@
     /// response. Sending a key again is safe: it runs at most once.
     pub async fn send(&self, call: Call) -> Outcome {
         let outcome = self.send_uncounted(&call).await;
+        self.record(outcome)
+    }
+
+    /// Counts and returns the outcome of a request that ended before it was sent.
+    pub fn record(&self, outcome: Outcome) -> Outcome {
         self.inner.counts.borrow_mut().record(&outcome);
         outcome
     }
@@ -260,7 +265,10 @@
             return Outcome::Lost("no outcome within the time limit".into());
         };
         match replied {
-            Ok(reply) => judge(call, &reply),
+            Ok(reply) => {
+                self.count_run(&reply);
+                judge(call, &reply, self.inner.options.verifies_bodies)
+            }
             Err(outcome) => outcome,
         }
     }
@@ -388,6 +396,14 @@
         self.open_session().await.map_err(Failure::Connection)
     }
 
+    fn count_run(&self, reply: &Reply) {
+        let count = reply.headers.get(headers::RUN_COUNT);
+        let count = count.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+        if count.is_some_and(|count| count > 1) {
+            self.inner.counts.borrow_mut().doubled += 1;
+        }
+    }
+
     fn remember_prefix(&self, response: &HeaderMap) {
         let prefix = response.get(headers::KEY_PREFIX);
         if let Some(Ok(prefix)) = prefix.map(|value| value.to_str()) {
@@ -413,20 +429,20 @@
 }
 
 /// Decides what a reply means: a refusal, or a response that must be the one expected.
-fn judge(call: &Call, reply: &Reply) -> Outcome {
+fn judge(call: &Call, reply: &Reply, verifies_body: bool) -> Outcome {
     match result_code(reply) {
         Some(code) if code.is_not_run() => return Outcome::NotRun(code),
         Some(code) => return Outcome::Unknown(code),
         None => {}
     }
-    let expected = expected_body(&call.path, &call.body);
-    if reply.body == expected {
-        return Outcome::Answered {
+    if reply.status >= FIRST_ERROR_STATUS {
+        return Outcome::Failed {
             status: reply.status,
         };
     }
-    if reply.status >= FIRST_ERROR_STATUS {
-        return Outcome::Failed {
+    let expected = expected_body(&call.path, &call.body);
+    if !verifies_body || reply.body == expected {
+        return Outcome::Answered {
             status: reply.status,
         };
     }
--- a/crates/fes-testkit/src/client_feed.rs
+++ b/crates/fes-testkit/src/client_feed.rs
@@ -30,6 +30,17 @@
     pub refusals: u64,
 }
 
+impl FeedCounts {
+    /// Adds the counts of another feed.
+    pub fn add(&mut self, other: &Self) {
+        self.events += other.events;
+        self.gaps += other.gaps;
+        self.duplicates += other.duplicates;
+        self.breaks += other.breaks;
+        self.refusals += other.refusals;
+    }
+}
+
 /// An open feed; it is closed when it is dropped.
 #[derive(Debug)]
 pub struct Feed {
--- a/crates/fes-testkit/src/client_outcome.rs
+++ b/crates/fes-testkit/src/client_outcome.rs
@@ -45,6 +45,8 @@
     pub lost: u64,
     /// Responses that belong to another request.
     pub misrouted: u64,
+    /// Responses whose upstream double says that it ran the key before.
+    pub doubled: u64,
     /// Connections opened.
     pub connections: u64,
     /// Sends of a request after its first.
@@ -61,6 +63,7 @@
         self.failed += other.failed;
         self.lost += other.lost;
         self.misrouted += other.misrouted;
+        self.doubled += other.doubled;
         self.connections += other.connections;
         self.repeats += other.repeats;
     }
--- a/crates/fes-testkit/src/execution_log.rs
+++ b/crates/fes-testkit/src/execution_log.rs
@@ -24,54 +24,67 @@
 /// Executions of all upstreams that share this log, in the order of their starts.
 #[derive(Debug, Clone, Default)]
 pub struct ExecutionLog {
-    executions: Rc<RefCell<Vec<Execution>>>,
+    records: Rc<RefCell<Records>>,
+}
+
+#[derive(Debug, Default)]
+struct Records {
+    executions: Vec<Execution>,
+    runs_by_key: BTreeMap<String, usize>,
 }
 
 impl ExecutionLog {
     /// Returns all executions.
     #[must_use]
     pub fn all(&self) -> Vec<Execution> {
-        self.executions.borrow().clone()
+        self.records.borrow().executions.clone()
     }
 
     /// Returns how often each idempotency key ran.
     #[must_use]
     pub fn runs_by_key(&self) -> BTreeMap<String, usize> {
-        let mut runs = BTreeMap::new();
-        for execution in self.executions.borrow().iter() {
-            if let Some(key) = &execution.key {
-                *runs.entry(key.clone()).or_default() += 1;
-            }
-        }
-        runs
+        self.records.borrow().runs_by_key.clone()
     }
 
     /// Returns how many idempotency keys ran more than once.
     #[must_use]
     pub fn doubled(&self) -> usize {
-        self.runs_by_key()
-            .values()
-            .filter(|runs| **runs > 1)
-            .count()
+        let records = self.records.borrow();
+        let doubled = records.runs_by_key.values().filter(|runs| **runs > 1);
+        doubled.count()
     }
 
     /// Returns how often `key` ran.
     #[must_use]
     pub fn runs_of(&self, key: &str) -> usize {
-        let executions = self.executions.borrow();
-        let matching = executions.iter().filter(|e| e.key.as_deref() == Some(key));
-        matching.count()
+        let records = self.records.borrow();
+        records.runs_by_key.get(key).copied().unwrap_or_default()
+    }
+
+    /// Returns how many executions were started.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.borrow().executions.len()
+    }
+
+    /// Returns whether nothing was started.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
     }
 
     /// Records a start and returns its index.
     pub(crate) fn start(&self, execution: Execution) -> usize {
-        let mut executions = self.executions.borrow_mut();
-        executions.push(execution);
-        executions.len() - 1
+        let mut records = self.records.borrow_mut();
+        if let Some(key) = execution.key.clone() {
+            *records.runs_by_key.entry(key).or_default() += 1;
+        }
+        records.executions.push(execution);
+        records.executions.len() - 1
     }
 
     /// Records that the execution at `index` finished.
     pub(crate) fn finish(&self, index: usize) {
-        self.executions.borrow_mut()[index].is_finished = true;
+        self.records.borrow_mut().executions[index].is_finished = true;
     }
 }
--- a/crates/fes-testkit/src/upstream_connection.rs
+++ b/crates/fes-testkit/src/upstream_connection.rs
@@ -46,6 +46,12 @@
     deadline: Option<Instant>,
 }
 
+/// What a finished request is answered with.
+struct Completed {
+    body: Bytes,
+    run_count: Option<usize>,
+}
+
 /// Serves a connection until its peer closes it.
 pub(crate) async fn serve(stream: TcpStream, state: Rc<UpstreamState>) {
     // Small frames must not wait for acknowledgements of earlier ones.
@@ -121,9 +127,9 @@
         _ = poll_fn(|context| respond.poll_reset(context)) => Err(Abort::Cancelled),
     };
     match outcome {
-        Ok(body) => {
+        Ok(completed) => {
             attempt.complete();
-            send_body(respond, body, state.cuts_responses.get()).await;
+            send_body(respond, completed, state.cuts_responses.get()).await;
         }
         Err(Abort::Deadline) => {
             attempt.complete();
@@ -133,14 +139,14 @@
     }
 }
 
-async fn execute(request: Request<RecvStream>, state: &UpstreamState) -> Result<Bytes, Abort> {
+async fn execute(request: Request<RecvStream>, state: &UpstreamState) -> Result<Completed, Abort> {
     let call = read_call(request).await?;
     let permit = before(call.deadline, state.slots.acquire()).await?;
     let _running = Running::enter(state);
     let index = state.log.start(Execution {
         upstream: Rc::clone(&state.name),
         path: call.path.clone(),
-        key: call.key,
+        key: call.key.clone(),
         body: call.body.clone(),
         is_finished: false,
     });
@@ -152,7 +158,10 @@
     before(call.deadline, work).await?;
     state.log.finish(index);
     drop(permit);
-    Ok(expected_body(&call.path, &call.body))
+    Ok(Completed {
+        body: expected_body(&call.path, &call.body),
+        run_count: call.key.map(|key| state.log.runs_of(&key)),
+    })
 }
 
 async fn read_call(request: Request<RecvStream>) -> Result<Call, Abort> {
@@ -225,12 +234,15 @@
     }
 }
 
-async fn send_body(mut respond: SendResponse<Bytes>, body: Bytes, is_cut: bool) {
-    let head = Response::builder()
+async fn send_body(mut respond: SendResponse<Bytes>, completed: Completed, is_cut: bool) {
+    let body = completed.body;
+    let mut head = Response::builder()
         .header(CONTENT_TYPE, "application/octet-stream")
-        .header(CONTENT_LENGTH, body.len())
-        .body(());
-    let Ok(head) = head else {
+        .header(CONTENT_LENGTH, body.len());
+    if let Some(run_count) = completed.run_count {
+        head = head.header(headers::RUN_COUNT, run_count);
+    }
+    let Ok(head) = head.body(()) else {
         return;
     };
     let Ok(mut stream) = respond.send_response(head, false) else {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,7 @@
-//! Thin binary; see the crates for the program.
+//! The `fescueshift` command line. See `fes_command` for the commands.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    fes_command::run(std::env::args_os())
+}
