Let the forecast prefer slots that are surely free

Cause: with stragglers, the forecast assigned short requests to a slot whose long request was expected to end soon; the margin for that request's variance then refused 1 % of short requests. Change: a request is assigned to the slot with the earliest start including the margin.

--- a/crates/fes-admission/src/forecast.rs
+++ b/crates/fes-admission/src/forecast.rs
@@ -23,6 +23,13 @@
     variance_us2: f64,
 }
 
+impl Slot {
+    /// Returns the time by which the slot is almost certainly free, in microseconds from now.
+    fn safe_start_us(&self) -> f64 {
+        self.free_in_us + SAFETY_DEVIATIONS * self.variance_us2.sqrt()
+    }
+}
+
 /// When each slot becomes free, in microseconds from now. Slots that long classes may use come
 /// first.
 #[derive(Debug, Clone)]
@@ -73,12 +80,12 @@
         };
         let first = self.slots[..usable]
             .iter_mut()
-            .min_by(|a, b| a.free_in_us.total_cmp(&b.free_in_us));
+            .min_by(|a, b| a.safe_start_us().total_cmp(&b.safe_start_us()));
         first.map_or(f64::INFINITY, |slot| {
-            let margin_us = SAFETY_DEVIATIONS * slot.variance_us2.sqrt();
+            let start_us = slot.safe_start_us();
             slot.free_in_us += classes.mean_us(waiting.class);
             slot.variance_us2 += classes.variance_us2(waiting.class);
-            slot.free_in_us + margin_us
+            start_us + classes.mean_us(waiting.class)
         })
     }
 
