Reserve every second slot for short requests

Cause: with three of four slots open to long requests, short ones at times had a single slot. Change: one slot in two, at least one, is kept from long classes (it was one in four).

--- a/crates/fes-admission/src/settings.rs
+++ b/crates/fes-admission/src/settings.rs
@@ -47,7 +47,7 @@
             default_service_us: 20_000,
             max_classes: 64,
             long_multiple: 8.0,
-            reserve_one_in: 4,
+            reserve_one_in: 2,
             age_bound_multiple: 4.0,
             min_age_bound_ms: 2_000,
             retry_ratio: 0.1,
