Sharpen the property test of the store

Cause: a trial mutation without a bound on stored responses went unseen, because the generated events seldom finished two executions.

Change: events mostly name recent executions, keys follow the clock, and the limits leave room for more than one response.

Conclusion: trial mutations that drop the bound, the mark of a full store or the check of the mark fail this test.

--- a/crates/fes-idempotency/tests/store_events.rs
+++ b/crates/fes-idempotency/tests/store_events.rs
@@ -28,9 +28,9 @@
 use proptest::test_runner::TestCaseResult;
 
 const LIMITS: StoreLimits = StoreLimits {
-    max_keys: 5,
-    max_responses_bytes: 700,
-    max_response_bytes: 400,
+    max_keys: 8,
+    max_responses_bytes: 300,
+    max_response_bytes: 280,
 };
 
 /// Identity of a request: key number and body.
@@ -42,6 +42,7 @@
     identities: BTreeMap<RequestId, Identity>,
     deadlines: BTreeMap<RequestId, MonoTime>,
     answered: BTreeSet<RequestId>,
+    enqueued: Vec<RequestId>,
     started: BTreeSet<Identity>,
     refused: BTreeSet<Identity>,
     low_water_ms: u64,
@@ -50,6 +51,7 @@
 impl Observer {
     fn observe(&mut self, now: MonoTime, action: &StoreAction) -> TestCaseResult {
         match action {
+            StoreAction::Enqueue { request, .. } => self.enqueued.push(*request),
             StoreAction::Start { request, .. } => {
                 let identity = self.identities[request];
                 prop_assert!(now <= self.deadlines[request], "start past the deadline");
@@ -103,7 +105,7 @@
         key: IdempotencyKey {
             prefix: KeyPrefix {
                 owner,
-                issue_ms: key * 50,
+                issue_ms: key,
             },
             client_part: key.to_string().into(),
         },
@@ -114,7 +116,7 @@
 
 /// A step: time to pass in milliseconds, kind of event, and its subject.
 fn any_step() -> impl Strategy<Value = (u64, u8, u64, u8)> {
-    let pause_ms = proptest::prop_oneof![9 => 0_u64..100, 1 => 0_u64..700_000];
+    let pause_ms = proptest::prop_oneof![30 => 0_u64..10, 9 => 0_u64..100, 1 => 0_u64..700_000];
     (pause_ms, 0_u8..16, 0_u64..9, 0_u8..4)
 }
 
@@ -127,12 +129,18 @@
 
         for (pause_ms, kind, subject, detail) in steps {
             now = now.plus_ms(pause_ms);
-            let request = RequestId(last.saturating_sub(subject));
+            // Mostly a recent execution, at times any request, known or not.
+            let recent = observer.enqueued.iter().rev().nth(subject as usize / 4);
+            let any = RequestId(last.saturating_sub(subject));
+            let request = recent.copied().filter(|_| subject < 8).unwrap_or(any);
             let event = match kind {
                 0..6 => {
                     last += 1;
-                    let (request, identity) = (RequestId(last), (subject, u8::from(detail == 0)));
-                    let deadline = now.plus_ms(u64::from(detail) * 40);
+                    // Keys of the present and the last window of issue times are in use.
+                    let window_ms = (now.as_ms() / 64).saturating_sub(u64::from(detail == 3)) * 64;
+                    let identity = (window_ms + subject, u8::from(detail == 0));
+                    let request = RequestId(last);
+                    let deadline = now.plus_ms(u64::from(detail) * 200);
                     observer.identities.insert(request, identity);
                     observer.deadlines.insert(request, deadline);
                     request_event(request, identity, deadline)
--- a/crates/fes-idempotency/tests/support/hosting.rs
+++ b/crates/fes-idempotency/tests/support/hosting.rs
@@ -257,8 +257,10 @@
                     (true, false) => Some(ResultCode::NotRunQueueFull),
                     (true, true) => None,
                 };
-                let open = agent.requests[&request].clone();
-                agent.executions.insert(request, (open.key, open.body));
+                if let Some(open) = agent.requests.get(&request) {
+                    let content = (open.key.clone(), open.body.clone());
+                    agent.executions.entry(request).or_insert(content);
+                }
                 match refusal.and_then(|code| NotRun::try_from(code).ok()) {
                     Some(code) => {
                         events.push_back(CoordinatorEvent::Store(StoreEvent::AdmissionRefused {
