--- a/crates/fes-kernel/src/lib.rs
+++ b/crates/fes-kernel/src/lib.rs
@@ -7,8 +7,10 @@
 mod clock;
 mod component;
 mod driver;
+mod hosted;
 mod kernel;
 mod timers;
+mod virtual_network;
 
 pub use clock::ProcessClock;
 pub use component::Component;
@@ -17,5 +19,10 @@
 pub use component::Outbox;
 pub use component::TimerToken;
 pub use driver::KernelDriver;
+pub use hosted::Decider;
+pub use hosted::Hosted;
 pub use kernel::Effect;
 pub use kernel::Kernel;
+pub use virtual_network::Arrival;
+pub use virtual_network::PathQuality;
+pub use virtual_network::VirtualNetwork;
--- /dev/null
+++ b/crates/fes-membership/src/simulation/cluster.rs
@@ -0,0 +1,384 @@
+//! A cluster of simulated entries and agents.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use fes_kernel::Arrival;
+use fes_kernel::PathQuality;
+use fes_kernel::VirtualNetwork;
+use fes_protocol::ControlMessage;
+use fes_protocol::DataCentreName;
+use fes_protocol::FastMap;
+use fes_protocol::Incarnation;
+use fes_protocol::MonoTime;
+use fes_protocol::NodeId;
+use fes_protocol::ServiceId;
+use fes_protocol::TargetId;
+use fes_protocol::Ticket;
+use fes_tickets::Distribution;
+use fes_tickets::DistributionEvent;
+use fes_tickets::DistributionSettings;
+use fes_tickets::Endpoint;
+use fes_tickets::PeerDirectory;
+use fes_tickets::PlatformAnswer;
+use fes_tickets::TicketMessage;
+use fes_tickets::TicketStore;
+use fes_tickets::encode_message;
+use fes_tickets::simulation::FleetShape;
+use fes_tickets::simulation::Place;
+use fes_tickets::simulation::RegionPaths;
+use fes_tickets::simulation::SimulatedPlatform;
+
+use crate::EntryView;
+use crate::VmHint;
+use crate::datagram_bytes;
+use crate::simulation::SimulatedNode;
+use crate::simulation::node::Sent;
+use crate::simulation::packet::Packet;
+
+const PLATFORM_PATH: PathQuality = PathQuality::perfect(2_000);
+/// IP and TCP headers, TLS record and HTTP/2 frame header of one message on an open link.
+const LINK_OVERHEAD_BYTES: usize = 40 + 22 + 9;
+
+/// Entries and agents of a [`FleetShape`] on virtual time.
+#[derive(Debug)]
+pub struct SimulatedCluster {
+    /// The platform.
+    pub platform: SimulatedPlatform,
+    network: VirtualNetwork<Place, Packet>,
+    paths: RegionPaths,
+    nodes: FastMap<NodeId, SimulatedNode>,
+    order: Vec<NodeId>,
+    links: FastMap<SocketAddr, NodeId>,
+    service_of: FastMap<TargetId, ServiceId>,
+    next_incarnation: u64,
+    seed: u64,
+}
+
+impl SimulatedCluster {
+    /// Makes a cluster in which all processes serve with the tickets of the shape.
+    #[must_use]
+    pub fn new(shape: &FleetShape, paths: RegionPaths, seed: u64) -> Self {
+        let tickets = shape.tickets();
+        let mut store = TicketStore::new();
+        for ticket in &tickets {
+            store.apply(Arc::clone(ticket));
+        }
+        let directory = Arc::new(PeerDirectory::new(store.state()));
+        let services = store.state().services();
+        let service_of = services
+            .flat_map(|s| s.value.upstreams.iter().map(|u| (u.target, s.value.id)))
+            .collect();
+        let mut cluster = Self {
+            platform: SimulatedPlatform::new(tickets),
+            network: VirtualNetwork::new(seed),
+            paths,
+            nodes: FastMap::default(),
+            order: Vec::new(),
+            links: FastMap::default(),
+            service_of,
+            next_incarnation: 0x1234_5678_0000,
+            seed,
+        };
+        for (home, peer) in directory.located() {
+            let settings = cluster.settings(peer.node, home);
+            let directory = Arc::clone(&directory);
+            let distribution =
+                Distribution::serving(MonoTime::ZERO, settings, store.clone(), directory);
+            cluster.links.insert(peer.addresses.link, peer.node);
+            cluster.order.push(peer.node);
+            cluster.add(peer.node, home.clone(), distribution);
+        }
+        cluster
+    }
+
+    /// Returns the current virtual time.
+    #[must_use]
+    pub const fn now(&self) -> MonoTime {
+        self.network.now()
+    }
+
+    /// Returns all processes in order of data centre and ID.
+    #[must_use]
+    pub fn order(&self) -> &[NodeId] {
+        &self.order
+    }
+
+    /// Returns a process.
+    #[must_use]
+    pub fn node(&self, node: NodeId) -> Option<&SimulatedNode> {
+        self.nodes.get(&node)
+    }
+
+    /// Returns the data centre of a process.
+    #[must_use]
+    pub fn home(&self, node: NodeId) -> Option<&DataCentreName> {
+        self.nodes.get(&node).map(|node| &node.home)
+    }
+
+    /// Returns the bytes per second that a process sent and received since the start.
+    #[must_use]
+    pub fn traffic(&self, node: NodeId) -> Option<(u64, u64)> {
+        let meter = self.nodes.get(&node)?.meter;
+        let now = self.now();
+        Some((meter.sent_per_second(now), meter.received_per_second(now)))
+    }
+
+    /// Counts bytes from now on.
+    pub fn reset_traffic(&mut self) {
+        let now = self.now();
+        for node in self.nodes.values_mut() {
+            node.meter = crate::TrafficMeter::starting(now);
+        }
+    }
+
+    /// Sets the quality of all paths.
+    pub const fn set_paths(&mut self, paths: RegionPaths) {
+        self.paths = paths;
+    }
+
+    /// Publishes a ticket at the platform.
+    pub fn publish(&mut self, ticket: Ticket) {
+        let answers = self.platform.publish_now(Arc::new(ticket));
+        self.send_answers(answers);
+    }
+
+    /// Drops all later messages from one place to another, one way.
+    pub fn block(&mut self, from: Place, to: Place) {
+        self.network.block(from, to);
+    }
+
+    /// Lets messages from one place to another pass again.
+    pub fn unblock(&mut self, from: Place, to: Place) {
+        self.network.unblock(from, to);
+    }
+
+    /// Lets all messages pass again.
+    pub fn heal(&mut self) {
+        self.network.unblock_all();
+    }
+
+    /// Stops a process from running for a time. Its messages wait.
+    pub fn pause(&mut self, node: NodeId, duration_ms: u64) {
+        let until = self.now().plus_ms(duration_ms);
+        if let Some(node) = self.nodes.get_mut(&node) {
+            node.paused_until = until;
+        }
+    }
+
+    /// Kills a process without warning.
+    pub fn kill(&mut self, node: NodeId) {
+        if let Some(node) = self.nodes.get_mut(&node) {
+            node.stopped = true;
+        }
+    }
+
+    /// Starts a new incarnation of a process that asks its peers and the platform for tickets.
+    pub fn restart(&mut self, node: NodeId) {
+        let Some(old) = self.nodes.remove(&node) else {
+            return;
+        };
+        let mut settings = self.settings(node, &old.home);
+        let mut links: Vec<(&SocketAddr, &NodeId)> = self.links.iter().collect();
+        links.sort();
+        let others = links.into_iter().filter(|(_, other)| **other != node);
+        settings.seeds = others.map(|(address, _)| *address).take(3).collect();
+        let store = TicketStore::new();
+        let distribution = Distribution::with_store(MonoTime::ZERO, settings, store);
+        self.add(node, old.home, distribution);
+    }
+
+    /// Delivers SIGTERM to an agent.
+    pub fn terminate(&mut self, node: NodeId) {
+        self.at_node(node, SimulatedNode::terminate);
+    }
+
+    /// Lets all processes read a list of VMs.
+    pub fn read_vm_list(&mut self, hints: &[VmHint]) {
+        for node in self.order.clone() {
+            self.at_node(node, |node, now| node.read_vm_list(now, hints));
+        }
+    }
+
+    /// Delivers a datagram once more, as a network may do at any later time.
+    pub fn replay(&mut self, from: NodeId, to: NodeId, message: ControlMessage) {
+        let packet = Packet::Control(Arc::new(message));
+        let path = PathQuality::perfect(100);
+        self.network
+            .send_datagram(Place::Node(from), Place::Node(to), packet, path);
+    }
+
+    /// Runs for a time.
+    pub fn run_ms(&mut self, duration_ms: u64) {
+        let until = self.now().plus_ms(duration_ms);
+        while let Some((place, arrival)) = self.network.next_before(until) {
+            match place {
+                Place::Platform => self.arrive_at_platform(arrival),
+                Place::Node(node) => self.arrive_at_node(node, arrival),
+            }
+        }
+    }
+
+    fn settings(&self, node: NodeId, home: &DataCentreName) -> DistributionSettings {
+        let number = match node {
+            NodeId::Entry(id) => u64::from(id.0) << 1,
+            NodeId::Agent(id) => u64::from(id.0) << 1 | 1,
+        };
+        let mixed = (number + (self.next_incarnation << 24)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        DistributionSettings {
+            node,
+            data_centre: home.clone(),
+            seeds: Vec::new(),
+            random_seed: self.seed ^ mixed,
+        }
+    }
+
+    fn add(&mut self, id: NodeId, home: DataCentreName, distribution: Distribution) {
+        let now = self.now();
+        self.next_incarnation += 1;
+        let seed = self.seed ^ self.next_incarnation;
+        let node = match id {
+            NodeId::Entry(entry) => {
+                let view = EntryView::new(MonoTime::ZERO, entry, seed);
+                SimulatedNode::entry(now, home, distribution, view)
+            }
+            NodeId::Agent(target) => {
+                let service = self.service_of.get(&target).copied();
+                let incarnation = Incarnation(self.next_incarnation);
+                let service = service.unwrap_or(ServiceId(0));
+                SimulatedNode::agent(now, home, distribution, service, target, incarnation)
+            }
+        };
+        self.nodes.insert(id, node);
+        self.at_node(id, SimulatedNode::take_snapshot);
+    }
+
+    fn at_node(&mut self, id: NodeId, act: impl FnOnce(&mut SimulatedNode, MonoTime) -> Vec<Sent>) {
+        let now = self.now();
+        let Some(node) = self.nodes.get_mut(&id).filter(|node| !node.stopped) else {
+            return;
+        };
+        let sent = act(node, now);
+        let deadline = node.next_deadline(now).max(now);
+        if deadline < node.timer_at {
+            node.timer_at = deadline;
+            self.network.set_timer(deadline, Place::Node(id));
+        }
+        for message in sent {
+            self.send(id, message);
+        }
+    }
+
+    fn send(&mut self, from: NodeId, message: Sent) {
+        match message {
+            Sent::Datagram(to, message) => self.send_datagram(from, to, message),
+            Sent::Link(to, message) => self.send_link(from, to, message),
+            Sent::Read(read) => self.network.send_reliable(
+                Place::Node(from),
+                Place::Platform,
+                Packet::Read(read),
+                PLATFORM_PATH,
+            ),
+        }
+    }
+
+    fn send_datagram(&mut self, from: NodeId, to: NodeId, message: ControlMessage) {
+        let Some(path) = self.count_and_path(from, to, datagram_bytes(&message)) else {
+            return;
+        };
+        let packet = Packet::Control(Arc::new(message));
+        self.network
+            .send_datagram(Place::Node(from), Place::Node(to), packet, path);
+    }
+
+    fn send_link(&mut self, from: NodeId, to: Endpoint, message: TicketMessage) {
+        let to = match to {
+            Endpoint::Node(node) => Some(node),
+            Endpoint::Seed(address) => self.links.get(&address).copied(),
+        };
+        let Some(to) = to else {
+            return;
+        };
+        let payload_bytes = encode_message(&message).map_or(0, |bytes| bytes.len());
+        let size_bytes = payload_bytes + LINK_OVERHEAD_BYTES;
+        let Some(path) = self.count_and_path(from, to, size_bytes) else {
+            return;
+        };
+        let packet = Packet::Tickets {
+            from: Endpoint::Node(from),
+            message: Arc::new(message),
+        };
+        self.network
+            .send_reliable(Place::Node(from), Place::Node(to), packet, path);
+    }
+
+    fn count_and_path(
+        &mut self,
+        from: NodeId,
+        to: NodeId,
+        size_bytes: usize,
+    ) -> Option<PathQuality> {
+        let from_home = {
+            let sender = self.nodes.get_mut(&from)?;
+            sender.meter.count_sent(size_bytes);
+            sender.home.clone()
+        };
+        let receiver = self.nodes.get_mut(&to)?;
+        receiver.meter.count_received(size_bytes);
+        Some(self.paths.between(&from_home, &receiver.home))
+    }
+
+    fn arrive_at_platform(&mut self, arrival: Arrival<Place, Packet>) {
+        let now = self.now();
+        let answers = match arrival {
+            Arrival::Message {
+                from: Place::Node(node),
+                body: Packet::Read(read),
+            } => self.platform.read_now(now, node, read),
+            Arrival::Message { .. } => Vec::new(),
+            Arrival::Timer => self.platform.end_waits_now(now),
+        };
+        self.send_answers(answers);
+        if let Some(at) = self.platform.next_wait() {
+            self.network.set_timer(at, Place::Platform);
+        }
+    }
+
+    fn send_answers(&mut self, answers: Vec<(NodeId, PlatformAnswer)>) {
+        for (node, answer) in answers {
+            let packet = Packet::Answer(answer);
+            self.network
+                .send_reliable(Place::Platform, Place::Node(node), packet, PLATFORM_PATH);
+        }
+    }
+
+    fn arrive_at_node(&mut self, id: NodeId, arrival: Arrival<Place, Packet>) {
+        let now = self.now();
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        if now < node.paused_until {
+            let at = node.paused_until;
+            self.network.defer(at, Place::Node(id), arrival);
+            return;
+        }
+        match arrival {
+            Arrival::Timer if now < node.timer_at => {}
+            Arrival::Timer => {
+                node.timer_at = MonoTime::NEVER;
+                self.at_node(id, SimulatedNode::tick);
+            }
+            Arrival::Message { from, body } => self.at_node(id, |node, now| match (from, body) {
+                (Place::Node(from), Packet::Control(message)) => node.receive(now, from, &message),
+                (_, Packet::Tickets { from, message }) => {
+                    let message = Arc::unwrap_or_clone(message);
+                    node.distribute(now, DistributionEvent::Message { from, message })
+                }
+                (_, Packet::Answer(answer)) => {
+                    node.distribute(now, DistributionEvent::PlatformAnswered(answer))
+                }
+                _ => Vec::new(),
+            }),
+        }
+    }
+}
--- a/crates/fes-protocol/src/control.rs
+++ b/crates/fes-protocol/src/control.rs
@@ -32,8 +32,9 @@
 pub struct HeardPeer {
     /// The peer's target.
     pub target: TargetId,
-    /// Incarnation heard last.
-    pub incarnation: Incarnation,
+    /// Tag of the incarnation heard last. The whole incarnation would make a heartbeat among seven
+    /// agents a third larger.
+    pub incarnation_tag: u16,
 }
 
 /// Heartbeat among the agents of one service.
@@ -72,6 +73,8 @@
     pub target: TargetId,
     /// Sender's incarnation.
     pub incarnation: Incarnation,
+    /// Increases with each heartbeat of an incarnation.
+    pub sequence: u64,
     /// Sender's phase of life.
     pub lifecycle: Lifecycle,
     /// Open flows at the sender.
@@ -87,11 +90,16 @@
     Dead,
     /// Accepts no new work.
     Leaving,
+    /// Heard, but its link works one way only or keeps failing; gets no new work for now.
+    Impaired,
 }
 
 /// A verdict that spreads by gossip.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LivenessVerdict {
+    /// Who holds the opinion. Receivers count observers, because one opinion alone must not cause
+    /// a reset.
+    pub observer: NodeId,
     /// Service of the target.
     pub service: ServiceId,
     /// The target judged.
@@ -100,10 +108,21 @@
     pub incarnation: Incarnation,
     /// The opinion.
     pub verdict: Verdict,
-    /// Orders verdicts about one incarnation; the higher one wins.
+    /// Orders the verdicts of one observer about one target; the higher one wins.
     pub version: u32,
 }
 
+/// Summary of the verdicts that a process holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LivenessDigest {
+    /// Sender.
+    pub node: NodeId,
+    /// Order-independent hash over all verdicts held.
+    pub hash: u64,
+    /// Number of verdicts held.
+    pub count: u32,
+}
+
 /// Announces a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Goodbye {
@@ -141,6 +160,8 @@
     TicketDigest(TicketDigest),
     /// Verdicts that spread by gossip.
     Liveness(Vec<LivenessVerdict>),
+    /// Summary of verdicts held.
+    LivenessDigest(LivenessDigest),
 }
 
 /// Encodes a control message.
