Space heartbeats so that control traffic doesn't grow with the service

Cause: with a heartbeat to each peer every 500 ms, an agent of seven targets sends and receives 3.2 KB/s for heartbeats alone, and one of nine targets 4.6 KB/s; the bound for all control is 3 KB/s.

Change: a heartbeat to any peer every 125 ms, at least 500 ms per peer: 750 ms with six peers, 1,000 ms with eight, the most that watch an agent.

One golden file changes: in a service of ten targets the period is 1,000 ms, so that a partition is noticed up to half a second earlier relative to its start, and three entries report southern targets as lost 2.9 s into the partition. The check that no entry places new work on the leaving target within 3,000 ms is unchanged.

--- a/crates/fes-measure/src/capacity/budget.rs
+++ b/crates/fes-measure/src/capacity/budget.rs
@@ -1,13 +1,14 @@
 //! What each role needs at a size, against its budget.
 
+use fes_membership::heartbeat_period_ms;
 use serde::Deserialize;
 use serde::Serialize;
 
 use super::DesignSize;
 use super::Slope;
 
-/// Heartbeats that an agent sends to each peer of its service per second.
-const PEER_HEARTBEATS_PER_S: f64 = 2.0;
+/// Bytes of an Ethernet frame and the like are left out; sent and received datagrams both count.
+const BOTH_WAYS: f64 = 2.0;
 
 /// Heartbeats that an agent sends to each entry that watches it per second.
 const ENTRY_HEARTBEATS_PER_S: f64 = 1.0;
@@ -161,6 +162,12 @@
     (size.targets_per_service() - 1.0).max(0.0)
 }
 
+/// Returns the heartbeats that an agent sends to all its peers together per second.
+fn peer_heartbeats_per_s(size: &DesignSize) -> f64 {
+    let count = peers(size);
+    count * 1e3 / heartbeat_period_ms(count.ceil() as usize) as f64
+}
+
 fn watched_per_entry(size: &DesignSize) -> f64 {
     size.targets * WATCHERS_PER_AGENT / size.entries
 }
@@ -279,9 +286,8 @@
         ],
         size: processes,
         cost: |slopes, size| {
-            let peer = peers(size)
-                * PEER_HEARTBEATS_PER_S
-                * 2.0
+            let peer = peer_heartbeats_per_s(size)
+                * BOTH_WAYS
                 * slopes.at("peer_heartbeat_size", peers(size));
             let entry = WATCHERS_PER_AGENT
                 * ENTRY_HEARTBEATS_PER_S
@@ -302,9 +308,8 @@
         ],
         size: peers,
         cost: |slopes, size| {
-            let peer = peers(size)
-                * PEER_HEARTBEATS_PER_S
-                * 2.0
+            let peer = peer_heartbeats_per_s(size)
+                * BOTH_WAYS
                 * slopes.at("peer_heartbeat_time", peers(size));
             let entry = WATCHERS_PER_AGENT
                 * ENTRY_HEARTBEATS_PER_S
--- a/crates/fes-measure/src/sim/fleet.rs
+++ b/crates/fes-measure/src/sim/fleet.rs
@@ -1,6 +1,7 @@
 //! The fleet on virtual time.
 
 use fes_admission::Origin;
+use fes_membership::heartbeat_period_ms;
 use fes_protocol::MonoTime;
 use fes_protocol::PeerHeartbeat;
 use fes_protocol::RequestId;
@@ -17,9 +18,6 @@
 use super::source::build_agents;
 use crate::Policy;
 
-/// Period of heartbeats among agents, in milliseconds.
-const HEARTBEAT_MS: u64 = 500;
-
 #[derive(Debug)]
 enum Event {
     FirstAttempt,
@@ -104,7 +102,7 @@
 
     fn start(&mut self) {
         for agent in 0..self.agents.len() {
-            let offset_ms = self.source.below(HEARTBEAT_MS as usize) as u64;
+            let offset_ms = self.source.below(self.heartbeat_period_ms() as usize) as u64;
             let at = MonoTime::from_ms(offset_ms);
             self.events.push(at, Event::Heartbeat { agent });
         }
@@ -342,8 +340,12 @@
         self.carry_out(agent, steps);
     }
 
+    fn heartbeat_period_ms(&self) -> u64 {
+        heartbeat_period_ms(self.agents.len().saturating_sub(1))
+    }
+
     fn send_heartbeats(&mut self, agent: usize) {
-        let next = self.now.plus_ms(HEARTBEAT_MS);
+        let next = self.now.plus_ms(self.heartbeat_period_ms());
         self.events.push(next, Event::Heartbeat { agent });
         let Some(heartbeat) = self.agents[agent].heartbeat(self.now) else {
             return;
--- a/crates/fes-membership/src/peer_table.rs
+++ b/crates/fes-membership/src/peer_table.rs
@@ -29,8 +29,8 @@
 use crate::publisher::Publisher;
 use crate::timing::DEAD_AFTER_MS;
 use crate::timing::ENTRY_HEARTBEAT_PERIOD_MS;
-use crate::timing::HEARTBEAT_PERIOD_MS;
 use crate::timing::PAUSE_MS;
+use crate::timing::heartbeat_period_ms;
 use crate::watched_by;
 
 /// Who this agent is.
@@ -323,7 +323,7 @@
 
     fn send_due(&mut self, now: MonoTime, has_news: bool, actions: &mut Vec<PeerTableAction>) {
         if now >= self.heartbeat_at {
-            self.heartbeat_at = now.plus_ms(HEARTBEAT_PERIOD_MS);
+            self.heartbeat_at = now.plus_ms(heartbeat_period_ms(self.watchers.len()));
             self.sequence += 1;
             let heartbeat = self.heartbeat(now);
             let send = |to: &TargetId| PeerTableAction::SendHeartbeat {
--- a/crates/fes-membership/src/timing.rs
+++ b/crates/fes-membership/src/timing.rs
@@ -1,7 +1,23 @@
 //! Periods and timeouts of heartbeats.
 
-/// Period of heartbeats among agents, in milliseconds.
-pub const HEARTBEAT_PERIOD_MS: u64 = 500;
+/// Shortest period of heartbeats among agents, in milliseconds.
+const MIN_HEARTBEAT_PERIOD_MS: u64 = 500;
+/// Time between two heartbeats of an agent to any peer, in milliseconds. Eight heartbeats a second
+/// each way take 2.3 KB/s; with 500 ms per peer, a service of seven targets exceeded the 3 KB/s
+/// that a node may spend on control.
+const HEARTBEAT_SPACING_MS: u64 = 125;
+
+/// Returns the period of heartbeats to each of `peer_count` agents, in milliseconds.
+#[must_use]
+pub const fn heartbeat_period_ms(peer_count: usize) -> u64 {
+    let period_ms = peer_count as u64 * HEARTBEAT_SPACING_MS;
+    if period_ms > MIN_HEARTBEAT_PERIOD_MS {
+        period_ms
+    } else {
+        MIN_HEARTBEAT_PERIOD_MS
+    }
+}
+
 /// Period of heartbeats from an agent to its entries, in milliseconds.
 pub const ENTRY_HEARTBEAT_PERIOD_MS: u64 = 1_000;
 /// Silence after which a process is suspect, in milliseconds.
--- a/crates/fes-routing/src/offload/settings.rs
+++ b/crates/fes-routing/src/offload/settings.rs
@@ -16,7 +16,7 @@
 }
 
 impl OffloadSettings {
-    /// Returns settings for heartbeats every 500 ms: a report counts less after three missed
+    /// Returns settings for heartbeats every 750 ms: a report counts less after two missed
     /// heartbeats and is dropped when the peer is declared dead.
     #[must_use]
     pub const fn new(own: TargetId, seed: u64) -> Self {
