--- a/crates/fes-kernel/src/driver.rs
+++ b/crates/fes-kernel/src/driver.rs
@@ -20,6 +20,8 @@
 
 type Inbox<M> = VecDeque<(ComponentName, ComponentName, M)>;
 
+type EffectHandler<M> = Box<dyn Fn(Effect<M>)>;
+
 /// A kernel that runs in real time. Clones share the kernel.
 pub struct KernelDriver<M> {
     inner: Rc<Inner<M>>,
@@ -28,7 +30,7 @@
 struct Inner<M> {
     kernel: RefCell<Kernel<M>>,
     inbox: RefCell<Inbox<M>>,
-    effects: RefCell<Option<Box<dyn Fn(Effect<M>)>>>,
+    effects: RefCell<Option<EffectHandler<M>>>,
     clock: ProcessClock,
     is_running: Cell<bool>,
     timers_changed: Notify,
--- a/crates/fes-tickets/src/distribution.rs
+++ b/crates/fes-tickets/src/distribution.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use fes_kernel::Decider;
 use fes_protocol::DataCentreName;
 use fes_protocol::MonoTime;
 use fes_protocol::NodeId;
@@ -393,6 +394,23 @@
     }
 }
 
+impl<P: Precedence> Decider for Distribution<P> {
+    type Event = DistributionEvent;
+    type Action = DistributionAction;
+
+    fn tick() -> DistributionEvent {
+        DistributionEvent::Tick
+    }
+
+    fn decide(&mut self, now: MonoTime, event: DistributionEvent) -> Vec<DistributionAction> {
+        self.handle(now, event)
+    }
+
+    fn next_deadline(&self, _now: MonoTime) -> MonoTime {
+        Self::next_deadline(self)
+    }
+}
+
 fn send(to: Endpoint, message: TicketMessage) -> DistributionAction {
     DistributionAction::Send { to, message }
 }
--- a/crates/fes-tickets/src/simulation/fleet.rs
+++ b/crates/fes-tickets/src/simulation/fleet.rs
@@ -183,7 +183,7 @@
 
     /// Publishes a ticket at the platform.
     pub fn publish(&mut self, ticket: Ticket) {
-        let answers = self.platform.publish(Arc::new(ticket));
+        let answers = self.platform.publish_now(Arc::new(ticket));
         self.send_answers(answers);
     }
 
@@ -308,12 +308,12 @@
             Arrival::Message {
                 from: Place::Node(node),
                 body: Packet::Read(read),
-            } => self.platform.read(now, node, read),
+            } => self.platform.read_now(now, node, read),
             Arrival::Message { .. } => Vec::new(),
-            Arrival::Timer => self.platform.end_waits(now),
+            Arrival::Timer => self.platform.end_waits_now(now),
         };
         self.send_answers(answers);
-        if let Some(at) = self.platform.next_wait_end() {
+        if let Some(at) = self.platform.next_wait() {
             self.network.set_timer(at, Place::Platform);
         }
     }
