Add 'fescueshift local'

A reader should see a whole fleet work in one process: doubles of platform, fabric and upstreams, two entries, an agent for each upstream. One entry is killed after a third of the requests, while the fabric goes on sending half of all datagrams to it, and another is started after two thirds.

--- a/crates/fes-command/src/commands/check.rs
+++ b/crates/fes-command/src/commands/check.rs
@@ -5,7 +5,6 @@
 use std::process::ExitCode;
 
 use clap::Arg;
-use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
@@ -20,6 +19,7 @@
 use fes_tickets::parse_ticket;
 use serde::Serialize;
 
+use crate::commands::arguments::json_flag;
 use crate::output;
 
 pub(crate) const NAME: &str = "check";
@@ -75,12 +75,7 @@
                 .help("What the files are, if their content doesn't show it")
                 .value_parser(["entry", "agent", "ticket"]),
         )
-        .arg(
-            Arg::new("json")
-                .long("json")
-                .help("Print one JSON object")
-                .action(ArgAction::SetTrue),
-        )
+        .arg(json_flag())
         .after_help(
             "Exit status: 0 without faults, 1 with faults, 2 if a file can't be read.\n\n\
              Examples:\n  \
--- a/crates/fes-command/src/commands/explain.rs
+++ b/crates/fes-command/src/commands/explain.rs
@@ -3,7 +3,6 @@
 use std::process::ExitCode;
 
 use clap::Arg;
-use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
 use fes_protocol::Error;
@@ -11,6 +10,7 @@
 use fes_protocol::ResultCode;
 use serde_json::json;
 
+use crate::commands::arguments::json_flag;
 use crate::output;
 
 pub(crate) const NAME: &str = "explain";
@@ -23,12 +23,7 @@
                 .help("Result code, such as F2001; without one, all are listed")
                 .value_name("CODE"),
         )
-        .arg(
-            Arg::new("json")
-                .long("json")
-                .help("Print JSON")
-                .action(ArgAction::SetTrue),
-        )
+        .arg(json_flag())
         .after_help("Examples:\n  fescueshift explain F2001\n  fescueshift explain")
 }
 
--- a/crates/fes-command/src/commands/load.rs
+++ b/crates/fes-command/src/commands/load.rs
@@ -8,7 +8,6 @@
 use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
-use clap::builder::RangedU64ValueParser;
 use clap::value_parser;
 use fes_protocol::Error;
 use fes_protocol::Result;
@@ -18,6 +17,8 @@
 use rustls_pki_types::CertificateDer;
 use rustls_pki_types::pem::PemObject;
 
+use crate::commands::arguments::json_flag;
+use crate::commands::arguments::number;
 use crate::load_run::LoadPlan;
 use crate::load_run::LoadReport;
 use crate::load_run::run_load;
@@ -119,28 +120,10 @@
             .long("verify")
             .help("Check bodies; needs test doubles as upstreams")
             .action(ArgAction::SetTrue),
-        Arg::new("json")
-            .long("json")
-            .help("Print one JSON object")
-            .action(ArgAction::SetTrue),
+        json_flag(),
     ]
 }
 
-/// Makes a flag that takes a number.
-fn number(
-    name: &'static str,
-    help: &'static str,
-    default: &'static str,
-    range: std::ops::RangeInclusive<u64>,
-) -> Arg {
-    Arg::new(name)
-        .long(name)
-        .help(help)
-        .value_name("N")
-        .value_parser(RangedU64ValueParser::<u64>::new().range(range))
-        .default_value(default)
-}
-
 pub(crate) fn run(matches: &ArgMatches) -> Result<ExitCode> {
     let plan = plan(matches);
     let options = options(matches)?;
--- /dev/null
+++ b/crates/fes-command/src/commands/local.rs
@@ -0,0 +1,111 @@
+//! `fescueshift local`: runs a whole fleet in this process and replaces an entry under load.
+
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+use clap::Command;
+use fes_protocol::Result;
+
+use crate::commands::arguments::json_flag;
+use crate::commands::arguments::number;
+use crate::local_run::LocalPlan;
+use crate::local_run::LocalReport;
+use crate::local_run::run_local;
+use crate::output;
+
+pub(crate) const NAME: &str = "local";
+
+const VIOLATIONS_STATUS: u8 = 1;
+
+pub(crate) fn command() -> Command {
+    Command::new(NAME)
+        .about("Run a fleet in this process and replace an entry under load")
+        .long_about(
+            "Starts test doubles of platform, fabric and upstreams, two entries and an agent \
+             for each upstream inside this process, on loopback sockets. Opens feeds and sends \
+             requests, kills one entry after a third of them and starts another after two \
+             thirds. All figures are what clients and upstreams observed.",
+        )
+        .arg(number(
+            "requests",
+            "Requests to send",
+            "300",
+            1..=10_000_000,
+        ))
+        .arg(number("feeds", "Feeds to keep open", "20", 0..=10_000))
+        .arg(number(
+            "seed",
+            "Seed of all random choices",
+            "1",
+            0..=u64::MAX,
+        ))
+        .arg(number(
+            "upstream-count",
+            "Upstreams, each with an agent",
+            "3",
+            1..=64,
+        ))
+        .arg(json_flag())
+        .after_help(
+            "Exit status: 0 if nothing was lost, doubled, misrouted or broken, 1 otherwise,\n\
+             2 on errors.\n\n\
+             Examples:\n  \
+             fescueshift local\n  \
+             fescueshift local --requests 5000 --feeds 200 --seed 7 --json",
+        )
+}
+
+pub(crate) fn run(matches: &ArgMatches) -> Result<ExitCode> {
+    let number = |name| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let plan = LocalPlan {
+        requests: number("requests"),
+        feeds: number("feeds"),
+        seed: number("seed"),
+        upstream_count: u32::try_from(number("upstream-count")).unwrap_or(1),
+    };
+    let progress = output::progress(plan.requests, "requests");
+    let report = actix_rt::System::new().block_on(run_local(&plan, &progress))?;
+    progress.finish_and_clear();
+    if matches.get_flag("json") {
+        output::print(&format!("{}\n", serde_json::json!(report)))?;
+    } else {
+        output::print(&text(&report))?;
+    }
+    Ok(ExitCode::from(if report.has_violations() {
+        VIOLATIONS_STATUS
+    } else {
+        0
+    }))
+}
+
+fn text(report: &LocalReport) -> String {
+    let row = |name: &str, value: u64| vec![name.to_owned(), value.to_string()];
+    let mut rows = vec![
+        row("seed", report.seed),
+        row("duration, ms", report.duration_ms),
+        row("requests", report.requests),
+        row("answered", report.answered),
+        row("refused, not run", report.refused),
+        row("outcome unknown", report.unknown),
+        row("failed", report.failed),
+        row("lost", report.lost),
+        row("doubled", report.doubled),
+        row("misrouted", report.misrouted),
+        row("feeds", report.feeds),
+        row("broken feeds", report.broken_feeds),
+        row("feed events", report.feed_events),
+        row("connections", report.connections),
+        row("requests sent again", report.repeats),
+        row("entries replaced", report.entries_replaced),
+        row("latency p50, us", report.latency_us.p50),
+        row("latency p99, us", report.latency_us.p99),
+        row("latency max, us", report.latency_us.max),
+    ];
+    for (number, started) in (1..).zip(&report.started_by_upstream) {
+        rows.push(row(&format!("run by upstream {number}"), *started));
+    }
+    for (code, count) in &report.failures_by_code {
+        rows.push(row(&format!("failures {code}"), *count));
+    }
+    output::table(&rows)
+}
--- a/crates/fes-command/src/commands/mod.rs
+++ b/crates/fes-command/src/commands/mod.rs
@@ -1,9 +1,11 @@
 //! One file for each command.
 
+mod arguments;
 mod check;
 mod completions;
 mod explain;
 mod load;
+mod local;
 mod man;
 mod status;
 
@@ -40,6 +42,11 @@
         command: status::command,
         run: status::run,
     },
+    Entry {
+        name: local::NAME,
+        command: local::command,
+        run: local::run,
+    },
     Entry {
         name: load::NAME,
         command: load::command,
--- a/crates/fes-command/src/lib.rs
+++ b/crates/fes-command/src/lib.rs
@@ -2,7 +2,10 @@
 
 mod cli;
 mod commands;
+mod latency;
 mod load_run;
+mod local_fleet;
+mod local_run;
 mod output;
 
 pub use cli::cli;
--- a/crates/fes-command/src/load_run.rs
+++ b/crates/fes-command/src/load_run.rs
@@ -6,9 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fes_protocol::Error;
 use fes_protocol::Result;
-use fes_protocol::ResultCode;
 use fes_testkit::Call;
 use fes_testkit::Client;
 use fes_testkit::ClientCounts;
@@ -16,7 +14,6 @@
 use fes_testkit::Feed;
 use fes_testkit::FeedCounts;
 use fes_testkit::Outcome;
-use hdrhistogram::Histogram;
 use indicatif::ProgressBar;
 use rand::Rng;
 use rand::SeedableRng;
@@ -25,9 +22,10 @@
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 
+use crate::latency::Latency;
+use crate::latency::Recorder;
+
 const PERCENT: u32 = 100;
-const LONGEST_LATENCY_US: u64 = 3_600_000_000;
-const SIGNIFICANT_DIGITS: u8 = 3;
 const US_PER_S: u64 = 1_000_000;
 
 /// What to send.
@@ -59,21 +57,6 @@
     pub(crate) feed_counts: FeedCounts,
 }
 
-/// Latencies of answered requests, from the time at which each was due.
-#[derive(Debug, Clone, Copy, Default, Serialize)]
-pub(crate) struct Latency {
-    pub(crate) p50: u64,
-    pub(crate) p90: u64,
-    pub(crate) p99: u64,
-    pub(crate) max: u64,
-}
-
-/// Latencies and failures of finished requests.
-pub(crate) struct Recorder {
-    latencies_us: Histogram<u64>,
-    failures_by_code: BTreeMap<String, u64>,
-}
-
 impl LoadReport {
     /// Returns whether anything happened that must never happen.
     pub(crate) fn has_violations(&self) -> bool {
@@ -82,45 +65,6 @@
     }
 }
 
-impl Recorder {
-    pub(crate) fn new() -> Result<Self> {
-        let latencies_us = Histogram::new_with_bounds(1, LONGEST_LATENCY_US, SIGNIFICANT_DIGITS);
-        Ok(Self {
-            latencies_us: latencies_us.map_err(|error| {
-                let detail = format!("latencies can't be recorded: {error}");
-                Error::coded(ResultCode::RunFailed, detail)
-            })?,
-            failures_by_code: BTreeMap::new(),
-        })
-    }
-
-    pub(crate) fn record(&mut self, outcome: &Outcome, latency: Duration) {
-        let latency_us = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
-        let failure = match outcome {
-            Outcome::Answered { .. } => {
-                self.latencies_us.saturating_record(latency_us.max(1));
-                return;
-            }
-            Outcome::NotRun(code) | Outcome::Unknown(code) => format!("F{:04}", code.number()),
-            Outcome::Failed { status } => format!("status {status}"),
-            Outcome::Lost(_) => "lost".to_owned(),
-            Outcome::Misrouted => "misrouted".to_owned(),
-            Outcome::Truncated => "truncated".to_owned(),
-        };
-        *self.failures_by_code.entry(failure).or_default() += 1;
-    }
-
-    pub(crate) fn latency(&self) -> Latency {
-        let quantile = |quantile| self.latencies_us.value_at_quantile(quantile);
-        Latency {
-            p50: quantile(0.5),
-            p90: quantile(0.9),
-            p99: quantile(0.99),
-            max: self.latencies_us.max(),
-        }
-    }
-}
-
 /// Sends the planned load. Requests are due at fixed times, whether earlier ones have finished or
 /// not, so that a slow server can't slow down the load that measures it.
 pub(crate) async fn run_load(
@@ -208,7 +152,7 @@
         seed: plan.seed,
         duration_ms,
         counts,
-        failures_by_code: recorder.failures_by_code.clone(),
+        failures_by_code: recorder.failures_by_code().clone(),
         latency_us: recorder.latency(),
         feeds: feeds.len(),
         broken_feeds: feeds.iter().filter(|feed| feed.is_broken()).count(),
--- /dev/null
+++ b/crates/fes-command/src/local_fleet.rs
@@ -0,0 +1,209 @@
+//! A whole fleet inside one process, on loopback sockets.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use fes_agent::Agent;
+use fes_agent::AgentHandle;
+use fes_entry::Entry;
+use fes_entry::EntryHandle;
+use fes_protocol::EntryId;
+use fes_protocol::Error;
+use fes_protocol::Result;
+use fes_protocol::ResultCode;
+use fes_protocol::ServiceId;
+use fes_protocol::ServiceSpec;
+use fes_protocol::ServiceState;
+use fes_protocol::TargetId;
+use fes_protocol::Ticket;
+use fes_protocol::TicketNumber;
+use fes_protocol::TicketObject;
+use fes_protocol::UpstreamSpec;
+use fes_protocol::UpstreamState;
+use fes_settings::AgentSettings;
+use fes_settings::EntrySettings;
+use fes_settings::ListenSettings;
+use fes_settings::NodeSettings;
+use fes_testkit::Authority;
+use fes_testkit::Client;
+use fes_testkit::ClientOptions;
+use fes_testkit::ExecutionLog;
+use fes_testkit::Fabric;
+use fes_testkit::Platform;
+use fes_testkit::Upstream;
+use fes_testkit::UpstreamOptions;
+use fes_testkit::secret_keys;
+
+const SERVICE: ServiceId = ServiceId(1);
+const DATA_CENTRE: &str = "local";
+const SLOTS: u32 = 4;
+const ENTRIES: u32 = 2;
+
+/// Two entries, an agent for each upstream, and the doubles of everything around them.
+pub(crate) struct LocalFleet {
+    authority: Authority,
+    platform: Platform,
+    fabric: Fabric,
+    log: ExecutionLog,
+    upstreams: Vec<Upstream>,
+    agents: Vec<AgentHandle>,
+    entries: Vec<EntryHandle>,
+    next_entry: u32,
+    next_ticket: u64,
+    seed: u64,
+}
+
+impl LocalFleet {
+    /// Starts the fleet and publishes its first ticket.
+    pub(crate) async fn start(upstream_count: u32, seed: u64) -> Result<Self> {
+        let mut fleet = Self {
+            authority: Authority::new(),
+            platform: Platform::start().await?,
+            fabric: Fabric::start([], seed)?,
+            log: ExecutionLog::default(),
+            upstreams: Vec::new(),
+            agents: Vec::new(),
+            entries: Vec::new(),
+            next_entry: 1,
+            next_ticket: 1,
+            seed,
+        };
+        for number in 1..=upstream_count {
+            fleet.start_agent(number).await?;
+        }
+        for _ in 0..ENTRIES {
+            fleet.start_entry()?;
+        }
+        fleet.publish()?;
+        fleet.update_fabric()?;
+        Ok(fleet)
+    }
+
+    /// Kills the entry that has run longest. The fabric goes on sending to its address.
+    pub(crate) fn kill_entry(&mut self) {
+        if !self.entries.is_empty() {
+            self.entries.remove(0).kill();
+        }
+    }
+
+    /// Starts another entry, and tells the fabric which entries there are.
+    pub(crate) fn add_entry(&mut self) -> Result<()> {
+        self.start_entry()?;
+        self.publish()?;
+        self.update_fabric()
+    }
+
+    /// Makes a client of the service.
+    pub(crate) fn client(&self, name: impl Into<String>) -> Result<Client> {
+        let authorities = [self.authority.certificate()];
+        let options = ClientOptions::new(self.fabric.address(), authorities, name);
+        Client::new(options)
+    }
+
+    /// Returns what the upstreams ran.
+    pub(crate) const fn log(&self) -> &ExecutionLog {
+        &self.log
+    }
+
+    /// Returns how many requests each upstream started.
+    pub(crate) fn started_by_upstream(&self) -> Vec<u64> {
+        self.upstreams.iter().map(Upstream::started).collect()
+    }
+
+    async fn start_agent(&mut self, number: u32) -> Result<()> {
+        let options = UpstreamOptions {
+            name: format!("upstream-{number}"),
+            slots: SLOTS as usize,
+            seed: self.seed,
+            ..UpstreamOptions::default()
+        };
+        let upstream = Upstream::start(options, self.log.clone()).await?;
+        let settings = AgentSettings::new(
+            TargetId(number),
+            SERVICE,
+            SLOTS,
+            self.node_settings(&format!("vm-{number}")),
+            upstream.address(),
+            self.authority.client_identity(),
+        );
+        self.agents.push(Agent::start(settings).await?);
+        self.upstreams.push(upstream);
+        Ok(())
+    }
+
+    fn start_entry(&mut self) -> Result<()> {
+        let number = self.next_entry;
+        self.next_entry += 1;
+        let node = self.node_settings(&format!("entry-vm-{number}"));
+        let mut settings = EntrySettings::new(EntryId(number), node);
+        settings.listen.push(ListenSettings {
+            service: SERVICE,
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        });
+        self.entries.push(Entry::start(&settings)?);
+        Ok(())
+    }
+
+    /// Publishes the state of the fleet under the next number.
+    fn publish(&mut self) -> Result<()> {
+        let number = TicketNumber(self.next_ticket);
+        self.next_ticket += 1;
+        let service = Arc::new(self.service());
+        let ticket = Arc::new(Ticket {
+            number,
+            objects: vec![TicketObject::Service(Arc::clone(&service))],
+        });
+        self.platform.publish_ticket(&ticket)?;
+        for agent in &self.agents {
+            agent.offer(Arc::clone(&ticket));
+        }
+        for entry in &self.entries {
+            entry.apply([(number, Arc::clone(&service))]);
+        }
+        Ok(())
+    }
+
+    fn service(&self) -> ServiceSpec {
+        let upstream = |(agent, number): (&AgentHandle, u32)| UpstreamSpec {
+            target: TargetId(number),
+            name: format!("upstream-{number}").into(),
+            vm: format!("vm-{number}").into(),
+            data_centre: DATA_CENTRE.into(),
+            agent_address: agent.agent_address(),
+            link_address: agent.link_address(),
+            slots: SLOTS,
+            state: UpstreamState::Active,
+        };
+        ServiceSpec {
+            id: SERVICE,
+            name: "local".into(),
+            state: ServiceState::Active,
+            addresses: vec![self.fabric.address()],
+            data_centres: vec![DATA_CENTRE.into()],
+            upstreams: self.agents.iter().zip(1..).map(upstream).collect(),
+        }
+    }
+
+    fn update_fabric(&self) -> Result<()> {
+        let addresses = self.entries.iter().map(|entry| {
+            entry.service_address(SERVICE).ok_or_else(|| {
+                let detail = "an entry serves no clients";
+                Error::coded(ResultCode::RunFailed, detail)
+            })
+        });
+        let addresses: Vec<SocketAddr> = addresses.collect::<Result<_>>()?;
+        self.fabric.set_entries(addresses);
+        Ok(())
+    }
+
+    fn node_settings(&self, vm: &str) -> NodeSettings {
+        NodeSettings::new(
+            DATA_CENTRE.into(),
+            vm.into(),
+            self.platform.address(),
+            secret_keys(self.seed),
+            self.authority.link_identity(),
+        )
+    }
+}
