Disperse long requests by their expected wait

Change: heartbeats carry the expected wait of a long request; an agent whose long slots are taken passes a long request to a peer where it starts earlier, one per peer and report. queue_wait_ms now states the expected wait of a short request, so that queued long ones don't make a peer look full.

--- a/crates/fes-admission/src/admission.rs
+++ b/crates/fes-admission/src/admission.rs
@@ -132,16 +132,13 @@
         } else {
             0.0
         };
-        let queued_us: f64 = self
-            .queue
-            .iter()
-            .map(|w| self.classes.mean_us(w.class))
-            .sum();
+        let (short_us, long_us) = self.forecast(now).waits_us(&self.queue, &self.classes);
         Load {
             capacity_milli: milli(f64::from(limit) * speed * share),
             demand_milli: milli(self.demand.slots(now)),
             movable_milli: milli(self.movable.slots(now)),
-            queue_wait_ms: (queued_us / f64::from(limit) / 1e3) as u32,
+            queue_wait_ms: (short_us / 1e3) as u32,
+            long_wait_ms: (long_us / 1e3) as u32,
             has_free_slot: open && self.running.len() < limit && self.queue.len() == 0,
         }
     }
@@ -245,16 +242,22 @@
         if self.queue.len() >= self.settings.queue_capacity {
             return Err(ResultCode::NotRunQueueFull);
         }
-        let limit = self.limit.current(now);
-        let long_slots = self.settings.long_slots(limit);
-        let forecast = Forecast::new(now, &self.running, &self.classes, limit, long_slots);
-        if forecast.accepts(now, &self.queue, &self.classes, waiting) {
+        if self
+            .forecast(now)
+            .accepts(now, &self.queue, &self.classes, waiting)
+        {
             Ok(())
         } else {
             Err(ResultCode::NotRunOverloaded)
         }
     }
 
+    fn forecast(&mut self, now: MonoTime) -> Forecast {
+        let limit = self.limit.current(now);
+        let long_slots = self.settings.long_slots(limit);
+        Forecast::new(now, &self.running, &self.classes, limit, long_slots)
+    }
+
     fn finish(&mut self, now: MonoTime, id: RequestId) {
         let Some(done) = self.running.remove(id) else {
             return;
--- a/crates/fes-admission/src/forecast.rs
+++ b/crates/fes-admission/src/forecast.rs
@@ -89,6 +89,25 @@
         })
     }
 
+    /// Returns the mean waits of a short and of a long request that arrive now, in microseconds.
+    pub(crate) fn waits_us(mut self, queue: &DeadlineQueue, classes: &ClassTable) -> (f64, f64) {
+        for waiting in queue.iter().filter(|w| !w.long) {
+            self.assign(waiting, classes);
+        }
+        // Short requests have the earlier deadlines and go ahead of long ones that wait.
+        let short_us = self.first_free_us(self.slots.len());
+        for waiting in queue.long() {
+            self.assign(waiting, classes);
+        }
+        (short_us, self.first_free_us(self.long_slots))
+    }
+
+    fn first_free_us(&self, usable: usize) -> f64 {
+        let usable = usable.min(self.slots.len());
+        let free_us = self.slots[..usable].iter().map(|slot| slot.free_in_us);
+        free_us.fold(f64::INFINITY, f64::min)
+    }
+
     /// Returns whether `candidate` is expected to complete in time without making a request
     /// behind it late.
     pub(crate) fn accepts(
--- a/crates/fes-admission/src/message.rs
+++ b/crates/fes-admission/src/message.rs
@@ -106,8 +106,10 @@
     pub demand_milli: u32,
     /// The part of `demand_milli` that may run at a peer.
     pub movable_milli: u32,
-    /// Work in the queue, in milliseconds at this agent's own speed.
+    /// Expected wait of a short request that arrives now, in milliseconds.
     pub queue_wait_ms: u32,
+    /// Expected wait of a long request that arrives now, in milliseconds.
+    pub long_wait_ms: u32,
     /// Whether a short request that arrives now would start at once.
     pub has_free_slot: bool,
 }
--- a/crates/fes-agent/src/decisions/work_component.rs
+++ b/crates/fes-agent/src/decisions/work_component.rs
@@ -470,6 +470,7 @@
             demand_milli: load.demand_milli,
             movable_milli: load.movable_milli,
             queue_wait_ms: load.queue_wait_ms,
+            long_wait_ms: load.long_wait_ms,
             has_free_slot: load.has_free_slot,
         }
     }
--- a/crates/fes-idempotency/tests/prefixes.rs
+++ b/crates/fes-idempotency/tests/prefixes.rs
@@ -148,6 +148,7 @@
         capacity_milli,
         demand_milli: 0,
         queue_wait_ms: 0,
+        long_wait_ms: 0,
         flow_count: 0,
         key_issue_ms: 77,
         heard: Vec::new(),
--- a/crates/fes-idempotency/tests/support/world.rs
+++ b/crates/fes-idempotency/tests/support/world.rs
@@ -224,6 +224,7 @@
             capacity_milli: spare_milli,
             demand_milli: 0,
             queue_wait_ms: 0,
+            long_wait_ms: 0,
             flow_count: 0,
             key_issue_ms: sender.local(self.now).as_ms(),
             heard: Vec::new(),
--- a/crates/fes-measure/src/capacity/control_messages.rs
+++ b/crates/fes-measure/src/capacity/control_messages.rs
@@ -123,6 +123,7 @@
         capacity_milli: 4_000,
         demand_milli: 2_800,
         queue_wait_ms: 120,
+        long_wait_ms: 120,
         flow_count: 2_000,
         key_issue_ms: 86_400_000,
         heard: (0..heard).map(heard_peer).collect(),
--- a/crates/fes-measure/src/sim/current.rs
+++ b/crates/fes-measure/src/sim/current.rs
@@ -57,6 +57,7 @@
             demand_milli: load.demand_milli,
             movable_milli: load.movable_milli,
             queue_wait_ms: load.queue_wait_ms,
+            long_wait_ms: load.long_wait_ms,
             has_free_slot: load.has_free_slot,
         }
     }
@@ -173,6 +174,7 @@
             capacity_milli: load.capacity_milli,
             demand_milli: load.demand_milli,
             queue_wait_ms: load.queue_wait_ms,
+            long_wait_ms: load.long_wait_ms,
             flow_count: 0,
             key_issue_ms: now.as_ms(),
             heard: Vec::new(),
--- a/crates/fes-membership/src/peer.rs
+++ b/crates/fes-membership/src/peer.rs
@@ -51,8 +51,10 @@
     pub capacity_milli: u32,
     /// Demand in the same unit.
     pub demand_milli: u32,
-    /// Work in the queue, in milliseconds.
+    /// Expected wait of a short request, in milliseconds.
     pub queue_wait_ms: u32,
+    /// Expected wait of a long request, in milliseconds.
+    pub long_wait_ms: u32,
     /// Open flows.
     pub flow_count: u32,
     /// The peer's monotonic clock for key prefixes, in milliseconds.
@@ -198,6 +200,7 @@
         capacity_milli: heartbeat.capacity_milli,
         demand_milli: heartbeat.demand_milli,
         queue_wait_ms: heartbeat.queue_wait_ms,
+        long_wait_ms: heartbeat.long_wait_ms,
         flow_count: heartbeat.flow_count,
         key_issue_ms: heartbeat.key_issue_ms,
     }
--- a/crates/fes-membership/src/peer_table.rs
+++ b/crates/fes-membership/src/peer_table.rs
@@ -373,6 +373,7 @@
             capacity_milli: self.load.capacity_milli,
             demand_milli: self.load.demand_milli,
             queue_wait_ms: self.load.queue_wait_ms,
+            long_wait_ms: self.load.long_wait_ms,
             flow_count: self.load.flow_count,
             key_issue_ms: self.load.key_issue_ms,
             heard: heard.collect(),
--- a/crates/fes-protocol/src/control.rs
+++ b/crates/fes-protocol/src/control.rs
@@ -54,8 +54,10 @@
     pub capacity_milli: u32,
     /// Work that arrives at the sender, in the unit of `capacity_milli`.
     pub demand_milli: u32,
-    /// Work waiting in the sender's queue, in milliseconds at its own speed.
+    /// Expected wait of a short request that arrives at the sender, in milliseconds.
     pub queue_wait_ms: u32,
+    /// Expected wait of a long request that arrives at the sender, in milliseconds.
+    pub long_wait_ms: u32,
     /// Open flows at the sender.
     pub flow_count: u32,
     /// The sender's monotonic clock in milliseconds, for key prefixes that name the sender.
--- a/crates/fes-routing/src/offload/planner.rs
+++ b/crates/fes-routing/src/offload/planner.rs
@@ -32,6 +32,8 @@
     hop_ms: u32,
     report: Option<PeerReport>,
     paused_until: MonoTime,
+    /// Whether a long request was passed to the peer since its last report.
+    got_long: bool,
 }
 
 /// Plans offload for one agent from its peers' heartbeats.
@@ -65,6 +67,7 @@
                 hop_ms: 0,
                 report: None,
                 paused_until: MonoTime::ZERO,
+                got_long: false,
             });
             entry.hop_ms = peer.hop_ms;
             self.peers.insert(peer.target, entry);
@@ -80,6 +83,7 @@
         let next = PeerReport::next(peer.report.as_ref(), now, heartbeat, own.capacity_milli);
         if next.is_some() {
             peer.report = next;
+            peer.got_long = false;
         }
     }
 
@@ -101,6 +105,9 @@
         if !request.repeatable || request.passed_on {
             return OffloadChoice::Here;
         }
+        if request.long && own.long_wait_ms > 0 {
+            return self.choose_for_long(now, own, request);
+        }
         let shares = Shares::compute(self.own_member(own), &self.members(now));
         let movable = f64::from(own.movable_milli);
         if shares.surplus <= f64::from(own.demand_milli) * MIN_SURPLUS_SHARE || movable <= 0.0 {
@@ -113,8 +120,56 @@
             .deficits
             .into_iter()
             .filter(|(target, _)| self.is_reachable_in_time(now, *target, request.deadline))
+            .filter(|(target, _)| !request.long || self.long_start_ms(now, *target) == Some(0))
+            .collect();
+        self.send(&deficits, request.long)
+    }
+
+    /// Long requests are too few for shares to even out: a second one in an agent's queue waits
+    /// for many times its own service. They go where one would start earlier, one per peer and
+    /// report, so that a stale report attracts no second one.
+    fn choose_for_long(
+        &mut self,
+        now: MonoTime,
+        own: &OwnLoad,
+        request: &OffloadRequest,
+    ) -> OffloadChoice {
+        let earlier: Vec<(TargetId, f64)> = self
+            .members(now)
+            .into_iter()
+            .filter(|m| self.is_reachable_in_time(now, m.target, request.deadline))
+            .filter_map(|m| {
+                let gain_ms = own
+                    .long_wait_ms
+                    .checked_sub(self.long_start_ms(now, m.target)?)?;
+                Some((m.target, f64::from(gain_ms) * m.capacity * m.trust))
+            })
             .collect();
-        self.pick(&deficits)
+        self.send(&earlier, true)
+    }
+
+    /// Returns when a long request would start at a peer, hop included; 0 if at once. `None` if
+    /// the peer got one since its last report.
+    fn long_start_ms(&self, now: MonoTime, target: TargetId) -> Option<u32> {
+        let peer = self.peers.get(&target).filter(|peer| !peer.got_long)?;
+        let report = peer.report?;
+        let age_ms = now.ms_since(report.received_at) as u32;
+        let wait_ms = report.long_wait_ms.saturating_sub(age_ms);
+        Some(if wait_ms == 0 {
+            0
+        } else {
+            wait_ms + peer.hop_ms
+        })
+    }
+
+    fn send(&mut self, weights: &[(TargetId, f64)], long: bool) -> OffloadChoice {
+        let choice = self.pick(weights);
+        if let OffloadChoice::Peer(target) = choice
+            && let Some(peer) = self.peers.get_mut(&target)
+        {
+            peer.got_long |= long;
+        }
+        choice
     }
 
     /// Picks a peer for a repeatable request that this agent would have to refuse. Returns
--- a/crates/fes-routing/src/offload/report.rs
+++ b/crates/fes-routing/src/offload/report.rs
@@ -31,8 +31,10 @@
     pub capacity_milli: u32,
     /// Work that arrives from the peer's clients.
     pub demand_milli: u32,
-    /// Work in the peer's queue, in milliseconds at its speed.
+    /// Expected wait of a short request at the time of the report, in milliseconds.
     pub queue_wait_ms: u32,
+    /// Expected wait of a long request at the time of the report, in milliseconds.
+    pub long_wait_ms: u32,
     /// The peer's clock at sending.
     pub key_issue_ms: u64,
 }
@@ -67,6 +69,7 @@
             capacity_milli,
             demand_milli: heartbeat.demand_milli.min(max_demand_milli),
             queue_wait_ms: heartbeat.queue_wait_ms,
+            long_wait_ms: heartbeat.long_wait_ms,
             key_issue_ms: heartbeat.key_issue_ms,
         })
     }
