--- a/crates/fes-idempotency/src/lib.rs
+++ b/crates/fes-idempotency/src/lib.rs
@@ -39,6 +39,7 @@
 pub use key::IdempotencyKey;
 pub use key::KeyClass;
 pub use key::MAX_CLIENT_PART_BYTES;
+pub use limits::KEY_MEMORY_BYTES;
 pub use limits::KEY_VALIDITY_MS;
 pub use limits::PURGE_PERIOD_MS;
 pub use limits::StoreLimits;
--- a/crates/fes-idempotency/src/limits.rs
+++ b/crates/fes-idempotency/src/limits.rs
@@ -6,6 +6,11 @@
 /// How long a prefix is valid after its issue, in milliseconds on the owner's clock.
 pub const KEY_VALIDITY_MS: u64 = 600_000;
 
+/// Memory of one held key with the longest client part, in bytes, next to the bytes of its stored
+/// response: table entry, client part, and the allocations of record and response. 285 were seen
+/// with `examples/store_size.rs`.
+pub const KEY_MEMORY_BYTES: usize = 288;
+
 /// Bounds on the memory of an [`crate::IdempotencyStore`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StoreLimits {
@@ -17,6 +22,15 @@
     pub max_response_bytes: usize,
 }
 
+impl StoreLimits {
+    /// Returns the most memory that a store with these limits holds, in bytes.
+    #[must_use]
+    pub const fn memory_bound_bytes(&self) -> usize {
+        let keys_bytes = self.max_keys.saturating_mul(KEY_MEMORY_BYTES);
+        keys_bytes.saturating_add(self.max_responses_bytes)
+    }
+}
+
 impl Default for StoreLimits {
     fn default() -> Self {
         Self {
--- a/crates/fes-membership/src/lifecycle/source.rs
+++ b/crates/fes-membership/src/lifecycle/source.rs
@@ -1,5 +1,7 @@
 //! Who says that a process is leaving.
 
+use crate::LeaveSource;
+
 /// A source that says that the process is leaving.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum DrainSource {
@@ -72,3 +74,14 @@
         self.contains(DrainSource::Signal) || self.contains(DrainSource::Operator)
     }
 }
+
+impl From<LeaveSource> for DrainSource {
+    fn from(source: LeaveSource) -> Self {
+        match source {
+            LeaveSource::Ticket => Self::Ticket,
+            LeaveSource::VmList => Self::VmList,
+            LeaveSource::Order => Self::Operator,
+            LeaveSource::Signal => Self::Signal,
+        }
+    }
+}
