--- a/crates/fes-command/src/load_run.rs
+++ b/crates/fes-command/src/load_run.rs
@@ -119,10 +119,6 @@
             max: self.latencies_us.max(),
         }
     }
-
-    pub(crate) fn into_failures(self) -> BTreeMap<String, u64> {
-        self.failures_by_code
-    }
 }
 
 /// Sends the planned load. Requests are due at fixed times, whether earlier ones have finished or
