--- a/crates/fes-command/src/output.rs
+++ b/crates/fes-command/src/output.rs
@@ -65,8 +65,8 @@
 /// Formats rows as columns, the first left-aligned and the others right-aligned.
 pub(crate) fn table(rows: &[Vec<String>]) -> String {
     let columns = rows.iter().map(Vec::len).max().unwrap_or_default();
-    let width = |column| {
-        let cells = rows.iter().filter_map(|row: &Vec<String>| row.get(column));
+    let width = |column: usize| {
+        let cells = rows.iter().filter_map(|row| row.get(column));
         cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
     };
     let widths: Vec<usize> = (0..columns).map(width).collect();
