Bring fes-command's local fleet to the present interface of the daemons

Cause: Entry::start is async and both daemons take tickets with 'offer'. Change: local fleet awaits the start of entries and publishes its fleet object, so that agents know their entries; a process sends itself no tickets.

--- a/crates/fes-agent/src/agent.rs
+++ b/crates/fes-agent/src/agent.rs
@@ -11,11 +11,16 @@
 use fes_membership::lifecycle::LifecycleEvent;
 use fes_protocol::Incarnation;
 use fes_protocol::Lifecycle;
+use fes_protocol::NodeId;
 use fes_protocol::Result;
 use fes_protocol::TargetId;
+use fes_protocol::Ticket;
 use fes_settings::AgentSettings;
 use fes_telemetry::StatusServer;
+use fes_tickets::DistributionEvent;
+use fes_tickets::Endpoint;
 use fes_tickets::Snapshot;
+use fes_tickets::TicketMessage;
 use quinn::AsyncUdpSocket;
 use quinn::VarInt;
 use serde_json::Value;
@@ -130,6 +135,14 @@
         self.core.tickets.snapshot()
     }
 
+    /// Puts a ticket in force and passes it on, as if the platform had just served it.
+    pub fn offer(&self, ticket: Arc<Ticket>) {
+        let from = Endpoint::Node(NodeId::Agent(self.core.settings.target));
+        let message = TicketMessage::Push(vec![ticket]);
+        self.core
+            .post_tickets(DistributionEvent::Message { from, message });
+    }
+
     /// Returns the current counters.
     #[must_use]
     pub fn counters(&self) -> AgentCounters {
--- a/crates/fes-agent/src/decisions/work_component.rs
+++ b/crates/fes-agent/src/decisions/work_component.rs
@@ -278,6 +278,7 @@
         if code == ResultCode::NotRunUpstreamDown {
             // Any wait at a peer is better than an upstream that doesn't answer.
             own.queue_wait_ms = u32::MAX;
+            own.long_wait_ms = u32::MAX;
         }
         match self.planner.choose_rescue(now, &own, &request) {
             OffloadChoice::Peer(target) => Some(target),
--- a/crates/fes-command/src/local_fleet.rs
+++ b/crates/fes-command/src/local_fleet.rs
@@ -9,7 +9,9 @@
 use fes_entry::Entry;
 use fes_entry::EntryHandle;
 use fes_protocol::EntryId;
+use fes_protocol::EntrySpec;
 use fes_protocol::Error;
+use fes_protocol::FleetSpec;
 use fes_protocol::Result;
 use fes_protocol::ResultCode;
 use fes_protocol::ServiceId;
@@ -73,7 +75,7 @@
             fleet.start_agent(number).await?;
         }
         for _ in 0..ENTRIES {
-            fleet.start_entry()?;
+            fleet.start_entry().await?;
         }
         fleet.publish()?;
         fleet.update_fabric()?;
@@ -88,8 +90,8 @@
     }
 
     /// Starts another entry, and tells the fabric which entries there are.
-    pub(crate) fn add_entry(&mut self) -> Result<()> {
-        self.start_entry()?;
+    pub(crate) async fn add_entry(&mut self) -> Result<()> {
+        self.start_entry().await?;
         self.publish()?;
         self.update_fabric()
     }
@@ -132,7 +134,7 @@
         Ok(())
     }
 
-    fn start_entry(&mut self) -> Result<()> {
+    async fn start_entry(&mut self) -> Result<()> {
         let number = self.next_entry;
         self.next_entry += 1;
         let node = self.node_settings(&format!("entry-vm-{number}"));
@@ -141,7 +143,7 @@
             service: SERVICE,
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
         });
-        self.entries.push(Entry::start(&settings)?);
+        self.entries.push(Entry::start(settings).await?);
         Ok(())
     }
 
@@ -149,21 +151,36 @@
     fn publish(&mut self) -> Result<()> {
         let number = TicketNumber(self.next_ticket);
         self.next_ticket += 1;
-        let service = Arc::new(self.service());
         let ticket = Arc::new(Ticket {
             number,
-            objects: vec![TicketObject::Service(Arc::clone(&service))],
+            objects: vec![
+                TicketObject::Service(Arc::new(self.service())),
+                TicketObject::Fleet(Arc::new(self.fleet())),
+            ],
         });
         self.platform.publish_ticket(&ticket)?;
         for agent in &self.agents {
             agent.offer(Arc::clone(&ticket));
         }
         for entry in &self.entries {
-            entry.apply([(number, Arc::clone(&service))]);
+            entry.offer(Arc::clone(&ticket));
         }
         Ok(())
     }
 
+    fn fleet(&self) -> FleetSpec {
+        let entry = |entry: &EntryHandle| EntrySpec {
+            id: entry.id(),
+            vm: format!("entry-vm-{}", entry.id()).into(),
+            control_address: entry.control_address(),
+            link_address: entry.link_address(),
+        };
+        FleetSpec {
+            data_centre: DATA_CENTRE.into(),
+            entries: self.entries.iter().map(entry).collect(),
+        }
+    }
+
     fn service(&self) -> ServiceSpec {
         let upstream = |(agent, number): (&AgentHandle, u32)| UpstreamSpec {
             target: TargetId(number),
--- a/crates/fes-entry/src/entry.rs
+++ b/crates/fes-entry/src/entry.rs
@@ -29,11 +29,15 @@
 use fes_protocol::NodeId;
 use fes_protocol::Result;
 use fes_protocol::ServiceId;
+use fes_protocol::Ticket;
 use fes_routing::Router;
 use fes_settings::EntrySettings;
 use fes_telemetry::Health;
 use fes_telemetry::StatusServer;
+use fes_tickets::DistributionEvent;
+use fes_tickets::Endpoint;
 use fes_tickets::Snapshot;
+use fes_tickets::TicketMessage;
 use serde_json::Value;
 use tokio::sync::watch;
 
@@ -149,6 +153,14 @@
         self.core.tickets.snapshot()
     }
 
+    /// Puts a ticket in force and passes it on, as if the platform had just served it.
+    pub fn offer(&self, ticket: Arc<Ticket>) {
+        let from = Endpoint::Node(NodeId::Entry(self.core.settings.entry));
+        let message = TicketMessage::Push(vec![ticket]);
+        self.core
+            .post_tickets(DistributionEvent::Message { from, message });
+    }
+
     /// Returns the current counters.
     #[must_use]
     pub fn counters(&self) -> EntryCounters {
--- a/crates/fes-node/src/ticket_host.rs
+++ b/crates/fes-node/src/ticket_host.rs
@@ -37,6 +37,7 @@
 
 /// Links, platform reads and digests of one process.
 pub struct TicketHost {
+    node: NodeId,
     distribution: Rc<RefCell<Distribution>>,
     links: Rc<TicketLinks>,
     platform: PlatformReader,
@@ -68,6 +69,7 @@
         };
         let client = PlatformClient::new(settings.platform_address, node.to_string());
         Self {
+            node,
             distribution: Rc::new(RefCell::new(Distribution::new(now, distribution))),
             links: Rc::new(TicketLinks::new(node, links)),
             platform: PlatformReader::new(client),
@@ -151,6 +153,9 @@
     }
 
     fn send(&self, to: Endpoint, message: TicketMessage) {
+        if to == Endpoint::Node(self.node) {
+            return;
+        }
         let Some(message) = self.links.keep_answer(to, message) else {
             return;
         };
