Test requests and changes on real sockets; fix what the tests found

Cause: failures between client and upstream had no tests. Change: tests for truncated responses, cancellation, tries of one key, dead owners, overload, upstream restarts, drains, killed agents, leaving upstreams and the flow limit.

--- a/crates/fes-agent/src/agent.rs
+++ b/crates/fes-agent/src/agent.rs
@@ -123,6 +123,14 @@
         self.status.address()
     }
 
+    /// Returns how many peers the agent believes to take work.
+    #[must_use]
+    pub fn peers_taking_work(&self) -> usize {
+        let peers = self.core.peers.borrow();
+        let taking = peers.peers().filter(|(_, state, ..)| state.takes_work());
+        taking.count()
+    }
+
     /// Returns the phase of life.
     #[must_use]
     pub fn lifecycle(&self) -> Lifecycle {
@@ -152,8 +160,11 @@
     /// Starts a graceful stop: refuses new work, completes what is in progress, and closes at the
     /// drain bound with explicit errors. A second call doesn't shorten it.
     pub fn stop(&self) {
-        self.core
-            .post_lifecycle(LifecycleEvent::Drain(DrainSource::Signal));
+        // The life cycle must know the work in progress before it decides that there is none.
+        let progress = LifecycleEvent::Progress(self.core.work_in_progress());
+        self.core.post_lifecycle(progress);
+        let drain = LifecycleEvent::Drain(DrainSource::Signal);
+        self.core.post_lifecycle(drain);
     }
 
     /// Waits for the end of a graceful stop; returns the exit status of the process.
--- a/crates/fes-agent/src/tasks.rs
+++ b/crates/fes-agent/src/tasks.rs
@@ -12,7 +12,6 @@
 use fes_membership::lifecycle::LifecycleEvent;
 use fes_node::TICKETS_KIND;
 use fes_node::watch_clock;
-use fes_protocol::Lifecycle;
 use fes_protocol::Result;
 use fes_protocol::ResultCode;
 use fes_tickets::DistributionEvent;
@@ -98,18 +97,15 @@
     }
 }
 
-/// Opens the upstream connection before it is needed and tells admission when it is lost.
+/// Opens the upstream connection before it is needed and tells admission whether there is one.
+/// Admission hears it each time, because a request may have found the connection lost and open
+/// again between two looks.
 async fn watch_upstream(core: Rc<AgentCore>) {
-    let mut is_up = true;
     loop {
-        let is_ready = core.upstream.ready().await.is_ok();
-        if is_ready != is_up {
-            is_up = is_ready;
-            core.post_work(match is_up {
-                true => WorkEvent::UpstreamUp,
-                false => WorkEvent::UpstreamDown,
-            });
-        }
+        core.post_work(match core.upstream.ready().await {
+            Ok(_) => WorkEvent::UpstreamUp,
+            Err(_) => WorkEvent::UpstreamDown,
+        });
         tokio::time::sleep(UPSTREAM_PROBE).await;
     }
 }
@@ -130,9 +126,7 @@
         core.post_keys(KeysEvent::OwnSpare(spare_milli));
         core.update_peers();
         core.update_metrics();
-        if core.health.lifecycle() == Lifecycle::Draining {
-            core.post_lifecycle(LifecycleEvent::Progress(core.work_in_progress()));
-        }
+        core.post_lifecycle(LifecycleEvent::Progress(core.work_in_progress()));
         tokio::select! {
             () = tokio::time::sleep(REPORT_PERIOD) => {}
             () = drain_progress(&core) => {}
--- /dev/null
+++ b/crates/fes-agent/tests/changes.rs
@@ -0,0 +1,128 @@
+//! Planned and unplanned changes of agents while clients hold flows.
+
+mod support;
+
+use fes_protocol::Lifecycle;
+use fes_protocol::TargetId;
+use fes_testkit::Outcome;
+use fes_testkit::until;
+use support::cluster;
+use support::cluster_with;
+
+const ANSWERED: Outcome = Outcome::Answered { status: 200 };
+
+/// Fails if a drain cuts off a request in progress, or if the drained agent gets new work.
+#[actix_rt::test]
+async fn a_drain_completes_what_is_in_progress() {
+    let mut cluster = cluster(2, 2).await;
+    for upstream in &cluster.upstreams {
+        upstream.hold("/reports");
+    }
+    let clients: Vec<_> = (0..6).map(|n| cluster.client(&format!("c{n}"))).collect();
+    let reports: Vec<_> = clients
+        .iter()
+        .map(|client| {
+            let client = client.clone();
+            actix_rt::spawn(async move { client.get("/reports/1?bytes=50000").await })
+        })
+        .collect();
+    let admitted = || cluster.sum(|agent| agent.counters().requests_open);
+    until("all reports are admitted", || admitted() == 6).await;
+
+    let leaving = cluster.agents.remove(0);
+    leaving.stop();
+    assert_eq!(leaving.lifecycle(), Lifecycle::Draining);
+    let received = leaving.counters().requests_received;
+    let during = cluster.client("late").get("/lots/1").await;
+    for upstream in &cluster.upstreams {
+        upstream.release("/reports");
+    }
+    let mut outcomes = Vec::new();
+    for report in reports {
+        outcomes.push(report.await.expect("task"));
+    }
+    let status = leaving.stopped().await;
+
+    assert_eq!(outcomes, vec![ANSWERED; 6]);
+    assert_eq!(during, ANSWERED);
+    assert_eq!(leaving.counters().requests_received, received);
+    assert_eq!(status, 0);
+}
+
+/// Fails if the flows of a killed agent stay silent, or if flows of other agents break.
+#[actix_rt::test]
+async fn a_killed_agent_breaks_only_its_own_flows() {
+    let mut cluster = cluster(2, 3).await;
+    let clients: Vec<_> = (0..12).map(|n| cluster.client(&format!("c{n}"))).collect();
+    let feeds: Vec<_> = clients.iter().map(|c| c.open_feed("/feed")).collect();
+    until("feeds are open", || {
+        feeds.iter().all(|f| f.counts().events > 2)
+    })
+    .await;
+    let of_killed = cluster.agents[0].counters().flows_open;
+
+    cluster.agents.remove(0).kill();
+    for step in 1..=12 {
+        until("broken feeds are open again", || {
+            let is_back = |f: &fes_testkit::Feed| f.counts().events > 20 * step;
+            feeds.iter().filter(|f| is_back(f)).count() >= 12 - of_killed as usize
+        })
+        .await;
+    }
+
+    let broken = feeds.iter().filter(|feed| feed.counts().breaks > 0).count();
+    assert!(broken as u64 <= of_killed, "{broken} of {of_killed}");
+}
+
+/// Fails if a leaving upstream gets new flows, or if its open feeds break.
+#[actix_rt::test]
+async fn a_leaving_upstream_keeps_its_feeds_and_gets_nothing_new() {
+    let mut cluster = cluster(2, 2).await;
+    let watchers: Vec<_> = (0..8).map(|n| cluster.client(&format!("w{n}"))).collect();
+    let feeds: Vec<_> = watchers.iter().map(|c| c.open_feed("/feed")).collect();
+    until("feeds are open", || {
+        feeds.iter().all(|f| f.counts().events > 2)
+    })
+    .await;
+
+    cluster.leaving.push(TargetId(1));
+    cluster.publish(2).await;
+    let before = cluster.agents[0].counters().requests_started;
+    let mut outcomes = Vec::new();
+    for n in 0..16 {
+        outcomes.push(cluster.client(&format!("new-{n}")).get("/lots/1").await);
+    }
+    until("feeds go on", || {
+        feeds.iter().all(|f| f.counts().events > 20)
+    })
+    .await;
+
+    assert_eq!(outcomes, vec![ANSWERED; 16]);
+    assert_eq!(cluster.agents[0].counters().requests_started, before);
+    let breaks: u64 = feeds.iter().map(|feed| feed.counts().breaks).sum();
+    assert_eq!(breaks, 0);
+}
+
+/// Fails if an agent at its flow limit takes more flows, or if its surplus is refused while a peer
+/// has room.
+#[actix_rt::test]
+async fn first_packets_beyond_the_flow_limit_go_to_a_peer() {
+    let cluster = cluster_with(2, 2, |settings| {
+        if settings.target == TargetId(1) {
+            settings.flow_limit = 1;
+        }
+    })
+    .await;
+    let peers_heard = || cluster.agents[0].peers_taking_work() == 1;
+    until("the agent hears its peer", peers_heard).await;
+
+    let clients: Vec<_> = (0..8).map(|n| cluster.client(&format!("c{n}"))).collect();
+    let mut outcomes = Vec::new();
+    for client in &clients {
+        outcomes.push(client.get("/lots/1").await);
+    }
+
+    assert_eq!(outcomes, vec![ANSWERED; 8]);
+    assert_eq!(cluster.agents[0].counters().flows_open, 1);
+    assert!(cluster.agents[0].counters().first_packets_passed_on > 0);
+}
--- /dev/null
+++ b/crates/fes-agent/tests/requests.rs
@@ -0,0 +1,240 @@
+//! Requests that meet failures between client and upstream.
+
+mod support;
+
+use std::rc::Rc;
+
+use fes_protocol::ResultCode;
+use fes_testkit::Call;
+use fes_testkit::Outcome;
+use fes_testkit::Upstream;
+use fes_testkit::UpstreamOptions;
+use fes_testkit::until;
+use support::Cluster;
+use support::SLOTS;
+use support::cluster;
+use support::cluster_with;
+
+const ANSWERED: Outcome = Outcome::Answered { status: 200 };
+
+/// Fails if a response that the upstream ends early reaches the client as a complete one, or if
+/// its slot stays taken.
+#[actix_rt::test]
+async fn a_truncated_response_is_an_explicit_error() {
+    let cluster = cluster(2, 1).await;
+    let client = cluster.client("buyer");
+    cluster.upstreams[0].set_cutting_responses(true);
+
+    // Larger than the flow-control windows, so that its first half is on the way to the client
+    // when it is cut.
+    let cut = client.get("/lots/1?bytes=8000000").await;
+    cluster.upstreams[0].set_cutting_responses(false);
+    let whole = client.get("/lots/1?bytes=8000000").await;
+
+    assert_eq!(cut, Outcome::Unknown(ResultCode::ResponseTruncated));
+    assert_eq!(whole, ANSWERED);
+    assert_eq!(cluster.agents[0].counters().responses_truncated, 1);
+    assert_eq!(cluster.agents[0].counters().slots_used, 0);
+}
+
+/// Fails if a keyed request whose response is cut is answered with anything but "unknown", or if
+/// its retry runs again.
+#[actix_rt::test]
+async fn a_truncated_keyed_response_stays_unknown() {
+    let cluster = cluster(2, 1).await;
+    let client = cluster.client("buyer");
+    let key = client.next_key().await.expect("key");
+    let call = Call::post("/reservations", key.clone(), "lot 1");
+    cluster.upstreams[0].set_cutting_responses(true);
+
+    let first = client.send(call.clone()).await;
+    cluster.upstreams[0].set_cutting_responses(false);
+    let retry = client.send(call).await;
+
+    let unknown = Outcome::Unknown(ResultCode::UnknownUpstreamLost);
+    assert_eq!((first, retry), (unknown.clone(), unknown));
+    assert_eq!(cluster.log.runs_of(&key), 1);
+}
+
+/// Fails if a request keeps its slot, or runs on at the upstream, after its client went away.
+#[actix_rt::test]
+async fn a_cancelled_request_frees_its_slot() {
+    let cluster = cluster(2, 1).await;
+    let upstream = cluster.upstreams[0].clone();
+    upstream.hold("/lots");
+    let client = cluster.client("buyer");
+    let asking = client.clone();
+    let request = actix_rt::spawn(async move { asking.get("/lots/1").await });
+    until("the request runs", || upstream.running() == 1).await;
+
+    request.abort();
+    until("the upstream sees the cancellation", || {
+        upstream.cancelled() == 1
+    })
+    .await;
+
+    let agent = &cluster.agents[0];
+    until("the slot is free", || agent.counters().slots_used == 0).await;
+    assert_eq!(agent.counters().requests_cancelled, 1);
+    assert_eq!(client.get("/health-check").await, ANSWERED);
+}
+
+/// Fails if tries of one key, concurrent and later, run more than once or get different answers.
+#[actix_rt::test]
+async fn tries_of_one_key_run_once() {
+    let cluster = cluster(2, 3).await;
+    let client = cluster.client("buyer");
+    let key = client.next_key().await.expect("key");
+    let call = Call::post("/reservations", key.clone(), "lot 1");
+
+    let tries = (0..8).map(|n| {
+        let client = cluster.client(&format!("try-{n}"));
+        let call = call.clone();
+        async move { client.send(call).await }
+    });
+    let outcomes = futures::future::join_all(tries).await;
+    let later = client.send(call).await;
+
+    assert_eq!(outcomes, vec![ANSWERED; 8]);
+    assert_eq!(later, ANSWERED);
+    assert_eq!(cluster.log.runs_of(&key), 1);
+}
+
+/// Fails if a key that was used with another body runs that body too.
+#[actix_rt::test]
+async fn a_key_belongs_to_its_first_body() {
+    let cluster = cluster(1, 1).await;
+    let client = cluster.client("buyer");
+    let key = client.next_key().await.expect("key");
+
+    let first = client
+        .send(Call::post("/reservations", key.clone(), "lot 1"))
+        .await;
+    let other = client
+        .send(Call::post("/reservations", key.clone(), "lot 2"))
+        .await;
+
+    assert_eq!(first, ANSWERED);
+    assert_eq!(other, Outcome::NotRun(ResultCode::NotRunKeyReused));
+    assert_eq!(cluster.log.runs_of(&key), 1);
+}
+
+/// Fails if a key whose owner died is answered as not run, or runs elsewhere.
+#[actix_rt::test]
+async fn a_key_of_a_dead_owner_is_unknown() {
+    let mut cluster = cluster(2, 2).await;
+    let clients: Vec<_> = (0..8).map(|n| cluster.client(&format!("c{n}"))).collect();
+    let mut calls = Vec::new();
+    for client in &clients {
+        let key = client.next_key().await.expect("key");
+        calls.push(Call::post("/reservations", key, "lot 1"));
+    }
+    let owners = owners_by_run(&cluster, &clients, &calls).await;
+    cluster.agents.remove(0).kill();
+    let survivor = cluster.client("survivor-side");
+
+    let mut outcomes = Vec::new();
+    for call in &calls {
+        outcomes.push(retry_elsewhere(&survivor, call).await);
+    }
+
+    for (outcome, owner) in outcomes.iter().zip(&owners) {
+        match owner.as_ref() == "upstream-1" {
+            true => assert!(matches!(outcome, Outcome::Unknown(_)), "{outcome:?}"),
+            false => assert_eq!(*outcome, ANSWERED),
+        }
+    }
+    assert_eq!(cluster.log.doubled(), 0);
+}
+
+/// Runs each call once; returns the upstream that ran it.
+async fn owners_by_run(
+    cluster: &Cluster,
+    clients: &[fes_testkit::Client],
+    calls: &[Call],
+) -> Vec<Rc<str>> {
+    for (client, call) in clients.iter().zip(calls) {
+        assert_eq!(client.send(call.clone()).await, ANSWERED);
+    }
+    let executions = cluster.log.all();
+    let owner = |call: &Call| {
+        let of_call = executions.iter().find(|e| e.key == call.key);
+        Rc::clone(&of_call.expect("an execution").upstream)
+    };
+    calls.iter().map(owner).collect()
+}
+
+/// Sends a call again until a connection reaches a living agent.
+async fn retry_elsewhere(client: &fes_testkit::Client, call: &Call) -> Outcome {
+    loop {
+        match client.send(call.clone()).await {
+            Outcome::Lost(_) => client.disconnect(),
+            outcome => return outcome,
+        }
+    }
+}
+
+/// Fails if an overloaded agent lets requests wait past their deadline, or if refused ones run.
+#[actix_rt::test]
+async fn requests_beyond_the_capacity_are_refused_as_not_run() {
+    let cluster = cluster_with(1, 1, |settings| settings.queue_limit_requests = 2).await;
+    let upstream = cluster.upstreams[0].clone();
+    upstream.hold("/lots");
+    let client = cluster.client("buyer");
+    let total = SLOTS as usize + 6;
+
+    let requests: Vec<_> = (0..total)
+        .map(|n| {
+            let client = client.clone();
+            actix_rt::spawn(async move { client.get(format!("/lots/{n}")).await })
+        })
+        .collect();
+    let agent = &cluster.agents[0];
+    until("the others are refused", || {
+        let counters = agent.counters();
+        counters.requests_received as usize == total && counters.requests_open <= 6
+    })
+    .await;
+    upstream.release("/lots");
+    let mut outcomes = Vec::new();
+    for request in requests {
+        outcomes.push(request.await.expect("task"));
+    }
+
+    let answered = outcomes.iter().filter(|o| **o == ANSWERED).count();
+    let refused = outcomes
+        .iter()
+        .filter(|o| matches!(o, Outcome::NotRun(_)))
+        .count();
+    assert_eq!(answered + refused, total, "{outcomes:?}");
+    assert!(refused >= 4, "{outcomes:?}");
+    assert_eq!(cluster.log.len(), answered);
+}
+
+/// Fails if the agent doesn't find its upstream again, or runs a keyed request twice around the
+/// upstream's death.
+#[actix_rt::test]
+async fn an_upstream_may_die_and_return() {
+    let mut cluster = cluster(1, 1).await;
+    let client = cluster.client("buyer");
+    assert_eq!(client.get("/lots/1").await, ANSWERED);
+    let address = cluster.upstreams[0].address();
+
+    cluster.upstreams.clear();
+    let down = client.get("/lots/2").await;
+    let options = UpstreamOptions::default();
+    let upstream = Upstream::start_at(address, options, cluster.log.clone()).await;
+    cluster.upstreams.push(upstream.expect("upstream"));
+    let mut outcome = client.get("/lots/3").await;
+    while matches!(outcome, Outcome::NotRun(_)) {
+        outcome = client.get("/lots/3").await;
+    }
+
+    let is_refused = matches!(
+        down,
+        Outcome::NotRun(ResultCode::NotRunUpstreamDown)
+            | Outcome::Unknown(ResultCode::UnknownUpstreamLost)
+    );
+    assert!(is_refused, "{down:?}");
+    assert_eq!(outcome, ANSWERED);
+}
--- a/crates/fes-entry/src/entry.rs
+++ b/crates/fes-entry/src/entry.rs
@@ -170,8 +170,11 @@
     /// Starts a graceful stop: agents and the fabric choose other entries, and datagrams are
     /// forwarded until none arrive any more. A second call doesn't shorten it.
     pub fn stop(&self) {
-        let event = LifecycleEvent::Drain(DrainSource::Signal);
-        self.core.post_lifecycle(event);
+        // The life cycle must know when the last datagram came before it decides to stop.
+        let progress = LifecycleEvent::Progress(self.core.work_in_progress());
+        self.core.post_lifecycle(progress);
+        let drain = LifecycleEvent::Drain(DrainSource::Signal);
+        self.core.post_lifecycle(drain);
     }
 
     /// Waits for the end of a graceful stop; returns the exit status of the process.
--- a/crates/fes-entry/src/tasks.rs
+++ b/crates/fes-entry/src/tasks.rs
@@ -11,7 +11,6 @@
 use fes_membership::lifecycle::LifecycleEvent;
 use fes_node::TICKETS_KIND;
 use fes_node::watch_clock;
-use fes_protocol::Lifecycle;
 use fes_protocol::Result;
 use fes_protocol::ResultCode;
 use fes_tickets::DistributionEvent;
@@ -71,9 +70,7 @@
 async fn report(core: Rc<EntryCore>) {
     loop {
         core.update_metrics();
-        if core.health.lifecycle() == Lifecycle::Draining {
-            core.post_lifecycle(LifecycleEvent::Progress(core.work_in_progress()));
-        }
+        core.post_lifecycle(LifecycleEvent::Progress(core.work_in_progress()));
         tokio::time::sleep(REPORT_PERIOD).await;
     }
 }
