Start local entries through the asynchronous interface

Cause: the entry became asynchronous and takes tickets as agents do while the local command was written against its earlier interface.

Change: the local fleet awaits entries and offers them tickets; the agent tells its peers the wait of long requests.

--- a/crates/fes-agent/src/tasks.rs
+++ b/crates/fes-agent/src/tasks.rs
@@ -122,6 +122,7 @@
             capacity_milli: load.capacity_milli,
             demand_milli: load.demand_milli,
             queue_wait_ms: load.queue_wait_ms,
+            long_wait_ms: load.long_wait_ms,
             flow_count: core.flows_open.get(),
             key_issue_ms: core.now().as_ms(),
         }));
--- a/crates/fes-command/src/local_fleet.rs
+++ b/crates/fes-command/src/local_fleet.rs
@@ -73,7 +73,7 @@
             fleet.start_agent(number).await?;
         }
         for _ in 0..ENTRIES {
-            fleet.start_entry()?;
+            fleet.start_entry().await?;
         }
         fleet.publish()?;
         fleet.update_fabric()?;
@@ -88,8 +88,8 @@
     }
 
     /// Starts another entry, and tells the fabric which entries there are.
-    pub(crate) fn add_entry(&mut self) -> Result<()> {
-        self.start_entry()?;
+    pub(crate) async fn add_entry(&mut self) -> Result<()> {
+        self.start_entry().await?;
         self.publish()?;
         self.update_fabric()
     }
@@ -132,7 +132,7 @@
         Ok(())
     }
 
-    fn start_entry(&mut self) -> Result<()> {
+    async fn start_entry(&mut self) -> Result<()> {
         let number = self.next_entry;
         self.next_entry += 1;
         let node = self.node_settings(&format!("entry-vm-{number}"));
@@ -141,7 +141,7 @@
             service: SERVICE,
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
         });
-        self.entries.push(Entry::start(&settings)?);
+        self.entries.push(Entry::start(settings).await?);
         Ok(())
     }
 
@@ -152,14 +152,14 @@
         let service = Arc::new(self.service());
         let ticket = Arc::new(Ticket {
             number,
-            objects: vec![TicketObject::Service(Arc::clone(&service))],
+            objects: vec![TicketObject::Service(service)],
         });
         self.platform.publish_ticket(&ticket)?;
         for agent in &self.agents {
             agent.offer(Arc::clone(&ticket));
         }
         for entry in &self.entries {
-            entry.apply([(number, Arc::clone(&service))]);
+            entry.offer(Arc::clone(&ticket));
         }
         Ok(())
     }
--- a/crates/fes-command/src/local_run.rs
+++ b/crates/fes-command/src/local_run.rs
@@ -186,7 +186,7 @@
     work.reach(work.total / 3).await;
     fleet.kill_entry();
     work.reach(work.total * 2 / 3).await;
-    fleet.add_entry()
+    fleet.add_entry().await
 }
 
 fn make_clients(fleet: &LocalFleet, plan: &LocalPlan) -> Result<Vec<Client>> {
