--- a/crates/fes-command/src/local_fleet.rs
+++ b/crates/fes-command/src/local_fleet.rs
@@ -9,7 +9,9 @@
 use fes_entry::Entry;
 use fes_entry::EntryHandle;
 use fes_protocol::EntryId;
+use fes_protocol::EntrySpec;
 use fes_protocol::Error;
+use fes_protocol::FleetSpec;
 use fes_protocol::Result;
 use fes_protocol::ResultCode;
 use fes_protocol::ServiceId;
@@ -149,10 +151,12 @@
     fn publish(&mut self) -> Result<()> {
         let number = TicketNumber(self.next_ticket);
         self.next_ticket += 1;
-        let service = Arc::new(self.service());
         let ticket = Arc::new(Ticket {
             number,
-            objects: vec![TicketObject::Service(service)],
+            objects: vec![
+                TicketObject::Service(Arc::new(self.service())),
+                TicketObject::Fleet(Arc::new(self.fleet())),
+            ],
         });
         self.platform.publish_ticket(&ticket)?;
         for agent in &self.agents {
@@ -164,6 +168,19 @@
         Ok(())
     }
 
+    fn fleet(&self) -> FleetSpec {
+        let entry = |entry: &EntryHandle| EntrySpec {
+            id: entry.id(),
+            vm: format!("entry-vm-{}", entry.id()).into(),
+            control_address: entry.control_address(),
+            link_address: entry.link_address(),
+        };
+        FleetSpec {
+            data_centre: DATA_CENTRE.into(),
+            entries: self.entries.iter().map(entry).collect(),
+        }
+    }
+
     fn service(&self) -> ServiceSpec {
         let upstream = |(agent, number): (&AgentHandle, u32)| UpstreamSpec {
             target: TargetId(number),
--- a/crates/fes-membership/tests/support/mod.rs
+++ b/crates/fes-membership/tests/support/mod.rs
@@ -145,6 +145,7 @@
             capacity_milli: 0,
             demand_milli: 0,
             queue_wait_ms: 0,
+            long_wait_ms: 0,
             flow_count: 0,
             key_issue_ms: 0,
             heard: Vec::new(),
