Keep short requests away from agents that run long ones

Cause: an agent whose long slots are taken has half its slots for short requests, but shares of short requests followed its whole capacity. Change: while a heartbeat says that long requests hold all their slots, the agent counts with half its capacity for short ones. The expected wait of a long request counts long requests only.

--- a/crates/fes-admission/src/admission.rs
+++ b/crates/fes-admission/src/admission.rs
@@ -133,6 +133,9 @@
             0.0
         };
         let (short_us, long_us) = self.forecast(now).waits_us(&self.queue, &self.classes);
+        let long_requests = self.running.long_count() as usize + self.queue.long().count();
+        let are_long_slots_taken = long_requests >= self.settings.long_slots(limit) as usize;
+        let long_us = if are_long_slots_taken { long_us } else { 0.0 };
         Load {
             capacity_milli: milli(f64::from(limit) * speed * share),
             demand_milli: milli(self.demand.slots(now)),
--- a/crates/fes-protocol/src/control.rs
+++ b/crates/fes-protocol/src/control.rs
@@ -56,7 +56,8 @@
     pub demand_milli: u32,
     /// Expected wait of a short request that arrives at the sender, in milliseconds.
     pub queue_wait_ms: u32,
-    /// Expected wait of a long request that arrives at the sender, in milliseconds.
+    /// Expected wait of a long request that arrives at the sender behind other long ones, in
+    /// milliseconds; 0 while long requests may have another slot.
     pub long_wait_ms: u32,
     /// Open flows at the sender.
     pub flow_count: u32,
--- a/crates/fes-routing/src/offload/planner.rs
+++ b/crates/fes-routing/src/offload/planner.rs
@@ -24,6 +24,10 @@
 /// estimates, and each hop costs a round trip.
 const MIN_SURPLUS_SHARE: f64 = 0.02;
 
+/// Share of an agent's capacity that is left to short requests while long ones hold all slots
+/// that they may hold; admission reserves one slot in two.
+const SHORT_SHARE: f64 = 0.5;
+
 /// Time for which a peer that refused an offloaded request gets none, in milliseconds.
 const REFUSAL_PAUSE_MS: u64 = 500;
 
@@ -108,7 +112,7 @@
         if request.long && own.long_wait_ms > 0 {
             return self.choose_for_long(now, own, request);
         }
-        let shares = Shares::compute(self.own_member(own), &self.members(now));
+        let shares = Shares::compute(self.own_for_short(own), &self.members_for_short(now));
         let movable = f64::from(own.movable_milli);
         if shares.surplus <= f64::from(own.demand_milli) * MIN_SURPLUS_SHARE || movable <= 0.0 {
             return OffloadChoice::Here;
@@ -148,6 +152,26 @@
         self.send(&earlier, true)
     }
 
+    /// Returns this agent as short requests find it.
+    fn own_for_short(&self, own: &OwnLoad) -> Member {
+        let mut member = self.own_member(own);
+        if own.long_wait_ms > 0 {
+            member.capacity *= SHORT_SHARE;
+        }
+        member
+    }
+
+    /// Returns the peers as short requests find them: without the slots that long requests hold.
+    fn members_for_short(&self, now: MonoTime) -> Vec<Member> {
+        let mut members = self.members(now);
+        for member in &mut members {
+            if self.long_start_ms(now, member.target) != Some(0) {
+                member.capacity *= SHORT_SHARE;
+            }
+        }
+        members
+    }
+
     /// Returns when a long request would start at a peer, hop included; 0 if at once. `None` if
     /// the peer got one since its last report.
     fn long_start_ms(&self, now: MonoTime, target: TargetId) -> Option<u32> {
--- a/crates/fes-routing/src/offload/request.rs
+++ b/crates/fes-routing/src/offload/request.rs
@@ -15,7 +15,8 @@
     pub movable_milli: u32,
     /// Expected wait of a short request that arrives now, in milliseconds.
     pub queue_wait_ms: u32,
-    /// Expected wait of a long request that arrives now, in milliseconds.
+    /// Expected wait of a long request that arrives now behind other long ones, in milliseconds;
+    /// 0 while long requests may have another slot, even if a short one holds it.
     pub long_wait_ms: u32,
     /// Whether a short request that arrives now would start at once.
     pub has_free_slot: bool,
