--- a/crates/fes-agent/tests/support/mod.rs
+++ b/crates/fes-agent/tests/support/mod.rs
@@ -68,6 +68,24 @@
     entry_count: u32,
     agent_count: u32,
     adjust: impl Fn(&mut AgentSettings),
+) -> Cluster {
+    start(entry_count, agent_count, adjust, |_| {}).await
+}
+
+/// Starts a system whose processes have adjusted settings.
+pub async fn cluster_with_nodes(
+    entry_count: u32,
+    agent_count: u32,
+    adjust: impl Fn(&mut NodeSettings),
+) -> Cluster {
+    start(entry_count, agent_count, |_| {}, adjust).await
+}
+
+async fn start(
+    entry_count: u32,
+    agent_count: u32,
+    adjust: impl Fn(&mut AgentSettings),
+    adjust_node: impl Fn(&mut NodeSettings),
 ) -> Cluster {
     let authority = Authority::new();
     let platform = Platform::start().await.expect("platform");
@@ -92,12 +110,14 @@
             authority.client_identity(),
         );
         adjust(&mut settings);
+        adjust_node(&mut settings.node);
         agents.push(Agent::start(settings).await.expect("agent"));
         upstreams.push(upstream);
     }
     let mut entries = Vec::new();
     for number in 1..=entry_count {
-        let node = node_settings(&authority, &platform, &format!("entry-vm-{number}"));
+        let mut node = node_settings(&authority, &platform, &format!("entry-vm-{number}"));
+        adjust_node(&mut node);
         entries.push(
             Entry::start(entry_settings(number, node))
                 .await
