--- a/crates/fes-command/src/commands/local.rs
+++ b/crates/fes-command/src/commands/local.rs
@@ -107,5 +107,8 @@
     for (code, count) in &report.failures_by_code {
         rows.push(row(&format!("failures {code}"), *count));
     }
+    for (reason, count) in &report.connection_ends {
+        rows.push(row(&format!("ended: {reason}"), *count));
+    }
     output::table(&rows)
 }
--- a/crates/fes-command/src/local_run.rs
+++ b/crates/fes-command/src/local_run.rs
@@ -68,6 +68,7 @@
     pub(crate) entries_replaced: u64,
     pub(crate) started_by_upstream: Vec<u64>,
     pub(crate) failures_by_code: BTreeMap<String, u64>,
+    pub(crate) connection_ends: BTreeMap<String, u64>,
     pub(crate) latency_us: Latency,
 }
 
@@ -245,8 +246,12 @@
     work: &Work,
 ) -> LocalReport {
     let mut counts = ClientCounts::default();
+    let mut connection_ends: BTreeMap<String, u64> = BTreeMap::new();
     for client in clients {
         counts.add(&client.counts());
+        for (reason, count) in client.connection_ends() {
+            *connection_ends.entry(reason).or_default() += count;
+        }
     }
     let mut feed_counts = FeedCounts::default();
     for feed in feeds {
@@ -274,6 +279,7 @@
         entries_replaced: 1,
         started_by_upstream: fleet.started_by_upstream(),
         failures_by_code: recorder.failures_by_code().clone(),
+        connection_ends,
         latency_us: recorder.latency(),
     }
 }
--- a/crates/fes-testkit/src/client.rs
+++ b/crates/fes-testkit/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -144,6 +145,7 @@
     prefix: RefCell<Option<String>>,
     next_key: Cell<u64>,
     counts: RefCell<ClientCounts>,
+    ends: RefCell<BTreeMap<String, u64>>,
 }
 
 /// Why a try ended without a reply.
@@ -183,6 +185,7 @@
                 prefix: RefCell::default(),
                 next_key: Cell::new(1),
                 counts: RefCell::default(),
+                ends: RefCell::default(),
             }),
         })
     }
@@ -248,6 +251,12 @@
         *self.inner.counts.borrow()
     }
 
+    /// Returns how often connections ended for each reason.
+    #[must_use]
+    pub fn connection_ends(&self) -> BTreeMap<String, u64> {
+        self.inner.ends.borrow().clone()
+    }
+
     /// Returns the address that the fabric sees, while there is a connection.
     #[must_use]
     pub fn local_address(&self) -> Option<SocketAddr> {
@@ -385,6 +394,10 @@
         let mut current = self.inner.session.borrow_mut();
         if current.as_ref().is_some_and(|c| Rc::ptr_eq(c, session)) {
             current.take();
+            let end = session
+                .end()
+                .unwrap_or_else(|| "no new requests".to_owned());
+            *self.inner.ends.borrow_mut().entry(end).or_default() += 1;
         }
     }
 
--- a/crates/fes-testkit/src/client_session.rs
+++ b/crates/fes-testkit/src/client_session.rs
@@ -99,6 +99,11 @@
         self.connection.close_reason().is_some()
     }
 
+    /// Returns why the connection has ended, if it has.
+    pub(crate) fn end(&self) -> Option<String> {
+        self.connection.close_reason().map(|end| end.to_string())
+    }
+
     /// Returns the client's port as the fabric sees it.
     pub(crate) fn local_address(&self) -> Option<SocketAddr> {
         let port = self.endpoint.local_addr().ok()?.port();
