--- a/crates/fes-admission/src/forecast.rs
+++ b/crates/fes-admission/src/forecast.rs
@@ -23,6 +23,13 @@
     variance_us2: f64,
 }
 
+impl Slot {
+    /// Returns the time by which the slot is almost certainly free, in microseconds from now.
+    fn safe_start_us(&self) -> f64 {
+        self.free_in_us + SAFETY_DEVIATIONS * self.variance_us2.sqrt()
+    }
+}
+
 /// When each slot becomes free, in microseconds from now. Slots that long classes may use come
 /// first.
 #[derive(Debug, Clone)]
@@ -73,15 +80,34 @@
         };
         let first = self.slots[..usable]
             .iter_mut()
-            .min_by(|a, b| a.free_in_us.total_cmp(&b.free_in_us));
+            .min_by(|a, b| a.safe_start_us().total_cmp(&b.safe_start_us()));
         first.map_or(f64::INFINITY, |slot| {
-            let margin_us = SAFETY_DEVIATIONS * slot.variance_us2.sqrt();
+            let start_us = slot.safe_start_us();
             slot.free_in_us += classes.mean_us(waiting.class);
             slot.variance_us2 += classes.variance_us2(waiting.class);
-            slot.free_in_us + margin_us
+            start_us + classes.mean_us(waiting.class)
         })
     }
 
+    /// Returns the mean waits of a short and of a long request that arrive now, in microseconds.
+    pub(crate) fn waits_us(mut self, queue: &DeadlineQueue, classes: &ClassTable) -> (f64, f64) {
+        for waiting in queue.iter().filter(|w| !w.long) {
+            self.assign(waiting, classes);
+        }
+        // Short requests have the earlier deadlines and go ahead of long ones that wait.
+        let short_us = self.first_free_us(self.slots.len());
+        for waiting in queue.long() {
+            self.assign(waiting, classes);
+        }
+        (short_us, self.first_free_us(self.long_slots))
+    }
+
+    fn first_free_us(&self, usable: usize) -> f64 {
+        let usable = usable.min(self.slots.len());
+        let free_us = self.slots[..usable].iter().map(|slot| slot.free_in_us);
+        free_us.fold(f64::INFINITY, f64::min)
+    }
+
     /// Returns whether `candidate` is expected to complete in time without making a request
     /// behind it late.
     pub(crate) fn accepts(
