--- a/crates/fes-command/src/commands/mod.rs
+++ b/crates/fes-command/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod load;
 mod local;
 mod man;
+mod measure;
 mod status;
 
 use std::process::ExitCode;
@@ -52,6 +53,11 @@
         command: load::command,
         run: load::run,
     },
+    Entry {
+        name: measure::NAME,
+        command: measure::command,
+        run: measure::run,
+    },
     Entry {
         name: completions::NAME,
         command: completions::command,
--- a/crates/fes-measure/src/profile.rs
+++ b/crates/fes-measure/src/profile.rs
@@ -74,12 +74,16 @@
         }
     }
 
+    /// Returns all profiles.
+    #[must_use]
+    pub const fn all() -> [Self; 2] {
+        [Self::staveworks(), Self::al_mafraq()]
+    }
+
     /// Returns the profile of this name.
     #[must_use]
     pub fn from_name(name: &str) -> Option<Self> {
-        [Self::staveworks(), Self::al_mafraq()]
-            .into_iter()
-            .find(|profile| profile.name == name)
+        Self::all().into_iter().find(|profile| profile.name == name)
     }
 
     /// Returns how much the user cares about an experiment; the weights of all add up to 1.
--- a/crates/fes-measure/src/table.rs
+++ b/crates/fes-measure/src/table.rs
@@ -1,4 +1,4 @@
-//! Reports as tables.
+//! Reports as tables of at most 80 columns: two lines per figure.
 
 use std::fmt;
 
@@ -13,14 +13,15 @@
             "profile {}, seed {}, policy {}",
             self.profile, self.seed, self.policy
         )?;
-        writeln!(
-            f,
-            "{:<13} {:<58} {:>12} {:>12} {:>12}  met",
-            "experiment", "figure", "target", "baseline", "current"
-        )?;
+        let mut experiment = "";
         for figure in &self.figures {
+            if figure.experiment != experiment {
+                experiment = figure.experiment;
+                writeln!(f, "\n{experiment}")?;
+            }
             writeln!(f, "{figure}")?;
         }
+        writeln!(f)?;
         write!(
             f,
             "weighted share of targets met: {:.2}",
@@ -39,15 +40,14 @@
             .target
             .map_or_else(|| "-".to_owned(), |target| format!("{sign} {target}"));
         let met = match (self.target, self.met) {
-            (None, _) => "-",
-            (_, true) => "yes",
-            (_, false) => "NO",
+            (None, _) => "",
+            (_, true) => "  met",
+            (_, false) => "  MISSED",
         };
-        let name = format!("{} [{}]", self.name, self.unit);
+        writeln!(f, "  {} [{}]", self.name, self.unit)?;
         write!(
             f,
-            "{:<13} {name:<58} {target:>12} {:>12} {:>12}  {met}",
-            self.experiment,
+            "    target {target:>8}  baseline {:>10}  current {:>10}{met}",
             value(self.baseline),
             value(self.current),
         )
