--- /dev/null
+++ b/crates/fes-admission/tests/class_table.rs
@@ -0,0 +1,65 @@
+//! Guards against estimates that grow without bound, learn nothing or mix classes up.
+
+use fes_admission::AdmissionSettings;
+use fes_admission::ClassName;
+use fes_admission::ClassTable;
+
+fn table(max_classes: usize) -> ClassTable {
+    let mut settings = AdmissionSettings::for_slots(4)
+        .with_prior(ClassName::from("GET /short"), 20_000)
+        .with_prior(ClassName::from("GET /long"), 1_000_000);
+    settings.max_classes = max_classes;
+    ClassTable::new(&settings)
+}
+
+/// Fails if clients can fill the table with made-up paths, or if that pushes out a known class.
+#[test]
+fn classes_past_the_bound_share_the_overflow_class() {
+    let mut table = table(3);
+    let known = table.index_of(&ClassName::from("GET /short"));
+    let third = table.index_of(&ClassName::from("GET /a"));
+
+    let fourth = table.index_of(&ClassName::from("GET /b"));
+    let fifth = table.index_of(&ClassName::from("GET /c"));
+
+    assert_eq!(fourth, fifth);
+    assert_ne!(third, fourth);
+    assert_eq!(table.index_of(&ClassName::from("GET /short")), known);
+}
+
+/// Fails if a wrong prior stays in force: ten observations must outweigh it.
+#[test]
+fn observations_replace_a_wrong_prior() {
+    let mut table = table(8);
+    let class = table.index_of(&ClassName::from("GET /short"));
+
+    (0..10).for_each(|_| table.observe(class, 200_000.0));
+
+    assert!(table.mean_us(class) > 180_000.0);
+}
+
+/// Fails if a rare quick class, such as a health check, makes the usual requests long.
+#[test]
+fn only_common_classes_define_what_is_short() {
+    let mut table = table(8);
+    let usual = table.index_of(&ClassName::from("GET /short"));
+    let rare = table.index_of(&ClassName::from("GET /health"));
+    (0..50).for_each(|_| table.observe(rare, 100.0));
+
+    for number in 0..2_000 {
+        table.count_arrival(if number % 50 == 0 { rare } else { usual });
+    }
+
+    assert!(!table.is_long(usual));
+    let long = table.index_of(&ClassName::from("GET /long"));
+    assert!(table.is_long(long));
+}
+
+/// Fails if requests of one route fall into many classes because of their IDs or queries.
+#[test]
+fn class_is_method_and_first_path_segment() {
+    let names =
+        ["/lots/7/inspection", "/lots?id=9", "lots"].map(|path| ClassName::of_request("GET", path));
+
+    assert!(names.iter().all(|name| name.as_str() == "GET /lots"));
+}
--- /dev/null
+++ b/crates/fes-admission/tests/histories.rs
@@ -0,0 +1,158 @@
+//! Checks generated histories. Guards against slots that are used twice, refused requests that
+//! run, and requests that are forgotten, under late, doubled and unknown events.
+
+use std::collections::BTreeMap;
+
+use fes_admission::Admission;
+use fes_admission::AdmissionAction;
+use fes_admission::AdmissionEvent;
+use fes_admission::AdmissionSettings;
+use fes_admission::ClassName;
+use fes_admission::Origin;
+use fes_protocol::MonoTime;
+use fes_protocol::RequestId;
+use proptest::prelude::*;
+
+const SLOTS: u32 = 3;
+const QUEUE_CAPACITY: usize = 8;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Waiting,
+    Started,
+    Ended,
+}
+
+#[derive(Debug, Clone)]
+struct Step {
+    after_ms: u64,
+    kind: u8,
+    id: u64,
+    patience_ms: u64,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = (0..40_u64, 0..20_u8, 0..40_u64, 1..2_000_u64).prop_map(
+        |(after_ms, kind, id, patience_ms)| Step {
+            after_ms,
+            kind,
+            id,
+            patience_ms,
+        },
+    );
+    prop::collection::vec(step, 1..300)
+}
+
+fn admission() -> Admission {
+    let mut settings = AdmissionSettings::for_slots(SLOTS)
+        .with_prior(ClassName::from("short"), 20_000)
+        .with_prior(ClassName::from("long"), 400_000);
+    settings.queue_capacity = QUEUE_CAPACITY;
+    Admission::new(MonoTime::ZERO, settings)
+}
+
+fn event(now: MonoTime, step: &Step) -> AdmissionEvent {
+    let id = RequestId(step.id);
+    match step.kind {
+        0..=8 => AdmissionEvent::Arrive {
+            id,
+            class: ClassName::from(if step.id.is_multiple_of(7) {
+                "long"
+            } else {
+                "short"
+            }),
+            deadline: now.plus_ms(step.patience_ms),
+            repeatable: step.id.is_multiple_of(2),
+            origin: Origin::Client,
+        },
+        9..=12 => AdmissionEvent::Finished { id },
+        13 => AdmissionEvent::Failed { id },
+        14 => AdmissionEvent::Cancelled { id },
+        15 => AdmissionEvent::UpstreamShed { id },
+        16 => AdmissionEvent::UpstreamDown,
+        17 => AdmissionEvent::UpstreamUp,
+        _ => AdmissionEvent::Timer,
+    }
+}
+
+/// What an observer knows of each request, from events and actions alone.
+#[derive(Default)]
+struct Observer {
+    states: BTreeMap<RequestId, State>,
+    deadlines: BTreeMap<RequestId, MonoTime>,
+}
+
+impl Observer {
+    fn before(&mut self, event: &AdmissionEvent) {
+        match event {
+            AdmissionEvent::Arrive { id, deadline, .. } => {
+                let state = self.states.entry(*id).or_insert(State::Ended);
+                if *state == State::Ended {
+                    *state = State::Waiting;
+                    self.deadlines.insert(*id, *deadline);
+                }
+            }
+            AdmissionEvent::Cancelled { id } => {
+                self.states.insert(*id, State::Ended);
+            }
+            AdmissionEvent::Finished { id } | AdmissionEvent::Failed { id } => {
+                self.leave_started(*id, State::Ended);
+            }
+            AdmissionEvent::UpstreamShed { id } => self.leave_started(*id, State::Waiting),
+            _ => {}
+        }
+    }
+
+    fn leave_started(&mut self, id: RequestId, next: State) {
+        if let Some(state) = self.states.get_mut(&id)
+            && *state == State::Started
+        {
+            *state = next;
+        }
+    }
+
+    fn after(&mut self, now: MonoTime, actions: &[AdmissionAction]) {
+        for action in actions {
+            match action {
+                AdmissionAction::Start { id } => {
+                    assert_eq!(
+                        self.states.insert(*id, State::Started),
+                        Some(State::Waiting)
+                    );
+                    assert!(now < self.deadlines[id], "{id} starts past its deadline");
+                }
+                AdmissionAction::Refuse { id, code } => {
+                    assert_eq!(self.states.insert(*id, State::Ended), Some(State::Waiting));
+                    assert!(code.is_not_run());
+                }
+                AdmissionAction::Timer { at } => assert!(*at >= now),
+            }
+        }
+    }
+
+    fn count(&self, state: State) -> usize {
+        self.states.values().filter(|s| **s == state).count()
+    }
+}
+
+proptest! {
+    #[test]
+    fn every_request_has_one_outcome_and_slots_are_never_exceeded(steps in steps()) {
+        let mut admission = admission();
+        let mut observer = Observer::default();
+        let mut now = MonoTime::ZERO;
+
+        for step in &steps {
+            now = now.plus_ms(step.after_ms);
+            let event = event(now, step);
+            observer.before(&event);
+            let actions = admission.handle(now, event);
+            observer.after(now, &actions);
+
+            prop_assert!(admission.running_count() <= SLOTS);
+            prop_assert!(admission.queued_count() <= QUEUE_CAPACITY);
+            prop_assert_eq!(observer.count(State::Started), admission.running_count() as usize);
+            prop_assert_eq!(observer.count(State::Waiting), admission.queued_count());
+        }
+    }
+}
--- /dev/null
+++ b/crates/fes-routing/tests/offload.rs
@@ -0,0 +1,303 @@
+//! Guards against offload that herds, hops twice, or follows reports that are stale, replayed or
+//! implausible.
+
+use std::collections::BTreeMap;
+
+use fes_protocol::Incarnation;
+use fes_protocol::Lifecycle;
+use fes_protocol::MonoTime;
+use fes_protocol::PeerHeartbeat;
+use fes_protocol::ServiceId;
+use fes_protocol::TargetId;
+use fes_routing::OffloadChoice;
+use fes_routing::OffloadPeer;
+use fes_routing::OffloadPlanner;
+use fes_routing::OffloadRequest;
+use fes_routing::OffloadSettings;
+use fes_routing::OwnLoad;
+
+const OWN: TargetId = TargetId(1);
+const REQUESTS: usize = 10_000;
+
+fn planner() -> OffloadPlanner {
+    let mut planner = OffloadPlanner::new(OffloadSettings::new(OWN, 7));
+    planner.set_peers((1..=4).map(|target| OffloadPeer {
+        target: TargetId(target),
+        hop_ms: 8,
+    }));
+    planner
+}
+
+fn own(capacity_milli: u32, demand_milli: u32) -> OwnLoad {
+    OwnLoad {
+        capacity_milli,
+        demand_milli,
+        movable_milli: demand_milli,
+        ..OwnLoad::default()
+    }
+}
+
+fn report(target: u32, capacity_milli: u32, demand_milli: u32) -> PeerHeartbeat {
+    PeerHeartbeat {
+        service: ServiceId(1),
+        target: TargetId(target),
+        incarnation: Incarnation(5),
+        sequence: 1,
+        lifecycle: Lifecycle::Serving,
+        capacity_milli,
+        demand_milli,
+        queue_wait_ms: 0,
+        long_wait_ms: 0,
+        flow_count: 0,
+        key_issue_ms: 77,
+        heard: Vec::new(),
+    }
+}
+
+fn request() -> OffloadRequest {
+    OffloadRequest {
+        deadline: MonoTime::from_ms(60_000),
+        repeatable: true,
+        passed_on: false,
+        long: false,
+    }
+}
+
+/// Returns the share of requests that each target gets.
+fn shares(
+    planner: &mut OffloadPlanner,
+    now: MonoTime,
+    own: &OwnLoad,
+    request: &OffloadRequest,
+) -> BTreeMap<u32, f64> {
+    let mut shares = BTreeMap::new();
+    for _ in 0..REQUESTS {
+        let target = match planner.choose(now, own, request) {
+            OffloadChoice::Here => OWN,
+            OffloadChoice::Peer(target) => target,
+        };
+        *shares.entry(target.0).or_default() += 1.0 / REQUESTS as f64;
+    }
+    shares
+}
+
+fn assert_close(shares: &BTreeMap<u32, f64>, target: u32, expected: f64) {
+    let share = shares.get(&target).copied().unwrap_or_default();
+    assert!(
+        (share - expected).abs() < 0.02,
+        "target {target} gets {share}, not {expected}"
+    );
+}
+
+/// Fails if the surplus goes to the least loaded peer instead of all with a deficit, or if more
+/// than the surplus leaves.
+#[test]
+fn surplus_spreads_in_proportion_to_deficits() {
+    let mut planner = planner();
+    let load = own(4_000, 8_000);
+    for heartbeat in [
+        report(2, 8_000, 2_000),
+        report(3, 4_000, 2_000),
+        report(4, 4_000, 8_000),
+    ] {
+        planner.on_heartbeat(MonoTime::ZERO, &load, &heartbeat);
+    }
+
+    let shares = shares(&mut planner, MonoTime::from_ms(1), &load, &request());
+
+    // Fair shares are 4,000 : 8,000 : 4,000 : 4,000 of a demand of 20,000.
+    assert_close(&shares, 1, 0.5);
+    assert_close(&shares, 2, 0.375);
+    assert_close(&shares, 3, 0.125);
+    assert_eq!(shares.get(&4), None);
+}
+
+/// Fails if a request that was passed on hops again, or a non-repeatable one leaves its owner.
+#[test]
+fn passed_on_and_non_repeatable_requests_stay() {
+    let mut planner = planner();
+    let load = own(1_000, 8_000);
+    planner.on_heartbeat(MonoTime::ZERO, &load, &report(2, 8_000, 0));
+    let fixed = [
+        OffloadRequest {
+            passed_on: true,
+            ..request()
+        },
+        OffloadRequest {
+            repeatable: false,
+            ..request()
+        },
+    ];
+
+    let choices = fixed.map(|r| shares(&mut planner, MonoTime::ZERO, &load, &r));
+    let rescues = fixed.map(|r| planner.choose_rescue(MonoTime::ZERO, &load, &r));
+
+    assert!(choices.iter().all(|shares| shares.keys().eq([&OWN.0])));
+    assert_eq!(rescues, [OffloadChoice::Here; 2]);
+}
+
+/// Fails if a report keeps attracting requests after its sender fell silent. Three of four peers
+/// still report, so that the panic threshold isn't reached.
+#[test]
+fn stale_report_loses_weight_and_then_all() {
+    let mut planner = planner();
+    let load = own(2_000, 8_000);
+    planner.on_heartbeat(MonoTime::ZERO, &load, &report(2, 4_000, 0));
+    for heartbeat in [report(3, 4_000, 0), report(4, 4_000, 4_000)] {
+        planner.on_heartbeat(MonoTime::from_ms(2_000), &load, &heartbeat);
+    }
+
+    let fading = shares(&mut planner, MonoTime::from_ms(2_250), &load, &request());
+    let stale = shares(&mut planner, MonoTime::from_ms(3_000), &load, &request());
+
+    assert!(fading[&2] < fading[&3] * 0.6);
+    assert_eq!(stale.get(&2), None);
+}
+
+/// Fails if an agent that hears nobody drops all peers: its reception, not the peers, is at fault.
+#[test]
+fn silence_of_most_peers_is_distrusted() {
+    let mut planner = planner();
+    let load = own(2_000, 8_000);
+    for target in 2..=4 {
+        planner.on_heartbeat(MonoTime::ZERO, &load, &report(target, 4_000, 0));
+    }
+
+    let shares = shares(&mut planner, MonoTime::from_ms(20_000), &load, &request());
+
+    assert!((2..=4).all(|target| shares[&target] > 0.2));
+}
+
+/// Fails if a replayed or late heartbeat overwrites a newer one.
+#[test]
+fn older_heartbeat_is_ignored() {
+    let mut planner = planner();
+    let load = own(4_000, 8_000);
+    let newer = PeerHeartbeat {
+        sequence: 9,
+        ..report(2, 4_000, 4_000)
+    };
+    let older = PeerHeartbeat {
+        sequence: 8,
+        ..report(2, 4_000, 0)
+    };
+
+    planner.on_heartbeat(MonoTime::ZERO, &load, &newer);
+    let before = shares(&mut planner, MonoTime::ZERO, &load, &request());
+    planner.on_heartbeat(MonoTime::ZERO, &load, &older);
+    let after = shares(&mut planner, MonoTime::ZERO, &load, &request());
+
+    assert_close(&before, 2, 0.25);
+    assert_close(&after, 2, 0.25);
+}
+
+/// Fails if a peer that suddenly reports a hundred times its capacity attracts all requests.
+#[test]
+fn implausible_capacity_is_cut_down() {
+    let mut planner = planner();
+    let load = own(4_000, 8_000);
+    for target in 2..=3 {
+        planner.on_heartbeat(MonoTime::ZERO, &load, &report(target, 4_000, 2_000));
+    }
+    let boasting = PeerHeartbeat {
+        sequence: 2,
+        ..report(2, 400_000, 2_000)
+    };
+
+    planner.on_heartbeat(MonoTime::from_ms(500), &load, &boasting);
+    let shares = shares(&mut planner, MonoTime::from_ms(500), &load, &request());
+
+    assert!(
+        shares[&1] > 0.1,
+        "fair share of this agent with a capped report of the peer"
+    );
+}
+
+/// Fails if a peer that refuses or drains goes on getting requests because of its reports.
+#[test]
+fn refusing_and_draining_peers_get_nothing() {
+    let mut planner = planner();
+    let load = own(1_000, 8_000);
+    planner.on_heartbeat(MonoTime::ZERO, &load, &report(2, 4_000, 0));
+    planner.on_heartbeat(MonoTime::ZERO, &load, &report(3, 4_000, 0));
+    let draining = PeerHeartbeat {
+        lifecycle: Lifecycle::Draining,
+        ..report(4, 4_000, 0)
+    };
+    planner.on_heartbeat(MonoTime::ZERO, &load, &draining);
+
+    planner.on_refused(MonoTime::ZERO, TargetId(2));
+    let paused = shares(&mut planner, MonoTime::from_ms(499), &load, &request());
+    let resumed = shares(&mut planner, MonoTime::from_ms(500), &load, &request());
+
+    assert!(paused.keys().eq([&1, &3]));
+    assert!(resumed.keys().eq([&1, &2, &3]));
+}
+
+/// Fails if long requests queue behind others while a peer has a slot for them, or if one report
+/// attracts a second long request.
+#[test]
+fn long_request_goes_where_it_starts_earlier_once_per_report() {
+    let mut planner = planner();
+    let load = OwnLoad {
+        long_wait_ms: 900,
+        ..own(4_000, 2_000)
+    };
+    let busy = PeerHeartbeat {
+        long_wait_ms: 5_000,
+        ..report(3, 4_000, 2_000)
+    };
+    planner.on_heartbeat(MonoTime::ZERO, &load, &report(2, 4_000, 2_000));
+    planner.on_heartbeat(MonoTime::ZERO, &load, &busy);
+    let long = OffloadRequest {
+        long: true,
+        ..request()
+    };
+
+    let first = planner.choose(MonoTime::from_ms(1), &load, &long);
+    let second = planner.choose(MonoTime::from_ms(2), &load, &long);
+
+    assert_eq!(first, OffloadChoice::Peer(TargetId(2)));
+    assert_eq!(second, OffloadChoice::Here);
+}
+
+/// Fails if prefixes don't follow capacity or don't carry what their owner needs to check them.
+#[test]
+fn prefixes_name_owners_in_proportion_to_capacity() {
+    let mut planner = planner();
+    let load = own(4_000, 0);
+    planner.on_heartbeat(MonoTime::ZERO, &load, &report(2, 8_000, 0));
+    planner.on_heartbeat(MonoTime::ZERO, &load, &report(3, 4_000, 0));
+
+    let owners: Vec<_> = (0..REQUESTS)
+        .map(|_| planner.choose_prefix_owner(MonoTime::ZERO, &load))
+        .collect();
+
+    let share_of_2 = owners
+        .iter()
+        .flatten()
+        .filter(|o| o.target == TargetId(2))
+        .count();
+    assert!((share_of_2 as f64 / REQUESTS as f64 - 0.5).abs() < 0.02);
+    assert!(
+        owners
+            .iter()
+            .flatten()
+            .all(|o| (o.incarnation, o.key_issue_ms) == (Incarnation(5), 77))
+    );
+}
+
+/// Fails if two runs with the same seed differ.
+#[test]
+fn same_seed_gives_the_same_choices() {
+    let load = own(2_000, 8_000);
+    let run = || {
+        let mut planner = planner();
+        planner.on_heartbeat(MonoTime::ZERO, &load, &report(2, 4_000, 0));
+        (0..100)
+            .map(|_| planner.choose(MonoTime::ZERO, &load, &request()))
+            .collect::<Vec<_>>()
+    };
+
+    assert_eq!(run(), run());
+}
