Test the measurement tool

Cause: nothing checked that reports repeat, judge the policy asked for and use the page's targets. Change: tests of determinism, judgement, targets and plots over whole experiments.

--- /dev/null
+++ b/crates/fes-measure/tests/reports.rs
@@ -0,0 +1,93 @@
+//! Guards against reports that can't be repeated, judge nothing or follow the measurement.
+
+use fes_measure::Bound;
+use fes_measure::Experiment;
+use fes_measure::Policy;
+use fes_measure::Profile;
+use fes_measure::Report;
+use rstest::rstest;
+
+const SEED: u64 = 3;
+
+fn report(experiment: Experiment, policy: Policy) -> Report {
+    let report = fes_measure::run(experiment, &Profile::al_mafraq(), SEED, policy);
+    println!("{report}");
+    report
+}
+
+/// Fails if a run depends on anything but its arguments, for example on the order of a map.
+#[test]
+fn same_arguments_give_the_same_bytes() {
+    let first = report(Experiment::Crest, Policy::Current);
+    let second = report(Experiment::Crest, Policy::Current);
+
+    assert_eq!(first.to_json().unwrap(), second.to_json().unwrap());
+    assert_eq!(first.series, second.series);
+}
+
+/// Fails if a figure of the current policy leaves its target, or if the tool can't tell the
+/// policies apart: the baseline must miss where a plain agent can't do well.
+#[rstest]
+#[case(Experiment::BrokenFlows)]
+#[case(Experiment::Imbalance)]
+#[case(Experiment::HeadOfLine)]
+fn current_policy_meets_targets_that_the_baseline_misses(#[case] experiment: Experiment) {
+    let current = report(experiment, Policy::Current);
+
+    assert!(current.met);
+    let baseline_misses = current.figures.iter().any(|figure| {
+        let worst = match figure.bound {
+            Bound::AtMost => f64::INFINITY,
+            Bound::AtLeast => 0.0,
+        };
+        let baseline = figure.baseline.unwrap_or(worst);
+        figure.target.is_some_and(|target| match figure.bound {
+            Bound::AtMost => baseline > target,
+            Bound::AtLeast => baseline < target,
+        })
+    });
+    assert!(baseline_misses);
+}
+
+/// Fails if the judged policy isn't the one asked for.
+#[test]
+fn baseline_is_judged_on_its_own_figures() {
+    let judged = report(Experiment::BrokenFlows, Policy::Baseline);
+
+    assert!(!judged.met);
+    assert!(judged.weighted_score < 1.0);
+}
+
+/// Fails if a target differs from the table of the design page.
+#[test]
+fn targets_are_those_of_the_design_page() {
+    let page = include_str!("../../../docs/design.md");
+    let imbalance = report(Experiment::Imbalance, Policy::Current);
+
+    let target = imbalance.figures[0].target.unwrap();
+
+    let row = page
+        .lines()
+        .find(|line| line.starts_with("| imbalance:"))
+        .unwrap();
+    assert!(row.ends_with(&format!("≤ {target:.2} |")));
+}
+
+/// Fails if plots are missing or differ between runs.
+#[test]
+fn plots_are_the_same_for_the_same_report() {
+    let directory = std::env::temp_dir().join(format!("fes-measure-{}", std::process::id()));
+    let report = report(Experiment::Imbalance, Policy::Current);
+
+    let draw = || {
+        let paths = fes_measure::write_plots(&report, &directory).unwrap();
+        let read = |path| std::fs::read_to_string(path).unwrap();
+        paths.into_iter().map(read).collect::<Vec<String>>()
+    };
+    let (first, second) = (draw(), draw());
+    std::fs::remove_dir_all(&directory).unwrap();
+
+    assert_eq!(first.len(), 1);
+    assert!(first[0].contains("<polyline"));
+    assert_eq!(first, second);
+}
