--- a/crates/fes-agent/src/agent.rs
+++ b/crates/fes-agent/src/agent.rs
@@ -11,7 +11,9 @@
 use fes_membership::lifecycle::LifecycleEvent;
 use fes_protocol::Incarnation;
 use fes_protocol::Lifecycle;
+use fes_protocol::NodeId;
 use fes_protocol::Result;
+use fes_protocol::TargetId;
 use fes_protocol::Ticket;
 use fes_settings::AgentSettings;
 use fes_telemetry::StatusServer;
@@ -103,6 +105,12 @@
         self.link_server.address()
     }
 
+    /// Returns the target.
+    #[must_use]
+    pub fn target(&self) -> TargetId {
+        self.core.settings.target
+    }
+
     /// Returns the incarnation.
     #[must_use]
     pub fn incarnation(&self) -> Incarnation {
@@ -127,9 +135,9 @@
         self.core.tickets.snapshot()
     }
 
-    /// Offers a ticket, as a peer's push would.
+    /// Puts a ticket in force and passes it on, as if the platform had just served it.
     pub fn offer(&self, ticket: Arc<Ticket>) {
-        let from = Endpoint::Seed(self.link_address());
+        let from = Endpoint::Node(NodeId::Agent(self.core.settings.target));
         let message = TicketMessage::Push(vec![ticket]);
         self.core
             .post_tickets(DistributionEvent::Message { from, message });
--- a/crates/fes-entry/src/entry.rs
+++ b/crates/fes-entry/src/entry.rs
@@ -23,6 +23,7 @@
 use fes_node::TicketHost;
 use fes_node::TicketsComponent;
 use fes_protocol::EncapsulationCodec;
+use fes_protocol::EntryId;
 use fes_protocol::Incarnation;
 use fes_protocol::Lifecycle;
 use fes_protocol::NodeId;
@@ -107,6 +108,12 @@
 }
 
 impl EntryHandle {
+    /// Returns the number of the entry.
+    #[must_use]
+    pub fn id(&self) -> EntryId {
+        self.core.settings.entry
+    }
+
     /// Returns the address at which clients of `service` are heard, if the entry serves it.
     #[must_use]
     pub fn service_address(&self, service: ServiceId) -> Option<SocketAddr> {
@@ -146,9 +153,9 @@
         self.core.tickets.snapshot()
     }
 
-    /// Offers a ticket, as a peer's push would.
+    /// Puts a ticket in force and passes it on, as if the platform had just served it.
     pub fn offer(&self, ticket: Arc<Ticket>) {
-        let from = Endpoint::Seed(self.link_address());
+        let from = Endpoint::Node(NodeId::Entry(self.core.settings.entry));
         let message = TicketMessage::Push(vec![ticket]);
         self.core
             .post_tickets(DistributionEvent::Message { from, message });
