--- a/crates/fes-idempotency/tests/histories.rs
+++ b/crates/fes-idempotency/tests/histories.rs
@@ -97,6 +97,8 @@
 #[case::waiters_are_forgotten(Broken::SwallowsWaiters, "got no answer")]
 #[case::incarnation_is_ignored(Broken::IgnoresIncarnation, "got \"done")]
 #[case::truncated_is_whole(Broken::TruncatedIsWhole, "got \"done")]
+#[case::lost_upstream_is_not_run(Broken::LostUpstreamAnswersNotRun, "was answered F2008, but ran")]
+#[case::drain_bound_is_not_run(Broken::DrainBoundAnswersNotRun, "was answered F2004, but ran")]
 #[case::deadline_is_ignored(Broken::IgnoresDeadline, "past its deadline")]
 fn a_broken_agent_is_caught(#[case] broken: Broken, #[case] expected: &str) {
     let mut caught = None;
--- a/crates/fes-idempotency/tests/support/broken.rs
+++ b/crates/fes-idempotency/tests/support/broken.rs
@@ -21,19 +21,10 @@
     IgnoresIncarnation,
     /// A response that ended early is passed on as a complete one.
     TruncatedIsWhole,
+    /// A request whose upstream connection was lost is answered "not run".
+    LostUpstreamAnswersNotRun,
+    /// A request that runs at the drain bound is answered "not run".
+    DrainBoundAnswersNotRun,
     /// The deadline isn't checked at the start.
     IgnoresDeadline,
 }
-
-/// Every rule that an agent can break.
-pub const ALL_BROKEN: [Broken; 9] = [
-    Broken::RefusalNotFinal,
-    Broken::ForgetsEarly,
-    Broken::RestartAnswersNotRun,
-    Broken::RunsForLostOwner,
-    Broken::RetriesLostUpstream,
-    Broken::SwallowsWaiters,
-    Broken::IgnoresIncarnation,
-    Broken::TruncatedIsWhole,
-    Broken::IgnoresDeadline,
-];
--- a/crates/fes-idempotency/tests/support/hosting.rs
+++ b/crates/fes-idempotency/tests/support/hosting.rs
@@ -90,6 +90,9 @@
                 }
             }
             Event::Resume { at } => self.on_resume(at),
+            Event::GiveUp { try_id } => self.cancel(try_id),
+            Event::Crash { at } => self.crash(at),
+            Event::Cut { a, b } => self.cut(a, b),
             Event::Heal => {
                 self.say("all links heal".into());
                 self.network.heal();
@@ -378,6 +381,16 @@
             {
                 answer = Answer::code(ResultCode::NotRunNoKeyPrefix);
             }
+            (Answer::Code { code, .. }, Broken::LostUpstreamAnswersNotRun)
+                if *code == ResultCode::UnknownUpstreamLost =>
+            {
+                answer = Answer::code(ResultCode::NotRunUpstreamDown);
+            }
+            (Answer::Code { code, .. }, Broken::DrainBoundAnswersNotRun)
+                if *code == ResultCode::UnknownDrainBound =>
+            {
+                answer = Answer::code(ResultCode::NotRunDraining);
+            }
             _ => {}
         }
         self.send_answer(target, open.origin, answer);
--- a/crates/fes-idempotency/tests/support/world.rs
+++ b/crates/fes-idempotency/tests/support/world.rs
@@ -89,6 +89,16 @@
         at: TargetId,
     },
     Heal,
+    GiveUp {
+        try_id: usize,
+    },
+    Crash {
+        at: TargetId,
+    },
+    Cut {
+        a: NodeId,
+        b: NodeId,
+    },
 }
 
 /// How a client's try ended.
@@ -284,6 +294,27 @@
     /// Ends the run: every try whose path had a fault lost its connection; any other must be over.
     pub fn settle(&mut self, ms: u64) {
         self.run_ms(ms);
+        self.close_open_tries();
+    }
+
+    /// Forgets all pending events, among them the periodic timers.
+    pub fn clear_pending(&mut self) {
+        self.queue.clear();
+    }
+
+    pub fn pending_count(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Delivers one of the pending events, whatever its time, a millisecond later.
+    pub fn deliver(&mut self, index: usize) {
+        let key = *self.queue.keys().nth(index).expect("the event is pending");
+        let event = self.queue.remove(&key).expect("the event is pending");
+        self.now = self.now.plus_ms(1);
+        self.dispatch(event);
+    }
+
+    pub fn close_open_tries(&mut self) {
         for try_id in 0..self.tries.len() {
             if !self.tries[try_id].ends.is_empty() {
                 continue;
