Move the simulated fleet for at-most-once runs to fes-testkit

Change: fes_testkit::at_most_once, with a smaller public interface: faults that happen later are the Fault type, events stay private.

--- a/crates/fes-idempotency/tests/histories.rs
+++ b/crates/fes-idempotency/tests/histories.rs
@@ -5,12 +5,12 @@
 
 use std::collections::BTreeMap;
 
+use fes_testkit::at_most_once::Broken;
+use fes_testkit::at_most_once::End;
+use fes_testkit::at_most_once::World;
 use rstest::rstest;
-use support::broken::Broken;
 use support::checks;
 use support::history;
-use support::world::End;
-use support::world::World;
 
 const DEFAULT_RUN_COUNT: u64 = 400;
 const BROKEN_RUN_COUNT: u64 = 400;
--- a/crates/fes-idempotency/tests/orders.rs
+++ b/crates/fes-idempotency/tests/orders.rs
@@ -7,13 +7,13 @@
 use fes_protocol::MonoTime;
 use fes_protocol::NodeId;
 use fes_protocol::TargetId;
+use fes_testkit::at_most_once::Broken;
+use fes_testkit::at_most_once::Fault;
+use fes_testkit::at_most_once::Try;
+use fes_testkit::at_most_once::UpstreamMode;
+use fes_testkit::at_most_once::World;
 use rstest::rstest;
-use support::agent::UpstreamMode;
-use support::broken::Broken;
 use support::checks;
-use support::world::Event;
-use support::world::Try;
-use support::world::World;
 
 const OWNER: TargetId = TargetId(1);
 const OTHER: TargetId = TargetId(2);
@@ -41,15 +41,15 @@
 fn two_tries_and_a_restart(world: &mut World) {
     send(world, OWNER, "x");
     send(world, OTHER, "x");
-    world.at_ms(1, Event::Crash { at: OWNER });
-    world.at_ms(1, Event::Restart { at: OWNER });
+    world.fault_after_ms(1, Fault::Crash(OWNER));
+    world.fault_after_ms(1, Fault::Restart(OWNER));
 }
 
 fn two_bodies_and_a_cancel(world: &mut World) {
     send(world, OWNER, "x");
     send(world, OWNER, "y");
     send(world, OWNER, "x");
-    world.at_ms(1, Event::GiveUp { try_id: 0 });
+    world.fault_after_ms(1, Fault::GiveUp(0));
 }
 
 fn a_refusal_and_a_retry(world: &mut World) {
@@ -57,22 +57,22 @@
     (agent.upstream, agent.retries) = (UpstreamMode::RefusesOnce, 1);
     send(world, OWNER, "x");
     send(world, OTHER, "x");
-    world.at_ms(1, Event::GiveUp { try_id: 0 });
+    world.fault_after_ms(1, Fault::GiveUp(0));
 }
 
 fn a_partition(world: &mut World) {
     let (a, b) = (NodeId::Agent(OWNER), NodeId::Agent(OTHER));
     send(world, OWNER, "x");
     send(world, OTHER, "x");
-    world.at_ms(1, Event::Cut { a, b });
+    world.fault_after_ms(1, Fault::Cut(a, b));
 }
 
 fn a_lost_upstream_and_a_restart(world: &mut World) {
     world.agents.get_mut(&OWNER).expect("agent exists").upstream = UpstreamMode::LosesConnection;
     send(world, OWNER, "x");
     send(world, OWNER, "x");
-    world.at_ms(1, Event::Crash { at: OWNER });
-    world.at_ms(1, Event::Restart { at: OWNER });
+    world.fault_after_ms(1, Fault::Crash(OWNER));
+    world.fault_after_ms(1, Fault::Restart(OWNER));
 }
 
 /// Runs a case in every order; returns how many orders there are, or the first violation.
--- a/crates/fes-idempotency/tests/support/checks.rs
+++ b/crates/fes-idempotency/tests/support/checks.rs
@@ -10,8 +10,8 @@
 use todc_utils::linearizability::history::Action;
 use todc_utils::linearizability::history::History;
 
-use super::world::End;
-use super::world::World;
+use fes_testkit::at_most_once::End;
+use fes_testkit::at_most_once::World;
 
 /// Key and body: the identity of a request.
 type Identity = (String, String);
--- a/crates/fes-idempotency/tests/support/history.rs
+++ b/crates/fes-idempotency/tests/support/history.rs
@@ -10,11 +10,11 @@
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
-use super::agent::UpstreamMode;
-use super::broken::Broken;
-use super::world::Event;
-use super::world::Try;
-use super::world::World;
+use fes_testkit::at_most_once::Broken;
+use fes_testkit::at_most_once::Fault;
+use fes_testkit::at_most_once::Try;
+use fes_testkit::at_most_once::UpstreamMode;
+use fes_testkit::at_most_once::World;
 
 const AGENT_COUNT: u32 = 3;
 const STEP_COUNT: usize = 80;
@@ -173,7 +173,7 @@
         let target = self.any_target();
         self.world.crash(target);
         let down_ms = self.rng.random_range(1..=self.max_down_ms);
-        self.world.at_ms(down_ms, Event::Restart { at: target });
+        self.world.fault_after_ms(down_ms, Fault::Restart(target));
     }
 
     fn pause(&mut self) {
@@ -196,7 +196,7 @@
         }
         self.world.cut(a, b);
         let ms = self.rng.random_range(10..2_000);
-        self.world.at_ms(ms, Event::Heal);
+        self.world.fault_after_ms(ms, Fault::Heal);
     }
 
     fn change_upstream(&mut self) {
@@ -219,7 +219,7 @@
         if self.world.agents[&target].up {
             self.world.drain(target);
             let ms = self.rng.random_range(1..8_000);
-            self.world.at_ms(ms, Event::Restart { at: target });
+            self.world.fault_after_ms(ms, Fault::Restart(target));
         }
     }
 }
--- a/crates/fes-idempotency/tests/support/script.rs
+++ b/crates/fes-idempotency/tests/support/script.rs
@@ -11,12 +11,12 @@
 use goldenscript::Context;
 use goldenscript::Runner;
 
-use super::agent::Agent;
-use super::agent::UpstreamMode;
-use super::broken::Broken;
 use super::checks;
-use super::world::Try;
-use super::world::World;
+use fes_testkit::at_most_once::Agent;
+use fes_testkit::at_most_once::Broken;
+use fes_testkit::at_most_once::Try;
+use fes_testkit::at_most_once::UpstreamMode;
+use fes_testkit::at_most_once::World;
 
 const DEFAULT_DEADLINE_MS: u64 = 1_000;
 const SETTLE_MS: u64 = 10_000;
--- a/crates/fes-idempotency/tests/support/agent.rs
+++ b/crates/fes-testkit/src/at_most_once/agent.rs
@@ -24,9 +24,9 @@
 use fes_protocol::TargetId;
 
 use super::broken::Broken;
-use super::world::Event;
+use super::event::Event;
 
-pub const SERVICE: ServiceId = ServiceId(7);
+pub(super) const SERVICE: ServiceId = ServiceId(7);
 
 /// How an upstream treats the requests that it receives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,7 +47,7 @@
 
 /// Where a request came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Origin {
+pub(super) enum Origin {
     Client {
         try_id: usize,
     },
@@ -60,48 +60,61 @@
 
 /// A request that an agent has not answered.
 #[derive(Debug, Clone)]
-pub struct OpenRequest {
-    pub origin: Origin,
-    pub key: String,
-    pub body: String,
+pub(super) struct OpenRequest {
+    pub(super) origin: Origin,
+    pub(super) key: String,
+    pub(super) body: String,
 }
 
+/// A simulated agent.
+#[derive(Debug)]
 pub struct Agent {
-    pub target: TargetId,
-    pub incarnation: Incarnation,
+    pub(super) target: TargetId,
+    pub(super) incarnation: Incarnation,
+    /// Whether the process runs.
     pub up: bool,
+    /// Whether a ticket still names it.
     pub named_by_ticket: bool,
-    pub paused: bool,
-    pub backlog: Vec<Event>,
-    pub coordinator: Coordinator,
-    pub matcher: ResponseMatcher,
-    pub life: LifecycleMachine,
-    pub admitting: bool,
-    pub queue: VecDeque<RequestId>,
-    pub busy: BTreeSet<RequestId>,
+    pub(super) paused: bool,
+    pub(super) backlog: Vec<Event>,
+    pub(super) coordinator: Coordinator,
+    pub(super) matcher: ResponseMatcher,
+    pub(super) life: LifecycleMachine,
+    pub(super) admitting: bool,
+    pub(super) queue: VecDeque<RequestId>,
+    pub(super) busy: BTreeSet<RequestId>,
+    /// Requests that the upstream runs at the same time.
     pub slots: usize,
+    /// Requests that wait for a slot.
     pub max_queue: usize,
     /// What is left of the retry budget.
     pub retries: u32,
-    pub requests: BTreeMap<RequestId, OpenRequest>,
-    pub relays: BTreeMap<RequestId, TargetId>,
+    pub(super) requests: BTreeMap<RequestId, OpenRequest>,
+    pub(super) relays: BTreeMap<RequestId, TargetId>,
+    /// How the upstream treats requests.
     pub upstream: UpstreamMode,
+    /// How long the upstream runs a request, in microseconds.
     pub run_us: u64,
-    pub broken: Broken,
-    pub generations: BTreeMap<String, u32>,
-    pub finished_at: BTreeMap<String, MonoTime>,
-    pub waiters: BTreeSet<RequestId>,
-    pub executions: BTreeMap<RequestId, (String, String)>,
+    pub(super) broken: Broken,
+    pub(super) generations: BTreeMap<String, u32>,
+    pub(super) finished_at: BTreeMap<String, MonoTime>,
+    pub(super) waiters: BTreeSet<RequestId>,
+    pub(super) executions: BTreeMap<RequestId, (String, String)>,
     booted_at: MonoTime,
     next_request: u64,
 }
 
-pub fn keys() -> KeyRing {
+fn keys() -> KeyRing {
     KeyRing::new(KeyEpoch(1), SecretKey::new([9; 16]))
 }
 
 impl Agent {
-    pub fn boot(target: TargetId, incarnation: Incarnation, now: MonoTime, broken: Broken) -> Self {
+    pub(super) fn boot(
+        target: TargetId,
+        incarnation: Incarnation,
+        now: MonoTime,
+        broken: Broken,
+    ) -> Self {
         let me = KeyOwner {
             service: SERVICE,
             target,
@@ -160,16 +173,16 @@
     }
 
     /// Time on the agent's own clock.
-    pub fn local(&self, now: MonoTime) -> MonoTime {
+    pub(super) fn local(&self, now: MonoTime) -> MonoTime {
         MonoTime::from_us(now.us_since(self.booted_at))
     }
 
-    pub fn next_request(&mut self) -> RequestId {
+    pub(super) fn next_request(&mut self) -> RequestId {
         self.next_request += 1;
         RequestId(self.next_request)
     }
 
-    pub fn work(&self) -> WorkInProgress {
+    pub(super) fn work(&self) -> WorkInProgress {
         WorkInProgress {
             request_count: u32::try_from(self.requests.len()).unwrap_or(u32::MAX),
             ..WorkInProgress::default()
@@ -177,7 +190,7 @@
     }
 
     /// The key that the coordinator sees. A broken agent forgets a key by renaming it.
-    pub fn seen_key(&mut self, key: &str, now: MonoTime) -> String {
+    pub(super) fn seen_key(&mut self, key: &str, now: MonoTime) -> String {
         let forgets = self.broken == Broken::ForgetsEarly;
         if forgets
             && self
--- a/crates/fes-idempotency/tests/support/hosting.rs
+++ b/crates/fes-testkit/src/at_most_once/hosting.rs
@@ -24,17 +24,18 @@
 use super::agent::OpenRequest;
 use super::agent::Origin;
 use super::broken::Broken;
+use super::clients::End;
+use super::event::Event;
+use super::event::Fault;
 use super::network::Fate;
-use super::world::End;
-use super::world::Event;
 use super::world::World;
 use super::world::short;
 
 impl World {
-    pub fn dispatch(&mut self, event: Event) {
+    pub(super) fn dispatch(&mut self, event: Event) {
         if let Some(target) = self.addressee(&event) {
             let agent = self.agents.get_mut(&target).expect("agent exists");
-            if agent.paused && !matches!(event, Event::Resume { .. } | Event::Restart { .. }) {
+            if agent.paused {
                 agent.backlog.push(event);
                 return;
             }
@@ -84,19 +85,22 @@
                 self.at_ms(PURGE_PERIOD_MS, Event::Timer { at });
             }
             Event::LifeTimer { at } => self.life(at, LifecycleEvent::Timer),
-            Event::Restart { at } => {
-                if !self.agents[&at].up {
-                    self.boot(at);
-                }
-            }
-            Event::Resume { at } => self.on_resume(at),
-            Event::GiveUp { try_id } => self.cancel(try_id),
-            Event::Crash { at } => self.crash(at),
-            Event::Cut { a, b } => self.cut(a, b),
-            Event::Heal => {
+            Event::Fault(fault) => self.on_fault(fault),
+        }
+    }
+
+    fn on_fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Crash(at) => self.crash(at),
+            Fault::Restart(at) if !self.agents[&at].up => self.boot(at),
+            Fault::Restart(_) => {}
+            Fault::Resume(at) => self.on_resume(at),
+            Fault::Cut(a, b) => self.cut(a, b),
+            Fault::Heal => {
                 self.say("all links heal".into());
                 self.network.heal();
             }
+            Fault::GiveUp(try_id) => self.cancel(try_id),
         }
     }
 
@@ -194,7 +198,7 @@
     }
 
     /// Gives an event to the agent's coordinator and carries out what follows from it.
-    pub fn decide(&mut self, target: TargetId, event: CoordinatorEvent) {
+    pub(super) fn decide(&mut self, target: TargetId, event: CoordinatorEvent) {
         let mut events = VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
             let now = self.now;
@@ -355,7 +359,7 @@
         }
     }
 
-    pub fn answer(&mut self, target: TargetId, request: RequestId, mut answer: Answer) {
+    pub(super) fn answer(&mut self, target: TargetId, request: RequestId, mut answer: Answer) {
         let now = self.now;
         let agent = self.agents.get_mut(&target).expect("agent exists");
         agent.relays.remove(&request);
@@ -428,12 +432,12 @@
         }
     }
 
-    pub fn report_progress(&mut self, target: TargetId) {
+    pub(super) fn report_progress(&mut self, target: TargetId) {
         let work = self.agents[&target].work();
         self.life(target, LifecycleEvent::Progress(work));
     }
 
-    pub fn life(&mut self, target: TargetId, event: LifecycleEvent) {
+    pub(super) fn life(&mut self, target: TargetId, event: LifecycleEvent) {
         let now = self.now;
         let agent = self.agents.get_mut(&target).expect("agent exists");
         if !agent.up {
--- a/crates/fes-idempotency/tests/support/network.rs
+++ b/crates/fes-testkit/src/at_most_once/network.rs
@@ -9,7 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 
 /// What happens to one message.
-pub enum Fate {
+pub(super) enum Fate {
     /// Copies arrive after these delays, in microseconds.
     Arrives(Vec<u64>),
     /// It is lost.
@@ -17,20 +17,28 @@
 }
 
 /// All links of a run.
+#[derive(Debug)]
 pub struct Network {
-    pub rng: ChaCha8Rng,
+    rng: ChaCha8Rng,
+    /// Shortest delay of a message, in microseconds.
     pub min_delay_us: u64,
+    /// Longest delay of a message, in microseconds.
     pub max_delay_us: u64,
+    /// Messages lost, of a thousand.
     pub loss_per_mille: u32,
+    /// Messages that arrive twice, of a thousand.
     pub duplicate_per_mille: u32,
+    /// Loses the next message.
     pub drop_next: bool,
+    /// Doubles the next message.
     pub duplicate_next: bool,
+    /// Delays the next message by so much more, in microseconds.
     pub delay_next_us: u64,
     cuts: BTreeSet<(NodeId, NodeId)>,
 }
 
 impl Network {
-    pub fn new(seed: u64) -> Self {
+    pub(super) fn new(seed: u64) -> Self {
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             min_delay_us: 1_000,
@@ -44,19 +52,20 @@
         }
     }
 
-    pub fn cut(&mut self, a: NodeId, b: NodeId) {
+    pub(super) fn cut(&mut self, a: NodeId, b: NodeId) {
         self.cuts.insert((a.min(b), a.max(b)));
     }
 
+    /// Makes all links work again.
     pub fn heal(&mut self) {
         self.cuts.clear();
     }
 
-    pub fn is_cut(&self, a: NodeId, b: NodeId) -> bool {
+    pub(super) fn is_cut(&self, a: NodeId, b: NodeId) -> bool {
         self.cuts.contains(&(a.min(b), a.max(b)))
     }
 
-    pub fn fate(&mut self, from: NodeId, to: NodeId) -> Fate {
+    pub(super) fn fate(&mut self, from: NodeId, to: NodeId) -> Fate {
         let dropped = std::mem::take(&mut self.drop_next);
         if dropped || self.is_cut(from, to) || self.roll(self.loss_per_mille) {
             return Fate::Lost;
@@ -70,7 +79,7 @@
         Fate::Arrives((0..copies).map(|_| self.delay_us()).collect())
     }
 
-    pub fn delay_us(&mut self) -> u64 {
+    pub(super) fn delay_us(&mut self) -> u64 {
         let usual = self.min_delay_us..=self.max_delay_us;
         std::mem::take(&mut self.delay_next_us) + self.rng.random_range(usual)
     }
--- a/crates/fes-idempotency/tests/support/upstream.rs
+++ b/crates/fes-testkit/src/at_most_once/upstream.rs
@@ -19,17 +19,17 @@
 use super::agent::Agent;
 use super::agent::UpstreamMode;
 use super::broken::Broken;
+use super::event::Event;
+use super::event::UpstreamReply;
 use super::network::Fate;
-use super::world::Event;
 use super::world::Run;
-use super::world::UpstreamReply;
 use super::world::World;
 
 /// Delay between an agent and its own upstream.
 const LOCAL_DELAY_US: u64 = 100;
 
 impl World {
-    pub fn start(&mut self, target: TargetId, request: RequestId) {
+    pub(super) fn start(&mut self, target: TargetId, request: RequestId) {
         let agent = self.agents.get_mut(&target).expect("agent exists");
         let flow = FlowId {
             connection: agent.incarnation.0,
@@ -52,7 +52,7 @@
         );
     }
 
-    pub fn on_run(&mut self, at: TargetId, tag: ResponseTag, key: String, body: String) {
+    pub(super) fn on_run(&mut self, at: TargetId, tag: ResponseTag, key: String, body: String) {
         let (mode, run_us) = (self.agents[&at].upstream, self.agents[&at].run_us);
         if mode == UpstreamMode::RefusesOnce {
             self.agents.get_mut(&at).expect("agent exists").upstream = UpstreamMode::Answers;
@@ -103,7 +103,7 @@
         }
     }
 
-    pub fn on_reply(&mut self, to: TargetId, mut tag: ResponseTag, reply: UpstreamReply) {
+    pub(super) fn on_reply(&mut self, to: TargetId, mut tag: ResponseTag, reply: UpstreamReply) {
         let agent = self.agents.get_mut(&to).expect("agent exists");
         if !agent.up {
             return;
--- a/crates/fes-idempotency/tests/support/world.rs
+++ b/crates/fes-testkit/src/at_most_once/world.rs
@@ -1,11 +1,8 @@
-//! The simulated fleet: event queue, clients, upstreams and the hosting of the agents' decisions.
+//! The simulated fleet: event queue, agents and faults.
 
 use std::collections::BTreeMap;
 
-use fes_idempotency::Answer;
-use fes_idempotency::AnswerDetail;
 use fes_idempotency::PURGE_PERIOD_MS;
-use fes_idempotency::ResponseTag;
 use fes_idempotency::StoreLimits;
 use fes_membership::lifecycle::DrainSource;
 use fes_membership::lifecycle::LifecycleEvent;
@@ -14,131 +11,52 @@
 use fes_protocol::NodeId;
 use fes_protocol::PeerHeartbeat;
 use fes_protocol::RequestId;
-use fes_protocol::ResultCode;
 use fes_protocol::TargetId;
 
 use super::agent::Agent;
-use super::agent::Origin;
 use super::agent::SERVICE;
 use super::broken::Broken;
-use super::network::Fate;
+use super::clients::Try;
+use super::event::Event;
+use super::event::Fault;
 use super::network::Network;
 
 /// Time after which a lost connection or link is noticed.
 const IDLE_TIMEOUT_MS: u64 = 4_500;
 
-#[derive(Debug, Clone)]
-pub enum UpstreamReply {
-    Finished { body: String },
-    Truncated { body: String },
-    Refused,
-    Lost,
-}
-
-#[derive(Debug, Clone)]
-pub enum Event {
-    Request {
-        try_id: usize,
-    },
-    Cancel {
-        try_id: usize,
-    },
-    Answer {
-        try_id: usize,
-        answer: Answer,
-    },
-    Relayed {
-        to: TargetId,
-        origin: Origin,
-        key: String,
-        body: String,
-        left_us: u64,
-    },
-    RelayAnswer {
-        to: TargetId,
-        incarnation: Incarnation,
-        request: RequestId,
-        answer: Answer,
-    },
-    LinkLost {
-        to: TargetId,
-        incarnation: Incarnation,
-        request: RequestId,
-    },
-    Run {
-        at: TargetId,
-        tag: ResponseTag,
-        key: String,
-        body: String,
-    },
-    Reply {
-        to: TargetId,
-        tag: ResponseTag,
-        reply: UpstreamReply,
-    },
-    Timer {
-        at: TargetId,
-    },
-    LifeTimer {
-        at: TargetId,
-    },
-    Restart {
-        at: TargetId,
-    },
-    Resume {
-        at: TargetId,
-    },
-    Heal,
-    GiveUp {
-        try_id: usize,
-    },
-    Crash {
-        at: TargetId,
-    },
-    Cut {
-        a: NodeId,
-        b: NodeId,
-    },
-}
-
-/// How a client's try ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum End {
-    Answered { body: String },
-    Code(ResultCode, AnswerDetail),
-    ConnectionLost,
-}
-
-pub struct Try {
-    pub name: String,
-    pub key: String,
-    pub body: String,
-    pub agent: TargetId,
-    pub entry: NodeId,
-    pub deadline_ms: u64,
-    pub sent_at: MonoTime,
-    pub excuse: Option<&'static str>,
-    /// Every answer that reached the client; the first one ends the try.
-    pub ends: Vec<(MonoTime, End)>,
-}
-
 /// One run of a request at an upstream.
+#[derive(Debug, Clone)]
 pub struct Run {
+    /// When the upstream ran it.
     pub at: MonoTime,
+    /// Value of the `Idempotency-Key` header.
     pub key: String,
+    /// Body of the request.
     pub body: String,
 }
 
+/// The simulated fleet on virtual time.
+#[derive(Debug)]
 pub struct World {
+    /// Virtual time.
     pub now: MonoTime,
+    /// All links.
     pub network: Network,
+    /// Agents by target.
     pub agents: BTreeMap<TargetId, Agent>,
+    /// Clients' tries in the order in which they were sent.
     pub tries: Vec<Try>,
+    /// Every run at an upstream.
     pub runs: Vec<Run>,
+    /// One hop per line.
     pub trace: Vec<String>,
+    /// Broken rules that show at once, such as a start past the deadline.
     pub violations: Vec<String>,
+    /// Short names of keys for traces.
     pub aliases: BTreeMap<String, String>,
+    /// Limits of the stores of agents that start from now on.
     pub limits: StoreLimits,
+    /// Drain bound of agents that start from now on, in milliseconds.
     pub drain_bound_ms: u64,
     queue: BTreeMap<(MonoTime, u64), Event>,
     sequence: u64,
@@ -147,6 +65,8 @@
 }
 
 impl World {
+    /// Starts `agent_count` agents, which break the rule `broken`.
+    #[must_use]
     pub fn new(seed: u64, agent_count: u32, broken: Broken) -> Self {
         let mut world = Self {
             now: MonoTime::ZERO,
@@ -171,6 +91,7 @@
         world
     }
 
+    /// Starts an agent as a new incarnation.
     pub fn boot(&mut self, target: TargetId) {
         self.next_incarnation += 1;
         let agent = Agent::boot(
@@ -190,11 +111,13 @@
         self.say(format!("a{target} starts"));
     }
 
-    pub fn say(&mut self, line: String) {
+    pub(super) fn say(&mut self, line: String) {
         self.trace
             .push(format!("{:>7} ms  {line}", self.now.as_ms()));
     }
 
+    /// Returns the short name of a key.
+    #[must_use]
     pub fn alias(&self, key: &str) -> String {
         self.aliases
             .get(key)
@@ -202,16 +125,21 @@
             .unwrap_or_else(|| key.to_string())
     }
 
-    pub fn at_us(&mut self, delay_us: u64, event: Event) {
+    pub(super) fn at_us(&mut self, delay_us: u64, event: Event) {
         self.sequence += 1;
         self.queue
             .insert((self.now.plus_us(delay_us), self.sequence), event);
     }
 
-    pub fn at_ms(&mut self, delay_ms: u64, event: Event) {
+    pub(super) fn at_ms(&mut self, delay_ms: u64, event: Event) {
         self.at_us(delay_ms * 1_000, event);
     }
 
+    /// Lets a fault happen after `delay_ms`.
+    pub fn fault_after_ms(&mut self, delay_ms: u64, fault: Fault) {
+        self.at_ms(delay_ms, Event::Fault(fault));
+    }
+
     /// Issues a key whose prefix comes from `agent`.
     pub fn issue_key(&mut self, agent: TargetId, name: &str) -> String {
         let now = self.now;
@@ -244,40 +172,6 @@
         receiver.coordinator.observe_peer(local, &heartbeat);
     }
 
-    /// Sends a client's try.
-    pub fn send(&mut self, attempt: Try) -> usize {
-        let try_id = self.tries.len();
-        let (entry, agent) = (attempt.entry, NodeId::Agent(attempt.agent));
-        self.say(format!(
-            "{} -> {} via {}: key {}, body {}",
-            attempt.name,
-            short(agent),
-            short(entry),
-            self.alias(&attempt.key),
-            attempt.body
-        ));
-        self.tries.push(attempt);
-        self.carry_for_try(try_id, entry, agent, Event::Request { try_id });
-        try_id
-    }
-
-    pub fn cancel(&mut self, try_id: usize) {
-        let attempt = &self.tries[try_id];
-        let (entry, agent) = (attempt.entry, NodeId::Agent(attempt.agent));
-        self.end(try_id, End::ConnectionLost);
-        self.carry_for_try(try_id, entry, agent, Event::Cancel { try_id });
-    }
-
-    pub fn carry_for_try(&mut self, try_id: usize, from: NodeId, to: NodeId, event: Event) {
-        match self.network.fate(from, to) {
-            Fate::Arrives(delays) => delays.iter().for_each(|us| self.at_us(*us, event.clone())),
-            Fate::Lost => {
-                self.tries[try_id].excuse = Some("message lost");
-                self.say(format!("{} loses a message to {}", short(from), short(to)));
-            }
-        }
-    }
-
     /// Runs until `self.now + ms`.
     pub fn run_ms(&mut self, ms: u64) {
         let until = self.now.plus_ms(ms);
@@ -303,6 +197,8 @@
         self.queue.clear();
     }
 
+    /// Returns the number of events that wait to be delivered.
+    #[must_use]
     pub fn pending_count(&self) -> usize {
         self.queue.len()
     }
@@ -315,22 +211,7 @@
         self.dispatch(event);
     }
 
-    pub fn close_open_tries(&mut self) {
-        for try_id in 0..self.tries.len() {
-            if !self.tries[try_id].ends.is_empty() {
-                continue;
-            }
-            match self.tries[try_id].excuse {
-                Some(_) => self.end(try_id, End::ConnectionLost),
-                None => {
-                    let name = self.tries[try_id].name.clone();
-                    self.violations
-                        .push(format!("{name} got no answer, and no fault explains it"));
-                }
-            }
-        }
-    }
-
+    /// Lets an agent die.
     pub fn crash(&mut self, target: TargetId) {
         self.say(format!("a{target} dies"));
         self.lose_links(target);
@@ -340,14 +221,16 @@
         self.excuse_tries_at(target, "agent died");
     }
 
+    /// Pauses an agent for `ms`.
     pub fn pause(&mut self, target: TargetId, ms: u64) {
         self.say(format!("a{target} is paused"));
         if let Some(agent) = self.agents.get_mut(&target) {
             agent.paused = true;
         }
-        self.at_ms(ms, Event::Resume { at: target });
+        self.fault_after_ms(ms, Fault::Resume(target));
     }
 
+    /// Cuts the link of two nodes.
     pub fn cut(&mut self, a: NodeId, b: NodeId) {
         self.say(format!("{} and {} lose contact", short(a), short(b)));
         self.network.cut(a, b);
@@ -357,13 +240,14 @@
         }
     }
 
+    /// Sends SIGTERM to an agent.
     pub fn drain(&mut self, target: TargetId) {
         self.say(format!("a{target} gets SIGTERM"));
         self.life(target, LifecycleEvent::Drain(DrainSource::Signal));
         self.report_progress(target);
     }
 
-    pub fn lose_links(&mut self, target: TargetId) {
+    pub(super) fn lose_links(&mut self, target: TargetId) {
         let others: Vec<TargetId> = self
             .agents
             .keys()
@@ -388,7 +272,12 @@
         }
     }
 
-    pub fn queue_link_lost(&mut self, to: TargetId, incarnation: Incarnation, request: RequestId) {
+    pub(super) fn queue_link_lost(
+        &mut self,
+        to: TargetId,
+        incarnation: Incarnation,
+        request: RequestId,
+    ) {
         self.at_ms(
             IDLE_TIMEOUT_MS,
             Event::LinkLost {
@@ -398,47 +287,10 @@
             },
         );
     }
-
-    fn excuse_tries_at(&mut self, target: TargetId, excuse: &'static str) {
-        for attempt in &mut self.tries {
-            if attempt.agent == target && attempt.ends.is_empty() {
-                attempt.excuse = Some(excuse);
-            }
-        }
-    }
-
-    /// Number of tries that ended with a complete response.
-    pub fn answered_count(&self) -> usize {
-        let answered =
-            |attempt: &&Try| matches!(attempt.ends.first(), Some((_, End::Answered { .. })));
-        self.tries.iter().filter(answered).count()
-    }
-
-    pub fn end(&mut self, try_id: usize, end: End) {
-        let name = self.tries[try_id].name.clone();
-        let is_first = self.tries[try_id].ends.is_empty();
-        self.tries[try_id].ends.push((self.now, end.clone()));
-        let text = match end {
-            End::Answered { body } => format!("answered \"{}\"", self.shorten(&body)),
-            End::Code(code, AnswerDetail::None) => format!("F{} {}", code.number(), code.name()),
-            End::Code(code, detail) => format!("F{} {}: {detail}", code.number(), code.name()),
-            End::ConnectionLost => "connection lost".into(),
-        };
-        let late = if is_first { "" } else { " (late, dropped)" };
-        self.say(format!("{name} <- {text}{late}"));
-    }
-
-    fn shorten(&self, body: &str) -> String {
-        self.aliases
-            .iter()
-            .fold(body.to_string(), |text, (key, name)| {
-                text.replace(key, name)
-            })
-    }
 }
 
 /// Name of a node in traces and scenarios.
-pub fn short(node: NodeId) -> String {
+pub(super) fn short(node: NodeId) -> String {
     match node {
         NodeId::Entry(id) => format!("e{id}"),
         NodeId::Agent(id) => format!("a{id}"),
--- a/crates/fes-testkit/src/lib.rs
+++ b/crates/fes-testkit/src/lib.rs
@@ -3,6 +3,7 @@
 //! All of them run on the current `actix-rt` arbiter and bind ephemeral loopback ports. A double
 //! stops when its last handle is dropped.
 
+pub mod at_most_once;
 mod body;
 mod certificates;
 mod client;
