Let the answers to cut-off work leave before the exit

Cause: at the drain bound the cut and the closing of connections were one list of actions, so that a daemon closed connections before its answers (F3007, F2004) were sent.

Change: the cut comes first; the process stops when nothing is open any more, at the latest a second later.

--- a/crates/fes-membership/src/lifecycle/machine.rs
+++ b/crates/fes-membership/src/lifecycle/machine.rs
@@ -17,6 +17,9 @@
 /// Period of repeated goodbyes and of checks while draining, in milliseconds.
 const DRAIN_TICK_MS: u64 = 500;
 
+/// How long the answers to work that was cut off may take to leave, in milliseconds.
+const FLUSH_MS: u64 = 1_000;
+
 /// A tick that comes later than this after its time shows that the process was paused, in
 /// milliseconds.
 const PAUSE_MS: u64 = 1_000;
@@ -147,6 +150,7 @@
         if self.lifecycle() != before {
             self.enter(now, &mut actions);
         }
+        self.try_cut_off(now, &mut actions);
         self.try_stop(now, &mut actions);
         actions
     }
@@ -197,12 +201,30 @@
             actions.push(LifecycleAction::SendGoodbye);
         }
         self.next_tick = now.plus_ms(DRAIN_TICK_MS);
-        if let Some(bound) = bound_at {
+        if let Some(bound) = bound_at.filter(|bound| *bound > now) {
             self.next_tick = self.next_tick.min(bound);
         }
         actions.push(LifecycleAction::SetTimer(self.next_tick));
     }
 
+    /// Cuts off the work if the bound has passed. What is done already needs no cut.
+    fn try_cut_off(&mut self, now: MonoTime, actions: &mut Vec<LifecycleAction>) {
+        let AnyProcess::Draining(process) = &mut self.process else {
+            return;
+        };
+        if self.work.is_done(now, self.settings.quiet_ms) {
+            return;
+        }
+        let Some(cut_off) = process.cut_off(now, self.work, now.plus_ms(FLUSH_MS)) else {
+            return;
+        };
+        if self.role == Role::Agent {
+            actions.push(LifecycleAction::CutOffWork(cut_off));
+        }
+        actions.push(LifecycleAction::LogCutOff(cut_off));
+        self.next_tick = now;
+    }
+
     fn try_stop(&mut self, now: MonoTime, actions: &mut Vec<LifecycleAction>) {
         let placeholder = AnyProcess::Starting(Process::new());
         self.process = match std::mem::replace(&mut self.process, placeholder) {
@@ -224,12 +246,6 @@
 
     fn add_stop(&self, stopped: &Process<Stopped>, actions: &mut Vec<LifecycleAction>) {
         let is_agent = self.role == Role::Agent;
-        if let Some(cut_off) = stopped.cut_off() {
-            if is_agent {
-                actions.push(LifecycleAction::CutOffWork(cut_off));
-            }
-            actions.push(LifecycleAction::LogCutOff(cut_off));
-        }
         actions.push(LifecycleAction::Announce(Lifecycle::Stopped));
         actions.push(LifecycleAction::SendGoodbye);
         if is_agent {
--- a/crates/fes-membership/src/lifecycle/process.rs
+++ b/crates/fes-membership/src/lifecycle/process.rs
@@ -38,6 +38,14 @@
     sources: DrainSources,
     linger_until: MonoTime,
     bound_at: Option<MonoTime>,
+    cut: Option<Cut>,
+}
+
+/// Work that was cut off, and until when its answers may leave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Cut {
+    cut_off: CutOff,
+    flush_until: MonoTime,
 }
 
 /// Gone on purpose.
@@ -81,6 +89,7 @@
                 sources: self.state.sources,
                 linger_until: now,
                 bound_at: None,
+                cut: None,
             },
         })
     }
@@ -98,6 +107,7 @@
                 sources: self.state.sources,
                 linger_until: now,
                 bound_at: None,
+                cut: None,
             },
         };
         draining.add(source, bound_at);
@@ -126,6 +136,7 @@
                 sources: DrainSources::default(),
                 linger_until,
                 bound_at: None,
+                cut: None,
             },
         };
         draining.add(source, bound_at);
@@ -174,7 +185,31 @@
         self.state.bound_at = self.state.bound_at.map(|bound| bound.max(earliest));
     }
 
-    /// Stops if a final source asks for it and either no work is left or the bound has passed.
+    /// Cuts off the remaining work once the bound has passed; returns it the first time. Its
+    /// answers may leave until `flush_until`.
+    pub fn cut_off(
+        &mut self,
+        now: MonoTime,
+        work: WorkInProgress,
+        flush_until: MonoTime,
+    ) -> Option<CutOff> {
+        let is_due = self.state.bound_at.is_some_and(|bound| now >= bound);
+        if !is_due || self.state.cut.is_some() {
+            return None;
+        }
+        let cut_off = CutOff {
+            request_count: work.request_count,
+            stream_count: work.stream_count,
+        };
+        self.state.cut = Some(Cut {
+            cut_off,
+            flush_until,
+        });
+        Some(cut_off)
+    }
+
+    /// Stops if a final source asks for it and no work is left, or the work was cut off and its
+    /// answers had their time to leave.
     ///
     /// # Errors
     ///
@@ -185,22 +220,19 @@
         work: WorkInProgress,
         quiet_ms: u64,
     ) -> Result<Process<Stopped>, Self> {
-        if !self.state.sources.is_final() {
+        let bound_at = self.state.bound_at.unwrap_or(MonoTime::NEVER);
+        let earliest = self.state.linger_until.min(bound_at);
+        let may_stop = match self.state.cut {
+            Some(cut) => work.is_answered() || now >= cut.flush_until,
+            None => now >= earliest && work.is_done(now, quiet_ms),
+        };
+        if !self.state.sources.is_final() || !may_stop {
             return Err(self);
         }
-        if now >= self.state.linger_until && work.is_done(now, quiet_ms) {
-            let state = Stopped { cut_off: None };
-            return Ok(Process { state });
-        }
-        if self.state.bound_at.is_some_and(|bound| now >= bound) {
-            let cut_off = Some(CutOff {
-                request_count: work.request_count,
-                stream_count: work.stream_count,
-            });
-            let state = Stopped { cut_off };
-            return Ok(Process { state });
-        }
-        Err(self)
+        let cut_off = self.state.cut.map(|cut| cut.cut_off);
+        Ok(Process {
+            state: Stopped { cut_off },
+        })
     }
 }
 
--- a/crates/fes-membership/src/lifecycle/work.rs
+++ b/crates/fes-membership/src/lifecycle/work.rs
@@ -21,7 +21,13 @@
         let is_quiet = self
             .last_datagram_at
             .is_none_or(|last| now >= last.plus_ms(quiet_ms));
-        self.request_count == 0 && self.stream_count == 0 && is_quiet
+        self.is_answered() && is_quiet
+    }
+
+    /// Returns whether no request and no stream is open.
+    #[must_use]
+    pub const fn is_answered(&self) -> bool {
+        self.request_count == 0 && self.stream_count == 0
     }
 }
 
