Test links between processes

Cause: links had no tests of their own. Change: concurrent calls, a foreign authority, given-up bodies and a restarted peer; a peer that doesn't prove itself within 5 s is closed.

--- a/crates/fes-link/src/server.rs
+++ b/crates/fes-link/src/server.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use fes_protocol::Error;
@@ -29,6 +30,9 @@
 const WINDOW_BYTES: u32 = 1024 * 1024;
 const MAX_STREAMS: u32 = 1_024;
 
+/// A peer that doesn't prove itself for this long is closed, so that it can't hold a descriptor.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Handles one message; dropped when the link closes.
 pub type LinkHandler = Rc<dyn Fn(LinkRequest) -> Pin<Box<dyn Future<Output = ()>>>>;
 
@@ -163,12 +167,14 @@
     handler: LinkHandler,
 ) {
     let _ = stream.set_nodelay(true);
-    let stream = match acceptor.accept(stream).await {
-        Ok(stream) => stream,
-        Err(e) => {
+    let handshake = tokio::time::timeout(HANDSHAKE_TIMEOUT, acceptor.accept(stream));
+    let stream = match handshake.await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(e)) => {
             log::warn!("link: {} from {peer}: {e}", ResultCode::LinkUnauthenticated);
             return;
         }
+        Err(_) => return,
     };
     let mut builder = h2::server::Builder::new();
     builder
--- /dev/null
+++ b/crates/fes-link/tests/links.rs
@@ -0,0 +1,150 @@
+//! Links between processes on real sockets.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use fes_link::LinkCall;
+use fes_link::LinkHandler;
+use fes_link::LinkPool;
+use fes_link::LinkRequest;
+use fes_link::LinkServer;
+use fes_link::LinkTls;
+use fes_link::decode_head;
+use fes_link::next_chunk;
+use fes_link::send_chunk;
+use fes_protocol::ResultCode;
+use fes_testkit::Authority;
+use rstest::rstest;
+
+const KIND: &str = "test";
+
+fn tls(authority: &Authority) -> LinkTls {
+    let identity = authority.link_identity();
+    let key = identity.private_key.clone_key();
+    LinkTls::new(identity.authorities, identity.certificates, key).expect("link identity")
+}
+
+fn serve<F>(
+    address: SocketAddr,
+    tls: &LinkTls,
+    handle: impl Fn(LinkRequest) -> F + 'static,
+) -> LinkServer
+where
+    F: Future<Output = ()> + 'static,
+{
+    let handler: LinkHandler = Rc::new(move |request| Box::pin(handle(request)));
+    LinkServer::start(address, tls, handler).expect("server")
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Answers with the double of the number in the head.
+async fn double(request: LinkRequest) {
+    let number: u64 = decode_head(&request.head).expect("a number");
+    request
+        .responder
+        .answer(&(number * 2))
+        .await
+        .expect("answer");
+}
+
+/// Fails if a head is lost, cut or mixed up with another message's.
+#[actix_rt::test]
+async fn concurrent_calls_get_their_own_answers() {
+    let tls = tls(&Authority::new());
+    let server = serve(loopback(), &tls, double);
+    let pool = LinkPool::new(tls);
+
+    let calls = (0..200_u64).map(|number| {
+        let pool = pool.clone();
+        let address = server.address();
+        async move {
+            pool.call::<u64>(address, KIND, &number)
+                .await
+                .expect("answer")
+        }
+    });
+    let answers = futures::future::join_all(calls).await;
+
+    assert_eq!(
+        answers,
+        (0..200).map(|number| number * 2).collect::<Vec<_>>()
+    );
+}
+
+/// Fails if a process with a certificate of another authority can send or receive messages.
+#[actix_rt::test]
+async fn another_authority_is_not_accepted() {
+    let server = serve(loopback(), &tls(&Authority::new()), double);
+    let stranger = LinkPool::new(tls(&Authority::new()));
+
+    let answer = stranger.call::<u64>(server.address(), KIND, &1_u64).await;
+
+    assert_eq!(answer.expect_err("refused").code(), ResultCode::LinkRefused);
+}
+
+/// Fails if a body that its sender gives up is taken for a complete one.
+#[rstest]
+#[case::complete(true)]
+#[case::given_up(false)]
+#[actix_rt::test]
+async fn a_body_is_complete_or_an_error(#[case] is_complete: bool) {
+    let tls = tls(&Authority::new());
+    let server = serve(loopback(), &tls, move |request| async move {
+        let mut body = request.responder.answer_with_body(&()).await.expect("head");
+        let chunk = Bytes::from(vec![7; 300_000]);
+        send_chunk(&mut body, chunk, is_complete)
+            .await
+            .expect("body");
+        if !is_complete {
+            body.send_reset(h2::Reason::INTERNAL_ERROR);
+        }
+    });
+    let pool = LinkPool::new(tls);
+
+    let mut call = pool
+        .open(server.address(), KIND, &(), true)
+        .await
+        .expect("link");
+    let received = receive_all(&mut call).await;
+
+    assert_eq!(received.ok(), is_complete.then_some(300_000));
+}
+
+/// Returns the length of the whole body, or an error. A reset may overtake the head.
+async fn receive_all(call: &mut LinkCall) -> Result<usize, String> {
+    let mut reply = call.reply().await.map_err(|e| e.to_string())?;
+    let mut length_bytes = reply.first_body.len();
+    while let Some(chunk) = next_chunk(&mut reply.body).await {
+        length_bytes += chunk.map_err(|e| e.to_string())?.len();
+    }
+    Ok(length_bytes)
+}
+
+/// Fails if a link isn't opened again after its peer restarted.
+#[actix_rt::test]
+async fn a_link_is_opened_again() {
+    let tls = tls(&Authority::new());
+    let server = serve(loopback(), &tls, double);
+    let address = server.address();
+    let pool = LinkPool::new(tls.clone());
+    let first = pool
+        .call::<u64>(address, KIND, &1_u64)
+        .await
+        .expect("answer");
+
+    drop(server);
+    while pool.connect(address).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
+    let _server = serve(address, &tls, double);
+    let mut second = pool.call::<u64>(address, KIND, &2_u64).await;
+    while second.is_err() {
+        second = pool.call(address, KIND, &2_u64).await;
+    }
+
+    assert_eq!((first, second.expect("answer")), (2, 4));
+}
