Measure the cost of the path beside a direct call

Cause: no figure told what the path adds to a request or how fast flows open.

Change: 'fescueshift measure' has the experiments 'path' and 'capacity'. The first alternates direct HTTP/2 requests to an upstream double with requests through a local fleet, opens flows with one request each, and measures the routing decision at 8,000 targets behind 1,200 addresses.

--- a/crates/fes-command/src/commands/measure.rs
+++ b/crates/fes-command/src/commands/measure.rs
@@ -11,6 +11,7 @@
 use fes_measure::Experiment;
 use fes_measure::Policy;
 use fes_measure::Profile;
+use fes_measure::capacity::run_capacity;
 use fes_protocol::Error;
 use fes_protocol::Result;
 use fes_protocol::ResultCode;
@@ -18,11 +19,23 @@
 use crate::commands::arguments::json_flag;
 use crate::commands::arguments::number;
 use crate::output;
+use crate::path_run::PathPlan;
+use crate::path_run::PathReport;
+use crate::path_run::Quantiles;
+use crate::path_run::run_path;
 
 pub(crate) const NAME: &str = "measure";
 
 const MISSED_STATUS: u8 = 1;
 
+const CAPACITY: &str = "capacity";
+const PATH: &str = "path";
+
+/// Experiments that measure this machine, so that their figures differ between runs.
+const MACHINE_EXPERIMENTS: [&str; 2] = [CAPACITY, PATH];
+const PATH_REQUESTS: u64 = 1_000;
+const PATH_FLOWS: u64 = 500;
+
 pub(crate) fn command() -> Command {
     Command::new(NAME)
         .about("Measure the decisions on virtual time against a baseline")
@@ -36,7 +49,10 @@
         .arg(
             choice("experiment", "What to measure")
                 .value_parser(PossibleValuesParser::new(
-                    Experiment::ALL.map(Experiment::name),
+                    Experiment::ALL
+                        .map(Experiment::name)
+                        .into_iter()
+                        .chain(MACHINE_EXPERIMENTS),
                 ))
                 .default_value("all"),
         )
@@ -61,11 +77,14 @@
         )
         .after_help(
             "The same arguments give the same output. Both policies run in each case; the\n\
-             policy given is judged.\n\n\
+             policy given is judged. Two experiments measure this machine instead:\n\
+             'capacity' fits the cost of each role against its size, and 'path' sends\n\
+             requests through a local fleet and straight to an upstream.\n\n\
              Exit status: 0 if all targets are met, 1 if one is missed, 2 on errors.\n\n\
              Examples:\n  \
              fescueshift measure --profile al-mafraq --experiment head-of-line\n  \
-             fescueshift measure --seed 7 --json --plot plots",
+             fescueshift measure --seed 7 --json --plot plots\n  \
+             fescueshift measure --experiment capacity",
         )
 }
 
@@ -74,10 +93,15 @@
 }
 
 pub(crate) fn run(matches: &ArgMatches) -> Result<ExitCode> {
+    let seed = matches.get_one::<u64>("seed").copied().unwrap_or(1);
+    match matches.get_one::<String>("experiment").map(String::as_str) {
+        Some(CAPACITY) => return measure_capacity(seed, matches.get_flag("json")),
+        Some(PATH) => return measure_path(seed, matches.get_flag("json")),
+        _ => {}
+    }
     let profile = chosen(matches, "profile", Profile::from_name)?;
     let experiment = chosen(matches, "experiment", Experiment::from_name)?;
     let policy = chosen(matches, "policy", Policy::from_name)?;
-    let seed = matches.get_one::<u64>("seed").copied().unwrap_or(1);
     let report = fes_measure::run(experiment, &profile, seed, policy);
     if let Some(directory) = matches.get_one::<PathBuf>("plot") {
         fes_measure::write_plots(&report, directory)?;
@@ -87,7 +111,7 @@
     } else {
         output::print(&format!("{report}\n"))?;
     }
-    Ok(ExitCode::from(if report.met { 0 } else { MISSED_STATUS }))
+    Ok(status(report.met))
 }
 
 fn chosen<T>(matches: &ArgMatches, name: &str, parse: fn(&str) -> Option<T>) -> Result<T> {
@@ -97,3 +121,60 @@
         Error::coded(ResultCode::UsageInvalid, detail)
     })
 }
+
+fn measure_capacity(seed: u64, as_json: bool) -> Result<ExitCode> {
+    let report = run_capacity(seed);
+    if as_json {
+        output::print(&format!("{}\n", serde_json::json!(report)))?;
+    } else {
+        output::print(&report.to_markdown())?;
+    }
+    Ok(status(report.budget.exceeded().next().is_none()))
+}
+
+fn measure_path(seed: u64, as_json: bool) -> Result<ExitCode> {
+    let plan = PathPlan {
+        requests: PATH_REQUESTS,
+        flows: PATH_FLOWS,
+        seed,
+    };
+    let progress = output::progress(plan.requests, "requests");
+    let report = actix_rt::System::new().block_on(run_path(&plan, &progress))?;
+    progress.finish_and_clear();
+    if as_json {
+        output::print(&format!("{}\n", serde_json::json!(report)))?;
+    } else {
+        output::print(&path_table(&report))?;
+    }
+    Ok(status(report.meets_targets()))
+}
+
+fn path_table(report: &PathReport) -> String {
+    let row = |name: &str, value: String| vec![name.to_owned(), value];
+    let latency =
+        |name: &str, value: &Quantiles| row(name, format!("{} / {}", value.p50_us, value.p99_us));
+    output::table(&[
+        row("seed", report.seed.to_string()),
+        row(
+            "decision, established flow, ns",
+            format!("{:.0}", report.decision.established_ns),
+        ),
+        row(
+            "decision, first packet, ns",
+            format!("{:.0}", report.decision.first_packet_ns),
+        ),
+        row("flows opened", report.flows.to_string()),
+        row(
+            "flows opened per second",
+            format!("{:.0}", report.flows_per_s),
+        ),
+        row("requests", report.requests.to_string()),
+        latency("direct, p50 / p99, us", &report.direct),
+        latency("through the fleet, p50 / p99, us", &report.through_fleet),
+        latency("added, p50 / p99, us", &report.added),
+    ])
+}
+
+fn status(is_met: bool) -> ExitCode {
+    ExitCode::from(if is_met { 0 } else { MISSED_STATUS })
+}
--- a/crates/fes-command/src/lib.rs
+++ b/crates/fes-command/src/lib.rs
@@ -2,11 +2,13 @@
 
 mod cli;
 mod commands;
+mod direct_client;
 mod latency;
 mod load_run;
 mod local_fleet;
 mod local_run;
 mod output;
+mod path_run;
 
 pub use cli::cli;
 pub use cli::run;
--- a/crates/fes-command/src/local_fleet.rs
+++ b/crates/fes-command/src/local_fleet.rs
@@ -108,6 +108,11 @@
         &self.log
     }
 
+    /// Returns the address of the first upstream.
+    pub(crate) fn upstream_address(&self) -> SocketAddr {
+        self.upstreams[0].address()
+    }
+
     /// Returns how many requests each upstream started.
     pub(crate) fn started_by_upstream(&self) -> Vec<u64> {
         self.upstreams.iter().map(Upstream::started).collect()
