Let the local fleet get its tickets by itself

'local' handed each ticket to every process, which hid the platform readers and the gossip. Tickets are now only published: entries read them, agents get them from entries, and the run reports after how long each is in force everywhere. Latency is reported for the three phases of the replacement.

--- a/crates/fes-command/src/commands/local.rs
+++ b/crates/fes-command/src/commands/local.rs
@@ -97,10 +97,22 @@
         row("connections", report.connections),
         row("requests sent again", report.repeats),
         row("entries replaced", report.entries_replaced),
-        row("latency p50, us", report.latency_us.p50),
-        row("latency p99, us", report.latency_us.p99),
-        row("latency max, us", report.latency_us.max),
     ];
+    let phases = [
+        ("before the death", report.latency_before_us),
+        ("with a dead entry", report.latency_during_us),
+        ("after the replacement", report.latency_after_us),
+    ];
+    for (phase, latency) in phases {
+        rows.push(row(&format!("latency p50 {phase}, us"), latency.p50));
+        rows.push(row(&format!("latency p99 {phase}, us"), latency.p99));
+    }
+    for (number, in_force_ms) in (1..).zip(&report.tickets_in_force_ms) {
+        rows.push(row(
+            &format!("ticket {number} in force after, ms"),
+            *in_force_ms,
+        ));
+    }
     for (number, started) in (1..).zip(&report.started_by_upstream) {
         rows.push(row(&format!("run by upstream {number}"), *started));
     }
--- a/crates/fes-command/src/local_fleet.rs
+++ b/crates/fes-command/src/local_fleet.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use fes_agent::Agent;
 use fes_agent::AgentHandle;
@@ -12,6 +13,7 @@
 use fes_protocol::EntrySpec;
 use fes_protocol::Error;
 use fes_protocol::FleetSpec;
+use fes_protocol::Lifecycle;
 use fes_protocol::Result;
 use fes_protocol::ResultCode;
 use fes_protocol::ServiceId;
@@ -36,11 +38,16 @@
 use fes_testkit::Upstream;
 use fes_testkit::UpstreamOptions;
 use fes_testkit::secret_keys;
+use tokio::time::Instant;
+use tokio::time::sleep;
 
 const SERVICE: ServiceId = ServiceId(1);
 const DATA_CENTRE: &str = "local";
 const SLOTS: u32 = 4;
 const ENTRIES: u32 = 2;
+/// A ticket must be in force everywhere within 7 s; a start may take as long again.
+const SERVING_BOUND_MS: u64 = 14_000;
+const SERVING_POLL_MS: u64 = 10;
 
 /// Two entries, an agent for each upstream, and the doubles of everything around them.
 pub(crate) struct LocalFleet {
@@ -53,6 +60,7 @@
     entries: Vec<EntryHandle>,
     next_entry: u32,
     next_ticket: u64,
+    tickets_in_force_ms: Vec<u64>,
     seed: u64,
 }
 
@@ -69,15 +77,17 @@
             entries: Vec::new(),
             next_entry: 1,
             next_ticket: 1,
+            tickets_in_force_ms: Vec::new(),
             seed,
         };
-        for number in 1..=upstream_count {
-            fleet.start_agent(number).await?;
-        }
         for _ in 0..ENTRIES {
             fleet.start_entry().await?;
         }
+        for number in 1..=upstream_count {
+            fleet.start_agent(number).await?;
+        }
         fleet.publish()?;
+        fleet.await_serving().await?;
         fleet.update_fabric()?;
         Ok(fleet)
     }
@@ -93,6 +103,7 @@
     pub(crate) async fn add_entry(&mut self) -> Result<()> {
         self.start_entry().await?;
         self.publish()?;
+        self.await_serving().await?;
         self.update_fabric()
     }
 
@@ -108,6 +119,11 @@
         &self.log
     }
 
+    /// Returns how long it took until each ticket was in force in all processes and all served.
+    pub(crate) fn tickets_in_force_ms(&self) -> &[u64] {
+        &self.tickets_in_force_ms
+    }
+
     /// Returns how many requests each upstream started.
     pub(crate) fn started_by_upstream(&self) -> Vec<u64> {
         self.upstreams.iter().map(Upstream::started).collect()
@@ -147,25 +163,69 @@
         Ok(())
     }
 
+    /// Waits until every process serves under the latest ticket. Nobody hands it to them: entries
+    /// read it from the platform, and agents get it from entries.
+    async fn await_serving(&mut self) -> Result<()> {
+        let published = Instant::now();
+        let deadline = published + Duration::from_millis(SERVING_BOUND_MS);
+        while !self.serves_latest() {
+            if Instant::now() >= deadline {
+                let detail = format!("not all processes serve: {}", self.phases());
+                return Err(Error::coded(ResultCode::RunFailed, detail));
+            }
+            sleep(Duration::from_millis(SERVING_POLL_MS)).await;
+        }
+        let elapsed_ms = u64::try_from(published.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.tickets_in_force_ms.push(elapsed_ms);
+        Ok(())
+    }
+
+    fn serves_latest(&self) -> bool {
+        let is_latest = |lifecycle: Lifecycle, highest: TicketNumber| {
+            lifecycle == Lifecycle::Serving && highest.0 + 1 == self.next_ticket
+        };
+        let entries = self
+            .entries
+            .iter()
+            .all(|entry| is_latest(entry.lifecycle(), entry.snapshot().highest()));
+        let agents = self
+            .agents
+            .iter()
+            .all(|agent| is_latest(agent.lifecycle(), agent.snapshot().highest()));
+        entries && agents
+    }
+
+    fn phases(&self) -> String {
+        let entries = self.entries.iter().map(|entry| {
+            let highest = entry.snapshot().highest();
+            format!(
+                "entry {} {:?} at ticket {highest}",
+                entry.id(),
+                entry.lifecycle()
+            )
+        });
+        let agents = self.agents.iter().map(|agent| {
+            let highest = agent.snapshot().highest();
+            format!(
+                "agent {} {:?} at ticket {highest}",
+                agent.target(),
+                agent.lifecycle()
+            )
+        });
+        entries.chain(agents).collect::<Vec<_>>().join(", ")
+    }
+
     /// Publishes the state of the fleet under the next number.
     fn publish(&mut self) -> Result<()> {
         let number = TicketNumber(self.next_ticket);
         self.next_ticket += 1;
-        let ticket = Arc::new(Ticket {
+        self.platform.publish_ticket(&Ticket {
             number,
             objects: vec![
                 TicketObject::Service(Arc::new(self.service())),
                 TicketObject::Fleet(Arc::new(self.fleet())),
             ],
-        });
-        self.platform.publish_ticket(&ticket)?;
-        for agent in &self.agents {
-            agent.offer(Arc::clone(&ticket));
-        }
-        for entry in &self.entries {
-            entry.offer(Arc::clone(&ticket));
-        }
-        Ok(())
+        })
     }
 
     fn fleet(&self) -> FleetSpec {
@@ -215,12 +275,14 @@
     }
 
     fn node_settings(&self, vm: &str) -> NodeSettings {
-        NodeSettings::new(
+        let mut settings = NodeSettings::new(
             DATA_CENTRE.into(),
             vm.into(),
             self.platform.address(),
             secret_keys(self.seed),
             self.authority.link_identity(),
-        )
+        );
+        settings.seed_peers = self.entries.iter().map(EntryHandle::link_address).collect();
+        settings
     }
 }
--- a/crates/fes-command/src/local_run.rs
+++ b/crates/fes-command/src/local_run.rs
@@ -26,6 +26,8 @@
 use crate::latency::Recorder;
 use crate::local_fleet::LocalFleet;
 
+/// Before the death of the entry, until another is started, and after.
+const PHASES: usize = 3;
 const MAX_CLIENTS: u64 = 32;
 /// Requests in progress at the same time; below the slots of three upstreams, so that the run
 /// measures flows and not overload.
@@ -69,7 +71,10 @@
     pub(crate) started_by_upstream: Vec<u64>,
     pub(crate) failures_by_code: BTreeMap<String, u64>,
     pub(crate) connection_ends: BTreeMap<String, u64>,
-    pub(crate) latency_us: Latency,
+    pub(crate) latency_before_us: Latency,
+    pub(crate) latency_during_us: Latency,
+    pub(crate) latency_after_us: Latency,
+    pub(crate) tickets_in_force_ms: Vec<u64>,
 }
 
 impl LocalReport {
@@ -84,7 +89,7 @@
     total: u64,
     next: Cell<u64>,
     random: RefCell<ChaCha8Rng>,
-    recorder: RefCell<Recorder>,
+    recorders: RefCell<[Recorder; PHASES]>,
 }
 
 /// Runs the plan.
@@ -103,7 +108,7 @@
         total: plan.requests,
         next: Cell::new(0),
         random: RefCell::new(ChaCha8Rng::seed_from_u64(plan.seed)),
-        recorder: RefCell::new(Recorder::new()?),
+        recorders: RefCell::new([Recorder::new()?, Recorder::new()?, Recorder::new()?]),
     });
     progress.set_length(plan.requests);
     let workers = clients
@@ -149,8 +154,9 @@
             };
             let started = Instant::now();
             let outcome = request(client, number, nonce, is_non_repeatable).await;
-            let mut recorder = self.recorder.borrow_mut();
-            recorder.record(&outcome, started.elapsed());
+            let phase = usize_of(number * PHASES as u64 / self.total).min(PHASES - 1);
+            let mut recorders = self.recorders.borrow_mut();
+            recorders[phase].record(&outcome, started.elapsed());
             progress.inc(1);
         }
     }
@@ -184,9 +190,9 @@
 /// Kills an entry after a third of the requests and starts another after two thirds. In between,
 /// half of all datagrams go to the dead one.
 async fn replace_entry(fleet: &mut LocalFleet, work: &Work) -> Result<()> {
-    work.reach(work.total / 3).await;
+    work.reach(work.total / PHASES as u64).await;
     fleet.kill_entry();
-    work.reach(work.total * 2 / 3).await;
+    work.reach(work.total * 2 / PHASES as u64).await;
     fleet.add_entry().await
 }
 
@@ -258,7 +264,11 @@
         feed_counts.add(&feed.counts());
     }
     let broken = feeds.iter().filter(|feed| feed.is_broken()).count() as u64;
-    let recorder = work.recorder.borrow();
+    let recorders = work.recorders.borrow();
+    let mut failures_by_code: BTreeMap<String, u64> = BTreeMap::new();
+    for (code, count) in recorders.iter().flat_map(Recorder::failures_by_code) {
+        *failures_by_code.entry(code.clone()).or_default() += count;
+    }
     LocalReport {
         seed: plan.seed,
         duration_ms,
@@ -278,9 +288,12 @@
         repeats: counts.repeats,
         entries_replaced: 1,
         started_by_upstream: fleet.started_by_upstream(),
-        failures_by_code: recorder.failures_by_code().clone(),
+        failures_by_code,
         connection_ends,
-        latency_us: recorder.latency(),
+        latency_before_us: recorders[0].latency(),
+        latency_during_us: recorders[1].latency(),
+        latency_after_us: recorders[2].latency(),
+        tickets_in_force_ms: fleet.tickets_in_force_ms().to_vec(),
     }
 }
 
