Compare latencies around four peaks instead of one

Change: a run has four peaks; latencies of the windows around all are pooled, goodput and answered share are those of the worst peak. The windows keep their length, so that a slow recovery counts as before. The forecast keeps the safe start per slot, which saves a square root per slot and step.

--- a/crates/fes-admission/src/forecast.rs
+++ b/crates/fes-admission/src/forecast.rs
@@ -21,12 +21,21 @@
 struct Slot {
     free_in_us: f64,
     variance_us2: f64,
+    /// Time by which the slot is almost certainly free.
+    safe_in_us: f64,
 }
 
 impl Slot {
-    /// Returns the time by which the slot is almost certainly free, in microseconds from now.
-    fn safe_start_us(&self) -> f64 {
-        self.free_in_us + SAFETY_DEVIATIONS * self.variance_us2.sqrt()
+    fn new(free_in_us: f64, variance_us2: f64) -> Self {
+        Self {
+            free_in_us,
+            variance_us2,
+            safe_in_us: free_in_us + SAFETY_DEVIATIONS * variance_us2.sqrt(),
+        }
+    }
+
+    fn add(&mut self, mean_us: f64, variance_us2: f64) {
+        *self = Self::new(self.free_in_us + mean_us, self.variance_us2 + variance_us2);
     }
 }
 
@@ -51,11 +60,8 @@
             .map(|r| {
                 let mean_us = classes.mean_us(r.class);
                 let left_us = mean_us - now.us_since(r.started_at) as f64;
-                let slot = Slot {
-                    free_in_us: left_us.max(mean_us * MIN_REMAINING_SHARE),
-                    variance_us2: classes.variance_us2(r.class),
-                };
-                (!r.long, slot)
+                let left_us = left_us.max(mean_us * MIN_REMAINING_SHARE);
+                (!r.long, Slot::new(left_us, classes.variance_us2(r.class)))
             })
             .collect();
         slots.sort_by(|a, b| latest_first(&a.1, &b.1));
@@ -80,12 +86,12 @@
         };
         let first = self.slots[..usable]
             .iter_mut()
-            .min_by(|a, b| a.safe_start_us().total_cmp(&b.safe_start_us()));
+            .min_by(|a, b| a.safe_in_us.total_cmp(&b.safe_in_us));
         first.map_or(f64::INFINITY, |slot| {
-            let start_us = slot.safe_start_us();
-            slot.free_in_us += classes.mean_us(waiting.class);
-            slot.variance_us2 += classes.variance_us2(waiting.class);
-            start_us + classes.mean_us(waiting.class)
+            let mean_us = classes.mean_us(waiting.class);
+            let completion_us = slot.safe_in_us + mean_us;
+            slot.add(mean_us, classes.variance_us2(waiting.class));
+            completion_us
         })
     }
 
--- a/crates/fes-measure/src/experiments/crest.rs
+++ b/crates/fes-measure/src/experiments/crest.rs
@@ -1,4 +1,4 @@
-//! A demand peak from 50 % to 200 % of capacity within 2 s, for 10 s, with clients that retry.
+//! Demand peaks from 50 % to 200 % of capacity within 2 s, for 10 s, with clients that retry.
 
 use fes_protocol::MonoTime;
 
@@ -21,19 +21,26 @@
 const QUIET_LOAD: f64 = 0.5;
 const PEAK_LOAD: f64 = 2.0;
 
-/// When demand starts to rise, in milliseconds.
-const RISE_MS: u64 = 30_000;
+/// Peaks in a run. The latencies of the windows around all of them are compared: with a single
+/// peak the p99 ratio of two windows is above 1.10 in 6 of 20 runs even without any peak.
+const PEAKS: u64 = 4;
 
-/// When demand has reached its peak, in milliseconds.
-const PEAK_FROM_MS: u64 = 32_000;
+/// When demand first starts to rise, in milliseconds.
+const FIRST_RISE_MS: u64 = 30_000;
 
-/// When demand falls back, in milliseconds.
-const PEAK_TO_MS: u64 = 42_000;
+/// Time from one rise to the next, in milliseconds.
+const CYCLE_MS: u64 = 26_000;
 
-/// When latency must be back, in milliseconds.
-const BACK_MS: u64 = PEAK_TO_MS + 2_000;
+/// Time from the rise to the full peak, in milliseconds.
+const RISE_MS: u64 = 2_000;
 
-/// Length of the windows before and after the peak, in milliseconds.
+/// Length of the peak, in milliseconds.
+const PEAK_MS: u64 = 10_000;
+
+/// Time from the end of the peak until latency must be back, in milliseconds.
+const BACK_MS: u64 = 2_000;
+
+/// Length of the windows before the rise and after the peak, in milliseconds.
 const COMPARED_MS: u64 = 5_000;
 
 /// Least goodput at the peak as a share of capacity.
@@ -55,14 +62,8 @@
         seed,
         speeds: mixed_speeds(profile, seed),
         classes: short_classes(profile),
-        load: vec![
-            (0, QUIET_LOAD),
-            (RISE_MS, QUIET_LOAD),
-            (PEAK_FROM_MS, PEAK_LOAD),
-            (PEAK_TO_MS, PEAK_LOAD),
-            (PEAK_TO_MS + 1, QUIET_LOAD),
-        ],
-        end: MonoTime::from_ms(BACK_MS + COMPARED_MS + 1_000),
+        load: rises_ms().flat_map(load_of_peak).collect(),
+        end: MonoTime::from_ms(FIRST_RISE_MS + PEAKS * CYCLE_MS),
         clients_retry: true,
     };
     let runs = [Policy::Baseline, Policy::Current].map(|p| Fleet::run(scenario.clone(), p));
@@ -70,10 +71,10 @@
     let both = |measure: &dyn Fn(&RunResult) -> f64| [measure(&runs[0]), measure(&runs[1])];
     let figures = vec![
         RawFigure::at_least(
-            "goodput within deadline at the peak over capacity",
+            "goodput within deadline over capacity, worst peak",
             "ratio",
             MIN_GOODPUT,
-            both(&|run| goodput(run, PEAK_FROM_MS, PEAK_TO_MS) / capacity_us_per_s),
+            both(&|run| least_goodput_at_peak(run) / capacity_us_per_s),
         ),
         RawFigure::at_most(
             "longest time to a refusal at the refusing agent",
@@ -94,7 +95,7 @@
             both(&|run| latency_ratio(run, 50.0)),
         ),
         RawFigure::at_least(
-            "answered in time from 2 s after the peak",
+            "answered in time from 2 s after the worst peak",
             "share",
             MIN_GOODPUT_AFTER,
             both(&good_share_after),
@@ -128,6 +129,32 @@
     }
 }
 
+fn rises_ms() -> impl Iterator<Item = u64> {
+    (0..PEAKS).map(|peak| FIRST_RISE_MS + peak * CYCLE_MS)
+}
+
+fn load_of_peak(rise_ms: u64) -> [(u64, f64); 4] {
+    let peak_to_ms = rise_ms + RISE_MS + PEAK_MS;
+    [
+        (rise_ms, QUIET_LOAD),
+        (rise_ms + RISE_MS, PEAK_LOAD),
+        (peak_to_ms, PEAK_LOAD),
+        (peak_to_ms + 1, QUIET_LOAD),
+    ]
+}
+
+/// When latency must be back after the peak that begins at `rise_ms`.
+const fn back_ms(rise_ms: u64) -> u64 {
+    rise_ms + RISE_MS + PEAK_MS + BACK_MS
+}
+
+fn least_goodput_at_peak(run: &RunResult) -> f64 {
+    let peaks = rises_ms().map(|rise_ms| rise_ms + RISE_MS);
+    peaks
+        .map(|from_ms| goodput(run, from_ms, from_ms + PEAK_MS))
+        .fold(f64::INFINITY, f64::min)
+}
+
 /// Work answered in time, in microseconds on a reference slot per second.
 fn goodput(run: &RunResult, from_ms: u64, to_ms: u64) -> f64 {
     let window = MonoTime::from_ms(from_ms)..MonoTime::from_ms(to_ms);
@@ -159,16 +186,31 @@
 }
 
 fn latency_ratio(run: &RunResult, percent: f64) -> f64 {
-    let latency = |from_ms: u64| {
-        let from = MonoTime::from_ms(from_ms);
-        let sent = sent_in(&run.outcomes, from, from.plus_ms(COMPARED_MS));
+    let latency = |windows: &mut dyn Iterator<Item = u64>| {
+        let sent = windows.flat_map(|from_ms| sent_in_window(run, from_ms));
         percentile(sent.map(|o| ms_or_never(o.latency_us())).collect(), percent)
     };
-    latency(BACK_MS) / latency(RISE_MS - COMPARED_MS)
+    let before = latency(&mut rises_ms().map(|rise_ms| rise_ms - COMPARED_MS));
+    let after = latency(&mut rises_ms().map(back_ms));
+    if after.is_finite() {
+        after / before
+    } else {
+        f64::INFINITY
+    }
 }
 
 fn good_share_after(run: &RunResult) -> f64 {
-    let from = MonoTime::from_ms(BACK_MS);
-    let sent = || sent_in(&run.outcomes, from, from.plus_ms(COMPARED_MS));
-    share(sent().filter(|o| o.is_good()).count(), sent().count())
+    let good_share = |from_ms| {
+        let good = sent_in_window(run, from_ms).filter(|o| o.is_good());
+        share(good.count(), sent_in_window(run, from_ms).count())
+    };
+    rises_ms()
+        .map(back_ms)
+        .map(good_share)
+        .fold(f64::INFINITY, f64::min)
+}
+
+fn sent_in_window(run: &RunResult, from_ms: u64) -> impl Iterator<Item = &Outcome> {
+    let from = MonoTime::from_ms(from_ms);
+    sent_in(&run.outcomes, from, from.plus_ms(COMPARED_MS))
 }
--- a/crates/fes-measure/tests/reports.rs
+++ b/crates/fes-measure/tests/reports.rs
@@ -18,8 +18,10 @@
 /// Fails if a run depends on anything but its arguments, for example on the order of a map.
 #[test]
 fn same_arguments_give_the_same_bytes() {
-    let first = report(Experiment::Crest, Policy::Current);
-    let second = report(Experiment::Crest, Policy::Current);
+    let run = || std::thread::spawn(|| report(Experiment::Crest, Policy::Current));
+
+    let (first, second) = (run(), run());
+    let (first, second) = (first.join().unwrap(), second.join().unwrap());
 
     assert_eq!(first.to_json().unwrap(), second.to_json().unwrap());
     assert_eq!(first.series, second.series);
