--- a/crates/fes-tickets/src/simulation/trace.rs
+++ b/crates/fes-tickets/src/simulation/trace.rs
@@ -25,6 +25,15 @@
     pub after: TicketVersion,
 }
 
+impl Hop {
+    /// Returns whether the number of the object went down.
+    #[must_use]
+    pub fn is_decrease(&self) -> bool {
+        let before = self.before.map(|version| version.number);
+        before.is_some_and(|number| number > self.after.number)
+    }
+}
+
 impl fmt::Display for Hop {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let from = self
@@ -64,10 +73,7 @@
 
     /// Returns the hops at which the number of an object went down at a process.
     pub fn decreases(&self) -> impl Iterator<Item = &Hop> {
-        self.hops.iter().filter(|hop| {
-            hop.before
-                .is_some_and(|before| before.number > hop.after.number)
-        })
+        self.hops.iter().filter(|hop| hop.is_decrease())
     }
 }
 
