--- a/crates/fes-tickets/src/lib.rs
+++ b/crates/fes-tickets/src/lib.rs
@@ -4,6 +4,7 @@
 //! Nothing in this crate reads a clock or a socket.
 
 mod content_digest;
+mod diff;
 mod distribution;
 mod document;
 mod duplicates;
@@ -26,6 +27,15 @@
 
 pub use content_digest::TicketVersion;
 pub use content_digest::content_digest;
+pub use diff::FleetChange;
+pub use diff::ServiceChange;
+pub use diff::ServiceChangeKind;
+pub use diff::SetChange;
+pub use diff::StateDiff;
+pub use diff::UpstreamChange;
+pub use diff::UpstreamChangeKind;
+pub use diff::diff_states;
+pub use diff::diff_ticket;
 pub use distribution::Distribution;
 pub use distribution::DistributionSettings;
 pub use event::DistributionAction;
--- a/crates/fes-tickets/src/simulation/shape.rs
+++ b/crates/fes-tickets/src/simulation/shape.rs
@@ -66,13 +66,15 @@
     /// each further one a service.
     #[must_use]
     pub fn tickets(&self) -> Vec<Arc<Ticket>> {
-        let fleets = self.data_centres.iter().enumerate();
-        let mut objects: Vec<TicketObject> = fleets
-            .map(|(index, name)| TicketObject::Fleet(Arc::new(self.fleet(index, name))))
-            .collect();
-        objects.push(TicketObject::KeyEpoch(KeyEpochSpec {
+        let key_epoch = TicketObject::KeyEpoch(KeyEpochSpec {
             current: KeyEpoch(1),
-        }));
+        });
+        let fleets = self.data_centres.iter().enumerate();
+        let fleets = fleets.map(|(index, name)| {
+            let fleet = Arc::new(self.fleet(index, name));
+            TicketObject::Fleet(fleet)
+        });
+        let objects = std::iter::once(key_epoch).chain(fleets).collect();
         let first = Ticket {
             number: TicketNumber(1),
             objects,
