--- a/crates/fes-admission/src/admission.rs
+++ b/crates/fes-admission/src/admission.rs
@@ -83,7 +83,8 @@
     ///   belong to an earlier start of the request.
     /// - `UpstreamShed` of a repeatable request puts it back into the queue if the retry budget
     ///   and its deadline permit; a second `Start` follows. Otherwise it is refused.
-    /// - `Drain`, `UpstreamUp` and `UpstreamDown` may be repeated. A drain is final.
+    /// - `Drain`, `Resume`, `UpstreamUp` and `UpstreamDown` may be repeated. A drain ends only with
+    ///   `Resume`.
     /// - A `Timer` that is late only delays refusals of expired requests; an extra one does
     ///   nothing.
     pub fn handle(&mut self, now: MonoTime, event: AdmissionEvent) -> Vec<AdmissionAction> {
@@ -114,6 +115,7 @@
             AdmissionEvent::UpstreamUp => self.upstream_up(now),
             AdmissionEvent::UpstreamDown => self.upstream_down(&mut actions),
             AdmissionEvent::Drain => self.gate = Gate::Draining,
+            AdmissionEvent::Resume => self.resume(),
             AdmissionEvent::Timer => self.armed = MonoTime::NEVER,
         }
         self.refuse_expired(now, &mut actions);
@@ -132,16 +134,16 @@
         } else {
             0.0
         };
-        let queued_us: f64 = self
-            .queue
-            .iter()
-            .map(|w| self.classes.mean_us(w.class))
-            .sum();
+        let (short_us, long_us) = self.forecast(now).waits_us(&self.queue, &self.classes);
+        let long_requests = self.running.long_count() as usize + self.queue.long().count();
+        let are_long_slots_taken = long_requests >= self.settings.long_slots(limit) as usize;
+        let long_us = if are_long_slots_taken { long_us } else { 0.0 };
         Load {
             capacity_milli: milli(f64::from(limit) * speed * share),
             demand_milli: milli(self.demand.slots(now)),
             movable_milli: milli(self.movable.slots(now)),
-            queue_wait_ms: (queued_us / f64::from(limit) / 1e3) as u32,
+            queue_wait_ms: (short_us / 1e3) as u32,
+            long_wait_ms: (long_us / 1e3) as u32,
             has_free_slot: open && self.running.len() < limit && self.queue.len() == 0,
         }
     }
@@ -245,16 +247,22 @@
         if self.queue.len() >= self.settings.queue_capacity {
             return Err(ResultCode::NotRunQueueFull);
         }
-        let limit = self.limit.current(now);
-        let long_slots = self.settings.long_slots(limit);
-        let forecast = Forecast::new(now, &self.running, &self.classes, limit, long_slots);
-        if forecast.accepts(now, &self.queue, &self.classes, waiting) {
+        if self
+            .forecast(now)
+            .accepts(now, &self.queue, &self.classes, waiting)
+        {
             Ok(())
         } else {
             Err(ResultCode::NotRunOverloaded)
         }
     }
 
+    fn forecast(&mut self, now: MonoTime) -> Forecast {
+        let limit = self.limit.current(now);
+        let long_slots = self.settings.long_slots(limit);
+        Forecast::new(now, &self.running, &self.classes, limit, long_slots)
+    }
+
     fn finish(&mut self, now: MonoTime, id: RequestId) {
         let Some(done) = self.running.remove(id) else {
             return;
@@ -296,6 +304,12 @@
         }
     }
 
+    fn resume(&mut self) {
+        if self.gate == Gate::Draining {
+            self.gate = Gate::Open;
+        }
+    }
+
     fn upstream_down(&mut self, actions: &mut Vec<AdmissionAction>) {
         if self.gate != Gate::Open {
             return;
--- a/crates/fes-admission/src/message.rs
+++ b/crates/fes-admission/src/message.rs
@@ -29,7 +29,7 @@
         id: RequestId,
         /// The request's class.
         class: ClassName,
-        /// When its response loses its value.
+        /// When its response must leave this agent: the client's deadline less the way back.
         deadline: MonoTime,
         /// Whether it may run more than once.
         repeatable: bool,
@@ -69,6 +69,8 @@
     UpstreamDown,
     /// The agent leaves: nothing new is admitted, what is queued or started completes.
     Drain,
+    /// The agent stays after all, because the ticket or VM list that said otherwise changed.
+    Resume,
     /// A timer asked for by [`AdmissionAction::Timer`].
     Timer,
 }
@@ -106,8 +108,11 @@
     pub demand_milli: u32,
     /// The part of `demand_milli` that may run at a peer.
     pub movable_milli: u32,
-    /// Work in the queue, in milliseconds at this agent's own speed.
+    /// Expected wait of a short request that arrives now, in milliseconds.
     pub queue_wait_ms: u32,
+    /// Expected wait of a long request that arrives now behind other long ones, in milliseconds;
+    /// 0 while long requests may have another slot, even if a short one holds it.
+    pub long_wait_ms: u32,
     /// Whether a short request that arrives now would start at once.
     pub has_free_slot: bool,
 }
--- /dev/null
+++ b/crates/fes-agent/src/agent.rs
@@ -0,0 +1,203 @@
+//! Start and stop of an agent.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use fes_link::LinkPool;
+use fes_link::LinkServer;
+use fes_link::LinkTls;
+use fes_membership::lifecycle::DrainSource;
+use fes_membership::lifecycle::LifecycleEvent;
+use fes_protocol::Incarnation;
+use fes_protocol::Lifecycle;
+use fes_protocol::NodeId;
+use fes_protocol::Result;
+use fes_protocol::TargetId;
+use fes_protocol::Ticket;
+use fes_settings::AgentSettings;
+use fes_telemetry::StatusServer;
+use fes_tickets::DistributionEvent;
+use fes_tickets::Endpoint;
+use fes_tickets::Snapshot;
+use fes_tickets::TicketMessage;
+use quinn::AsyncUdpSocket;
+use quinn::VarInt;
+use serde_json::Value;
+use tokio::sync::mpsc;
+
+use crate::AgentCounters;
+use crate::build::build_core;
+use crate::core::AgentCore;
+use crate::tasks::start_links;
+use crate::tasks::start_tasks;
+
+const H3_NO_ERROR: u32 = 0x100;
+
+/// The agent daemon.
+#[derive(Debug)]
+pub struct Agent;
+
+/// A running agent. Dropping the handle stops it at once.
+pub struct AgentHandle {
+    core: Rc<AgentCore>,
+    link_server: LinkServer,
+    status: StatusServer,
+}
+
+impl std::fmt::Debug for AgentHandle {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("AgentHandle")
+            .field("target", &self.core.settings.target)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Agent {
+    /// Starts an agent on the current arbiter.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`fes_protocol::ResultCode::BindFailed`] or
+    /// [`fes_protocol::ResultCode::SettingsBadCertificate`].
+    pub async fn start(settings: AgentSettings) -> Result<AgentHandle> {
+        let identity = &settings.node.link_tls;
+        let tls = LinkTls::new(
+            identity.authorities.clone(),
+            identity.certificates.clone(),
+            identity.private_key.clone_key(),
+        )?;
+        let (control, datagrams) = mpsc::unbounded_channel();
+        let core = build_core(settings, LinkPool::new(tls.clone()), control)?;
+        let link_server = start_links(&core, &tls)?;
+        let status_core = Rc::downgrade(&core);
+        let status = StatusServer::start(
+            core.settings.node.status_address,
+            Arc::clone(&core.metrics),
+            core.health.clone(),
+            move || {
+                status_core
+                    .upgrade()
+                    .map_or(Value::Null, |core| core.status())
+            },
+        )
+        .await?;
+        start_tasks(&core, datagrams);
+        Ok(AgentHandle {
+            core,
+            link_server,
+            status,
+        })
+    }
+}
+
+impl AgentHandle {
+    /// Returns the address of the socket for encapsulated datagrams.
+    #[must_use]
+    pub fn agent_address(&self) -> SocketAddr {
+        let bound = self.core.socket.local_addr();
+        bound.unwrap_or(self.core.settings.agent_address)
+    }
+
+    /// Returns the address for links.
+    #[must_use]
+    pub const fn link_address(&self) -> SocketAddr {
+        self.link_server.address()
+    }
+
+    /// Returns the target.
+    #[must_use]
+    pub fn target(&self) -> TargetId {
+        self.core.settings.target
+    }
+
+    /// Returns the incarnation.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.core.incarnation
+    }
+
+    /// Returns the address of the status server.
+    #[must_use]
+    pub const fn status_address(&self) -> SocketAddr {
+        self.status.address()
+    }
+
+    /// Returns how many peers the agent believes to take work.
+    #[must_use]
+    pub fn peers_taking_work(&self) -> usize {
+        let peers = self.core.peers.borrow();
+        let taking = peers.peers().filter(|(_, state, ..)| state.takes_work());
+        taking.count()
+    }
+
+    /// Returns the phase of life.
+    #[must_use]
+    pub fn lifecycle(&self) -> Lifecycle {
+        self.core.health.lifecycle()
+    }
+
+    /// Returns the tickets in force.
+    #[must_use]
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        self.core.tickets.snapshot()
+    }
+
+    /// Puts a ticket in force and passes it on, as if the platform had just served it.
+    pub fn offer(&self, ticket: Arc<Ticket>) {
+        let from = Endpoint::Node(NodeId::Agent(self.core.settings.target));
+        let message = TicketMessage::Push(vec![ticket]);
+        self.core
+            .post_tickets(DistributionEvent::Message { from, message });
+    }
+
+    /// Returns the current counters.
+    #[must_use]
+    pub fn counters(&self) -> AgentCounters {
+        self.core.snapshot()
+    }
+
+    /// Starts a graceful stop: refuses new work, completes what is in progress, and closes at the
+    /// drain bound with explicit errors. A second call doesn't shorten it.
+    pub fn stop(&self) {
+        // The life cycle must know the work in progress before it decides that there is none.
+        let progress = LifecycleEvent::Progress(self.core.work_in_progress());
+        self.core.post_lifecycle(progress);
+        let drain = LifecycleEvent::Drain(DrainSource::Signal);
+        self.core.post_lifecycle(drain);
+    }
+
+    /// Waits for the end of a graceful stop; returns the exit status of the process.
+    pub async fn stopped(&self) -> u8 {
+        let mut exit = self.core.exit_status.subscribe();
+        let status = exit.wait_for(Option::is_some).await;
+        let status = status.map_or(None, |status| *status);
+        self.core.endpoint.wait_idle().await;
+        status.unwrap_or(0)
+    }
+
+    /// Stops gracefully and waits for the end; returns the exit status of the process.
+    pub async fn drain(self) -> u8 {
+        self.stop();
+        self.stopped().await
+    }
+
+    /// Stops at once, as a crash would: nothing more is sent.
+    pub fn kill(self) {
+        drop(self);
+    }
+}
+
+impl Drop for AgentHandle {
+    fn drop(&mut self) {
+        let core = &self.core;
+        core.socket.kill();
+        core.endpoint.close(VarInt::from_u32(H3_NO_ERROR), b"");
+        core.upstream.close();
+        core.links.close();
+        core.tasks.abort();
+        core.tickets.stop();
+        core.requests.clear();
+        core.driver.clear_effects();
+    }
+}
