Run the drain bound in every order

Cause: the drain bound is the one planned event that ends a running request.

Change: a case of tests/orders.rs with two tries, SIGTERM and a short bound, and a broken agent that the case catches.

Conclusion: none open.

--- a/crates/fes-idempotency/tests/orders.rs
+++ b/crates/fes-idempotency/tests/orders.rs
@@ -75,6 +75,15 @@
     world.fault_after_ms(1, Fault::Restart(OWNER));
 }
 
+fn a_drain_bound_and_a_retry(world: &mut World) {
+    let agent = world.agents.get_mut(&OWNER).expect("agent exists");
+    agent.set_drain_bound(3);
+    agent.slots = 1;
+    send(world, OWNER, "x");
+    send(world, OTHER, "x");
+    world.fault_after_ms(1, Fault::Terminate(OWNER));
+}
+
 /// Runs a case in every order; returns how many orders there are, or the first violation.
 fn explore(set_up: fn(&mut World), broken: Broken) -> Result<usize, String> {
     let mut choices: Vec<(usize, usize)> = Vec::new();
@@ -115,6 +124,7 @@
 #[case(a_refusal_and_a_retry)]
 #[case(a_partition)]
 #[case(a_lost_upstream_and_a_restart)]
+#[case(a_drain_bound_and_a_retry)]
 fn every_order_keeps_every_promise(#[case] set_up: fn(&mut World)) {
     let outcome = explore(set_up, Broken::Nothing);
 
@@ -128,6 +138,7 @@
 #[case(two_bodies_and_a_cancel, Broken::SwallowsWaiters)]
 #[case(a_partition, Broken::RunsForLostOwner)]
 #[case(a_lost_upstream_and_a_restart, Broken::RetriesLostUpstream)]
+#[case(a_drain_bound_and_a_retry, Broken::DrainBoundAnswersNotRun)]
 fn some_order_catches_a_broken_agent(#[case] set_up: fn(&mut World), #[case] broken: Broken) {
     let outcome = explore(set_up, broken);
 
--- a/crates/fes-testkit/src/at_most_once/event.rs
+++ b/crates/fes-testkit/src/at_most_once/event.rs
@@ -14,6 +14,8 @@
 pub enum Fault {
     /// An agent dies.
     Crash(TargetId),
+    /// An agent gets SIGTERM.
+    Terminate(TargetId),
     /// A dead or stopped agent starts as a new incarnation.
     Restart(TargetId),
     /// A paused agent goes on.
--- a/crates/fes-testkit/src/at_most_once/hosting.rs
+++ b/crates/fes-testkit/src/at_most_once/hosting.rs
@@ -92,6 +92,7 @@
     fn on_fault(&mut self, fault: Fault) {
         match fault {
             Fault::Crash(at) => self.crash(at),
+            Fault::Terminate(at) => self.drain(at),
             Fault::Restart(at) if !self.agents[&at].up => self.boot(at),
             Fault::Restart(_) => {}
             Fault::Resume(at) => self.on_resume(at),
