Align the default of the idempotency store with the settings

Cause: settings hold 100,000 keys by default, the store's own default was 65,536, and the pages named the latter.

--- a/crates/fes-idempotency/src/limits.rs
+++ b/crates/fes-idempotency/src/limits.rs
@@ -34,7 +34,7 @@
 impl Default for StoreLimits {
     fn default() -> Self {
         Self {
-            max_keys: 65_536,
+            max_keys: 100_000,
             max_responses_bytes: 16 << 20,
             max_response_bytes: 64 << 10,
         }
