Answer what is in progress when the drain bound passes

Cause: at the bound, connections closed before the answers were sent, and repeatable requests got none. Change: running requests are answered F3007, queued ones F2004, responses that began are reset; connections close once the answers are acknowledged, after 2 s at the latest.

--- a/crates/fes-agent/src/agent.rs
+++ b/crates/fes-agent/src/agent.rs
@@ -179,7 +179,9 @@
         let mut exit = self.core.exit_status.subscribe();
         let status = exit.wait_for(Option::is_some).await;
         let status = status.map_or(None, |status| *status);
-        self.core.endpoint.wait_idle().await;
+        let mut closed = self.core.closed.subscribe();
+        // Fails only if the agent was killed meanwhile.
+        let _ = closed.wait_for(|closed| *closed).await;
         status.unwrap_or(0)
     }
 
--- a/crates/fes-agent/src/core.rs
+++ b/crates/fes-agent/src/core.rs
@@ -108,7 +108,9 @@
     /// Set once the process may end.
     pub(crate) exit_status: watch::Sender<Option<u8>>,
     /// Whether the drain bound cut work off.
-    pub(crate) is_cut_off: Cell<bool>,
+    pub(crate) cut_off: watch::Sender<bool>,
+    /// Set once the connections are closed.
+    pub(crate) closed: watch::Sender<bool>,
     pub(crate) flows_open: Cell<u32>,
     /// Requests of clients whose responses aren't delivered completely.
     pub(crate) streams_open: Cell<u32>,
--- a/crates/fes-agent/src/host.rs
+++ b/crates/fes-agent/src/host.rs
@@ -1,6 +1,8 @@
 //! Carries out what the components decide outside of requests.
 
+use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use fes_idempotency::CoordinatorEvent;
 use fes_membership::PeerState;
@@ -35,6 +37,9 @@
 const H3_NO_ERROR: u32 = 0x100;
 const H3_INTERNAL_ERROR: u32 = 0x102;
 
+/// How long answers of a stopping agent may take to reach their clients.
+const CLOSE_GRACE: Duration = Duration::from_secs(2);
+
 /// Way to a peer of the same data centre and back, in milliseconds.
 const NEAR_HOP_MS: u32 = 1;
 
@@ -223,7 +228,7 @@
     }
 
     /// Carries out a step of the life cycle.
-    pub(crate) fn on_lifecycle_action(&self, action: LifecycleAction) {
+    pub(crate) fn on_lifecycle_action(self: &Rc<Self>, action: LifecycleAction) {
         match action {
             LifecycleAction::Announce(lifecycle) => {
                 log::info!("agent: {lifecycle:?}");
@@ -249,7 +254,7 @@
             LifecycleAction::SetTimer(_) | LifecycleAction::CloseSockets => {}
             LifecycleAction::CutOffWork(_) => {
                 self.post_keys(KeysEvent::Coordinator(CoordinatorEvent::DrainBoundReached));
-                self.is_cut_off.set(true);
+                self.cut_off.send_replace(true);
             }
             LifecycleAction::LogCutOff(cut_off) => log::error!(
                 "agent: {}: {} requests, {} streams",
@@ -258,11 +263,7 @@
                 cut_off.stream_count
             ),
             LifecycleAction::CloseConnections => {
-                let code = match self.is_cut_off.get() {
-                    true => H3_INTERNAL_ERROR,
-                    false => H3_NO_ERROR,
-                };
-                self.endpoint.close(VarInt::from_u32(code), b"stopped");
+                self.spawn(close_connections(Rc::clone(self)));
             }
             LifecycleAction::Exit { status } => {
                 self.exit_status.send_replace(Some(status));
@@ -287,3 +288,25 @@
         }
     }
 }
+
+/// Closes the connections once the last answers are acknowledged.
+async fn close_connections(core: Rc<AgentCore>) {
+    let delivered = async {
+        loop {
+            let ended = core.ended.notified();
+            if core.streams_open.get() == 0 {
+                return;
+            }
+            ended.await;
+        }
+    };
+    // A client that is gone doesn't acknowledge anything.
+    let _ = tokio::time::timeout(CLOSE_GRACE, delivered).await;
+    let code = match core.streams_open.get() {
+        0 => H3_NO_ERROR,
+        _ => H3_INTERNAL_ERROR,
+    };
+    core.endpoint.close(VarInt::from_u32(code), b"stopped");
+    core.endpoint.wait_idle().await;
+    core.closed.send_replace(true);
+}
--- a/crates/fes-agent/src/relay/link_sink.rs
+++ b/crates/fes-agent/src/relay/link_sink.rs
@@ -26,15 +26,25 @@
 /// Takes one response and hands its parts to the task that owns the link stream.
 pub(crate) struct LinkSink {
     parts: mpsc::Sender<ReplyPart>,
+    is_started: bool,
 }
 
 impl LinkSink {
     pub(crate) fn new() -> (Self, mpsc::Receiver<ReplyPart>) {
         let (parts, receiver) = mpsc::channel(WAITING_PARTS);
-        (Self { parts }, receiver)
+        let sink = Self {
+            parts,
+            is_started: false,
+        };
+        (sink, receiver)
+    }
+
+    pub(crate) const fn is_started(&self) -> bool {
+        self.is_started
     }
 
-    pub(crate) async fn start(&self, head: &Response<()>) -> Result<(), SinkClosed> {
+    pub(crate) async fn start(&mut self, head: &Response<()>) -> Result<(), SinkClosed> {
+        self.is_started = true;
         self.send(ReplyPart::Head(head.into())).await
     }
 
--- a/crates/fes-agent/src/request/response_sink.rs
+++ b/crates/fes-agent/src/request/response_sink.rs
@@ -30,6 +30,7 @@
 /// The sending half of an HTTP/3 request stream.
 pub(crate) struct Http3Sink {
     stream: RequestStream<Http3SendStream, Bytes>,
+    is_started: bool,
     is_finished: bool,
 }
 
@@ -37,6 +38,7 @@
     pub(crate) const fn new(stream: RequestStream<Http3SendStream, Bytes>) -> Self {
         Self {
             stream,
+            is_started: false,
             is_finished: false,
         }
     }
@@ -67,9 +69,18 @@
 }
 
 impl ResponseSink {
+    /// Returns whether a part of a response was sent.
+    pub(crate) const fn is_started(&self) -> bool {
+        match self {
+            Self::Http3(sink) => sink.is_started,
+            Self::Link(sink) => sink.is_started(),
+        }
+    }
+
     pub(crate) async fn start(&mut self, head: Response<()>) -> Result<(), SinkClosed> {
         match self {
             Self::Http3(sink) => {
+                sink.is_started = true;
                 let sent = sink.stream.send_response(head).await;
                 sent.map_err(|_| SinkClosed)
             }
--- a/crates/fes-agent/src/request/serve.rs
+++ b/crates/fes-agent/src/request/serve.rs
@@ -73,20 +73,31 @@
 impl RequestTask {
     /// Returns the future that waits for delivery, or `None` if the sender went away first.
     async fn run(mut self, mut steps: mpsc::UnboundedReceiver<RequestStep>) -> Option<Cancelled> {
+        let core = Rc::clone(&self.core);
+        let mut cut_off = core.cut_off.subscribe();
+        let mut is_running = false;
         loop {
             let step = tokio::select! {
                 biased;
+                // First, so that a slot that the bound frees starts nothing.
+                _ = cut_off.wait_for(|cut| *cut), if !self.exchange.is_keyed => {
+                    return self.cut_off(is_running).await;
+                }
                 step = steps.recv() => step?,
                 () = &mut self.cancelled => return None,
             };
+            is_running |= starts_work(&step);
             let carried_out = {
-                let core = Rc::clone(&self.core);
                 let carrying_out = carry_out(&core, self.id, &self.exchange, &mut self.sink, step);
                 tokio::select! {
-                    carried_out = carrying_out => carried_out,
+                    carried_out = carrying_out => Some(carried_out),
                     () = &mut self.cancelled => return None,
+                    _ = cut_off.wait_for(|cut| *cut), if !self.exchange.is_keyed => None,
                 }
             };
+            let Some(carried_out) = carried_out else {
+                return self.cut_off(is_running).await;
+            };
             match carried_out {
                 Ok(Progress::Waiting) => {}
                 Ok(Progress::Answered) => return Some(self.cancelled),
@@ -96,6 +107,31 @@
     }
 }
 
+impl RequestTask {
+    /// Ends a repeatable request at the drain bound. A response that began is reset.
+    async fn cut_off(mut self, is_running: bool) -> Option<Cancelled> {
+        // Nothing starts after this, so that a queued request did not run.
+        self.core.post_work(WorkEvent::Cancelled { id: self.id });
+        if self.sink.is_started() {
+            return None;
+        }
+        let answer = Answer::code(match is_running {
+            true => ResultCode::UnknownDrainBound,
+            false => ResultCode::NotRunDraining,
+        });
+        self.core.count_answer(&answer);
+        let sent = self.sink.answer_with(&self.core, &answer).await;
+        sent.is_ok().then_some(self.cancelled)
+    }
+}
+
+const fn starts_work(step: &RequestStep) -> bool {
+    matches!(
+        step,
+        RequestStep::Effect(RequestEffect::Start { .. } | RequestEffect::Offload { .. })
+    )
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Progress {
     /// Another step follows.
--- a/crates/fes-agent/tests/changes.rs
+++ b/crates/fes-agent/tests/changes.rs
@@ -5,6 +5,7 @@
 use fes_protocol::Lifecycle;
 use fes_protocol::ResultCode;
 use fes_protocol::TargetId;
+use fes_protocol::headers::RESULT_CODE;
 use fes_testkit::Call;
 use fes_testkit::Outcome;
 use fes_testkit::until;
@@ -80,6 +81,43 @@
     assert!(broken as u64 <= of_killed, "{broken} of {of_killed}");
 }
 
+/// Fails if the drain bound ends a request without an explicit answer, or with "not run" for one
+/// that ran.
+#[actix_rt::test]
+async fn the_drain_bound_answers_what_is_in_progress() {
+    let mut cluster = cluster_with(2, 1, |settings| settings.drain_bound_ms = 1).await;
+    let upstream = cluster.upstreams[0].clone();
+    upstream.hold("/reports");
+    let clients: Vec<_> = (0..5).map(|n| cluster.client(&format!("c{n}"))).collect();
+    let key = clients[0].next_key().await.expect("key");
+    let keyed = Call::post("/reports/keyed", key, "all lots");
+    let mut calls = vec![keyed];
+    calls.extend((1..5).map(|n| Call::get(format!("/reports/{n}"))));
+    let requests = clients.iter().zip(calls).map(|(client, call)| {
+        let client = client.clone();
+        actix_rt::spawn(async move { client.exchange(&call).await })
+    });
+    let requests: Vec<_> = requests.collect();
+    let agent = cluster.agents.remove(0);
+    until("all are admitted", || agent.counters().requests_open == 5).await;
+    until("some run", || upstream.running() > 1).await;
+
+    let status = agent.drain().await;
+    let mut codes = Vec::new();
+    for request in requests {
+        let reply = request.await.expect("task").expect("a reply");
+        let code = reply.headers.get(RESULT_CODE).expect("a code");
+        codes.push(code.to_str().expect("text").to_owned());
+    }
+
+    let unknown = codes.iter().filter(|code| *code == "F3007").count();
+    let not_run = codes.iter().filter(|code| *code == "F2004").count();
+    // There are four slots. A request may have been cut off on its way to the upstream.
+    assert_eq!(unknown + not_run, 5, "{codes:?}");
+    assert!((cluster.log.len()..=4).contains(&unknown), "{codes:?}");
+    assert_eq!(status, 1);
+}
+
 /// Fails if a restarted agent runs a key of its former incarnation, or calls it not run.
 #[actix_rt::test]
 async fn a_restarted_agent_does_not_know_its_former_keys() {
