--- a/crates/fes-agent/src/report.rs
+++ b/crates/fes-agent/src/report.rs
@@ -20,6 +20,10 @@
 impl AgentCore {
     /// Brings the metrics up to date.
     pub(crate) fn update_metrics(&self) {
+        let replayed = self.peers.borrow().replayed_count();
+        let counted = self.drops.get(ResultCode::DatagramReplayed);
+        let code = ResultCode::DatagramReplayed;
+        self.drops.add(code, replayed.saturating_sub(counted));
         let now = self.snapshot();
         let mut reported = self.reported.borrow_mut();
         let before = std::mem::replace(&mut reported.counters, now.clone());
--- a/crates/fes-entry/src/tasks.rs
+++ b/crates/fes-entry/src/tasks.rs
@@ -8,9 +8,12 @@
 use fes_link::LinkServer;
 use fes_link::LinkTls;
 use fes_membership::EntryViewEvent;
+use fes_membership::VmHint;
+use fes_membership::VmState;
 use fes_membership::lifecycle::LifecycleEvent;
 use fes_node::TICKETS_KIND;
 use fes_node::watch_clock;
+use fes_platform::VmHintState;
 use fes_protocol::Result;
 use fes_protocol::ResultCode;
 use fes_tickets::DistributionEvent;
@@ -22,6 +25,9 @@
 /// Period at which metrics and the progress of a drain are reported.
 const REPORT_PERIOD: Duration = Duration::from_millis(250);
 
+/// Period at which readers ask for the list of VMs. Fifteen readers make three reads per second.
+const VM_LIST_PERIOD: Duration = Duration::from_secs(5);
+
 /// Accepts links from other processes.
 pub(crate) fn start_links(core: &Rc<EntryCore>, tls: &LinkTls) -> Result<LinkServer> {
     let weak = Rc::downgrade(core);
@@ -63,6 +69,7 @@
         .spawn(run_control(Rc::clone(&core.plane), on_control));
     core.tasks.spawn(report(Rc::clone(core)));
     core.tasks.spawn(watch(Rc::clone(core)));
+    core.tasks.spawn(read_vms(Rc::clone(core)));
     core.post_tickets(DistributionEvent::Tick);
     core.post_view(EntryViewEvent::Tick);
 }
@@ -75,6 +82,27 @@
     }
 }
 
+/// Reads the list of VMs, which is only a hint about where not to place new flows.
+async fn read_vms(core: Rc<EntryCore>) {
+    loop {
+        tokio::time::sleep(VM_LIST_PERIOD).await;
+        match core.tickets.read_vms().await {
+            Ok(Some(vms)) => {
+                let hints = vms.into_iter().map(|vm| VmHint {
+                    vm: vm.vm,
+                    state: match vm.state {
+                        VmHintState::Live => VmState::Live,
+                        VmHintState::Leaving => VmState::Leaving,
+                    },
+                });
+                core.post_view(EntryViewEvent::VmList(hints.collect()));
+            }
+            Ok(None) => {}
+            Err(e) => log::debug!("entry: list of VMs: {e}"),
+        }
+    }
+}
+
 async fn watch(core: Rc<EntryCore>) {
     let clock = core.driver.clock();
     watch_clock(clock, |event| {
--- a/crates/fes-link/src/drop_counters.rs
+++ b/crates/fes-link/src/drop_counters.rs
@@ -22,8 +22,13 @@
 impl DropCounters {
     /// Counts one drop.
     pub fn count(&self, code: ResultCode) {
+        self.add(code, 1);
+    }
+
+    /// Counts several drops.
+    pub fn add(&self, code: ResultCode, count: u64) {
         if let Ok(index) = ResultCode::ALL.binary_search(&code) {
-            self.counts[index].fetch_add(1, Ordering::Relaxed);
+            self.counts[index].fetch_add(count, Ordering::Relaxed);
         }
     }
 
--- a/crates/fes-node/src/ticket_host.rs
+++ b/crates/fes-node/src/ticket_host.rs
@@ -9,8 +9,10 @@
 use fes_link::LinkRequest;
 use fes_link::Tasks;
 use fes_platform::PlatformClient;
+use fes_platform::VmHint;
 use fes_protocol::ControlMessage;
 use fes_protocol::NodeId;
+use fes_protocol::Result;
 use fes_settings::NodeSettings;
 use fes_tickets::Distribution;
 use fes_tickets::DistributionAction;
@@ -20,6 +22,7 @@
 use fes_tickets::NodeAddresses;
 use fes_tickets::Snapshot;
 use fes_tickets::TicketMessage;
+use tokio::sync::Mutex;
 
 use crate::TicketLinks;
 use crate::platform_reader::PlatformReader;
@@ -41,6 +44,8 @@
     distribution: Rc<RefCell<Distribution>>,
     links: Rc<TicketLinks>,
     platform: PlatformReader,
+    /// Reads the list of VMs while a watch keeps the other connection busy.
+    vms: Mutex<PlatformClient>,
     post: RefCell<Option<Post>>,
     tasks: Tasks,
 }
@@ -73,6 +78,10 @@
             distribution: Rc::new(RefCell::new(Distribution::new(now, distribution))),
             links: Rc::new(TicketLinks::new(node, links)),
             platform: PlatformReader::new(client),
+            vms: Mutex::new(PlatformClient::new(
+                settings.platform_address,
+                node.to_string(),
+            )),
             post: RefCell::new(None),
             tasks: Tasks::default(),
         }
@@ -101,6 +110,18 @@
         self.distribution.borrow().snapshot()
     }
 
+    /// Reads the list of VMs, if this process is one of the platform's readers.
+    ///
+    /// # Errors
+    ///
+    /// Returns the platform's error.
+    pub async fn read_vms(&self) -> Result<Option<Vec<VmHint>>> {
+        if !self.distribution.borrow().is_reader() {
+            return Ok(None);
+        }
+        self.vms.lock().await.vms().await.map(Some)
+    }
+
     /// Returns where a process listens.
     #[must_use]
     pub fn addresses(&self, node: NodeId) -> Option<NodeAddresses> {
