--- a/crates/fes-agent/src/decisions/mod.rs
+++ b/crates/fes-agent/src/decisions/mod.rs
@@ -5,6 +5,7 @@
 mod peers_component;
 mod request_record;
 mod work_component;
+mod work_outcomes;
 
 pub(crate) use keys_component::KeysComponent;
 pub(crate) use message::AgentMessage;
--- a/crates/fes-agent/src/decisions/work_component.rs
+++ b/crates/fes-agent/src/decisions/work_component.rs
@@ -10,13 +10,9 @@
 use fes_admission::Load;
 use fes_admission::Origin;
 use fes_idempotency::Answer;
-use fes_idempotency::CoordinatorAction;
 use fes_idempotency::CoordinatorEvent;
 use fes_idempotency::NotRun;
-use fes_idempotency::RelayAction;
-use fes_idempotency::StoreAction;
 use fes_idempotency::StoreEvent;
-use fes_idempotency::UpstreamRefusal;
 use fes_kernel::Component;
 use fes_kernel::ComponentName;
 use fes_kernel::Event;
@@ -38,12 +34,11 @@
 use super::KeysEvent;
 use super::REQUESTS;
 use super::RequestEffect;
-use super::UpstreamOutcome;
 use super::WORK;
 use super::WorkEvent;
 use super::request_record::RequestRecord;
 
-const ADMISSION_TIMER: TimerToken = TimerToken(0);
+pub(super) const ADMISSION_TIMER: TimerToken = TimerToken(0);
 
 /// What the host shows and reports of the work in progress.
 #[derive(Debug, Clone, Copy, Default)]
@@ -58,10 +53,10 @@
 
 /// Admission and offload of one agent.
 pub(crate) struct WorkComponent {
-    admission: Admission,
+    pub(super) admission: Admission,
     planner: OffloadPlanner,
-    records: FastMap<RequestId, RequestRecord>,
-    status: Rc<RefCell<WorkStatus>>,
+    pub(super) records: FastMap<RequestId, RequestRecord>,
+    pub(super) status: Rc<RefCell<WorkStatus>>,
 }
 
 impl WorkComponent {
@@ -188,7 +183,7 @@
         self.admit(now, id, true, outbox);
     }
 
-    fn admit(
+    pub(super) fn admit(
         &mut self,
         now: MonoTime,
         id: RequestId,
@@ -214,7 +209,7 @@
         self.admission(now, event, outbox);
     }
 
-    fn admission(
+    pub(super) fn admission(
         &mut self,
         now: MonoTime,
         event: AdmissionEvent,
@@ -229,7 +224,7 @@
         }
     }
 
-    fn start(&self, id: RequestId, outbox: &mut Outbox<AgentMessage>) {
+    pub(super) fn start(&self, id: RequestId, outbox: &mut Outbox<AgentMessage>) {
         if self.is_keyed(id) {
             send_store(StoreEvent::MayStart { request: id }, outbox);
             return;
@@ -238,7 +233,7 @@
         outbox.send(REQUESTS, AgentMessage::Request(effect));
     }
 
-    fn refused(
+    pub(super) fn refused(
         &mut self,
         now: MonoTime,
         id: RequestId,
@@ -286,153 +281,18 @@
         }
     }
 
-    fn outcome(
+    pub(super) fn answer(
         &mut self,
-        now: MonoTime,
         id: RequestId,
-        outcome: UpstreamOutcome,
-        outbox: &mut Outbox<AgentMessage>,
-    ) {
-        if outcome == UpstreamOutcome::Refused(UpstreamRefusal::NotSent) {
-            self.admission(now, AdmissionEvent::UpstreamDown, outbox);
-        }
-        if self.is_keyed(id) {
-            self.keyed_outcome(now, id, outcome, outbox);
-            return;
-        }
-        match outcome {
-            UpstreamOutcome::Finished(_) => {
-                self.release(now, AdmissionEvent::Finished { id }, id, outbox);
-                self.answered(id, outbox);
-            }
-            UpstreamOutcome::Refused(UpstreamRefusal::NotSent) => {
-                self.release(now, AdmissionEvent::Failed { id }, id, outbox);
-                self.refused(now, id, ResultCode::NotRunUpstreamDown, outbox);
-            }
-            UpstreamOutcome::Refused(_) => {
-                self.admission(now, AdmissionEvent::UpstreamShed { id }, outbox);
-            }
-            UpstreamOutcome::Lost => {
-                self.release(now, AdmissionEvent::Failed { id }, id, outbox);
-                self.answered(id, outbox);
-            }
-        }
-    }
-
-    fn keyed_outcome(
-        &mut self,
-        now: MonoTime,
-        id: RequestId,
-        outcome: UpstreamOutcome,
-        outbox: &mut Outbox<AgentMessage>,
-    ) {
-        let (event, store) = match outcome {
-            UpstreamOutcome::Finished(response) => (
-                AdmissionEvent::Finished { id },
-                StoreEvent::UpstreamFinished {
-                    request: id,
-                    response,
-                },
-            ),
-            UpstreamOutcome::Refused(proof) => {
-                let retry = proof != UpstreamRefusal::NotSent && self.admission.take_retry();
-                let event = match proof {
-                    UpstreamRefusal::NotSent => AdmissionEvent::Failed { id },
-                    _ => AdmissionEvent::UpstreamShed { id },
-                };
-                (
-                    event,
-                    StoreEvent::UpstreamRefused {
-                        request: id,
-                        proof,
-                        retry,
-                    },
-                )
-            }
-            UpstreamOutcome::Lost => (
-                AdmissionEvent::Failed { id },
-                StoreEvent::UpstreamLost { request: id },
-            ),
-        };
-        // The store hears of the outcome first, so that a refusal by admission, which follows for
-        // a shed request, can't be taken for the outcome.
-        send_store(store, outbox);
-        if let Some(record) = self.records.get_mut(&id) {
-            record.is_admitted = false;
-        }
-        for action in self.admission.handle(now, event) {
-            match action {
-                AdmissionAction::Refuse { id: refused, .. } if refused == id => {}
-                AdmissionAction::Refuse { id, code } => self.refused(now, id, code, outbox),
-                AdmissionAction::Start { id } => self.start(id, outbox),
-                AdmissionAction::Timer { at } => outbox.set_timer(at, ADMISSION_TIMER),
-            }
-        }
-        self.forget_if_over(id, outbox);
-    }
-
-    fn cancelled(&mut self, now: MonoTime, id: RequestId, outbox: &mut Outbox<AgentMessage>) {
-        if self.is_keyed(id) {
-            let event = CoordinatorEvent::ClientCancelled { request: id };
-            outbox.send(KEYS, AgentMessage::Keys(KeysEvent::Coordinator(event)));
-        } else {
-            self.release(now, AdmissionEvent::Cancelled { id }, id, outbox);
-        }
-        self.answered(id, outbox);
-    }
-
-    fn key_action(
-        &mut self,
-        now: MonoTime,
-        action: CoordinatorAction,
+        answer: Answer,
         outbox: &mut Outbox<AgentMessage>,
     ) {
-        match action {
-            CoordinatorAction::Store(StoreAction::Enqueue { request, .. }) => {
-                self.admit(now, request, false, outbox);
-            }
-            CoordinatorAction::Store(
-                StoreAction::Withdraw { request } | StoreAction::ReleaseSlot { request },
-            ) => {
-                let event = AdmissionEvent::Cancelled { id: request };
-                self.release(now, event, request, outbox);
-                self.forget_if_over(request, outbox);
-            }
-            CoordinatorAction::Store(StoreAction::Start { request, .. }) => {
-                let effect = RequestEffect::Start { id: request };
-                outbox.send(REQUESTS, AgentMessage::Request(effect));
-            }
-            CoordinatorAction::Answer { request, answer }
-            | CoordinatorAction::Store(StoreAction::Answer { request, answer })
-            | CoordinatorAction::Relay(RelayAction::Answer { request, answer }) => {
-                self.answer(request, answer, outbox);
-            }
-            CoordinatorAction::Relay(RelayAction::Forward {
-                request,
-                owner,
-                deadline,
-            }) => {
-                self.status.borrow_mut().relayed += 1;
-                let effect = RequestEffect::Relay {
-                    id: request,
-                    owner,
-                    deadline,
-                };
-                outbox.send(REQUESTS, AgentMessage::Request(effect));
-            }
-            // A waiting request is answered later; an abandoned relay ends by itself.
-            CoordinatorAction::Store(StoreAction::Wait { .. } | StoreAction::Forget { .. })
-            | CoordinatorAction::Relay(RelayAction::Abandon { .. }) => {}
-        }
-    }
-
-    fn answer(&mut self, id: RequestId, answer: Answer, outbox: &mut Outbox<AgentMessage>) {
         let effect = RequestEffect::Answer { id, answer };
         outbox.send(REQUESTS, AgentMessage::Request(effect));
         self.answered(id, outbox);
     }
 
-    fn answered(&mut self, id: RequestId, outbox: &mut Outbox<AgentMessage>) {
+    pub(super) fn answered(&mut self, id: RequestId, outbox: &mut Outbox<AgentMessage>) {
         if let Some(record) = self.records.get_mut(&id) {
             record.is_answered = true;
         }
@@ -440,7 +300,7 @@
     }
 
     /// Gives a queue place or slot back.
-    fn release(
+    pub(super) fn release(
         &mut self,
         now: MonoTime,
         event: AdmissionEvent,
@@ -453,7 +313,7 @@
         self.admission(now, event, outbox);
     }
 
-    fn forget_if_over(&mut self, id: RequestId, outbox: &mut Outbox<AgentMessage>) {
+    pub(super) fn forget_if_over(&mut self, id: RequestId, outbox: &mut Outbox<AgentMessage>) {
         if self.records.get(&id).is_some_and(RequestRecord::is_over) {
             self.records.remove(&id);
             let effect = RequestEffect::Forget { id };
@@ -461,7 +321,7 @@
         }
     }
 
-    fn is_keyed(&self, id: RequestId) -> bool {
+    pub(super) fn is_keyed(&self, id: RequestId) -> bool {
         self.records.get(&id).is_some_and(|record| record.is_keyed)
     }
 
@@ -509,7 +369,7 @@
     }
 }
 
-fn send_store(event: StoreEvent, outbox: &mut Outbox<AgentMessage>) {
+pub(super) fn send_store(event: StoreEvent, outbox: &mut Outbox<AgentMessage>) {
     let event = KeysEvent::Coordinator(CoordinatorEvent::Store(event));
     outbox.send(KEYS, AgentMessage::Keys(event));
 }
