--- a/crates/fes-node/src/lib.rs
+++ b/crates/fes-node/src/lib.rs
@@ -1,5 +1,6 @@
 //! What the entry and the agent daemon share: hosting of ticket distribution and life cycle.
 
+mod arguments;
 mod clock_watch;
 mod host_message;
 mod lifecycle_component;
@@ -9,6 +10,8 @@
 mod ticket_links;
 mod tickets_component;
 
+pub use arguments::daemon_command;
+pub use arguments::settings_path;
 pub use clock_watch::watch_clock;
 pub use host_message::HOST;
 pub use host_message::HostMessage;
--- a/src/bin/fescueshift-agent.rs
+++ b/src/bin/fescueshift-agent.rs
@@ -3,16 +3,16 @@
 use std::process::ExitCode;
 
 use fes_agent::Agent;
+use fes_node::daemon_command;
+use fes_node::settings_path;
 use fes_settings::AgentSettings;
 use fes_settings::INVALID_SETTINGS_EXIT_STATUS;
 
-const USAGE_EXIT_STATUS: u8 = 64;
-
 fn main() -> ExitCode {
-    let Some(path) = settings_path() else {
-        eprintln!("usage: fescueshift-agent SETTINGS.toml");
-        return ExitCode::from(USAGE_EXIT_STATUS);
-    };
+    let path = settings_path(daemon_command(
+        "fescueshift-agent",
+        "Ends QUIC beside an upstream and decides what runs",
+    ));
     let settings = match AgentSettings::load(path) {
         Ok(settings) => settings,
         Err(faults) => {
@@ -45,8 +45,3 @@
     log::error!("agent: {error}; {}", error.help());
     ExitCode::FAILURE
 }
-
-fn settings_path() -> Option<std::ffi::OsString> {
-    let mut arguments = std::env::args_os().skip(1);
-    arguments.next().filter(|_| arguments.next().is_none())
-}
--- a/src/bin/fescueshift-entry.rs
+++ b/src/bin/fescueshift-entry.rs
@@ -3,16 +3,16 @@
 use std::process::ExitCode;
 
 use fes_entry::Entry;
+use fes_node::daemon_command;
+use fes_node::settings_path;
 use fes_settings::EntrySettings;
 use fes_settings::INVALID_SETTINGS_EXIT_STATUS;
 
-const USAGE_EXIT_STATUS: u8 = 64;
-
 fn main() -> ExitCode {
-    let Some(path) = settings_path() else {
-        eprintln!("usage: fescueshift-entry SETTINGS.toml");
-        return ExitCode::from(USAGE_EXIT_STATUS);
-    };
+    let path = settings_path(daemon_command(
+        "fescueshift-entry",
+        "Routes client datagrams to agents by connection ID",
+    ));
     let settings = match EntrySettings::load(path) {
         Ok(settings) => settings,
         Err(faults) => {
@@ -45,8 +45,3 @@
     log::error!("entry: {error}; {}", error.help());
     ExitCode::FAILURE
 }
-
-fn settings_path() -> Option<std::ffi::OsString> {
-    let mut arguments = std::env::args_os().skip(1);
-    arguments.next().filter(|_| arguments.next().is_none())
-}
--- /dev/null
+++ b/tests/support/addresses.rs
@@ -0,0 +1,62 @@
+//! Loopback addresses of the daemons of one test.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+const CONTROL_PORT: u16 = 7_400;
+const LINK_PORT: u16 = 7_401;
+const STATUS_PORT: u16 = 9_100;
+const CLIENT_PORT: u16 = 4_433;
+
+static NEXT_SUBNET: AtomicU32 = AtomicU32::new(0);
+
+/// The addresses of a fleet: a loopback subnet of its own, so that tests that run at the same time
+/// don't meet.
+#[derive(Debug, Clone, Copy)]
+pub struct Subnet {
+    second: u8,
+    third: u8,
+}
+
+/// The addresses of one daemon.
+#[derive(Debug, Clone, Copy)]
+pub struct DaemonAddresses {
+    ip: Ipv4Addr,
+}
+
+impl Subnet {
+    pub fn unused() -> Self {
+        let number = std::process::id() * 8 + NEXT_SUBNET.fetch_add(1, Ordering::Relaxed);
+        let [_, _, high, low] = number.to_be_bytes();
+        Self {
+            second: 64 + high % 128,
+            third: low,
+        }
+    }
+
+    pub fn daemon(self, number: u8) -> DaemonAddresses {
+        DaemonAddresses {
+            ip: Ipv4Addr::new(127, self.second, self.third, number),
+        }
+    }
+}
+
+impl DaemonAddresses {
+    pub fn control(self) -> SocketAddr {
+        SocketAddr::from((self.ip, CONTROL_PORT))
+    }
+
+    pub fn link(self) -> SocketAddr {
+        SocketAddr::from((self.ip, LINK_PORT))
+    }
+
+    pub fn status(self) -> SocketAddr {
+        SocketAddr::from((self.ip, STATUS_PORT))
+    }
+
+    pub fn client(self) -> SocketAddr {
+        SocketAddr::from((self.ip, CLIENT_PORT))
+    }
+}
