Measure the phases of 'local' by what happens, not by request number

The last third of the requests had mostly been sent before the replacement served, which takes 2 to 5 s. They now wait for it, and phases follow the replacement itself.

--- a/crates/fes-command/src/commands/local.rs
+++ b/crates/fes-command/src/commands/local.rs
@@ -23,8 +23,8 @@
         .long_about(
             "Starts test doubles of platform, fabric and upstreams, two entries and an agent \
              for each upstream inside this process, on loopback sockets. Opens feeds and sends \
-             requests, kills one entry after a third of them and starts another after two \
-             thirds. All figures are what clients and upstreams observed.",
+             requests, kills one entry after a third of them and starts another after half of \
+             them; the last third is sent when the other serves. All figures are what clients and upstreams observed.",
         )
         .arg(number(
             "requests",
--- a/crates/fes-command/src/local_run.rs
+++ b/crates/fes-command/src/local_run.rs
@@ -19,6 +19,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -26,8 +27,11 @@
 use crate::latency::Recorder;
 use crate::local_fleet::LocalFleet;
 
-/// Before the death of the entry, until another is started, and after.
+/// Phases of a run: before the death of the entry, until another serves, and after.
 const PHASES: usize = 3;
+const BEFORE: usize = 0;
+const DURING: usize = 1;
+const AFTER: usize = 2;
 const MAX_CLIENTS: u64 = 32;
 /// Requests in progress at the same time; below the slots of three upstreams, so that the run
 /// measures flows and not overload.
@@ -88,6 +92,7 @@
 struct Work {
     total: u64,
     next: Cell<u64>,
+    phase: watch::Sender<usize>,
     random: RefCell<ChaCha8Rng>,
     recorders: RefCell<[Recorder; PHASES]>,
 }
@@ -107,6 +112,7 @@
     let work = Rc::new(Work {
         total: plan.requests,
         next: Cell::new(0),
+        phase: watch::Sender::new(BEFORE),
         random: RefCell::new(ChaCha8Rng::seed_from_u64(plan.seed)),
         recorders: RefCell::new([Recorder::new()?, Recorder::new()?, Recorder::new()?]),
     });
@@ -148,13 +154,14 @@
 impl Work {
     async fn drive(&self, client: &Client, progress: &ProgressBar) {
         while let Some(number) = self.take() {
+            self.wait_for_replacement(number).await;
+            let phase = *self.phase.borrow();
             let (nonce, is_non_repeatable) = {
                 let mut random = self.random.borrow_mut();
                 (random.random::<u64>(), random.random::<bool>())
             };
             let started = Instant::now();
             let outcome = request(client, number, nonce, is_non_repeatable).await;
-            let phase = usize_of(number * PHASES as u64 / self.total).min(PHASES - 1);
             let mut recorders = self.recorders.borrow_mut();
             recorders[phase].record(&outcome, started.elapsed());
             progress.inc(1);
@@ -170,6 +177,15 @@
         Some(number)
     }
 
+    /// Keeps the last third of the requests for the time after the replacement.
+    async fn wait_for_replacement(&self, number: u64) {
+        if number * 3 >= self.total * 2 {
+            let mut phase = self.phase.subscribe();
+            // The sender lives as long as this work.
+            let _ = phase.wait_for(|phase| *phase == AFTER).await;
+        }
+    }
+
     async fn reach(&self, number: u64) {
         while self.next.get() < number.min(self.total) {
             sleep(Duration::from_millis(1)).await;
@@ -187,13 +203,16 @@
     client.get(format!("/lots/{number}?nonce={nonce}")).await
 }
 
-/// Kills an entry after a third of the requests and starts another after two thirds. In between,
+/// Kills an entry after a third of the requests and starts another after half of them. In between,
 /// half of all datagrams go to the dead one.
 async fn replace_entry(fleet: &mut LocalFleet, work: &Work) -> Result<()> {
-    work.reach(work.total / PHASES as u64).await;
+    work.reach(work.total / 3).await;
     fleet.kill_entry();
-    work.reach(work.total * 2 / PHASES as u64).await;
-    fleet.add_entry().await
+    work.phase.send_replace(DURING);
+    work.reach(work.total / 2).await;
+    fleet.add_entry().await?;
+    work.phase.send_replace(AFTER);
+    Ok(())
 }
 
 fn make_clients(fleet: &LocalFleet, plan: &LocalPlan) -> Result<Vec<Client>> {
@@ -290,9 +309,9 @@
         started_by_upstream: fleet.started_by_upstream(),
         failures_by_code,
         connection_ends,
-        latency_before_us: recorders[0].latency(),
-        latency_during_us: recorders[1].latency(),
-        latency_after_us: recorders[2].latency(),
+        latency_before_us: recorders[BEFORE].latency(),
+        latency_during_us: recorders[DURING].latency(),
+        latency_after_us: recorders[AFTER].latency(),
         tickets_in_force_ms: fleet.tickets_in_force_ms().to_vec(),
     }
 }
