--- /dev/null
+++ b/tests/command_line.rs
@@ -0,0 +1,191 @@
+//! The `fescueshift` program: exit status, output and width of its commands.
+
+use std::process::Command;
+use std::process::Output;
+
+use fes_testkit::Authority;
+use rstest::rstest;
+use serde_json::Value;
+use tempfile::TempDir;
+
+const WIDTH: usize = 80;
+const COMMANDS: [&str; 8] = [
+    "check",
+    "explain",
+    "status",
+    "local",
+    "load",
+    "measure",
+    "completions",
+    "man",
+];
+
+fn fescueshift(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_fescueshift"))
+        .args(arguments)
+        .env_remove("CLICOLOR_FORCE")
+        .output()
+        .expect("program")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8(bytes.to_vec()).expect("UTF-8")
+}
+
+/// Makes a directory with the published example of entry settings and the files that it names.
+fn directory() -> TempDir {
+    let directory = tempfile::tempdir().expect("temporary directory");
+    let write = |name: &str, content: &str| {
+        std::fs::write(directory.path().join(name), content).expect("write");
+    };
+    let authority = Authority::new();
+    let (certificate, key) = authority.leaf_pem();
+    write("link.pem", &certificate);
+    write("link-key.pem", &key);
+    write("fleet-authority.pem", authority.certificate_pem());
+    write("key-epoch-1.hex", &"1".repeat(32));
+    write("key-epoch-2.hex", &"2".repeat(32));
+    write("good.toml", include_str!("../docs/examples/entry.toml"));
+    let faulty = include_str!("../docs/examples/entry.toml")
+        .replace("entry = 3", "entry = 0\nprompt = true")
+        .replace("\"info\"", "\"loud\"");
+    write("faulty.toml", &faulty);
+    directory
+}
+
+/// Guards against an exit status that a script can't rely on.
+#[rstest]
+#[case(&["good.toml"], 0)]
+#[case(&["good.toml", "faulty.toml"], 1)]
+#[case(&["missing.toml"], 2)]
+fn check_tells_good_faulty_and_unreadable_files_apart(
+    #[case] files: &[&str],
+    #[case] expected: i32,
+) {
+    let directory = directory();
+    let paths = files.iter().map(|file| directory.path().join(file));
+    let paths: Vec<String> = paths.map(|path| path.display().to_string()).collect();
+    let mut arguments = vec!["check"];
+    arguments.extend(paths.iter().map(String::as_str));
+
+    let output = fescueshift(&arguments);
+
+    assert_eq!(output.status.code(), Some(expected), "{output:?}");
+}
+
+/// Guards against JSON that omits a fault, its place or its code.
+#[test]
+fn check_reports_all_faults_as_json() {
+    let directory = directory();
+    let path = directory.path().join("faulty.toml").display().to_string();
+
+    let output = fescueshift(&["check", "--json", &path]);
+
+    let report: Value = serde_json::from_slice(&output.stdout).expect("one JSON object");
+    let faults = report["files"][0]["faults"].as_array().expect("faults");
+    let found: Vec<_> = faults
+        .iter()
+        .map(|fault| (fault["key"].as_str(), fault["code"].as_str()))
+        .collect();
+    assert_eq!(
+        found,
+        [
+            (Some("entry"), Some("F1006")),
+            (Some("prompt"), Some("F1003")),
+            (Some("log_level"), Some("F1009")),
+        ]
+    );
+    assert!(faults.iter().all(|fault| fault["line"].as_u64() > Some(0)));
+}
+
+/// Guards against tickets that are checked as settings.
+#[rstest]
+#[case("{\"number\": 3, \"key_epoch\": {\"current\": 1}}", 0)]
+#[case("{\"number\": 3, \"key_epoch\": {\"current\": 9}}", 1)]
+fn check_recognises_tickets(#[case] ticket: &str, #[case] expected: i32) {
+    let directory = tempfile::tempdir().expect("temporary directory");
+    let path = directory.path().join("change.json");
+    std::fs::write(&path, ticket).expect("write");
+
+    let output = fescueshift(&["check", &path.display().to_string()]);
+
+    assert_eq!(output.status.code(), Some(expected), "{output:?}");
+}
+
+/// Guards against help and reports that don't fit a terminal.
+#[test]
+fn all_text_keeps_to_80_columns() {
+    let directory = directory();
+    let faulty = directory.path().join("faulty.toml").display().to_string();
+    let mut outputs: Vec<Output> = COMMANDS
+        .iter()
+        .map(|command| fescueshift(&[command, "--help"]))
+        .collect();
+    outputs.push(fescueshift(&["--help"]));
+    outputs.push(fescueshift(&["explain"]));
+    outputs.push(fescueshift(&["check", &faulty]));
+
+    for output in outputs {
+        let text = text(&output.stdout);
+        assert!(!text.is_empty());
+        // A path is longer than a line if the system's temporary directory is.
+        let lines = text.lines().filter(|line| !line.contains(&faulty));
+        for line in lines {
+            assert!(line.chars().count() <= WIDTH, "{line}");
+        }
+    }
+}
+
+/// Guards against colour codes in output that asks for none.
+#[test]
+fn no_colour_is_printed_when_none_is_wanted() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_fescueshift"));
+    command.arg("--help").env("NO_COLOR", "1");
+
+    let output = command.output().expect("program");
+
+    assert!(!output.stdout.contains(&0x1b));
+}
+
+/// Guards against help texts without an example.
+#[test]
+fn every_command_shows_examples() {
+    for command in COMMANDS {
+        let help = text(&fescueshift(&[command, "--help"]).stdout);
+
+        assert!(help.contains(&format!("fescueshift {command}")), "{help}");
+        assert!(help.contains("Examples:"), "{help}");
+    }
+}
+
+/// Guards against an unknown code, command or address that passes as success.
+#[rstest]
+#[case(&["explain", "F9999"])]
+#[case(&["launch"])]
+#[case(&["status", "not-an-address"])]
+#[case(&["load", "127.0.0.1:1", "--authority", "/nonexistent.pem"])]
+#[case(&["local", "--requests", "0"])]
+fn usage_errors_exit_with_2(#[case] arguments: &[&str]) {
+    let output = fescueshift(arguments);
+
+    assert_eq!(output.status.code(), Some(2), "{output:?}");
+    assert!(output.stdout.is_empty());
+    assert!(!output.stderr.is_empty());
+}
+
+/// Guards against a completion script or manual that lacks a command.
+#[test]
+fn completions_and_manual_pages_know_every_command() {
+    let directory = tempfile::tempdir().expect("temporary directory");
+    let path = directory.path().display().to_string();
+
+    let script = text(&fescueshift(&["completions", "bash"]).stdout);
+    let written = fescueshift(&["man", "--directory", &path]);
+
+    assert!(written.status.success(), "{written:?}");
+    for command in COMMANDS {
+        assert!(script.contains(command));
+        let page = directory.path().join(format!("fescueshift-{command}.1"));
+        assert!(page.exists(), "{}", page.display());
+    }
+}
