Add 'fescueshift diff'

Operators need to see a ticket's effect before they publish it, and whether part of it would be ignored. Settings take the same names and slots as tickets do.

--- a/crates/fes-command/src/commands/mod.rs
+++ b/crates/fes-command/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod arguments;
 mod check;
 mod completions;
+mod diff;
 mod explain;
 mod load;
 mod local;
@@ -33,6 +34,11 @@
         command: check::command,
         run: check::run,
     },
+    Entry {
+        name: diff::NAME,
+        command: diff::command,
+        run: diff::run,
+    },
     Entry {
         name: explain::NAME,
         command: explain::command,
--- a/crates/fes-settings/src/agent.rs
+++ b/crates/fes-settings/src/agent.rs
@@ -16,7 +16,8 @@
 use crate::reader::read_file;
 
 const MAX_ID: i64 = u32::MAX as i64;
-const MAX_SLOTS: i64 = 4_096;
+/// The same bound as in tickets.
+const MAX_SLOTS: i64 = 1_024;
 const MAX_FLOWS: i64 = 10_000_000;
 const MAX_QUEUE_REQUESTS: i64 = 1_000_000;
 const MAX_BYTES: i64 = 16 << 30;
--- a/crates/fes-settings/src/reader.rs
+++ b/crates/fes-settings/src/reader.rs
@@ -18,7 +18,8 @@
 use crate::Faults;
 
 const ALLOWED_ADDRESS: &str = "IP:PORT with a numeric IP address";
-const ALLOWED_NAME: &str = "1 to 63 lower-case letters, digits, '-' and '.'";
+const ALLOWED_NAME: &str =
+    "1 to 63 lower-case letters, digits, '-' and '.', beginning with a letter or digit";
 const MAX_NAME_BYTES: usize = 63;
 
 /// A parsed settings file and the faults found in it so far.
@@ -200,7 +201,9 @@
         let allowed = |byte: u8| {
             byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-' || byte == b'.'
         };
-        if (1..=MAX_NAME_BYTES).contains(&name.len()) && name.bytes().all(allowed) {
+        let begins_well = !name.starts_with(['-', '.']);
+        let length_bytes = 1..=MAX_NAME_BYTES;
+        if length_bytes.contains(&name.len()) && name.bytes().all(allowed) && begins_well {
             return Some(name);
         }
         self.fault(key, ResultCode::SettingsBadName, name, ALLOWED_NAME);
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -9,8 +9,9 @@
 use tempfile::TempDir;
 
 const WIDTH: usize = 80;
-const COMMANDS: [&str; 8] = [
+const COMMANDS: [&str; 9] = [
     "check",
+    "diff",
     "explain",
     "status",
     "local",
@@ -189,3 +190,27 @@
         assert!(page.exists(), "{}", page.display());
     }
 }
+
+/// Guards against a ticket whose effect, or lack of effect, is not shown before it is published.
+#[test]
+fn diff_shows_what_changes_and_what_is_ignored() {
+    let in_force = concat!(env!("CARGO_MANIFEST_DIR"), "/docs/examples/staveworks.json");
+    let leaving = concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/docs/examples/staveworks-upstream-leaving.json"
+    );
+
+    let change = fescueshift(&["diff", leaving, "--in-force", in_force, "--json"]);
+    let stale = fescueshift(&["diff", in_force, "--in-force", leaving, "--json"]);
+
+    let report: Value = serde_json::from_slice(&change.stdout).expect("one JSON object");
+    let upstreams = report["services"][0]["upstreams"]
+        .as_array()
+        .expect("upstreams");
+    let is_leaving = |upstream: &&Value| upstream["change"] == "starts-leaving";
+    assert_eq!(upstreams.iter().filter(is_leaving).count(), 1, "{report}");
+    assert_eq!(change.status.code(), Some(0), "{change:?}");
+    let report: Value = serde_json::from_slice(&stale.stdout).expect("one JSON object");
+    assert_eq!(report["reports"][0]["code"], "F4003", "{report}");
+    assert_eq!(stale.status.code(), Some(1), "{stale:?}");
+}
