--- a/crates/fes-command/src/commands/local.rs
+++ b/crates/fes-command/src/commands/local.rs
@@ -2,6 +2,8 @@
 
 use std::process::ExitCode;
 
+use clap::Arg;
+use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
 use fes_protocol::Result;
@@ -45,12 +47,20 @@
             "3",
             1..=64,
         ))
+        .arg(
+            Arg::new("drain")
+                .long("drain")
+                .help("Stop the entry gracefully instead of killing it")
+                .action(ArgAction::SetTrue),
+        )
+        .arg(number("traces", "Requests whose spans are shown", "0", 0..=64))
         .arg(json_flag())
         .after_help(
             "Exit status: 0 if nothing was lost, doubled, misrouted or broken, 1 otherwise,\n\
              2 on errors.\n\n\
              Examples:\n  \
              fescueshift local\n  \
+             fescueshift local --drain --traces 1\n  \
              fescueshift local --requests 5000 --feeds 200 --seed 7 --json",
         )
 }
@@ -61,6 +71,8 @@
         requests: number("requests"),
         feeds: number("feeds"),
         seed: number("seed"),
+        drains: matches.get_flag("drain"),
+        traces: usize::try_from(number("traces")).unwrap_or_default(),
         upstream_count: u32::try_from(number("upstream-count")).unwrap_or(1),
     };
     let progress = output::progress(plan.requests, "requests");
@@ -99,9 +111,9 @@
         row("entries replaced", report.entries_replaced),
     ];
     let phases = [
-        ("before the death", report.latency_before_us),
-        ("with a dead entry", report.latency_during_us),
-        ("after the replacement", report.latency_after_us),
+        ("before", report.latency_before_us),
+        ("during the replacement", report.latency_during_us),
+        ("after", report.latency_after_us),
     ];
     for (phase, latency) in phases {
         rows.push(row(&format!("latency p50 {phase}, us"), latency.p50));
@@ -122,5 +134,9 @@
     for (reason, count) in &report.connection_ends {
         rows.push(row(&format!("ended: {reason}"), *count));
     }
-    output::table(&rows)
+    let mut text = output::table(&rows);
+    for line in &report.traces {
+        text.push_str(&output::wrap(line));
+    }
+    text
 }
--- a/crates/fes-command/src/local_fleet.rs
+++ b/crates/fes-command/src/local_fleet.rs
@@ -29,6 +29,8 @@
 use fes_settings::EntrySettings;
 use fes_settings::ListenSettings;
 use fes_settings::NodeSettings;
+use fes_telemetry::FinishedSpan;
+use fes_telemetry::Tracer;
 use fes_testkit::Authority;
 use fes_testkit::Client;
 use fes_testkit::ClientOptions;
@@ -47,6 +49,7 @@
 const ENTRIES: u32 = 2;
 /// A ticket must be in force everywhere within 7 s; a start may take as long again.
 const SERVING_BOUND_MS: u64 = 14_000;
+const RECENT_SPANS: usize = 1_024;
 const SERVING_POLL_MS: u64 = 10;
 
 /// Two entries, an agent for each upstream, and the doubles of everything around them.
@@ -61,6 +64,7 @@
     next_entry: u32,
     next_ticket: u64,
     tickets_in_force_ms: Vec<u64>,
+    tracer: Tracer,
     seed: u64,
 }
 
@@ -78,6 +82,7 @@
             next_entry: 1,
             next_ticket: 1,
             tickets_in_force_ms: Vec::new(),
+            tracer: Tracer::disabled().with_recent(RECENT_SPANS),
             seed,
         };
         for _ in 0..ENTRIES {
@@ -99,6 +104,24 @@
         }
     }
 
+    /// Stops the entry that has run longest gracefully, once another serves and the fabric sends it
+    /// nothing more.
+    pub(crate) async fn drain_entry(&mut self) -> Result<()> {
+        let leaving = self.entries.remove(0);
+        self.start_entry().await?;
+        self.publish()?;
+        self.await_serving().await?;
+        self.update_fabric()?;
+        leaving.drain().await;
+        Ok(())
+    }
+
+    /// Returns the latest spans of all processes.
+    pub(crate) fn spans(&self) -> Vec<FinishedSpan> {
+        let agents = self.agents.iter().flat_map(AgentHandle::recent_spans);
+        self.tracer.recent().into_iter().chain(agents).collect()
+    }
+
     /// Starts another entry, and tells the fabric which entries there are.
     pub(crate) async fn add_entry(&mut self) -> Result<()> {
         self.start_entry().await?;
@@ -110,7 +133,8 @@
     /// Makes a client of the service.
     pub(crate) fn client(&self, name: impl Into<String>) -> Result<Client> {
         let authorities = [self.authority.certificate()];
-        let options = ClientOptions::new(self.fabric.address(), authorities, name);
+        let mut options = ClientOptions::new(self.fabric.address(), authorities, name);
+        options.tracer = self.tracer.clone();
         Client::new(options)
     }
 
--- a/crates/fes-command/src/local_run.rs
+++ b/crates/fes-command/src/local_run.rs
@@ -9,6 +9,7 @@
 use fes_protocol::Error;
 use fes_protocol::Result;
 use fes_protocol::ResultCode;
+use fes_telemetry::Hop;
 use fes_testkit::Client;
 use fes_testkit::ClientCounts;
 use fes_testkit::Feed;
@@ -51,6 +52,10 @@
     pub(crate) feeds: u64,
     pub(crate) seed: u64,
     pub(crate) upstream_count: u32,
+    /// Stops the entry gracefully instead of killing it.
+    pub(crate) drains: bool,
+    /// Requests whose spans are reported.
+    pub(crate) traces: usize,
 }
 
 /// What clients and upstream doubles observed.
@@ -79,6 +84,7 @@
     pub(crate) latency_during_us: Latency,
     pub(crate) latency_after_us: Latency,
     pub(crate) tickets_in_force_ms: Vec<u64>,
+    pub(crate) traces: Vec<String>,
 }
 
 impl LocalReport {
@@ -126,7 +132,7 @@
             actix_rt::spawn(async move { work.drive(&client, &progress).await })
         });
     let workers: Vec<_> = workers.collect();
-    replace_entry(&mut fleet, &work).await?;
+    replace_entry(&mut fleet, plan, &work).await?;
     for worker in workers {
         worker.await.map_err(|error| {
             let detail = format!("a worker ended early: {error}");
@@ -203,18 +209,36 @@
     client.get(format!("/lots/{number}?nonce={nonce}")).await
 }
 
-/// Kills an entry after a third of the requests and starts another after half of them. In between,
-/// half of all datagrams go to the dead one.
-async fn replace_entry(fleet: &mut LocalFleet, work: &Work) -> Result<()> {
+/// Kills an entry after a third of the requests and starts another after half of them; in between,
+/// half of all datagrams go to the dead one. A graceful stop instead starts the other first.
+async fn replace_entry(fleet: &mut LocalFleet, plan: &LocalPlan, work: &Work) -> Result<()> {
     work.reach(work.total / 3).await;
-    fleet.kill_entry();
     work.phase.send_replace(DURING);
-    work.reach(work.total / 2).await;
-    fleet.add_entry().await?;
+    if plan.drains {
+        fleet.drain_entry().await?;
+    } else {
+        fleet.kill_entry();
+        work.reach(work.total / 2).await;
+        fleet.add_entry().await?;
+    }
     work.phase.send_replace(AFTER);
     Ok(())
 }
 
+/// Returns the spans of the latest `count` traces that a client finished, one line for each, in
+/// order of their starts.
+fn trace_lines(fleet: &LocalFleet, count: usize) -> Vec<String> {
+    let mut spans = fleet.spans();
+    let finished = spans.iter().rev().filter(|span| span.hop == Hop::Client);
+    let chosen: Vec<u128> = finished
+        .map(|span| span.context.trace_id)
+        .take(count)
+        .collect();
+    spans.retain(|span| chosen.contains(&span.context.trace_id));
+    spans.sort_by_key(|span| (span.context.trace_id, span.start));
+    spans.iter().map(ToString::to_string).collect()
+}
+
 fn make_clients(fleet: &LocalFleet, plan: &LocalPlan) -> Result<Vec<Client>> {
     let count = plan.feeds.clamp(WORKERS, MAX_CLIENTS);
     let client = |index| fleet.client(format!("client-{index}"));
@@ -313,6 +337,7 @@
         latency_during_us: recorders[DURING].latency(),
         latency_after_us: recorders[AFTER].latency(),
         tickets_in_force_ms: fleet.tickets_in_force_ms().to_vec(),
+        traces: trace_lines(fleet, plan.traces),
     }
 }
 
--- a/crates/fes-testkit/src/client.rs
+++ b/crates/fes-testkit/src/client.rs
@@ -285,7 +285,8 @@
     /// Sends `call` until there is a reply or an explicit failure.
     async fn repeat(&self, call: &Call) -> std::result::Result<Reply, Outcome> {
         let tracer = &self.inner.options.tracer;
-        let span = tracer.start(Hop::Client, format!("{} {}", call.method, call.path), None);
+        let path = call.path.split('?').next().unwrap_or_default();
+        let span = tracer.start(Hop::Client, format!("{} {path}", call.method), None);
         let mut last = Outcome::Lost("no attempt was made".into());
         for attempt in 0..self.inner.options.attempts.max(1) {
             if attempt > 0 {
