Keep hidden stragglers out of class estimates

Change: an observation counts up to four times its class's mean after the first 20; an overdue request is expected to run for as long again as it has run. The head-of-line experiment reports hidden stragglers as figures without target.

--- a/crates/fes-admission/src/admission.rs
+++ b/crates/fes-admission/src/admission.rs
@@ -268,7 +268,7 @@
             return;
         };
         let busy_us = now.us_since(done.started_at) as f64;
-        self.classes.observe(done.class, busy_us);
+        let busy_us = self.classes.observe(done.class, busy_us);
         if let Some(prior_us) = self.classes.prior_us(done.class) {
             self.capacity.observe(prior_us, busy_us);
         }
--- a/crates/fes-admission/src/class_table.rs
+++ b/crates/fes-admission/src/class_table.rs
@@ -9,6 +9,15 @@
 /// queue of the same class: with a weight of 0.05 they were 8 % of the whole wait.
 const MEAN_WEIGHT: f64 = 0.01;
 
+/// Largest part of an observation that counts, as a multiple of the mean. Single requests that
+/// run 50 times as long as their class would otherwise set its mean and variance, and the forecast
+/// would refuse the usual ones. A class that really slows down still moves its mean by 3 % per
+/// observation.
+const MAX_OBSERVATION: f64 = 4.0;
+
+/// Observations that count in full, so that a wrong prior goes quickly.
+const FIRST_OBSERVATIONS: u64 = 20;
+
 /// Deviation of service times over their mean that is assumed until there are observations.
 const PRIOR_DEVIATION: f64 = 0.5;
 
@@ -83,16 +92,22 @@
         }
     }
 
-    /// Adds an observed service time.
-    pub fn observe(&mut self, class: ClassIndex, service_us: f64) {
+    /// Adds an observed service time; returns the part of it that counts.
+    pub fn observe(&mut self, class: ClassIndex, service_us: f64) -> f64 {
         let estimate = &mut self.estimates[class.0];
         estimate.observations += 1;
+        let service_us = if estimate.observations > FIRST_OBSERVATIONS {
+            service_us.min(estimate.mean_us * MAX_OBSERVATION)
+        } else {
+            service_us
+        };
         // The plain mean of the first observations replaces a wrong prior quickly.
         let weight = MEAN_WEIGHT.max(1.0 / (estimate.observations as f64 + 1.0));
         let difference_us = service_us - estimate.mean_us;
         estimate.mean_us += difference_us * weight;
         let spread_us2 = difference_us * difference_us - estimate.variance_us2;
         estimate.variance_us2 += spread_us2 * weight;
+        service_us
     }
 
     /// Returns the expected service time at this agent, in microseconds.
--- a/crates/fes-admission/src/forecast.rs
+++ b/crates/fes-admission/src/forecast.rs
@@ -59,8 +59,13 @@
             .iter()
             .map(|r| {
                 let mean_us = classes.mean_us(r.class);
-                let left_us = mean_us - now.us_since(r.started_at) as f64;
-                let left_us = left_us.max(mean_us * MIN_REMAINING_SHARE);
+                let age_us = now.us_since(r.started_at) as f64;
+                if r.long && age_us > mean_us {
+                    // Nothing is known of an overdue request but its age, which is the best
+                    // guess of what is left.
+                    return (false, Slot::new(age_us, age_us * age_us));
+                }
+                let left_us = (mean_us - age_us).max(mean_us * MIN_REMAINING_SHARE);
                 (!r.long, Slot::new(left_us, classes.variance_us2(r.class)))
             })
             .collect();
--- a/crates/fes-admission/tests/class_table.rs
+++ b/crates/fes-admission/tests/class_table.rs
@@ -33,7 +33,9 @@
     let mut table = table(8);
     let class = table.index_of(&ClassName::from("GET /short"));
 
-    (0..10).for_each(|_| table.observe(class, 200_000.0));
+    for _ in 0..10 {
+        table.observe(class, 200_000.0);
+    }
 
     assert!(table.mean_us(class) > 180_000.0);
 }
@@ -44,7 +46,9 @@
     let mut table = table(8);
     let usual = table.index_of(&ClassName::from("GET /short"));
     let rare = table.index_of(&ClassName::from("GET /health"));
-    (0..50).for_each(|_| table.observe(rare, 100.0));
+    for _ in 0..50 {
+        table.observe(rare, 100.0);
+    }
 
     for number in 0..2_000 {
         table.count_arrival(if number % 50 == 0 { rare } else { usual });
@@ -63,3 +67,23 @@
 
     assert!(names.iter().all(|name| name.as_str() == "GET /lots"));
 }
+
+/// Fails if a few requests that run 50 times as long as their class make the usual ones look long,
+/// so that the forecast refuses them; or if a class that really slows down keeps its old estimate.
+#[test]
+fn rare_stragglers_dont_hide_the_usual_length_and_a_slow_class_is_learnt() {
+    let mut table = table(8);
+    let class = table.index_of(&ClassName::from("GET /short"));
+    for number in 0..5_000 {
+        let is_straggler = number % 50 == 0;
+        table.observe(class, if is_straggler { 1_000_000.0 } else { 20_000.0 });
+    }
+    let among_stragglers_us = table.mean_us(class);
+
+    for _ in 0..500 {
+        table.observe(class, 400_000.0);
+    }
+
+    assert!(among_stragglers_us < 25_000.0);
+    assert!(table.mean_us(class) > 350_000.0);
+}
--- a/crates/fes-measure/src/experiments/head_of_line.rs
+++ b/crates/fes-measure/src/experiments/head_of_line.rs
@@ -5,6 +5,7 @@
 use super::Measured;
 use super::RawFigure;
 use super::mix::STRAGGLER_FACTOR;
+use super::mix::hidden_straggler_classes;
 use super::mix::mixed_speeds;
 use super::mix::short_classes;
 use super::mix::straggler_classes;
@@ -40,6 +41,7 @@
 pub(crate) fn head_of_line(profile: &Profile, seed: u64) -> Measured {
     let with = both_policies(profile, seed, straggler_classes(profile), LOAD);
     let without = both_policies(profile, seed, short_classes(profile), LOAD);
+    let hidden = both_policies(profile, seed, hidden_straggler_classes(profile), LOAD);
     let queueing = |runs: &[RunResult; 2], i: usize| wait_p99_ms(&runs[i], queueing_us);
     let with_hops = |runs: &[RunResult; 2], i: usize| wait_p99_ms(&runs[i], Outcome::wait_us);
     let long_bound_ms = LONG_BOUND_MULTIPLE * STRAGGLER_FACTOR * profile.short_service_us / 1e3;
@@ -76,6 +78,16 @@
             "share",
             [0, 1].map(|i| bad_share(&with[i], false)),
         ),
+        RawFigure::note(
+            "p99 queueing ratio, stragglers hidden in a usual class",
+            "ratio",
+            [0, 1].map(|i| queueing(&hidden, i) / queueing(&without, i)),
+        ),
+        RawFigure::note(
+            "short requests refused or late, stragglers hidden",
+            "share",
+            [0, 1].map(|i| bad_share(&hidden[i], false)),
+        ),
         RawFigure::note(
             "long requests refused or late",
             "share",
--- a/crates/fes-measure/src/experiments/mix.rs
+++ b/crates/fes-measure/src/experiments/mix.rs
@@ -49,6 +49,16 @@
     classes
 }
 
+/// Returns the usual requests with stragglers that no class tells apart from them.
+pub(crate) fn hidden_straggler_classes(profile: &Profile) -> Vec<ClassMix> {
+    let mut classes = straggler_classes(profile);
+    for class in classes.iter_mut().filter(|class| class.long) {
+        class.name = profile.query_class;
+        class.has_prior = false;
+    }
+    classes
+}
+
 /// Returns speeds in the ratio 1:2:4, in seeded order.
 pub(crate) fn mixed_speeds(profile: &Profile, seed: u64) -> Vec<f64> {
     let mut speeds: Vec<f64> = (0..profile.targets)
