Pass short requests on that would wait for long ones to end

Cause: short requests that arrived while long ones held the slots waited for a share-based choice that reacts with the next heartbeat only. Change: an agent whose long slots are taken passes a short request to a peer whose are not, if the expected wait there with the hop is at least 20 ms shorter.

--- a/crates/fes-routing/src/offload/planner.rs
+++ b/crates/fes-routing/src/offload/planner.rs
@@ -28,6 +28,10 @@
 /// that they may hold; admission reserves one slot in two.
 const SHORT_SHARE: f64 = 0.5;
 
+/// Least expected gain, beyond the hop, for which a short request leaves an agent that is held up
+/// by long ones, in milliseconds.
+const MIN_GAIN_MS: u32 = 20;
+
 /// Time for which a peer that refused an offloaded request gets none, in milliseconds.
 const REFUSAL_PAUSE_MS: u64 = 500;
 
@@ -112,6 +116,12 @@
         if request.long && own.long_wait_ms > 0 {
             return self.choose_for_long(now, own, request);
         }
+        if !request.long && own.long_wait_ms > 0 {
+            let choice = self.choose_unblocked(now, own, request);
+            if choice != OffloadChoice::Here {
+                return choice;
+            }
+        }
         let shares = Shares::compute(self.own_for_short(own), &self.members_for_short(now));
         let movable = f64::from(own.movable_milli);
         if shares.surplus <= f64::from(own.demand_milli) * MIN_SURPLUS_SHARE || movable <= 0.0 {
@@ -129,6 +139,29 @@
         self.send(&deficits, request.long)
     }
 
+    /// Picks a peer for a short request that would wait for long ones to end. Peers whose long
+    /// slots are taken are left out, because their reports on short waits are soon out of date.
+    fn choose_unblocked(
+        &mut self,
+        now: MonoTime,
+        own: &OwnLoad,
+        request: &OffloadRequest,
+    ) -> OffloadChoice {
+        let better: Vec<(TargetId, f64)> = self
+            .members(now)
+            .into_iter()
+            .filter(|m| self.is_reachable_in_time(now, m.target, request.deadline))
+            .filter(|m| self.long_start_ms(now, m.target) == Some(0))
+            .filter(|m| {
+                let hop_ms = self.peers.get(&m.target).map_or(0, |p| p.hop_ms);
+                let there_ms = self.queue_wait_ms(m.target).saturating_add(hop_ms);
+                own.queue_wait_ms > there_ms.saturating_add(MIN_GAIN_MS)
+            })
+            .map(|m| (m.target, m.capacity * m.trust))
+            .collect();
+        self.send(&better, false)
+    }
+
     /// Long requests are too few for shares to even out: a second one in an agent's queue waits
     /// for many times its own service. They go where one would start earlier, one per peer and
     /// report, so that a stale report attracts no second one.
