--- a/crates/fes-agent/tests/support/mod.rs
+++ b/crates/fes-agent/tests/support/mod.rs
@@ -68,6 +68,33 @@
     entry_count: u32,
     agent_count: u32,
     adjust: impl Fn(&mut AgentSettings),
+) -> Cluster {
+    let cluster = start(entry_count, agent_count, adjust, |_| {}).await;
+    cluster.publish(1).await;
+    cluster
+}
+
+/// Starts a system without any ticket.
+pub async fn unpublished_cluster(entry_count: u32, agent_count: u32) -> Cluster {
+    start(entry_count, agent_count, |_| {}, |_| {}).await
+}
+
+/// Starts a system whose processes have adjusted settings.
+pub async fn cluster_with_nodes(
+    entry_count: u32,
+    agent_count: u32,
+    adjust: impl Fn(&mut NodeSettings),
+) -> Cluster {
+    let cluster = start(entry_count, agent_count, |_| {}, adjust).await;
+    cluster.publish(1).await;
+    cluster
+}
+
+async fn start(
+    entry_count: u32,
+    agent_count: u32,
+    adjust: impl Fn(&mut AgentSettings),
+    adjust_node: impl Fn(&mut NodeSettings),
 ) -> Cluster {
     let authority = Authority::new();
     let platform = Platform::start().await.expect("platform");
@@ -92,12 +119,14 @@
             authority.client_identity(),
         );
         adjust(&mut settings);
+        adjust_node(&mut settings.node);
         agents.push(Agent::start(settings).await.expect("agent"));
         upstreams.push(upstream);
     }
     let mut entries = Vec::new();
     for number in 1..=entry_count {
-        let node = node_settings(&authority, &platform, &format!("entry-vm-{number}"));
+        let mut node = node_settings(&authority, &platform, &format!("entry-vm-{number}"));
+        adjust_node(&mut node);
         entries.push(
             Entry::start(entry_settings(number, node))
                 .await
@@ -106,7 +135,7 @@
     }
     let addresses = entries.iter().map(service_address);
     let fabric = Fabric::start(addresses, KEY_SEED).expect("fabric");
-    let cluster = Cluster {
+    Cluster {
         authority,
         platform,
         entries,
@@ -115,9 +144,7 @@
         fabric,
         log,
         leaving: Vec::new(),
-    };
-    cluster.publish(1).await;
-    cluster
+    }
 }
 
 impl Cluster {
@@ -134,6 +161,31 @@
         }
     }
 
+    /// Kills an agent and starts it again at the same addresses.
+    pub async fn restart_agent(&mut self, index: usize) {
+        let former = self.agents.remove(index);
+        let target = former.target();
+        let mut settings = AgentSettings::new(
+            target,
+            SERVICE,
+            SLOTS,
+            node_settings(&self.authority, &self.platform, &format!("vm-{target}")),
+            self.upstreams[index].address(),
+            self.authority.client_identity(),
+        );
+        settings.agent_address = former.agent_address();
+        settings.node.link_address = former.link_address();
+        former.kill();
+        // The sockets close when the aborted tasks of the killed agent are dropped.
+        let agent = loop {
+            tokio::task::yield_now().await;
+            if let Ok(agent) = Agent::start(settings.clone()).await {
+                break agent;
+            }
+        };
+        self.agents.insert(index, agent);
+    }
+
     /// Makes links of a process that the authority trusts.
     pub fn links(&self) -> LinkPool {
         let identity = self.authority.link_identity();
@@ -142,7 +194,8 @@
         LinkPool::new(tls.expect("link identity"))
     }
 
-    fn ticket(&self, number: u64) -> Ticket {
+    /// Returns the ticket of the present state.
+    pub fn ticket(&self, number: u64) -> Ticket {
         let entries = self.entries.iter().map(|entry| EntrySpec {
             id: entry.id(),
             vm: format!("entry-vm-{}", entry.id()).into(),
--- a/crates/fes-idempotency/tests/support/history.rs
+++ b/crates/fes-idempotency/tests/support/history.rs
@@ -10,11 +10,11 @@
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
-use super::agent::UpstreamMode;
-use super::broken::Broken;
-use super::world::Event;
-use super::world::Try;
-use super::world::World;
+use fes_testkit::at_most_once::Broken;
+use fes_testkit::at_most_once::Fault;
+use fes_testkit::at_most_once::Try;
+use fes_testkit::at_most_once::UpstreamMode;
+use fes_testkit::at_most_once::World;
 
 const AGENT_COUNT: u32 = 3;
 const STEP_COUNT: usize = 80;
@@ -111,7 +111,8 @@
             840..890 => self.pause(),
             890..930 => self.cut(),
             930..960 => self.change_upstream(),
-            960..985 => self.drain(),
+            960..975 => self.drain(),
+            975..985 => self.change_ticket(),
             985..995 => self.world.run_ms(5_000),
             _ => self.world.run_ms(RETENTION_LEAP_MS),
         }
@@ -173,7 +174,7 @@
         let target = self.any_target();
         self.world.crash(target);
         let down_ms = self.rng.random_range(1..=self.max_down_ms);
-        self.world.at_ms(down_ms, Event::Restart { at: target });
+        self.world.fault_after_ms(down_ms, Fault::Restart(target));
     }
 
     fn pause(&mut self) {
@@ -196,7 +197,7 @@
         }
         self.world.cut(a, b);
         let ms = self.rng.random_range(10..2_000);
-        self.world.at_ms(ms, Event::Heal);
+        self.world.fault_after_ms(ms, Fault::Heal);
     }
 
     fn change_upstream(&mut self) {
@@ -214,12 +215,23 @@
         agent.retries = self.rng.random_range(0..3);
     }
 
+    /// A ticket drops an agent or names it again, or changes the state of its upstream.
+    fn change_ticket(&mut self) {
+        let target = self.any_target();
+        if self.rng.random_bool(0.5) {
+            let leaving = self.rng.random_bool(0.5);
+            self.world.set_leaving(target, leaving);
+        } else if let Some(agent) = self.world.agents.get_mut(&target) {
+            agent.named_by_ticket = !agent.named_by_ticket;
+        }
+    }
+
     fn drain(&mut self) {
         let target = self.any_target();
         if self.world.agents[&target].up {
             self.world.drain(target);
             let ms = self.rng.random_range(1..8_000);
-            self.world.at_ms(ms, Event::Restart { at: target });
+            self.world.fault_after_ms(ms, Fault::Restart(target));
         }
     }
 }
