--- a/crates/fes-routing/tests/offload.rs
+++ b/crates/fes-routing/tests/offload.rs
@@ -301,3 +301,27 @@
 
     assert_eq!(run(), run());
 }
+
+/// Fails if short requests wait for long ones to end while a peer is free of them, or hop for a
+/// gain that the hop eats up.
+#[test]
+fn short_request_leaves_an_agent_held_up_by_long_ones() {
+    let mut planner = planner();
+    let held_up = |queue_wait_ms| OwnLoad {
+        long_wait_ms: 900,
+        queue_wait_ms,
+        ..own(4_000, 1_000)
+    };
+    planner.on_heartbeat(MonoTime::ZERO, &held_up(0), &report(2, 4_000, 2_000));
+    let also_held_up = PeerHeartbeat {
+        long_wait_ms: 900,
+        ..report(3, 4_000, 2_000)
+    };
+    planner.on_heartbeat(MonoTime::ZERO, &held_up(0), &also_held_up);
+
+    let small_gain = shares(&mut planner, MonoTime::ZERO, &held_up(28), &request());
+    let large_gain = shares(&mut planner, MonoTime::ZERO, &held_up(29), &request());
+
+    assert!(small_gain.keys().eq([&1]));
+    assert!(large_gain.keys().eq([&2]));
+}
