--- /dev/null
+++ b/crates/fes-measure/src/disciplines.rs
@@ -0,0 +1,57 @@
+//! Compares queue disciplines around demand peaks on equal VMs, where offload has nothing to do.
+
+use crate::Policy;
+use crate::Profile;
+use crate::experiments::PeakFigures;
+use crate::experiments::peak_figures;
+use crate::experiments::peak_scenario;
+use crate::sim::Discipline;
+use crate::sim::Fleet;
+
+/// What one discipline achieved.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DisciplineResult {
+    /// Name of the discipline.
+    pub name: &'static str,
+    /// Goodput within deadline at the worst peak over capacity.
+    pub goodput: f64,
+    /// Longest time to a refusal at the refusing agent, in milliseconds.
+    pub longest_refusal_ms: f64,
+    /// Share of requests answered in time from 2 s after the worst peak.
+    pub good_after: f64,
+}
+
+/// Runs all disciplines that were considered.
+#[must_use]
+pub fn compare_disciplines(profile: &Profile, seed: u64) -> Vec<DisciplineResult> {
+    let speeds = vec![1.0; profile.targets];
+    let scenario = peak_scenario(profile, seed, speeds);
+    let others = [
+        ("first in, first out", Discipline::Fifo),
+        (
+            "last in, first out under overload",
+            Discipline::AdaptiveLifo,
+        ),
+        ("CoDel", Discipline::CoDel),
+    ];
+    let mut results: Vec<DisciplineResult> = others
+        .into_iter()
+        .map(|(name, discipline)| {
+            let run = Fleet::run_discipline(scenario.clone(), discipline);
+            result(name, peak_figures(&scenario, &run))
+        })
+        .collect();
+    let chosen = Fleet::run(scenario.clone(), Policy::Current);
+    let name = "earliest deadline first with refusal";
+    results.push(result(name, peak_figures(&scenario, &chosen)));
+    results
+}
+
+fn result(name: &'static str, figures: PeakFigures) -> DisciplineResult {
+    DisciplineResult {
+        name,
+        goodput: figures.goodput,
+        longest_refusal_ms: figures.longest_refusal_ms,
+        good_after: figures.good_after,
+    }
+}
--- a/crates/fes-measure/src/experiments/crest.rs
+++ b/crates/fes-measure/src/experiments/crest.rs
@@ -56,16 +56,38 @@
 /// Least goodput after the peak as a share of demand; below it the overload sustains itself.
 const MIN_GOODPUT_AFTER: f64 = 0.95;
 
-pub(crate) fn crest(profile: &Profile, seed: u64) -> Measured {
-    let scenario = Scenario {
+/// Figures of one run that queue disciplines are compared by.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PeakFigures {
+    pub(crate) goodput: f64,
+    pub(crate) longest_refusal_ms: f64,
+    pub(crate) good_after: f64,
+}
+
+/// Makes the scenario on targets of these speeds.
+pub(crate) fn peak_scenario(profile: &Profile, seed: u64, speeds: Vec<f64>) -> Scenario {
+    Scenario {
         profile: profile.clone(),
         seed,
-        speeds: mixed_speeds(profile, seed),
+        speeds,
         classes: short_classes(profile),
         load: rises_ms().flat_map(load_of_peak).collect(),
         end: MonoTime::from_ms(FIRST_RISE_MS + PEAKS * CYCLE_MS),
         clients_retry: true,
-    };
+    }
+}
+
+/// Returns the figures of one run.
+pub(crate) fn peak_figures(scenario: &Scenario, run: &RunResult) -> PeakFigures {
+    PeakFigures {
+        goodput: least_goodput_at_peak(run) / (scenario.capacity_slots() * 1e6),
+        longest_refusal_ms: percentile(refusals_ms(run), 100.0),
+        good_after: good_share_after(run),
+    }
+}
+
+pub(crate) fn crest(profile: &Profile, seed: u64) -> Measured {
+    let scenario = peak_scenario(profile, seed, mixed_speeds(profile, seed));
     let runs = [Policy::Baseline, Policy::Current].map(|p| Fleet::run(scenario.clone(), p));
     let capacity_us_per_s = scenario.capacity_slots() * 1e6;
     let both = |measure: &dyn Fn(&RunResult) -> f64| [measure(&runs[0]), measure(&runs[1])];
--- a/crates/fes-measure/src/lib.rs
+++ b/crates/fes-measure/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod capacity;
 
+mod disciplines;
 mod experiment;
 mod experiments;
 mod flows;
@@ -15,6 +16,8 @@
 mod sim;
 mod table;
 
+pub use disciplines::DisciplineResult;
+pub use disciplines::compare_disciplines;
 pub use experiment::Experiment;
 pub use plot::write_plots;
 pub use policy::Policy;
--- a/crates/fes-measure/src/sim/fleet.rs
+++ b/crates/fes-measure/src/sim/fleet.rs
@@ -7,6 +7,7 @@
 use fes_protocol::RequestId;
 
 use super::AgentPolicy;
+use super::Discipline;
 use super::EventQueue;
 use super::Network;
 use super::RunResult;
@@ -14,6 +15,7 @@
 use super::Step;
 use super::attempt::Attempt;
 use super::client::Connections;
+use super::discipline::DisciplineAgent;
 use super::source::Source;
 use super::source::build_agents;
 use crate::Policy;
@@ -75,10 +77,29 @@
 impl Fleet {
     /// Simulates the scenario to its end.
     pub(crate) fn run(scenario: Scenario, policy: Policy) -> RunResult {
+        let build = |network: &Network| build_agents(&scenario, policy, network);
+        Self::run_agents(scenario.clone(), policy, build)
+    }
+
+    /// Simulates agents with another queue discipline; connections are placed as by entries.
+    pub(crate) fn run_discipline(scenario: Scenario, discipline: Discipline) -> RunResult {
+        let profile = scenario.profile.clone();
+        let agent = |own| -> Box<dyn AgentPolicy> {
+            Box::new(DisciplineAgent::new(discipline, own, profile.slots))
+        };
+        let build = |_: &Network| (0..profile.targets).map(agent).collect();
+        Self::run_agents(scenario, Policy::Current, build)
+    }
+
+    fn run_agents(
+        scenario: Scenario,
+        policy: Policy,
+        build: impl FnOnce(&Network) -> Vec<Box<dyn AgentPolicy>>,
+    ) -> RunResult {
         let targets = scenario.profile.targets;
         let source = Source::new(&scenario);
         let network = Network::new(&scenario.profile, source.stream(1));
-        let agents = build_agents(&scenario, policy, &network);
+        let agents = build(&network);
         let connections = Connections::place(&scenario, policy, &mut source.stream(2));
         let mut fleet = Self {
             now: MonoTime::ZERO,
