--- a/crates/fes-admission/src/forecast.rs
+++ b/crates/fes-admission/src/forecast.rs
@@ -13,8 +13,8 @@
 const MIN_REMAINING_SHARE: f64 = 0.1;
 
 /// Deviations that are added to the mean wait. A request that is admitted and starts late is
-/// refused late or wastes its slot; with 3 deviations that still happened in some peaks.
-const SAFETY_DEVIATIONS: f64 = 4.0;
+/// refused late or wastes its slot; with 4 deviations that still happened in one of 80 peaks.
+const SAFETY_DEVIATIONS: f64 = 5.0;
 
 /// A slot of the forecast.
 #[derive(Debug, Clone, Copy, Default)]
