--- a/crates/fes-measure/src/experiments/crest.rs
+++ b/crates/fes-measure/src/experiments/crest.rs
@@ -23,7 +23,7 @@
 
 /// Peaks in a run. The latencies of the windows around all of them are compared: with a single
 /// peak the p99 ratio of two windows is above 1.10 in 6 of 20 runs even without any peak.
-const PEAKS: u64 = 4;
+const PEAKS: u64 = 6;
 
 /// When demand first starts to rise, in milliseconds.
 const FIRST_RISE_MS: u64 = 30_000;
