Count a doubled arrival once

Cause: a doubled Arrive was ignored by the queue but counted as demand twice. Change: known IDs are dropped before they are counted.

--- a/crates/fes-admission/src/admission.rs
+++ b/crates/fes-admission/src/admission.rs
@@ -97,8 +97,10 @@
                 repeatable,
                 origin,
             } => {
-                let class = self.count(now, &class, repeatable, origin);
-                self.arrive(now, id, class, deadline, repeatable, &mut actions);
+                if !self.queue.contains(id) && !self.running.contains(id) {
+                    let class = self.count(now, &class, repeatable, origin);
+                    self.arrive(now, id, class, deadline, repeatable, &mut actions);
+                }
             }
             AdmissionEvent::PassedOn { class } => {
                 self.count(now, &class, true, Origin::Client);
@@ -214,9 +216,6 @@
         repeatable: bool,
         actions: &mut Vec<AdmissionAction>,
     ) {
-        if self.queue.contains(id) || self.running.contains(id) {
-            return;
-        }
         self.classes.count_arrival(class);
         let waiting = Waiting {
             id,
