Track drain and upstream state apart

Cause: a draining agent ignored the loss of its upstream and went on starting queued requests; the end of a drain opened an agent whose upstream was lost. Change: two flags instead of one state. Conclusion: covered by a script.

--- a/crates/fes-admission/src/admission.rs
+++ b/crates/fes-admission/src/admission.rs
@@ -28,10 +28,26 @@
 
 /// Whether the upstream and its agent take work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Gate {
-    Open,
-    UpstreamDown,
-    Draining,
+struct Gate {
+    is_upstream_up: bool,
+    is_draining: bool,
+}
+
+impl Gate {
+    const fn is_open(self) -> bool {
+        self.is_upstream_up && !self.is_draining
+    }
+
+    /// Returns why no request is admitted, if that is so.
+    const fn refusal(self) -> Option<ResultCode> {
+        if self.is_draining {
+            return Some(ResultCode::NotRunDraining);
+        }
+        if !self.is_upstream_up {
+            return Some(ResultCode::NotRunUpstreamDown);
+        }
+        None
+    }
 }
 
 /// Decides which request starts, waits or is refused.
@@ -58,7 +74,10 @@
         let mut slow_start = SlowStart::warm();
         slow_start.begin(now);
         Self {
-            gate: Gate::Open,
+            gate: Gate {
+                is_upstream_up: true,
+                is_draining: false,
+            },
             classes: ClassTable::new(&settings),
             queue: DeadlineQueue::default(),
             running: RunningSet::default(),
@@ -116,8 +135,8 @@
             AdmissionEvent::UpstreamShed { id } => self.shed(now, id, &mut actions),
             AdmissionEvent::UpstreamUp => self.upstream_up(now),
             AdmissionEvent::UpstreamDown => self.upstream_down(&mut actions),
-            AdmissionEvent::Drain => self.gate = Gate::Draining,
-            AdmissionEvent::Resume => self.resume(),
+            AdmissionEvent::Drain => self.gate.is_draining = true,
+            AdmissionEvent::Resume => self.gate.is_draining = false,
             AdmissionEvent::Timer => self.armed = MonoTime::NEVER,
         }
         self.refuse_expired(now, &mut actions);
@@ -130,7 +149,7 @@
     pub fn load(&mut self, now: MonoTime) -> Load {
         let limit = self.limit.current(now);
         let speed = self.capacity.speed(now);
-        let open = self.gate == Gate::Open;
+        let open = self.gate.is_open();
         let share = if open {
             self.slow_start.share(now)
         } else {
@@ -178,7 +197,7 @@
     /// Returns whether a drain is complete.
     #[must_use]
     pub fn is_drained(&self) -> bool {
-        self.gate == Gate::Draining && self.running.len() == 0 && self.queue.len() == 0
+        self.gate.is_draining && self.running.len() == 0 && self.queue.len() == 0
     }
 
     fn count(
@@ -235,10 +254,8 @@
     }
 
     fn check_arrival(&mut self, now: MonoTime, waiting: &Waiting) -> Result<(), ResultCode> {
-        match self.gate {
-            Gate::Open => {}
-            Gate::UpstreamDown => return Err(ResultCode::NotRunUpstreamDown),
-            Gate::Draining => return Err(ResultCode::NotRunDraining),
+        if let Some(code) = self.gate.refusal() {
+            return Err(code);
         }
         if waiting.deadline <= now {
             return Err(ResultCode::NotRunDeadline);
@@ -280,7 +297,7 @@
         self.limit.shed(now, self.running.len());
         let expected_us = self.classes.mean_us(shed.class) as u64;
         let in_time = now.plus_us(expected_us) <= shed.deadline;
-        let room = self.queue.len() < self.settings.queue_capacity && self.gate == Gate::Open;
+        let room = self.queue.len() < self.settings.queue_capacity && self.gate.is_open();
         if shed.repeatable && in_time && room && self.retries.take() {
             self.queue.push(Waiting {
                 id,
@@ -297,23 +314,14 @@
     }
 
     fn upstream_up(&mut self, now: MonoTime) {
-        if self.gate == Gate::UpstreamDown {
-            self.gate = Gate::Open;
+        if !self.gate.is_upstream_up {
+            self.gate.is_upstream_up = true;
             self.slow_start.begin(now);
         }
     }
 
-    fn resume(&mut self) {
-        if self.gate == Gate::Draining {
-            self.gate = Gate::Open;
-        }
-    }
-
     fn upstream_down(&mut self, actions: &mut Vec<AdmissionAction>) {
-        if self.gate != Gate::Open {
-            return;
-        }
-        self.gate = Gate::UpstreamDown;
+        self.gate.is_upstream_up = false;
         let ids: Vec<RequestId> = self.queue.iter().map(|w| w.id).collect();
         for id in ids {
             self.queue.remove(id);
--- a/crates/fes-admission/tests/scripts.rs
+++ b/crates/fes-admission/tests/scripts.rs
@@ -2,7 +2,7 @@
 //!
 //! Commands: `new slots=N [queue=N] [max-classes=N]`, `at MS`, `arrive ID class deadline=MS
 //! [once] [from=client|relayed|offloaded]`, `passed-on class`, `finish|fail|cancel|shed ID`, `up`,
-//! `down`, `drain`, `timer`, `load`, `counts`. Classes: `short` takes 20 ms, `long` 1,000 ms.
+//! `down`, `drain`, `resume`, `timer`, `load`, `counts`. Classes: `short` takes 20 ms, `long` 1,000 ms.
 
 use std::error::Error;
 use std::fmt::Write;
@@ -121,6 +121,7 @@
             "up" => self.event(AdmissionEvent::UpstreamUp),
             "down" => self.event(AdmissionEvent::UpstreamDown),
             "drain" => self.event(AdmissionEvent::Drain),
+            "resume" => self.event(AdmissionEvent::Resume),
             "timer" => self.event(AdmissionEvent::Timer),
             "load" => {
                 let load = self.admission.load(self.now);
