Cancel relayed requests at their owner in simulated runs

Cause: a client that gives up resets the link stream of its relay, which the simulated fleet left out.

The documentation of RelayAction::Abandon says what the owner does.

--- a/crates/fes-idempotency/src/relay.rs
+++ b/crates/fes-idempotency/src/relay.rs
@@ -77,8 +77,8 @@
         /// The answer.
         answer: Answer,
     },
-    /// The client no longer waits. The owner keeps the outcome for a retry, so the link stream is
-    /// left to end by itself and its answer is dropped.
+    /// The client no longer waits; reset the link stream. The owner then refuses the request if it
+    /// is queued and nobody else waits for it, and keeps the outcome for a retry if it runs.
     Abandon {
         /// The request.
         request: RequestId,
--- a/crates/fes-testkit/src/at_most_once/clients.rs
+++ b/crates/fes-testkit/src/at_most_once/clients.rs
@@ -6,6 +6,7 @@
 use fes_protocol::ResultCode;
 use fes_protocol::TargetId;
 
+use super::agent::Origin;
 use super::event::Event;
 use super::network::Fate;
 use super::world::World;
@@ -69,9 +70,11 @@
     /// Lets a client give up a try.
     pub fn cancel(&mut self, try_id: usize) {
         let attempt = &self.tries[try_id];
-        let (entry, agent) = (attempt.entry, NodeId::Agent(attempt.agent));
+        let (entry, to) = (attempt.entry, attempt.agent);
         self.end(try_id, End::ConnectionLost);
-        self.carry_for_try(try_id, entry, agent, Event::Cancel { try_id });
+        let origin = Origin::Client { try_id };
+        let cancel = Event::Cancel { to, origin };
+        self.carry_for_try(try_id, entry, NodeId::Agent(to), cancel);
     }
 
     pub(super) fn carry_for_try(&mut self, try_id: usize, from: NodeId, to: NodeId, event: Event) {
--- a/crates/fes-testkit/src/at_most_once/event.rs
+++ b/crates/fes-testkit/src/at_most_once/event.rs
@@ -44,7 +44,8 @@
         try_id: usize,
     },
     Cancel {
-        try_id: usize,
+        to: TargetId,
+        origin: Origin,
     },
     Answer {
         try_id: usize,
--- a/crates/fes-testkit/src/at_most_once/hosting.rs
+++ b/crates/fes-testkit/src/at_most_once/hosting.rs
@@ -12,7 +12,6 @@
 use fes_idempotency::RequestDigester;
 use fes_idempotency::StoreAction;
 use fes_idempotency::StoreEvent;
-use fes_membership::lifecycle::LifecycleAction;
 use fes_membership::lifecycle::LifecycleEvent;
 use fes_protocol::MonoTime;
 use fes_protocol::NodeId;
@@ -42,7 +41,7 @@
         }
         match event {
             Event::Request { try_id } => self.on_request(try_id),
-            Event::Cancel { try_id } => self.on_cancel(try_id),
+            Event::Cancel { to, origin } => self.on_cancel(to, origin),
             Event::Answer { try_id, answer } => self.on_answer(try_id, answer),
             Event::Relayed {
                 to,
@@ -107,8 +106,9 @@
 
     fn addressee(&self, event: &Event) -> Option<TargetId> {
         match event {
-            Event::Request { try_id } | Event::Cancel { try_id } => Some(self.tries[*try_id].agent),
-            Event::Relayed { to, .. }
+            Event::Request { try_id } => Some(self.tries[*try_id].agent),
+            Event::Cancel { to, .. }
+            | Event::Relayed { to, .. }
             | Event::RelayAnswer { to, .. }
             | Event::LinkLost { to, .. }
             | Event::Reply { to, .. } => Some(*to),
@@ -170,13 +170,11 @@
         self.decide(target, event);
     }
 
-    fn on_cancel(&mut self, try_id: usize) {
-        let target = self.tries[try_id].agent;
+    fn on_cancel(&mut self, target: TargetId, origin: Origin) {
         let agent = self.agents.get_mut(&target).expect("agent exists");
         if !agent.up {
             return;
         }
-        let origin = Origin::Client { try_id };
         let open = agent
             .requests
             .iter()
@@ -188,6 +186,25 @@
         }
     }
 
+    /// Resets the link stream of a relayed request whose client is gone.
+    fn abandon(&mut self, from: TargetId, request: RequestId) {
+        let agent = self.agents.get_mut(&from).expect("agent exists");
+        let origin = Origin::Peer {
+            target: from,
+            incarnation: agent.incarnation,
+            request,
+        };
+        let Some(to) = agent.relays.remove(&request) else {
+            return;
+        };
+        let fate = self.network.fate(NodeId::Agent(from), NodeId::Agent(to));
+        if let Fate::Arrives(delays) = fate {
+            for delay_us in delays {
+                self.at_us(delay_us, Event::Cancel { to, origin });
+            }
+        }
+    }
+
     fn on_answer(&mut self, try_id: usize, answer: Answer) {
         let end = match answer {
             Answer::Response(response) => End::Answered {
@@ -245,6 +262,9 @@
             }) => {
                 self.forward(target, request, owner.target, deadline, events);
             }
+            CoordinatorAction::Relay(RelayAction::Abandon { request }) => {
+                self.abandon(target, request);
+            }
             CoordinatorAction::Relay(_) => {}
         }
     }
@@ -432,46 +452,4 @@
             },
         }
     }
-
-    pub(super) fn report_progress(&mut self, target: TargetId) {
-        let work = self.agents[&target].work();
-        self.life(target, LifecycleEvent::Progress(work));
-    }
-
-    pub(super) fn life(&mut self, target: TargetId, event: LifecycleEvent) {
-        let now = self.now;
-        let agent = self.agents.get_mut(&target).expect("agent exists");
-        if !agent.up {
-            return;
-        }
-        for action in agent.life.handle(agent.local(now), event) {
-            self.act_for_life(target, action);
-        }
-    }
-
-    fn act_for_life(&mut self, target: TargetId, action: LifecycleAction) {
-        let now = self.now;
-        let agent = self.agents.get_mut(&target).expect("agent exists");
-        match action {
-            LifecycleAction::StopAdmission => agent.admitting = false,
-            LifecycleAction::ResumeAdmission => agent.admitting = true,
-            LifecycleAction::SetTimer(deadline) => {
-                let delay_us = deadline.us_since(agent.local(now));
-                self.at_us(delay_us, Event::LifeTimer { at: target });
-            }
-            LifecycleAction::CutOffWork(cut_off) => {
-                let count = cut_off.request_count;
-                self.say(format!(
-                    "a{target} reaches its drain bound, {count} requests open"
-                ));
-                self.decide(target, CoordinatorEvent::DrainBoundReached);
-            }
-            LifecycleAction::Exit { status } => {
-                agent.up = false;
-                self.say(format!("a{target} exits with status {status}"));
-                self.lose_links(target);
-            }
-            _ => {}
-        }
-    }
 }
--- a/crates/fes-testkit/src/at_most_once/mod.rs
+++ b/crates/fes-testkit/src/at_most_once/mod.rs
@@ -8,6 +8,7 @@
 mod clients;
 mod event;
 mod hosting;
+mod life;
 mod network;
 mod upstream;
 mod world;
