Cancel requests whose relay died in simulated runs

Cause: the link of a dead relay closes, and the owner hears of it; the simulated fleet left that out.

Change: a crash cancels the requests that the agent had relayed.

--- a/crates/fes-testkit/src/at_most_once/world.rs
+++ b/crates/fes-testkit/src/at_most_once/world.rs
@@ -14,6 +14,7 @@
 use fes_protocol::TargetId;
 
 use super::agent::Agent;
+use super::agent::Origin;
 use super::agent::SERVICE;
 use super::broken::Broken;
 use super::clients::Try;
@@ -215,6 +216,7 @@
     pub fn crash(&mut self, target: TargetId) {
         self.say(format!("a{target} dies"));
         self.lose_links(target);
+        self.lose_relayed(target);
         if let Some(agent) = self.agents.get_mut(&target) {
             agent.up = false;
         }
@@ -269,6 +271,21 @@
         }
     }
 
+    /// Tells the owners of requests that `relay` relayed that their sender is gone.
+    fn lose_relayed(&mut self, relay: TargetId) {
+        let from_relay =
+            |origin: &Origin| matches!(origin, Origin::Peer { target, .. } if *target == relay);
+        let mut lost = Vec::new();
+        for (to, agent) in &self.agents {
+            let origins = agent.requests.values().map(|open| open.origin);
+            lost.extend(origins.filter(from_relay).map(|origin| (*to, origin)));
+        }
+        for (to, origin) in lost {
+            let delay_us = self.network.delay_us();
+            self.at_us(delay_us, Event::Cancel { to, origin });
+        }
+    }
+
     /// Reports every open relay of `relay` to `owner` as lost, once that is noticed.
     fn lose_relays(&mut self, relay: TargetId, owner: TargetId) {
         let Some(agent) = self.agents.get(&relay) else {
