--- a/crates/fes-command/src/local_run.rs
+++ b/crates/fes-command/src/local_run.rs
@@ -9,6 +9,7 @@
 use fes_protocol::Error;
 use fes_protocol::Result;
 use fes_protocol::ResultCode;
+use fes_telemetry::Hop;
 use fes_testkit::Client;
 use fes_testkit::ClientCounts;
 use fes_testkit::Feed;
@@ -19,6 +20,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -26,8 +28,11 @@
 use crate::latency::Recorder;
 use crate::local_fleet::LocalFleet;
 
-/// Before the death of the entry, until another is started, and after.
+/// Phases of a run: before the death of the entry, until another serves, and after.
 const PHASES: usize = 3;
+const BEFORE: usize = 0;
+const DURING: usize = 1;
+const AFTER: usize = 2;
 const MAX_CLIENTS: u64 = 32;
 /// Requests in progress at the same time; below the slots of three upstreams, so that the run
 /// measures flows and not overload.
@@ -47,6 +52,10 @@
     pub(crate) feeds: u64,
     pub(crate) seed: u64,
     pub(crate) upstream_count: u32,
+    /// Stops the entry gracefully instead of killing it.
+    pub(crate) drains: bool,
+    /// Requests whose spans are reported.
+    pub(crate) traces: usize,
 }
 
 /// What clients and upstream doubles observed.
@@ -75,6 +84,7 @@
     pub(crate) latency_during_us: Latency,
     pub(crate) latency_after_us: Latency,
     pub(crate) tickets_in_force_ms: Vec<u64>,
+    pub(crate) traces: Vec<String>,
 }
 
 impl LocalReport {
@@ -88,6 +98,7 @@
 struct Work {
     total: u64,
     next: Cell<u64>,
+    phase: watch::Sender<usize>,
     random: RefCell<ChaCha8Rng>,
     recorders: RefCell<[Recorder; PHASES]>,
 }
@@ -107,6 +118,7 @@
     let work = Rc::new(Work {
         total: plan.requests,
         next: Cell::new(0),
+        phase: watch::Sender::new(BEFORE),
         random: RefCell::new(ChaCha8Rng::seed_from_u64(plan.seed)),
         recorders: RefCell::new([Recorder::new()?, Recorder::new()?, Recorder::new()?]),
     });
@@ -120,7 +132,7 @@
             actix_rt::spawn(async move { work.drive(&client, &progress).await })
         });
     let workers: Vec<_> = workers.collect();
-    replace_entry(&mut fleet, &work).await?;
+    replace_entry(&mut fleet, plan, &work).await?;
     for worker in workers {
         worker.await.map_err(|error| {
             let detail = format!("a worker ended early: {error}");
@@ -148,13 +160,14 @@
 impl Work {
     async fn drive(&self, client: &Client, progress: &ProgressBar) {
         while let Some(number) = self.take() {
+            self.wait_for_replacement(number).await;
+            let phase = *self.phase.borrow();
             let (nonce, is_non_repeatable) = {
                 let mut random = self.random.borrow_mut();
                 (random.random::<u64>(), random.random::<bool>())
             };
             let started = Instant::now();
             let outcome = request(client, number, nonce, is_non_repeatable).await;
-            let phase = usize_of(number * PHASES as u64 / self.total).min(PHASES - 1);
             let mut recorders = self.recorders.borrow_mut();
             recorders[phase].record(&outcome, started.elapsed());
             progress.inc(1);
@@ -170,6 +183,15 @@
         Some(number)
     }
 
+    /// Keeps the last third of the requests for the time after the replacement.
+    async fn wait_for_replacement(&self, number: u64) {
+        if number * 3 >= self.total * 2 {
+            let mut phase = self.phase.subscribe();
+            // The sender lives as long as this work.
+            let _ = phase.wait_for(|phase| *phase == AFTER).await;
+        }
+    }
+
     async fn reach(&self, number: u64) {
         while self.next.get() < number.min(self.total) {
             sleep(Duration::from_millis(1)).await;
@@ -187,13 +209,34 @@
     client.get(format!("/lots/{number}?nonce={nonce}")).await
 }
 
-/// Kills an entry after a third of the requests and starts another after two thirds. In between,
-/// half of all datagrams go to the dead one.
-async fn replace_entry(fleet: &mut LocalFleet, work: &Work) -> Result<()> {
-    work.reach(work.total / PHASES as u64).await;
-    fleet.kill_entry();
-    work.reach(work.total * 2 / PHASES as u64).await;
-    fleet.add_entry().await
+/// Kills an entry after a third of the requests and starts another after half of them; in between,
+/// half of all datagrams go to the dead one. A graceful stop instead starts the other first.
+async fn replace_entry(fleet: &mut LocalFleet, plan: &LocalPlan, work: &Work) -> Result<()> {
+    work.reach(work.total / 3).await;
+    work.phase.send_replace(DURING);
+    if plan.drains {
+        fleet.drain_entry().await?;
+    } else {
+        fleet.kill_entry();
+        work.reach(work.total / 2).await;
+        fleet.add_entry().await?;
+    }
+    work.phase.send_replace(AFTER);
+    Ok(())
+}
+
+/// Returns the spans of the latest `count` traces that a client finished, one line for each, in
+/// order of their starts.
+fn trace_lines(fleet: &LocalFleet, count: usize) -> Vec<String> {
+    let mut spans = fleet.spans();
+    let finished = spans.iter().rev().filter(|span| span.hop == Hop::Client);
+    let chosen: Vec<u128> = finished
+        .map(|span| span.context.trace_id)
+        .take(count)
+        .collect();
+    spans.retain(|span| chosen.contains(&span.context.trace_id));
+    spans.sort_by_key(|span| (span.context.trace_id, span.start));
+    spans.iter().map(ToString::to_string).collect()
 }
 
 fn make_clients(fleet: &LocalFleet, plan: &LocalPlan) -> Result<Vec<Client>> {
@@ -290,10 +333,11 @@
         started_by_upstream: fleet.started_by_upstream(),
         failures_by_code,
         connection_ends,
-        latency_before_us: recorders[0].latency(),
-        latency_during_us: recorders[1].latency(),
-        latency_after_us: recorders[2].latency(),
+        latency_before_us: recorders[BEFORE].latency(),
+        latency_during_us: recorders[DURING].latency(),
+        latency_after_us: recorders[AFTER].latency(),
         tickets_in_force_ms: fleet.tickets_in_force_ms().to_vec(),
+        traces: trace_lines(fleet, plan.traces),
     }
 }
 
