Bound the time in which a request must arrive

Cause: a client that never completed its request would have held up a drain until its bound. Change: headers and body must be complete within the default deadline; otherwise the request is refused as not run. Tests for oversized bodies and for deadlines of running requests.

--- a/crates/fes-agent/src/http3_server.rs
+++ b/crates/fes-agent/src/http3_server.rs
@@ -21,6 +21,8 @@
 use quinn::Incoming;
 use tokio::sync::Notify;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
+use tokio::time::timeout_at;
 
 use crate::core::AgentCore;
 use crate::quic::Http3Transport;
@@ -196,7 +198,11 @@
 impl Http3Request {
     async fn serve(self, resolver: RequestResolver<Http3Transport, Bytes>) {
         let arrival = self.core.now();
-        let Ok((request, stream)) = resolver.resolve_request().await else {
+        // A client that never completes its request must not hold up a drain.
+        let complete_by = arrival.plus_ms(self.core.settings.default_deadline_ms);
+        let complete_by = self.core.instant(complete_by);
+        let resolving = timeout_at(complete_by, resolver.resolve_request());
+        let Ok(Ok((request, stream))) = resolving.await else {
             return;
         };
         let stream_id = stream.id();
@@ -224,12 +230,21 @@
         };
         let collected = tokio::select! {
             collected = collect(Bytes::new(), limit_bytes, next) => collected,
+            () = sleep_until(complete_by) => Err(BodyFault::Late),
             () = &mut cancelled => return,
         };
         let (parts, ()) = request.into_parts();
         let body = match collected {
             Ok(body) => body,
             Err(BodyFault::Broken) => return,
+            Err(BodyFault::Late) => {
+                let answer = Answer::code(ResultCode::NotRunDeadline);
+                self.core.count_answer(&answer);
+                if sink.answer_with(&self.core, &answer).await.is_ok() {
+                    cancelled.await;
+                }
+                return;
+            }
             Err(BodyFault::TooLarge) => {
                 receive.stop_sending(Code::H3_NO_ERROR);
                 let text = "the request body is larger than the service allows\n";
--- a/crates/fes-agent/src/request/body.rs
+++ b/crates/fes-agent/src/request/body.rs
@@ -10,6 +10,8 @@
     TooLarge,
     /// Its sender gave it up.
     Broken,
+    /// It was not complete in time.
+    Late,
 }
 
 /// Collects a body of at most `limit_bytes` from chunks.
--- a/crates/fes-agent/tests/requests.rs
+++ b/crates/fes-agent/tests/requests.rs
@@ -15,6 +15,10 @@
 use support::cluster;
 use support::cluster_with;
 
+/// Refusals after which an upstream counts as not found again; the agent looks for it five times per
+/// second, and a refusal takes about a millisecond.
+const MAX_TRIES: usize = 20_000;
+
 const ANSWERED: Outcome = Outcome::Answered { status: 200 };
 
 /// Fails if a response that the upstream ends early reaches the client as a complete one, or if
@@ -226,7 +230,10 @@
     let upstream = Upstream::start_at(address, options, cluster.log.clone()).await;
     cluster.upstreams.push(upstream.expect("upstream"));
     let mut outcome = client.get("/lots/3").await;
-    while matches!(outcome, Outcome::NotRun(_)) {
+    for _ in 0..MAX_TRIES {
+        if !matches!(outcome, Outcome::NotRun(_)) {
+            break;
+        }
         outcome = client.get("/lots/3").await;
     }
 
@@ -238,3 +245,39 @@
     assert!(is_refused, "{down:?}");
     assert_eq!(outcome, ANSWERED);
 }
+
+/// Fails if a request body above the limit reaches the upstream.
+#[actix_rt::test]
+async fn an_oversized_body_is_refused() {
+    let cluster = cluster_with(1, 1, |settings| settings.body_limit_bytes = 1_000).await;
+    let client = cluster.client("buyer");
+    let key = client.next_key().await.expect("key");
+
+    let call = Call::post("/reservations", key.clone(), vec![7; 5_000]);
+    let reply = client.exchange(&call).await.expect("a reply");
+
+    assert_eq!(reply.status, 413);
+    assert_eq!(cluster.log.runs_of(&key), 0);
+}
+
+/// Fails if the deadline that a client names is ignored, or if a request that ran past it is called
+/// not run.
+#[actix_rt::test]
+async fn a_deadline_ends_a_running_request() {
+    let cluster = cluster(1, 1).await;
+    let upstream = cluster.upstreams[0].clone();
+    upstream.hold("/lots");
+    let client = cluster.client("buyer");
+    let mut call = Call::get("/lots/1");
+    call.deadline_ms = Some(200);
+
+    let outcome = client.send(call).await;
+
+    let is_ended = matches!(
+        outcome,
+        Outcome::Unknown(ResultCode::UnknownDeadline) | Outcome::Failed { status: 504 }
+    );
+    assert!(is_ended, "{outcome:?}");
+    let agent = &cluster.agents[0];
+    until("the slot is free", || agent.counters().slots_used == 0).await;
+}
