--- a/tests/daemons.rs
+++ b/tests/daemons.rs
@@ -59,12 +59,17 @@
     fn start(program: &str, settings: &Path) -> Self {
         Self(
             Command::new(program)
-                .arg(settings)
+                .args(["--settings".as_ref(), settings.as_os_str()])
                 .spawn()
                 .expect("process"),
         )
     }
 
+    fn assert_running(&mut self) {
+        let status = self.0.try_wait().expect("process");
+        assert!(status.is_none(), "the process ended: {status:?}");
+    }
+
     fn terminate(&self) {
         let pid = self.0.id().to_string();
         let status = Command::new("kill").args(["-TERM", &pid]).status();
@@ -190,12 +195,14 @@
     platform.publish_ticket(&ticket(&at)).expect("publish");
     let files = write_settings(&authority, &at, platform.address(), upstream.address());
     let start = |program, name: &str| Process::start(program, &files.path().join(name));
-    let entry = start(env!("CARGO_BIN_EXE_fescueshift-entry"), "entry.toml");
-    let agent = start(env!("CARGO_BIN_EXE_fescueshift-agent"), "agent.toml");
+    let mut entry = start(env!("CARGO_BIN_EXE_fescueshift-entry"), "entry.toml");
+    let mut agent = start(env!("CARGO_BIN_EXE_fescueshift-agent"), "agent.toml");
     let options = ClientOptions::new(at.service, [authority.certificate()], "buyer");
     let client = Client::new(options).expect("client");
     while client.get("/lots/1").await != ANSWERED {
         client.disconnect();
+        entry.assert_running();
+        agent.assert_running();
     }
 
     upstream.hold("/reports");
@@ -226,7 +233,7 @@
     std::fs::write(&settings, "target = 0\n").expect("file");
 
     let output = Command::new(env!("CARGO_BIN_EXE_fescueshift-agent"))
-        .arg(&settings)
+        .args(["--settings".as_ref(), settings.as_os_str()])
         .output();
 
     assert_eq!(output.expect("process").status.code(), Some(2));
