--- a/crates/fes-platform/src/client.rs
+++ b/crates/fes-platform/src/client.rs
@@ -24,6 +24,7 @@
 pub struct PlatformClient {
     address: SocketAddr,
     reader: Arc<str>,
+    reply_timeout_ms: u64,
     connection: Option<Connection>,
 }
 
@@ -34,10 +35,18 @@
         Self {
             address,
             reader: reader.into(),
+            reply_timeout_ms: REPLY_TIMEOUT_MS,
             connection: None,
         }
     }
 
+    /// Changes the time after which a call without a reply is given up.
+    #[must_use]
+    pub const fn with_reply_timeout_ms(mut self, reply_timeout_ms: u64) -> Self {
+        self.reply_timeout_ms = reply_timeout_ms;
+        self
+    }
+
     /// Reads all tickets above `after`.
     ///
     /// # Errors
@@ -45,7 +54,7 @@
     /// Returns [`ResultCode::PlatformUnreachable`] or [`ResultCode::PlatformMalformed`].
     pub async fn read(&mut self, after: TicketNumber) -> Result<TicketReply> {
         let path = format!("/v1/tickets?after={after}");
-        let body = self.call(&path, REPLY_TIMEOUT_MS).await?;
+        let body = self.call(&path, self.reply_timeout_ms).await?;
         TicketReply::parse(&body, after)
     }
 
@@ -56,7 +65,7 @@
     /// Returns [`ResultCode::PlatformUnreachable`] or [`ResultCode::PlatformMalformed`].
     pub async fn watch(&mut self, after: TicketNumber, wait_ms: u64) -> Result<TicketReply> {
         let path = format!("/v1/tickets/watch?after={after}&wait_ms={wait_ms}");
-        let timeout_ms = wait_ms.saturating_add(REPLY_TIMEOUT_MS);
+        let timeout_ms = wait_ms.saturating_add(self.reply_timeout_ms);
         let body = self.call(&path, timeout_ms).await?;
         TicketReply::parse(&body, after)
     }
@@ -67,7 +76,7 @@
     ///
     /// Returns [`ResultCode::PlatformUnreachable`] or [`ResultCode::PlatformMalformed`].
     pub async fn vms(&mut self) -> Result<Vec<VmHint>> {
-        let body = self.call("/v1/vms", REPLY_TIMEOUT_MS).await?;
+        let body = self.call("/v1/vms", self.reply_timeout_ms).await?;
         parse_vms(&body)
     }
 
--- a/crates/fes-platform/tests/client.rs
+++ b/crates/fes-platform/tests/client.rs
@@ -104,6 +104,23 @@
     assert_eq!(passed.expect("reply").tickets, [ticket(1)]);
 }
 
+/// Guards against a reader that hangs on a platform which accepts calls and doesn't answer them.
+#[actix_rt::test]
+async fn a_slow_platform_is_given_up() {
+    let platform = platform_with(&[1]).await;
+    platform.set_mode(PlatformMode::Slow {
+        delay_ms: 3_600_000,
+    });
+    let mut client = client_of(&platform).with_reply_timeout_ms(20);
+
+    let read = client.read(TicketNumber(0)).await;
+    let watch = client.watch(TicketNumber(1), 0).await;
+
+    let codes = [read, watch].map(|reply| reply.expect_err("timeout").code());
+    assert_eq!(codes, [ResultCode::PlatformUnreachable; 2]);
+    assert_eq!(platform.calls(), 2);
+}
+
 /// Guards against a rolled-back platform that goes unnoticed, because it has nothing to send.
 #[actix_rt::test]
 async fn a_rolled_back_platform_is_noticed() {
--- a/crates/fes-testkit/tests/fabric.rs
+++ b/crates/fes-testkit/tests/fabric.rs
@@ -131,3 +131,22 @@
     assert_eq!(runs[0], runs[1]);
     assert!((25..=75).contains(&runs[0].lost), "seed {SEED}: {runs:?}");
 }
+
+/// Guards against a rebound client that keeps its address, or that no longer gets answers.
+#[actix_rt::test]
+async fn a_rebound_client_has_another_address_and_still_gets_answers() {
+    let (sockets, addresses) = entries(1).await;
+    let fabric = Fabric::start(addresses, SEED).expect("fabric");
+    fabric.set_delay_ms(1);
+    let client = socket().await;
+    client.send_to(b"x", fabric.address()).await.expect("send");
+    let (_, before) = receive(&sockets[0]).await;
+
+    fabric.rebind_client(client.local_addr().expect("address"));
+    client.send_to(b"y", fabric.address()).await.expect("send");
+    let (_, after) = receive(&sockets[0]).await;
+    sockets[0].send_to(b"z", after).await.expect("answer");
+
+    assert_ne!(before, after);
+    assert_eq!(receive(&client).await.0, b"z");
+}
