--- a/crates/fes-measure/src/sim/current.rs
+++ b/crates/fes-measure/src/sim/current.rs
@@ -5,6 +5,8 @@
 use fes_admission::AdmissionEvent;
 use fes_admission::AdmissionSettings;
 use fes_admission::Origin;
+use fes_idempotency::KeyOwner;
+use fes_idempotency::PrefixIssuer;
 use fes_protocol::Incarnation;
 use fes_protocol::Lifecycle;
 use fes_protocol::MonoTime;
@@ -30,6 +32,7 @@
     own: usize,
     admission: Admission,
     planner: OffloadPlanner,
+    issuer: PrefixIssuer,
     sequence: u64,
 }
 
@@ -46,6 +49,11 @@
             own,
             admission: Admission::new(MonoTime::ZERO, settings),
             planner,
+            issuer: PrefixIssuer::new(KeyOwner {
+                service: ServiceId(1),
+                target: target(own),
+                incarnation: Incarnation(1),
+            }),
             sequence: 0,
         }
     }
@@ -164,6 +172,8 @@
 
     fn heartbeat(&mut self, now: MonoTime) -> Option<PeerHeartbeat> {
         let load = self.admission.load(now);
+        let spare_milli = load.capacity_milli.saturating_sub(load.demand_milli);
+        self.issuer.set_own_spare(spare_milli);
         self.sequence += 1;
         Some(PeerHeartbeat {
             service: ServiceId(1),
@@ -184,12 +194,11 @@
     fn on_heartbeat(&mut self, now: MonoTime, heartbeat: &PeerHeartbeat) {
         let own = self.own_load(now);
         self.planner.on_heartbeat(now, &own, heartbeat);
+        self.issuer.observe(now, heartbeat);
     }
 
     fn issue_prefix(&mut self, now: MonoTime) -> usize {
-        let own = self.own_load(now);
-        let owner = self.planner.choose_prefix_owner(now, &own);
-        owner.map_or(self.own, |owner| index(owner.target))
+        index(self.issuer.issue(now).owner.target)
     }
 }
 
--- a/crates/fes-routing/src/lib.rs
+++ b/crates/fes-routing/src/lib.rs
@@ -30,7 +30,6 @@
 pub use offload::OffloadSettings;
 pub use offload::OwnLoad;
 pub use offload::PeerReport;
-pub use offload::PrefixOwner;
 pub use placement_hash::PlacementHasher;
 pub use recent_first_packets::FirstPacketOutcome;
 pub use return_path::ReturnEntry;
--- a/crates/fes-routing/src/offload/mod.rs
+++ b/crates/fes-routing/src/offload/mod.rs
@@ -11,6 +11,5 @@
 pub use request::OffloadChoice;
 pub use request::OffloadRequest;
 pub use request::OwnLoad;
-pub use request::PrefixOwner;
 pub use settings::OffloadPeer;
 pub use settings::OffloadSettings;
--- a/crates/fes-routing/src/offload/planner.rs
+++ b/crates/fes-routing/src/offload/planner.rs
@@ -1,4 +1,4 @@
-//! Decides which requests run at a peer and which peer new key prefixes name.
+//! Decides which requests run at a peer.
 
 use std::collections::BTreeMap;
 
@@ -15,7 +15,6 @@
 use super::OffloadSettings;
 use super::OwnLoad;
 use super::PeerReport;
-use super::PrefixOwner;
 use super::shares::Member;
 use super::shares::Shares;
 use super::shares::pick;
@@ -256,24 +255,6 @@
         self.members(now).iter().all(|m| m.demand >= m.capacity)
     }
 
-    /// Returns the peer that a new key prefix names, in proportion to capacity, or `None` for
-    /// this agent itself.
-    pub fn choose_prefix_owner(&mut self, now: MonoTime, own: &OwnLoad) -> Option<PrefixOwner> {
-        let own_member = self.own_member(own);
-        let mut weights = vec![(own_member.target, own_member.capacity)];
-        let members = self.members(now);
-        weights.extend(members.iter().map(|m| (m.target, m.capacity * m.trust)));
-        let OffloadChoice::Peer(target) = self.pick(&weights) else {
-            return None;
-        };
-        let report = self.peers.get(&target)?.report?;
-        Some(PrefixOwner {
-            target,
-            incarnation: report.incarnation,
-            key_issue_ms: report.key_issue_ms,
-        })
-    }
-
     fn pick(&mut self, weights: &[(TargetId, f64)]) -> OffloadChoice {
         match pick(weights, self.random.random()) {
             Some(target) if target != self.settings.own => OffloadChoice::Peer(target),
--- a/crates/fes-routing/src/offload/report.rs
+++ b/crates/fes-routing/src/offload/report.rs
@@ -35,8 +35,6 @@
     pub queue_wait_ms: u32,
     /// Expected wait of a long request at the time of the report, in milliseconds.
     pub long_wait_ms: u32,
-    /// The peer's clock at sending.
-    pub key_issue_ms: u64,
 }
 
 impl PeerReport {
@@ -70,7 +68,6 @@
             demand_milli: heartbeat.demand_milli.min(max_demand_milli),
             queue_wait_ms: heartbeat.queue_wait_ms,
             long_wait_ms: heartbeat.long_wait_ms,
-            key_issue_ms: heartbeat.key_issue_ms,
         })
     }
 }
--- a/crates/fes-routing/src/offload/request.rs
+++ b/crates/fes-routing/src/offload/request.rs
@@ -1,6 +1,5 @@
 //! Inputs and outputs of the offload planner.
 
-use fes_protocol::Incarnation;
 use fes_protocol::MonoTime;
 use fes_protocol::TargetId;
 
@@ -43,15 +42,3 @@
     /// At the peer beside this target.
     Peer(TargetId),
 }
-
-/// The peer that a new key prefix names.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PrefixOwner {
-    /// The peer's target.
-    pub target: TargetId,
-    /// The peer's incarnation.
-    pub incarnation: Incarnation,
-    /// The peer's clock when it sent its last heartbeat; the issue time of the prefix. It is
-    /// older than now, which only shortens the validity of the prefix.
-    pub key_issue_ms: u64,
-}
--- a/crates/fes-routing/tests/offload.rs
+++ b/crates/fes-routing/tests/offload.rs
@@ -261,32 +261,6 @@
     assert_eq!(second, OffloadChoice::Here);
 }
 
-/// Fails if prefixes don't follow capacity or don't carry what their owner needs to check them.
-#[test]
-fn prefixes_name_owners_in_proportion_to_capacity() {
-    let mut planner = planner();
-    let load = own(4_000, 0);
-    planner.on_heartbeat(MonoTime::ZERO, &load, &report(2, 8_000, 0));
-    planner.on_heartbeat(MonoTime::ZERO, &load, &report(3, 4_000, 0));
-
-    let owners: Vec<_> = (0..REQUESTS)
-        .map(|_| planner.choose_prefix_owner(MonoTime::ZERO, &load))
-        .collect();
-
-    let share_of_2 = owners
-        .iter()
-        .flatten()
-        .filter(|o| o.target == TargetId(2))
-        .count();
-    assert!((share_of_2 as f64 / REQUESTS as f64 - 0.5).abs() < 0.02);
-    assert!(
-        owners
-            .iter()
-            .flatten()
-            .all(|o| (o.incarnation, o.key_issue_ms) == (Incarnation(5), 77))
-    );
-}
-
 /// Fails if two runs with the same seed differ.
 #[test]
 fn same_seed_gives_the_same_choices() {
