Print one line for each peer in status

`fescueshift status` printed the peers of an agent as one JSON word. Words are never broken, so the line of an agent with two peers had more than 80 columns and was hard to read on a terminal.

A list of objects now takes one line for each item, with its fields separated by commas. `--json` is unchanged. A test serves a status page with two peers and checks width and content.

--- a/crates/fes-command/src/commands/status.rs
+++ b/crates/fes-command/src/commands/status.rs
@@ -118,14 +118,11 @@
     let text = match page {
         Ok(Value::Object(fields)) => {
             let mut rows = vec![vec![format!("{address}")]];
-            let row = |(key, value): (&String, &Value)| {
-                let value = match value {
-                    Value::String(text) => text.clone(),
-                    other => other.to_string(),
-                };
-                vec![format!("  {key}"), value]
-            };
-            rows.extend(fields.iter().map(row));
+            rows.extend(
+                fields
+                    .iter()
+                    .flat_map(|(key, value)| field_rows(key, value)),
+            );
             fields_text(&rows)
         }
         Ok(other) => format!("{address}\n  {other}\n"),
@@ -134,8 +131,40 @@
     output::wrap(&text)
 }
 
+/// Returns the row of a field. A list of objects, such as the peers of an agent, takes one more row
+/// for each item, because a whole list is wider than the output.
+fn field_rows(key: &str, value: &Value) -> Vec<Vec<String>> {
+    let name = format!("  {key}");
+    match value {
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            let items = items
+                .iter()
+                .map(|item| vec![format!("    {}", item_text(item))]);
+            std::iter::once(vec![name]).chain(items).collect()
+        }
+        value => vec![vec![name, plain_text(value)]],
+    }
+}
+
+fn item_text(item: &Value) -> String {
+    let Value::Object(fields) = item else {
+        return plain_text(item);
+    };
+    let fields = fields.iter();
+    let fields = fields.map(|(key, value)| format!("{key} {}", plain_text(value)));
+    fields.collect::<Vec<_>>().join(", ")
+}
+
+fn plain_text(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
 fn fields_text(rows: &[Vec<String>]) -> String {
-    let width = rows.iter().skip(1).map(|row| row[0].len()).max();
+    let names = rows.iter().filter(|row| row.len() > 1);
+    let width = names.map(|row| row[0].len()).max();
     let width = width.unwrap_or_default();
     let line = |row: &Vec<String>| match row.get(1) {
         Some(value) => format!("{:<width$}  {value}\n", row[0]),
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -1,7 +1,12 @@
 //! The `fescueshift` program: exit status, output and width of its commands.
 
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::process::Command;
 use std::process::Output;
+use std::thread;
 
 use fes_testkit::Authority;
 use rstest::rstest;
@@ -214,3 +219,49 @@
     assert_eq!(report["reports"][0]["code"], "F4003", "{report}");
     assert_eq!(stale.status.code(), Some(1), "{stale:?}");
 }
+
+/// Serves one status page to one reader.
+fn serve_status(page: &Value) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let body = page.to_string();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a reader");
+        let mut request = Vec::new();
+        while !request.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).expect("a request");
+            request.extend(byte);
+        }
+        let length = body.len();
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+        let response = head + &body;
+        stream.write_all(response.as_bytes()).expect("a response");
+    });
+    address
+}
+
+/// Guards against a list of peers that is printed as one line, wider than the output.
+#[test]
+fn status_prints_one_line_for_each_peer() {
+    let peer = |target: u32, state: &str| {
+        serde_json::json!({
+            "target": target, "state": state, "capacity_milli": 16_000, "demand_milli": 12_345,
+        })
+    };
+    let peers = [peer(12, "HeardByOthers"), peer(13, "Alive")];
+    let page = serde_json::json!({"node": "agent-11", "peers": peers});
+    let address = serve_status(&page).to_string();
+
+    let output = fescueshift(&["status", &address]);
+
+    let printed = text(&output.stdout);
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    assert!(printed.lines().all(|line| line.len() <= WIDTH), "{printed}");
+    let lines = |words: &[&str]| {
+        let holds = |line: &&str| words.iter().all(|word| line.contains(word));
+        printed.lines().filter(holds).count()
+    };
+    assert_eq!(lines(&["target 12", "state HeardByOthers"]), 1, "{printed}");
+    assert_eq!(lines(&["target 13", "state Alive"]), 1, "{printed}");
+}
