Count and log what was served as 0 or suppressed

Change: the filter covers all own crates, and a record names its part once. Agents and entries count control bytes, platform reads and failures, time to the start, duration of requests, keys held and discarded responses. Seven metrics that no decision can feed are taken out of the catalogue instead of being served as 0. A reader logs when its reads begin to fail and when they succeed again.

--- a/crates/fes-agent/src/quic/encapsulated_socket.rs
+++ b/crates/fes-agent/src/quic/encapsulated_socket.rs
@@ -16,6 +16,7 @@
 use std::task::ready;
 
 use fes_kernel::ProcessClock;
+use fes_link::ControlTraffic;
 use fes_link::DropCounters;
 use fes_protocol::ControlMessage;
 use fes_protocol::DatagramKind;
@@ -62,6 +63,7 @@
     clock: ProcessClock,
     state: Mutex<IngressState>,
     drops: Arc<DropCounters>,
+    control_traffic: ControlTraffic,
     control: UnboundedSender<ControlDatagram>,
 }
 
@@ -91,6 +93,7 @@
             clock,
             state: Mutex::new(state),
             drops,
+            control_traffic: ControlTraffic::default(),
             control,
         })
     }
@@ -105,12 +108,18 @@
         self.socket.lock().unwrap_or_else(|e| e.into_inner()).take();
     }
 
+    /// Returns the bytes of control messages so far.
+    pub(crate) const fn control_traffic(&self) -> &ControlTraffic {
+        &self.control_traffic
+    }
+
     /// Sends a control message to another process.
     pub(crate) fn send_control(&self, to: SocketAddr, message: &ControlMessage) {
         let payload = match encode_control(message) {
             Ok(payload) => payload,
             Err(code) => return self.drops.count(code),
         };
+        self.control_traffic.count_sent(payload.len());
         let header = self.header(DatagramKind::Control, EntryId(0), to, 0);
         self.send_or_count(&header, &payload, to);
     }
@@ -182,8 +191,11 @@
 
     fn receive_control(&self, payload: &[u8], from: SocketAddr) {
         match decode_control(payload) {
-            // Fails only while the agent stops.
-            Ok(message) => drop(self.control.send(ControlDatagram { message, from })),
+            Ok(message) => {
+                self.control_traffic.count_received(payload.len());
+                // Fails only while the agent stops.
+                drop(self.control.send(ControlDatagram { message, from }));
+            }
             Err(code) => self.drops.count(code),
         }
     }
--- a/crates/fes-agent/src/report.rs
+++ b/crates/fes-agent/src/report.rs
@@ -3,11 +3,13 @@
 use fes_protocol::FastMap;
 use fes_protocol::ResultCode;
 use fes_telemetry::CodeLabel;
+use fes_telemetry::set_counter;
 use serde_json::Value;
 use serde_json::json;
 
 use crate::AgentCounters;
 use crate::core::AgentCore;
+use crate::request::Exchange;
 
 /// What was passed on to the metrics already.
 #[derive(Debug, Default)]
@@ -18,6 +20,31 @@
 }
 
 impl AgentCore {
+    /// Counts a request that was sent to the upstream, and how long it waited for that.
+    pub(crate) fn count_started(&self, exchange: &Exchange) {
+        self.counters.started.add(1);
+        self.metrics
+            .queue_wait
+            .observe(self.seconds_since_arrival(exchange));
+    }
+
+    /// Counts a request whose complete response was returned.
+    pub(crate) fn count_finished(&self, exchange: &Exchange) {
+        self.counters.finished.add(1);
+        self.observe_duration(exchange);
+    }
+
+    /// Records the time from the arrival of a request to the end of its response.
+    pub(crate) fn observe_duration(&self, exchange: &Exchange) {
+        self.metrics
+            .request_duration
+            .observe(self.seconds_since_arrival(exchange));
+    }
+
+    fn seconds_since_arrival(&self, exchange: &Exchange) -> f64 {
+        self.now().us_since(exchange.arrived_at) as f64 / 1e6
+    }
+
     /// Brings the metrics up to date.
     pub(crate) fn update_metrics(&self) {
         let replayed = self.peers.borrow().replayed_count();
@@ -98,6 +125,18 @@
         metrics
             .queue_requests
             .set(gauge(self.work.borrow().queued as u64));
+        metrics.idempotency_keys.set(gauge(
+            self.coordinator.borrow().store().statistics().key_count as u64,
+        ));
+        let matched = self.matcher.borrow().counters();
+        let discarded = matched.late_count
+            + matched.doubled_count
+            + matched.unmatched_count
+            + matched.other_incarnation_count;
+        set_counter(&metrics.responses_discarded, discarded);
+        let traffic = self.socket.control_traffic();
+        set_counter(&metrics.control_bytes_sent, traffic.sent_bytes());
+        set_counter(&metrics.control_bytes_received, traffic.received_bytes());
         let distribution = self.tickets.distribution().borrow();
         let highest = distribution.snapshot().highest();
         metrics.ticket_highest.set(gauge(highest.0));
--- a/crates/fes-agent/src/request/execute.rs
+++ b/crates/fes-agent/src/request/execute.rs
@@ -54,7 +54,7 @@
         Ok(sent) => sent,
         Err(failure) => return failed(failure, sink).await,
     };
-    core.counters.started.add(1);
+    core.count_started(exchange);
     let waiting = tokio::time::timeout_at(core.instant(exchange.deadline), call.response());
     let response = match waiting.await {
         Ok(Ok(response)) => response,
--- a/crates/fes-agent/src/request/keyed.rs
+++ b/crates/fes-agent/src/request/keyed.rs
@@ -51,7 +51,7 @@
         Ok(sent) => sent,
         Err(failure) => return failed(failure),
     };
-    core.counters.started.add(1);
+    core.count_started(exchange);
     let latest = core.instant(exchange.deadline) + OUTCOME_GRACE;
     let response = match tokio::time::timeout_at(latest, call.response()).await {
         Ok(Ok(response)) => response,
@@ -67,6 +67,7 @@
         log::warn!("agent: request {id}: {}", ResultCode::ResponseTruncated);
         return UpstreamOutcome::Lost;
     };
+    core.observe_duration(exchange);
     UpstreamOutcome::Finished(finished)
 }
 
--- a/crates/fes-agent/src/request/serve.rs
+++ b/crates/fes-agent/src/request/serve.rs
@@ -39,6 +39,7 @@
         span: Rc::new(span),
         parts: Rc::new(inbound.parts),
         body: inbound.body,
+        arrived_at: core.now(),
         deadline: inbound.deadline,
         flow: inbound.flow,
         is_keyed: arrival.key.is_some(),
@@ -181,7 +182,7 @@
         Attempt::Ended(outcome) => {
             let is_refused = matches!(outcome, UpstreamOutcome::Refused(_));
             match outcome {
-                UpstreamOutcome::Finished(_) => core.counters.finished.add(1),
+                UpstreamOutcome::Finished(_) => core.count_finished(exchange),
                 UpstreamOutcome::Lost => core.count_code(ResultCode::UnknownUpstreamLost),
                 UpstreamOutcome::Refused(_) => core.counters.upstream_refused.add(1),
             }
@@ -192,7 +193,7 @@
             })
         }
         Attempt::StreamOver => {
-            core.counters.finished.add(1);
+            core.count_finished(exchange);
             Ok(Progress::Answered)
         }
         Attempt::SinkClosed => Err(SinkClosed),
--- a/crates/fes-agent/src/request/table.rs
+++ b/crates/fes-agent/src/request/table.rs
@@ -34,6 +34,7 @@
 pub(crate) struct Exchange {
     pub(crate) parts: Rc<Parts>,
     pub(crate) body: Bytes,
+    pub(crate) arrived_at: MonoTime,
     pub(crate) deadline: MonoTime,
     pub(crate) flow: FlowId,
     pub(crate) is_keyed: bool,
--- a/crates/fes-entry/src/data_plane.rs
+++ b/crates/fes-entry/src/data_plane.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use fes_kernel::ProcessClock;
+use fes_link::ControlTraffic;
 use fes_link::DropCounters;
 use fes_protocol::ControlMessage;
 use fes_protocol::DatagramKind;
@@ -67,6 +68,7 @@
     pub(crate) liveness: L,
     pub(crate) counters: LiveCounters,
     pub(crate) drops: DropCounters,
+    pub(crate) control_traffic: ControlTraffic,
 }
 
 impl<L: LivenessView> DataPlane<L> {
@@ -79,6 +81,7 @@
     pub(crate) fn send_control(&self, to: SocketAddr, message: &ControlMessage) {
         match encode_control(message) {
             Ok(payload) => {
+                self.control_traffic.count_sent(payload.len());
                 let header = self.header(DatagramKind::Control, to);
                 self.send(&header, &payload, to);
             }
@@ -180,6 +183,7 @@
             DatagramKind::Control => match decode_control(payload) {
                 Ok(message) => {
                     add_one(&self.counters.control);
+                    self.control_traffic.count_received(payload.len());
                     on_control(message, from, sender_of(&header));
                 }
                 Err(code) => self.drops.count(code),
--- a/crates/fes-entry/src/entry.rs
+++ b/crates/fes-entry/src/entry.rs
@@ -8,6 +8,7 @@
 use fes_kernel::Kernel;
 use fes_kernel::KernelDriver;
 use fes_kernel::ProcessClock;
+use fes_link::ControlTraffic;
 use fes_link::DropCounters;
 use fes_link::LinkPool;
 use fes_link::LinkServer;
@@ -232,6 +233,7 @@
         liveness: view,
         counters: Default::default(),
         drops: DropCounters::default(),
+        control_traffic: ControlTraffic::default(),
     });
     Ok(Rc::new(EntryCore {
         // 0 stands for an incarnation that was never heard.
--- a/crates/fes-entry/src/report.rs
+++ b/crates/fes-entry/src/report.rs
@@ -3,6 +3,7 @@
 use fes_protocol::FastMap;
 use fes_protocol::ResultCode;
 use fes_telemetry::CodeLabel;
+use fes_telemetry::set_counter;
 use serde_json::Value;
 use serde_json::json;
 
@@ -56,7 +57,20 @@
             let counter = metrics.datagrams_dropped.get_or_create(&label);
             counter.inc_by(count - before);
         }
+        let traffic = &self.plane.control_traffic;
+        set_counter(&metrics.control_bytes_sent, traffic.sent_bytes());
+        set_counter(&metrics.control_bytes_received, traffic.received_bytes());
         let distribution = self.tickets.distribution().borrow();
+        let reads = distribution.read_counters();
+        set_counter(&metrics.platform_reads, reads.full_reads + reads.watches);
+        let failures = |code: ResultCode| {
+            metrics
+                .platform_failures
+                .get_or_create(&code.into())
+                .clone()
+        };
+        set_counter(&failures(ResultCode::PlatformUnreachable), reads.failures);
+        set_counter(&failures(ResultCode::PlatformStale), reads.stale_answers);
         let highest = distribution.snapshot().highest().0;
         metrics
             .ticket_highest
--- a/crates/fes-link/src/lib.rs
+++ b/crates/fes-link/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod body;
 mod client;
+mod control_traffic;
 mod drop_counters;
 mod head;
 mod server;
@@ -18,6 +19,7 @@
 pub use client::LinkCall;
 pub use client::LinkPool;
 pub use client::LinkReply;
+pub use control_traffic::ControlTraffic;
 pub use drop_counters::DropCounters;
 pub use head::MAX_HEAD_BYTES;
 pub use head::decode_head;
--- a/crates/fes-node/src/platform_reader.rs
+++ b/crates/fes-node/src/platform_reader.rs
@@ -1,5 +1,6 @@
 //! Reads and watches of the platform.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -18,6 +19,7 @@
 #[derive(Debug)]
 pub(crate) struct PlatformReader {
     client: Rc<Mutex<PlatformClient>>,
+    is_failing: Rc<Cell<bool>>,
     in_flight: RefCell<Option<JoinHandle<()>>>,
 }
 
@@ -25,6 +27,7 @@
     pub(crate) fn new(client: PlatformClient) -> Self {
         Self {
             client: Rc::new(Mutex::new(client)),
+            is_failing: Rc::default(),
             in_flight: RefCell::new(None),
         }
     }
@@ -32,12 +35,23 @@
     /// Starts a read, which replaces one in flight.
     pub(crate) fn start(&self, read: PlatformRead, post: Rc<dyn Fn(DistributionEvent)>) {
         let client = Rc::clone(&self.client);
+        let is_failing = Rc::clone(&self.is_failing);
         let task = actix_rt::spawn(async move {
             let answer = carry_out(&client, read).await;
             post(match answer {
-                Ok(answer) => DistributionEvent::PlatformAnswered(answer),
+                Ok(answer) => {
+                    if is_failing.replace(false) {
+                        log::info!("platform: answers again");
+                    }
+                    DistributionEvent::PlatformAnswered(answer)
+                }
                 Err(e) => {
-                    log::debug!("platform: {e}");
+                    // One line per outage; the count of failures is a metric.
+                    if is_failing.replace(true) {
+                        log::debug!("platform: {e}");
+                    } else {
+                        log::warn!("platform: {e}");
+                    }
                     DistributionEvent::PlatformFailed
                 }
             });
--- a/crates/fes-telemetry/src/lib.rs
+++ b/crates/fes-telemetry/src/lib.rs
@@ -21,6 +21,7 @@
 pub use metrics::MetricKind;
 pub use metrics::MetricSpec;
 pub use metrics::Metrics;
+pub use metrics::set_counter;
 pub use span::FinishedSpan;
 pub use span::Hop;
 pub use span::Span;
--- a/crates/fes-telemetry/src/log_setup.rs
+++ b/crates/fes-telemetry/src/log_setup.rs
@@ -7,6 +7,9 @@
 
 use crate::part;
 
+/// Start of the names of all own crates.
+const OWN_CRATES: &str = "fes_";
+
 /// Starts logging to standard error. Own parts log at `level`, libraries from `warn` upward. A
 /// second call has no effect.
 pub fn init_log(level: LevelFilter) {
@@ -15,6 +18,8 @@
     for part in part::ALL {
         builder.filter_module(part, level);
     }
+    // Records without a target of their own carry the name of their crate.
+    builder.filter_module(OWN_CRATES, level);
     builder.format(|out, record| {
         let time = out.timestamp_millis();
         let line = format_line(
@@ -33,7 +38,10 @@
 /// that input from outside can't forge a record.
 #[must_use]
 pub fn format_line(time: &str, level: Level, target: &str, message: &str) -> String {
-    let part = target.split("::").next().unwrap_or(target);
+    let crate_name = target.split("::").next().unwrap_or(target);
+    let part = crate_name.strip_prefix(OWN_CRATES).unwrap_or(crate_name);
+    let prefix = format!("{part}: ");
+    let message = message.strip_prefix(prefix.as_str()).unwrap_or(message);
     let message = message.replace('\n', "\\n").replace('\r', "\\r");
     format!("{time} {level:<5} [{part}] {message}")
 }
--- a/crates/fes-telemetry/src/metrics.rs
+++ b/crates/fes-telemetry/src/metrics.rs
@@ -142,16 +142,12 @@
         "Datagrams dropped, by reason.";
     first_packets_handed_off: Counter, "first_packets_handed_off_total",
         "First packets that an agent passed to a peer.";
-    stateless_resets: Counter, "stateless_resets_total",
-        "Stateless resets sent for flows of lost targets.";
     flows_open: Gauge, "flows_open",
         "Open client connections.";
     flows_opened: Counter, "flows_opened_total",
         "Client connections accepted.";
     flows_refused: Counter, "flows_refused_total",
         "Client connections refused at the flow limit.";
-    flows_closed_at_bound: Counter, "flows_closed_at_bound_total",
-        "Client connections closed because the drain bound passed.";
     requests_received: Counter, "requests_received_total",
         "Requests received from clients.";
     requests_started: Counter, "requests_started_total",
@@ -166,18 +162,12 @@
         "Non-repeatable requests relayed to the owner of their key.";
     requests_cancelled: Counter, "requests_cancelled_total",
         "Requests that the client cancelled.";
-    duplicate_keys: Counter, "duplicate_keys_total",
-        "Requests with an idempotency key that was known already.";
-    upstream_retries: Counter, "upstream_retries_total",
-        "Repeatable requests sent to the upstream again.";
     upstream_refusals: Counter, "upstream_refusals_total",
         "Requests that the upstream refused without running them.";
     responses_discarded: Counter, "responses_discarded_total",
         "Late or duplicate responses that were discarded.";
     slots_used: Gauge, "slots_used",
         "Slots with a request in progress.";
-    concurrency_limit: Gauge, "concurrency_limit",
-        "Requests that may be in progress at the upstream.";
     queue_requests: Gauge, "queue_requests",
         "Requests that wait for a slot.";
     queue_wait: Histogram, "queue_wait_seconds",
@@ -188,8 +178,6 @@
         "Idempotency keys held.";
     ticket_highest: Gauge, "ticket_highest_number",
         "Highest ticket number held.";
-    tickets_rejected: CodeCounter, "tickets_rejected_total",
-        "Tickets rejected, by reason.";
     platform_reads: Counter, "platform_reads_total",
         "Reads and watches sent to the platform.";
     platform_failures: CodeCounter, "platform_failures_total",
@@ -200,8 +188,6 @@
         "Bytes of control messages sent.";
     control_bytes_received: Counter, "control_bytes_received_total",
         "Bytes of control messages received.";
-    link_failures: CodeCounter, "link_failures_total",
-        "Links that failed to open or closed early, by reason.";
     peers_alive: Gauge, "peers_alive",
         "Peers heard within the suspicion timeout.";
     clock_jumps: Counter, "clock_jumps_total",
@@ -225,6 +211,11 @@
     }
 }
 
+/// Raises a counter to a total that is kept elsewhere.
+pub fn set_counter(counter: &Counter, total: u64) {
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
+
 /// The encoder adds the suffix of counters by itself.
 fn registered_name(name: &str) -> &str {
     name.strip_suffix("_total").unwrap_or(name)
--- a/crates/fes-telemetry/tests/metrics.rs
+++ b/crates/fes-telemetry/tests/metrics.rs
@@ -38,9 +38,7 @@
     for counter in [
         &metrics.datagrams_dropped,
         &metrics.requests_failed,
-        &metrics.tickets_rejected,
         &metrics.platform_failures,
-        &metrics.link_failures,
     ] {
         counter.get_or_create(&code.into()).inc();
     }
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -109,3 +109,32 @@
         (0, 0, 0)
     );
 }
+
+/// Guards against metrics that are served and never counted.
+#[actix_rt::test]
+async fn daemons_count_what_they_do() {
+    let fleet = Fleet::start(1, 2, 16).await;
+    let workload = Workload::start(&fleet);
+    workload.progress(REQUESTS).await;
+
+    let (entry, agent) = (&fleet.entries[0].1, &fleet.agents[0]);
+    for metric in [
+        "datagrams_forwarded_total",
+        "control_bytes_received_total",
+        "platform_reads_total",
+    ] {
+        entry.await_metric(&format!("fescueshift_{metric}")).await;
+    }
+    for metric in [
+        "requests_finished_total",
+        "request_duration_seconds_count",
+        "queue_wait_seconds_count",
+        "idempotency_keys",
+        "control_bytes_sent_total",
+    ] {
+        agent.await_metric(&format!("fescueshift_{metric}")).await;
+    }
+
+    let report = workload.finish(&fleet.log).await;
+    assert_eq!(report.answered, report.requests, "{report:?}");
+}
--- a/tests/support/daemon.rs
+++ b/tests/support/daemon.rs
@@ -86,16 +86,36 @@
         kill_process(Pid::from_child(&self.child), signal).expect("own child takes signals");
     }
 
+    /// Waits until a metric is above 0.
+    pub async fn await_metric(&self, name: &str) {
+        for _ in 0..MAX_POLLS {
+            let reply = self.get("/metrics").await.unwrap_or_default();
+            let values = reply
+                .lines()
+                .filter_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+            if values
+                .filter_map(|value| value.parse::<f64>().ok())
+                .any(|value| value > 0.0)
+            {
+                return;
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        panic!("{name} stays at 0 at {}", self.status_address);
+    }
+
     async fn is_ready(&self) -> bool {
-        let Ok(mut stream) = TcpStream::connect(self.status_address).await else {
-            return false;
-        };
-        let request = b"GET /readyz HTTP/1.1\r\nHost: daemon\r\nConnection: close\r\n\r\n";
-        let mut reply = Vec::new();
-        let sent = stream.write_all(request).await;
-        sent.is_ok()
-            && stream.read_to_end(&mut reply).await.is_ok()
-            && reply.starts_with(b"HTTP/1.1 200")
+        let reply = self.get("/readyz").await;
+        reply.is_some_and(|reply| reply.starts_with("HTTP/1.1 200"))
+    }
+
+    async fn get(&self, path: &str) -> Option<String> {
+        let mut stream = TcpStream::connect(self.status_address).await.ok()?;
+        let request = format!("GET {path} HTTP/1.1\r\nHost: daemon\r\nConnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.ok()?;
+        let mut reply = String::new();
+        stream.read_to_string(&mut reply).await.ok()?;
+        Some(reply)
     }
 }
 
