Add the capacity page with a check of its arithmetic

Cause: the size to design for was stated and no page said what each role needs there.

Change: docs/CAPACITY.md gives state, messages, processor time and memory of each role with the mechanism that carries it, derived from one kept run in docs/capacity.json; a test derives the tables again. Beyond measured sizes a cost is at least the largest measured one: a noisy run had predicted a decision of -294 ns at ten times the size.

--- a/crates/fes-measure/examples/capacity.rs
+++ b/crates/fes-measure/examples/capacity.rs
@@ -1,13 +1,13 @@
-//! Prints the capacity report as Markdown, or as JSON with the argument `json`.
+//! Prints the capacity report in a JSON file as the Markdown tables of docs/CAPACITY.md:
+//! `capacity FILE`.
 
-fn main() {
-    let report = fes_measure::capacity::run_capacity(1);
-    if std::env::args().any(|argument| argument == "json") {
-        println!(
-            "{}",
-            serde_json::to_string_pretty(&report).expect("the report is plain data")
-        );
-    } else {
-        println!("{}", report.to_markdown());
-    }
+use std::error::Error;
+
+use fes_measure::capacity::CapacityReport;
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let path = std::env::args().nth(1).ok_or("usage: capacity FILE")?;
+    let report: CapacityReport = serde_json::from_str(&std::fs::read_to_string(path)?)?;
+    print!("{}", report.to_markdown());
+    Ok(())
 }
--- a/crates/fes-measure/src/capacity/slope.rs
+++ b/crates/fes-measure/src/capacity/slope.rs
@@ -40,10 +40,15 @@
         }
     }
 
-    /// Returns the cost at a size, from the line.
+    /// Returns the cost at a size, from the line. Beyond the measured sizes it is at least the
+    /// largest measured cost, so that noise can't predict a cost that falls with size.
     #[must_use]
     pub fn at(&self, size: f64) -> f64 {
-        self.fit.at(size)
+        let from_line = self.fit.at(size);
+        if self.extrapolation(size) < 1.0 {
+            return from_line;
+        }
+        self.points.iter().map(|p| p.cost).fold(from_line, f64::max)
     }
 
     /// Returns how far a size lies beyond the largest measured one, as a factor; at most 1 means
--- a/crates/fes-measure/tests/capacity.rs
+++ b/crates/fes-measure/tests/capacity.rs
@@ -1,6 +1,7 @@
 //! Guards against arithmetic of the capacity page that can't be redone.
 
 use fes_measure::capacity::Budget;
+use fes_measure::capacity::CapacityReport;
 use fes_measure::capacity::DesignSize;
 use fes_measure::capacity::LinearFit;
 use fes_measure::capacity::Point;
@@ -47,6 +48,18 @@
     assert!((slope.at(8_000.0) - 8.0).abs() < 1e-9);
 }
 
+#[test]
+fn noise_does_not_predict_a_falling_cost() {
+    let noisy = Slope::new(
+        "s",
+        "targets",
+        "ns",
+        points(&[(1_000.0, 50.0), (8_000.0, 40.0)]),
+    );
+
+    assert!((noisy.at(80_000.0) - 50.0).abs() < 1e-9);
+}
+
 #[test]
 fn a_bound_that_is_exceeded_is_reported() {
     let steep = Slope::new(
@@ -67,3 +80,26 @@
     assert!((line.at_design - 800.0).abs() < 1e-6);
     assert!((line.extrapolation - 4.0).abs() < 1e-9);
 }
+
+#[test]
+fn the_page_follows_from_the_slopes_of_its_run() {
+    let kept = include_str!("../../../docs/capacity.json");
+    let page = include_str!("../../../docs/CAPACITY.md");
+    let kept: CapacityReport = serde_json::from_str(kept).unwrap();
+
+    let derived = CapacityReport::new(DesignSize::required(), kept.slopes);
+
+    for line in derived
+        .to_markdown()
+        .lines()
+        .filter(|line| !line.is_empty())
+    {
+        assert!(page.contains(line), "the page lacks: {line}");
+    }
+    let exceeded: Vec<_> = derived
+        .budget
+        .exceeded()
+        .map(|line| line.quantity.clone())
+        .collect();
+    assert_eq!(exceeded, Vec::<String>::new());
+}
