Test an agent that is killed and started again under load

Cause: the process tests killed and paused agents and never replaced one.

Change: a daemon can be started again with its settings; the case checks that the new incarnation serves and that nothing ran twice.

--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -53,6 +53,31 @@
     assert!(report.answered > REQUESTS, "{report:?}");
 }
 
+/// Guards against a restarted agent that takes keys of its earlier incarnation for new ones, and
+/// against one that gets no work again.
+#[actix_rt::test]
+async fn replaced_agent_runs_nothing_twice_and_serves_again() {
+    let mut fleet = Fleet::start(2, 2, 17).await;
+    let workload = Workload::start(&fleet);
+    workload.progress(REQUESTS).await;
+
+    fleet.agents[0].kill();
+    workload.progress(REQUESTS).await;
+    fleet.agents[0].restart();
+    fleet.agents[0].await_ready().await;
+    workload.progress(REQUESTS).await;
+
+    fleet.agents[0]
+        .await_metric("fescueshift_requests_finished_total")
+        .await;
+    let report = workload.finish(&fleet.log).await;
+    assert_eq!(
+        (report.doubled, report.false_refusals, report.false_answers),
+        (0, 0, 0)
+    );
+    assert_eq!((report.misrouted, report.truncated), (0, 0), "{report:?}");
+}
+
 /// Guards against a paused agent that wakes up and acts on what it believed before.
 #[actix_rt::test]
 async fn paused_agent_runs_nothing_twice_when_it_wakes() {
--- a/tests/support/daemon.rs
+++ b/tests/support/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::ExitStatus;
@@ -22,24 +23,27 @@
 
 /// A running daemon; killed when dropped.
 pub struct Daemon {
+    binary: String,
+    settings: PathBuf,
     child: Child,
     status_address: SocketAddr,
 }
 
 impl Daemon {
     pub fn start(binary: &str, settings: &Path, status_address: SocketAddr) -> Self {
-        let child = Command::new(binary)
-            .arg("--settings")
-            .arg(settings)
-            .stdin(Stdio::null())
-            .spawn()
-            .expect("the daemon's binary starts");
         Self {
-            child,
+            binary: binary.to_owned(),
+            settings: settings.to_owned(),
+            child: spawn(binary, settings),
             status_address,
         }
     }
 
+    /// Starts the daemon again with the same settings, after it has ended.
+    pub fn restart(&mut self) {
+        self.child = spawn(&self.binary, &self.settings);
+    }
+
     /// Waits until the daemon says that it serves.
     pub async fn await_ready(&mut self) {
         for _ in 0..MAX_POLLS {
@@ -119,6 +123,15 @@
     }
 }
 
+fn spawn(binary: &str, settings: &Path) -> Child {
+    Command::new(binary)
+        .arg("--settings")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .spawn()
+        .expect("the daemon's binary starts")
+}
+
 impl Drop for Daemon {
     fn drop(&mut self) {
         // Both fail for a daemon that has ended already.
