Explain where a datagram or an idempotency key goes

Cause: 'fescueshift explain' knew result codes only; someone on call needs to know which upstream a flow or key belongs to, by which rule and ticket.

Reading a ticket file is shared with 'diff'.

--- a/crates/fes-command/src/commands/diff.rs
+++ b/crates/fes-command/src/commands/diff.rs
@@ -1,7 +1,6 @@
 //! `fescueshift diff`: shows what a ticket would change.
 
 use std::net::SocketAddr;
-use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -17,17 +16,16 @@
 use fes_protocol::Ticket;
 use fes_protocol::TicketNumber;
 use fes_tickets::StateDiff;
-use fes_tickets::TicketFormat;
 use fes_tickets::TicketStore;
 use fes_tickets::UpstreamChange;
 use fes_tickets::UpstreamChangeKind;
 use fes_tickets::diff_ticket;
-use fes_tickets::parse_ticket;
 use serde_json::Value;
 use serde_json::json;
 
 use crate::commands::arguments::json_flag;
 use crate::output;
+use crate::ticket_file::read_ticket;
 
 pub(crate) const NAME: &str = "diff";
 
@@ -76,7 +74,7 @@
     }
     let path = matches.get_one::<PathBuf>("ticket");
     let missing = || Error::coded(ResultCode::UsageInvalid, "a ticket is missing");
-    let ticket = read(path.ok_or_else(missing)?)?;
+    let ticket = read_ticket(path.ok_or_else(missing)?)?;
     let diff = diff_ticket(&store, &ticket);
     if matches.get_flag("json") {
         let report = as_json(ticket.number, &diff);
@@ -100,22 +98,11 @@
         return Ok(reply.tickets.into_iter().map(Arc::new).collect());
     }
     let files = matches.get_many::<PathBuf>("in-force");
-    files.into_iter().flatten().map(|path| read(path)).collect()
-}
-
-fn read(path: &Path) -> Result<Arc<Ticket>> {
-    let file = path.display().to_string();
-    let content = std::fs::read_to_string(path).map_err(|source| {
-        let detail = format!("{file} can't be read");
-        Error::io(ResultCode::SettingsUnreadable, detail, source)
-    })?;
-    let format = TicketFormat::from_file_name(&file).unwrap_or(TicketFormat::Toml);
-    let ticket = parse_ticket(&content, format).map_err(|faults| {
-        let count = faults.len();
-        let detail = format!("{file} has {count} faults; 'fescueshift check {file}' shows them");
-        Error::coded(ResultCode::TicketInvalid, detail)
-    })?;
-    Ok(Arc::new(ticket))
+    files
+        .into_iter()
+        .flatten()
+        .map(|path| read_ticket(path))
+        .collect()
 }
 
 fn as_json(number: TicketNumber, diff: &StateDiff) -> Value {
--- a/crates/fes-command/src/commands/explain.rs
+++ b/crates/fes-command/src/commands/explain.rs
@@ -1,33 +1,97 @@
-//! `fescueshift explain`: says what a result code means.
+//! `fescueshift explain`: says what a result code means, or where a datagram or key goes.
 
+use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::Arg;
+use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
+use clap::value_parser;
 use fes_protocol::Error;
 use fes_protocol::Result;
 use fes_protocol::ResultCode;
+use fes_protocol::ServiceId;
 use serde_json::json;
 
 use crate::commands::arguments::json_flag;
+use crate::explain_routing::Context;
+use crate::explain_routing::Explanation;
+use crate::explain_routing::parse_hex;
 use crate::output;
+use crate::ticket_file::read_ticket;
 
 pub(crate) const NAME: &str = "explain";
 
+const DATAGRAM: &str = "datagram";
+const KEY: &str = "key";
+const SETTINGS: &str = "settings";
+const TICKET: &str = "ticket";
+const SERVICE: &str = "service";
+
 pub(crate) fn command() -> Command {
     Command::new(NAME)
-        .about("Say what a result code means and what to do about it")
+        .about("Explain a result code, a datagram of a flow or an idempotency key")
         .arg(
             Arg::new("code")
                 .help("Result code, such as F2001; without one, all are listed")
                 .value_name("CODE"),
         )
+        .arg(
+            Arg::new(DATAGRAM)
+                .long(DATAGRAM)
+                .help("Client datagram in hexadecimal: which agent gets it and why")
+                .value_name("HEX")
+                .requires(SETTINGS)
+                .conflicts_with_all(["code", KEY]),
+        )
+        .arg(
+            Arg::new(KEY)
+                .long(KEY)
+                .help("Value of an Idempotency-Key header: who may run it")
+                .value_name("VALUE")
+                .requires(SETTINGS)
+                .conflicts_with("code"),
+        )
+        .arg(
+            Arg::new(SETTINGS)
+                .long(SETTINGS)
+                .help("Settings of an entry, for the keys")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .requires_all([TICKET, SERVICE]),
+        )
+        .arg(
+            Arg::new(TICKET)
+                .long(TICKET)
+                .help("Ticket in force; may be repeated")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .action(ArgAction::Append),
+        )
+        .arg(
+            Arg::new(SERVICE)
+                .long(SERVICE)
+                .help("Service that the client addressed")
+                .value_name("ID")
+                .value_parser(value_parser!(u32)),
+        )
         .arg(json_flag())
-        .after_help("Examples:\n  fescueshift explain F2001\n  fescueshift explain")
+        .after_help(
+            "A datagram is judged as an entry does that takes all targets as alive. Only the\n\
+             first 26 bytes matter.\n\n\
+             Examples:\n  \
+             fescueshift explain F2001\n  \
+             fescueshift explain --datagram c000000001088394c8f03e515708 \\\n      \
+             --settings entry.toml --ticket staveworks.json --service 1",
+        )
 }
 
 pub(crate) fn run(matches: &ArgMatches) -> Result<ExitCode> {
+    if let Some(settings) = matches.get_one::<PathBuf>(SETTINGS) {
+        return explain_routing(matches, settings);
+    }
     let codes = match matches.get_one::<String>("code") {
         Some(text) => vec![parse(text)?],
         None => ResultCode::ALL.to_vec(),
@@ -42,6 +106,42 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn explain_routing(matches: &ArgMatches, settings: &Path) -> Result<ExitCode> {
+    let files = matches.get_many::<PathBuf>(TICKET).into_iter().flatten();
+    let tickets: Vec<_> = files.map(|path| read_ticket(path)).collect::<Result<_>>()?;
+    let service = matches.get_one::<u32>(SERVICE).copied().unwrap_or_default();
+    let context = Context::new(settings, tickets, ServiceId(service))?;
+    let text = |name| matches.get_one::<String>(name);
+    let explanation = match (text(DATAGRAM), text(KEY)) {
+        (Some(datagram), _) => context.datagram(&parse_hex(datagram)?),
+        (None, Some(key)) => context.key(key),
+        (None, None) => {
+            let detail = "--settings goes with --datagram or --key";
+            return Err(Error::coded(ResultCode::UsageInvalid, detail));
+        }
+    };
+    if matches.get_flag("json") {
+        output::print(&format!("{}\n", json!(explanation)))?;
+    } else {
+        output::print(&output::wrap(&explanation_text(&explanation)))?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn explanation_text(explanation: &Explanation) -> String {
+    let number = |value: Option<u64>| value.map(|value| value.to_string());
+    let rows = [
+        ("outcome", Some(explanation.outcome.clone())),
+        ("rule", Some(explanation.rule.to_owned())),
+        ("target", number(explanation.target.map(u64::from))),
+        ("upstream", explanation.upstream.clone()),
+        ("ticket", number(explanation.ticket)),
+        ("code", explanation.code.clone()),
+    ];
+    let line = |(name, value): (&str, Option<String>)| Some(format!("{name}: {}\n", value?));
+    rows.into_iter().filter_map(line).collect()
+}
+
 fn parse(text: &str) -> Result<ResultCode> {
     let digits = text.trim_start_matches(['F', 'f']);
     let code = digits.parse().ok().and_then(ResultCode::from_number);
