--- /dev/null
+++ b/crates/fes-passthrough-node/src/agent_daemon.rs
@@ -0,0 +1,317 @@
+//! The agent daemon: delivers packets to the target on its VM and sends its answers to clients.
+
+use std::cell::RefCell;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fes_adapter::READINESS_PATH;
+use fes_adapter::packet;
+use fes_membership::ClockEvent;
+use fes_membership::ClockGuard;
+use fes_passthrough::AgentAction;
+use fes_passthrough::AgentCore;
+use fes_passthrough::AgentPlace;
+use fes_passthrough::Message;
+use fes_passthrough::decode_message;
+use fes_passthrough::encode_message;
+use fes_protocol::Error;
+use fes_protocol::Lifecycle;
+use fes_protocol::MonoTime;
+use fes_protocol::Result;
+use fes_protocol::ResultCode;
+use fes_telemetry::StatusServer;
+use fes_telemetry::part;
+use serde_json::json;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::list_follower::next_tick;
+use crate::node_context::NodeContext;
+use crate::settings_watch::follow_settings;
+use crate::settings_watch::reload;
+use crate::stop::NodeSignals;
+use crate::stop::Request;
+use crate::udp;
+
+const TICK_MS: u64 = 25;
+const TICKS_PER_SLOW_TICK: u32 = 40;
+/// Entries hear that the agent leaves before it does.
+const NOTICE_MS: u64 = 150;
+/// Requests that run longer than this are left to the next run of the agent, which learns their
+/// flows from the target.
+const LONGEST_DRAIN_MS: u64 = 1_500;
+const EXIT_MARGIN_MS: u64 = 700;
+
+struct AgentNode {
+    context: NodeContext,
+    place: AgentPlace,
+    core: RefCell<AgentCore>,
+    target_socket: UdpSocket,
+    node_socket: UdpSocket,
+    buffer: RefCell<Vec<u8>>,
+}
+
+/// Runs an agent until it is told to stop.
+///
+/// # Errors
+///
+/// Returns the error that prevented the start.
+pub async fn run_agent(context: NodeContext, place: AgentPlace) -> Result<()> {
+    let mut signals = NodeSignals::install()?;
+    let settings = &context.settings;
+    let target_socket = udp::bind(place.from_target_address).await?;
+    let node_socket = udp::bind(settings.node_address).await?;
+    let core = AgentCore::new(
+        context.now(),
+        context.incarnation,
+        place.service,
+        settings.is_first_start,
+    );
+    log::info!(
+        target: part::FLOWS,
+        "event=start role=agent vm={} data_centre={} incarnation={} first={}",
+        settings.name,
+        settings.data_centre,
+        context.incarnation,
+        settings.is_first_start
+    );
+    let node = Rc::new(AgentNode {
+        place,
+        core: RefCell::new(core),
+        target_socket,
+        node_socket,
+        buffer: RefCell::default(),
+        context,
+    });
+    let _status = node.start_status().await?;
+    node.context.health.set(Lifecycle::Serving, "started");
+    node.spawn_tasks();
+    while signals.next().await == Request::Reload {
+        reload(&node.context, &node.context.settings);
+    }
+    node.drain().await;
+    Ok(())
+}
+
+impl AgentNode {
+    async fn start_status(self: &Rc<Self>) -> Result<StatusServer> {
+        let node = Rc::clone(self);
+        StatusServer::start_with_ready_path(
+            SocketAddr::V4(self.context.settings.status_address),
+            self.context.metrics.clone(),
+            self.context.health.clone(),
+            READINESS_PATH,
+            move || {
+                let core = node.core.borrow();
+                let (flows, streams, running) = core.load();
+                json!({
+                    "flows": flows,
+                    "streams": streams,
+                    "running": running,
+                    "entries": core.entry_count(),
+                })
+            },
+        )
+        .await
+    }
+
+    fn spawn_tasks(self: &Rc<Self>) {
+        let node = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let handle = |from: SocketAddrV4, datagram: &[u8]| node.on_message(from, datagram);
+            udp::receive_all(&node.node_socket, handle, |_| {}).await;
+        });
+        let node = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let handle = |_, datagram: &[u8]| node.on_target_packet(datagram);
+            let on_error = |error: &std::io::Error| {
+                log::debug!(target: part::FLOWS, "event=target_socket reason=\"{error}\"");
+            };
+            udp::receive_all(&node.target_socket, handle, on_error).await;
+        });
+        let node = Rc::clone(self);
+        actix_rt::spawn(async move { node.tick().await });
+        let node = Rc::clone(self);
+        actix_rt::spawn(async move { follow_settings(&node.context, |_| {}).await });
+    }
+
+    fn on_message(&self, from: SocketAddrV4, datagram: &[u8]) {
+        let now = self.context.now();
+        self.context.metrics.datagrams_received.inc();
+        let (message, packet) = match decode_message(datagram) {
+            Ok(decoded) => decoded,
+            Err(error) => return self.count_dropped(&error),
+        };
+        let segment = match packet.is_empty() {
+            true => None,
+            false => match packet::decode_from_client(packet) {
+                Ok(segment) => Some(segment),
+                Err(error) => return self.count_dropped(&error),
+            },
+        };
+        let mut actions = Vec::new();
+        let mut core = self.core.borrow_mut();
+        core.on_message(now, *from.ip(), &message, segment.as_ref(), &mut actions);
+        drop(core);
+        self.perform(actions, packet);
+    }
+
+    fn on_target_packet(&self, datagram: &[u8]) {
+        let now = self.context.now();
+        let segment = match packet::decode_from_target(datagram) {
+            Ok(segment) => segment,
+            Err(error) => return self.count_dropped(&error),
+        };
+        let mut actions = Vec::new();
+        let mut core = self.core.borrow_mut();
+        core.on_target_packet(now, &segment, &mut actions);
+        drop(core);
+        self.perform(actions, datagram);
+    }
+
+    async fn tick(&self) {
+        let mut guard = ClockGuard::new();
+        let mut due_at = self.context.now();
+        let mut count: u32 = 0;
+        loop {
+            due_at = next_tick(self.context.now(), due_at, TICK_MS);
+            sleep(self.context.now().until(due_at)).await;
+            let now = self.context.now();
+            let clock_event = guard.observe(now, self.context.clock.wall(), Some(due_at));
+            if let Some(event) = clock_event {
+                self.on_clock_event(event);
+            }
+            let mut actions = Vec::new();
+            let mut core = self.core.borrow_mut();
+            core.on_tick(now, &mut actions);
+            count = count.wrapping_add(1);
+            if count.is_multiple_of(TICKS_PER_SLOW_TICK) {
+                core.on_slow_tick(now);
+                self.update_gauges(&core);
+            }
+            drop(core);
+            self.perform(actions, &[]);
+        }
+    }
+
+    fn on_clock_event(&self, event: ClockEvent) {
+        self.context.metrics.clock_jumps.inc();
+        self.core.borrow_mut().on_pause();
+        log::warn!(target: part::FLOWS, "event=clock {event:?}");
+    }
+
+    fn update_gauges(&self, core: &AgentCore) {
+        let (flows, _, running) = core.load();
+        self.context.metrics.flows_open.set(i64::from(flows));
+        self.context.metrics.slots_used.set(i64::from(running));
+    }
+
+    fn perform(&self, actions: Vec<AgentAction>, packet: &[u8]) {
+        for action in actions {
+            match action {
+                AgentAction::Deliver => {
+                    self.context.metrics.datagrams_forwarded.inc();
+                    let target = self.place.target_address;
+                    self.count_sent(self.target_socket.try_send_to(packet, target.into()));
+                }
+                AgentAction::SendToClient => self.send_to_client(packet),
+                AgentAction::Send {
+                    entry,
+                    message,
+                    with_packet,
+                } => {
+                    let packet = if with_packet { packet } else { &[] };
+                    self.send(entry, &message, packet);
+                }
+                AgentAction::ResetClient { flow, sequence } => {
+                    let reset = packet::encode_reset(flow, sequence);
+                    self.send_to_client(&reset);
+                }
+                AgentAction::Note(note) => {
+                    let now = self.context.now();
+                    let request = packet::request_id(packet);
+                    self.context.decisions.record(now, &note, request);
+                }
+            }
+        }
+    }
+
+    fn send_to_client(&self, packet: &[u8]) {
+        let segment = match packet::decode_from_target(packet) {
+            Ok(segment) => segment,
+            Err(error) => return self.count_dropped(&error),
+        };
+        self.context.metrics.datagrams_returned.inc();
+        let port = self.context.settings.client_address.port();
+        let client = SocketAddrV4::new(*segment.flow.client.ip(), port);
+        self.count_sent(self.node_socket.try_send_to(packet, client.into()));
+    }
+
+    fn send(&self, entry: Ipv4Addr, message: &Message, packet: &[u8]) {
+        let mut buffer = self.buffer.borrow_mut();
+        buffer.clear();
+        if let Err(error) = encode_message(message, &mut buffer) {
+            return self.count_dropped(&error);
+        }
+        self.context
+            .metrics
+            .control_bytes_sent
+            .inc_by(buffer.len() as u64);
+        buffer.extend_from_slice(packet);
+        let port = self.context.settings.node_address.port();
+        let address = SocketAddrV4::new(entry, port);
+        self.count_sent(self.node_socket.try_send_to(&buffer, address.into()));
+    }
+
+    /// A datagram that can't be sent is lost like any other; ends send again.
+    fn count_sent(&self, sent: std::io::Result<usize>) {
+        if let Err(source) = sent {
+            self.count_dropped(&Error::io(ResultCode::DatagramNotSent, "sending", source));
+        }
+    }
+
+    fn count_dropped(&self, error: &Error) {
+        let label = error.code().into();
+        let metrics = &self.context.metrics;
+        metrics.datagrams_dropped.get_or_create(&label).inc();
+        log::debug!(target: part::FLOWS, "event=datagram_dropped reason=\"{error}\"");
+    }
+
+    /// Takes no new flows, and ends once nothing runs or the time for it has passed.
+    async fn drain(&self) {
+        let started_at = self.context.now();
+        self.context
+            .health
+            .set(Lifecycle::Draining, "the process was told to stop");
+        log::info!(target: part::FLOWS, "event=stop phase=drain");
+        let mut actions = Vec::new();
+        self.core.borrow_mut().begin_stop(started_at, &mut actions);
+        self.perform(actions, &[]);
+        sleep(Duration::from_millis(NOTICE_MS)).await;
+        let grace_ms = self.context.settings.stop_grace_ms;
+        let limit_ms = grace_ms
+            .saturating_sub(EXIT_MARGIN_MS)
+            .min(LONGEST_DRAIN_MS);
+        let end_at = started_at.plus_ms(limit_ms);
+        loop {
+            let now = self.context.now();
+            let (_, _, running) = self.core.borrow().load();
+            if running == 0 || now >= end_at {
+                self.log_end(now, started_at, running);
+                return;
+            }
+            sleep(Duration::from_millis(TICK_MS)).await;
+        }
+    }
+
+    fn log_end(&self, now: MonoTime, started_at: MonoTime, running: u32) {
+        log::info!(
+            target: part::FLOWS,
+            "event=stop phase=end after_ms={} running={running}",
+            now.ms_since(started_at)
+        );
+    }
+}
--- /dev/null
+++ b/crates/fes-passthrough-node/src/decision_log.rs
@@ -0,0 +1,79 @@
+//! One log line for each decision, within a budget for each kind, and a counter.
+
+use std::cell::RefCell;
+use std::sync::Arc;
+
+use fes_passthrough::Note;
+use fes_passthrough::Outcome;
+use fes_protocol::FastMap;
+use fes_protocol::MonoTime;
+use fes_telemetry::Metrics;
+use fes_telemetry::OutcomeLabel;
+use fes_telemetry::part;
+
+/// Lines of one kind in one second; the counters hold what is left out.
+const LINES_PER_SECOND: u32 = 60;
+const BUDGET_PERIOD_MS: u64 = 1_000;
+
+#[derive(Debug, Default)]
+struct Budget {
+    used: u32,
+    suppressed: u64,
+}
+
+/// The log of decisions.
+#[derive(Debug)]
+pub struct DecisionLog {
+    metrics: Arc<Metrics>,
+    budgets: RefCell<FastMap<Outcome, Budget>>,
+    renew_at: RefCell<MonoTime>,
+}
+
+impl DecisionLog {
+    /// Makes a log that counts in `metrics`.
+    #[must_use]
+    pub fn new(metrics: Arc<Metrics>) -> Self {
+        Self {
+            metrics,
+            budgets: RefCell::default(),
+            renew_at: RefCell::default(),
+        }
+    }
+
+    /// Logs and counts a decision. `request` is the identity of the request at hand, if known.
+    pub fn record(&self, now: MonoTime, note: &Note, request: Option<&str>) {
+        let label = OutcomeLabel {
+            outcome: note.outcome.name(),
+        };
+        self.metrics.flow_decisions.get_or_create(&label).inc();
+        self.renew(now);
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(note.outcome).or_default();
+        if budget.used >= LINES_PER_SECOND {
+            budget.suppressed += 1;
+            self.metrics.log_lines_suppressed.inc();
+            return;
+        }
+        budget.used += 1;
+        let request = request.unwrap_or("-");
+        if note.outcome.is_harmful() {
+            log::warn!(target: part::FLOWS, "{note} request={request}");
+        } else {
+            log::info!(target: part::FLOWS, "{note} request={request}");
+        }
+    }
+
+    /// Starts new budgets each second and says what the old ones left out.
+    fn renew(&self, now: MonoTime) {
+        if now < *self.renew_at.borrow() {
+            return;
+        }
+        *self.renew_at.borrow_mut() = now.plus_ms(BUDGET_PERIOD_MS);
+        for (outcome, budget) in self.budgets.borrow_mut().drain() {
+            if budget.suppressed > 0 {
+                let (outcome, count) = (outcome.name(), budget.suppressed);
+                log::info!(target: part::FLOWS, "suppressed={count} outcome={outcome}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fes-passthrough-node/src/entry_daemon.rs
@@ -0,0 +1,344 @@
+//! The entry daemon: receives clients' packets and sends them to agents.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fes_adapter::READINESS_PATH;
+use fes_adapter::packet;
+use fes_membership::ClockGuard;
+use fes_passthrough::EntryAction;
+use fes_passthrough::EntryCore;
+use fes_passthrough::Forward;
+use fes_passthrough::Message;
+use fes_passthrough::decode_message;
+use fes_passthrough::encode_message;
+use fes_protocol::Error;
+use fes_protocol::Lifecycle;
+use fes_protocol::MonoTime;
+use fes_protocol::Result;
+use fes_telemetry::StatusServer;
+use fes_telemetry::part;
+use serde_json::json;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::list_follower::ListNews;
+use crate::list_follower::age_for_metrics;
+use crate::list_follower::follow_list;
+use crate::list_follower::next_tick;
+use crate::node_context::NodeContext;
+use crate::settings_watch::follow_settings;
+use crate::settings_watch::reload;
+use crate::stop::NodeSignals;
+use crate::stop::Request;
+use crate::udp;
+
+const TICK_MS: u64 = 20;
+const TICKS_PER_SLOW_TICK: u32 = 50;
+/// Routers ask twice a second and leave after two misses.
+const ROUTERS_LEAVE_MS: u64 = 1_200;
+/// An entry without packets for this long has been left by the routers.
+const QUIET_MS: u64 = 400;
+/// Time kept back from the grace for the end of the process itself.
+const EXIT_MARGIN_MS: u64 = 700;
+
+struct EntryNode {
+    context: NodeContext,
+    core: RefCell<EntryCore>,
+    client_socket: UdpSocket,
+    node_socket: UdpSocket,
+    buffer: RefCell<Vec<u8>>,
+    last_packet_at: Cell<MonoTime>,
+}
+
+/// Runs an entry until it is told to stop.
+///
+/// # Errors
+///
+/// Returns the error that prevented the start.
+pub async fn run_entry(context: NodeContext) -> Result<()> {
+    let mut signals = NodeSignals::install()?;
+    let settings = &context.settings;
+    let client_socket = udp::bind(settings.client_address).await?;
+    let node_socket = udp::bind(settings.node_address).await?;
+    let core = EntryCore::new(context.incarnation, settings.data_centre.clone());
+    log::info!(
+        target: part::FLOWS,
+        "event=start role=entry vm={} data_centre={} incarnation={} first={}",
+        settings.name,
+        settings.data_centre,
+        context.incarnation,
+        settings.is_first_start
+    );
+    let node = Rc::new(EntryNode {
+        core: RefCell::new(core),
+        client_socket,
+        node_socket,
+        buffer: RefCell::default(),
+        last_packet_at: Cell::new(MonoTime::ZERO),
+        context,
+    });
+    let _status = node.start_status().await?;
+    node.spawn_tasks();
+    while signals.next().await == Request::Reload {
+        reload(&node.context, &node.context.settings);
+    }
+    node.drain().await;
+    Ok(())
+}
+
+impl EntryNode {
+    async fn start_status(self: &Rc<Self>) -> Result<StatusServer> {
+        let node = Rc::clone(self);
+        StatusServer::start_with_ready_path(
+            SocketAddr::V4(self.context.settings.status_address),
+            self.context.metrics.clone(),
+            self.context.health.clone(),
+            READINESS_PATH,
+            move || {
+                let core = node.core.borrow();
+                json!({
+                    "flows": core.flow_count(),
+                    "agents": core.agent_count(),
+                    "routes_version": core.view().routes().version,
+                    "list_revision": core.view().revision(),
+                    "list_age_ms": core.view().age_ms(node.context.now()),
+                })
+            },
+        )
+        .await
+    }
+
+    fn spawn_tasks(self: &Rc<Self>) {
+        let node = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let handle = |_, packet: &[u8]| node.on_client_packet(packet);
+            udp::receive_all(&node.client_socket, handle, |_| {}).await;
+        });
+        let node = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let handle = |from: SocketAddrV4, datagram: &[u8]| node.on_message(from, datagram);
+            udp::receive_all(&node.node_socket, handle, |_| {}).await;
+        });
+        let node = Rc::clone(self);
+        actix_rt::spawn(async move { node.tick().await });
+        let node = Rc::clone(self);
+        actix_rt::spawn(async move {
+            follow_list(&node.context, |news| node.on_news(news)).await;
+        });
+        let node = Rc::clone(self);
+        actix_rt::spawn(async move { follow_settings(&node.context, |_| {}).await });
+    }
+
+    fn on_client_packet(&self, datagram: &[u8]) {
+        let now = self.context.now();
+        self.last_packet_at.set(now);
+        self.context.metrics.datagrams_received.inc();
+        let segment = match packet::decode_from_client(datagram) {
+            Ok(segment) => segment,
+            Err(error) => return self.count_dropped(&error),
+        };
+        let mut actions = Vec::new();
+        let mut core = self.core.borrow_mut();
+        core.on_client_packet(now, &segment, datagram, &mut actions);
+        drop(core);
+        self.perform(actions, datagram);
+    }
+
+    fn on_message(&self, from: SocketAddrV4, datagram: &[u8]) {
+        let now = self.context.now();
+        self.context
+            .metrics
+            .control_bytes_received
+            .inc_by(datagram.len() as u64);
+        let (message, packet) = match decode_message(datagram) {
+            Ok(decoded) => decoded,
+            Err(error) => return self.count_dropped(&error),
+        };
+        let mut actions = Vec::new();
+        let mut core = self.core.borrow_mut();
+        core.on_message(now, *from.ip(), &message, packet, &mut actions);
+        drop(core);
+        self.perform(actions, packet);
+        self.update_readiness();
+    }
+
+    fn on_news(&self, news: ListNews) {
+        let now = self.context.now();
+        let mut actions = Vec::new();
+        let mut core = self.core.borrow_mut();
+        match news {
+            ListNews::Listing { changes, revision } => {
+                core.on_listing(now, changes, revision, &mut actions);
+                core.view_mut().confirm(now, revision);
+            }
+            ListNews::Changes { changes, revision } => {
+                for change in changes {
+                    core.on_change(now, change, &mut actions);
+                }
+                core.view_mut().confirm(now, revision);
+            }
+            ListNews::Outage => core.view_mut().record_outage(),
+        }
+        let version = core.view().routes().version;
+        core.on_tick(now, &mut actions);
+        drop(core);
+        self.perform(actions, &[]);
+        self.update_readiness();
+        self.note_routes(version);
+    }
+
+    /// Logs each configuration that comes into force.
+    fn note_routes(&self, version: u64) {
+        let version = i64::try_from(version).unwrap_or(i64::MAX);
+        if self.context.metrics.ticket_highest.set(version) != version {
+            log::info!(target: part::FLOWS, "event=routes_in_force version={version}");
+        }
+    }
+
+    async fn tick(&self) {
+        let mut guard = ClockGuard::new();
+        let mut due_at = self.context.now();
+        let mut count: u32 = 0;
+        loop {
+            due_at = next_tick(self.context.now(), due_at, TICK_MS);
+            sleep(self.context.now().until(due_at)).await;
+            let now = self.context.now();
+            if let Some(event) = guard.observe(now, self.context.clock.wall(), Some(due_at)) {
+                self.context.metrics.clock_jumps.inc();
+                log::warn!(target: part::FLOWS, "event=clock {event:?}");
+            }
+            let mut actions = Vec::new();
+            let mut core = self.core.borrow_mut();
+            core.on_tick(now, &mut actions);
+            count = count.wrapping_add(1);
+            if count.is_multiple_of(TICKS_PER_SLOW_TICK) {
+                core.on_slow_tick(now);
+                self.update_gauges(&core, now);
+            }
+            drop(core);
+            self.perform(actions, &[]);
+        }
+    }
+
+    fn update_gauges(&self, core: &EntryCore, now: MonoTime) {
+        let metrics = &self.context.metrics;
+        let gauge = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
+        metrics.flows_open.set(gauge(core.flow_count()));
+        metrics.peers_alive.set(gauge(core.agent_count()));
+        let age_ms = age_for_metrics(core.view().age_ms(now));
+        metrics.platform_age_ms.set(age_ms);
+    }
+
+    /// An entry takes traffic once it knows routes and hears an agent.
+    fn update_readiness(&self) {
+        if self.context.health.lifecycle() != Lifecycle::Starting {
+            return;
+        }
+        let core = self.core.borrow();
+        if core.view().has_routes() && core.agent_count() > 0 {
+            let reason = "routes and agents are known";
+            self.context.health.set(Lifecycle::Serving, reason);
+            log::info!(
+                target: part::FLOWS,
+                "event=ready after_ms={} version={}",
+                self.context.now().as_ms(),
+                core.view().routes().version
+            );
+        }
+    }
+
+    fn perform(&self, actions: Vec<EntryAction>, packet: &[u8]) {
+        for action in actions {
+            match action {
+                EntryAction::Forward { vm, forward } => self.forward(vm, forward, packet),
+                EntryAction::ForwardStored {
+                    vm,
+                    forward,
+                    packet,
+                } => self.forward(vm, forward, &packet),
+                EntryAction::Send { vm, message } => self.send(vm, &message, &[]),
+                EntryAction::ResetClient { flow, sequence } => {
+                    let reset = packet::encode_reset(flow, sequence);
+                    let port = self.context.settings.client_address.port();
+                    let client = SocketAddrV4::new(*flow.client.ip(), port);
+                    let sent = self.client_socket.try_send_to(&reset, client.into());
+                    self.count_sent(sent);
+                }
+                EntryAction::Note(note) => {
+                    let now = self.context.now();
+                    let request = packet::request_id(packet);
+                    self.context.decisions.record(now, &note, request);
+                }
+            }
+        }
+    }
+
+    fn forward(&self, vm: Ipv4Addr, forward: Forward, packet: &[u8]) {
+        self.context.metrics.datagrams_forwarded.inc();
+        self.send(vm, &Message::Forward(forward), packet);
+    }
+
+    fn send(&self, vm: Ipv4Addr, message: &Message, packet: &[u8]) {
+        let mut buffer = self.buffer.borrow_mut();
+        buffer.clear();
+        if let Err(error) = encode_message(message, &mut buffer) {
+            return self.count_dropped(&error);
+        }
+        buffer.extend_from_slice(packet);
+        let port = self.context.settings.node_address.port();
+        let address = SocketAddrV4::new(vm, port);
+        let sent = self.node_socket.try_send_to(&buffer, address.into());
+        let control_bytes = buffer.len() - packet.len();
+        self.context
+            .metrics
+            .control_bytes_sent
+            .inc_by(control_bytes as u64);
+        self.count_sent(sent);
+    }
+
+    /// A datagram that can't be sent is lost like any other; ends send again.
+    fn count_sent(&self, sent: std::io::Result<usize>) {
+        if let Err(source) = sent {
+            let code = fes_protocol::ResultCode::DatagramNotSent;
+            self.count_dropped(&Error::io(code, "sending", source));
+        }
+    }
+
+    fn count_dropped(&self, error: &Error) {
+        let label = error.code().into();
+        let metrics = &self.context.metrics;
+        metrics.datagrams_dropped.get_or_create(&label).inc();
+        log::debug!(target: part::FLOWS, "event=datagram_dropped reason=\"{error}\"");
+    }
+
+    /// Says that the entry leaves, and goes on carrying packets until the routers have left.
+    async fn drain(&self) {
+        let started_at = self.context.now();
+        self.context
+            .health
+            .set(Lifecycle::Draining, "the process was told to stop");
+        log::info!(target: part::FLOWS, "event=stop phase=drain");
+        let grace_ms = self.context.settings.stop_grace_ms;
+        let end_at = started_at.plus_ms(grace_ms.saturating_sub(EXIT_MARGIN_MS));
+        sleep(Duration::from_millis(ROUTERS_LEAVE_MS)).await;
+        loop {
+            let now = self.context.now();
+            let is_quiet = now.ms_since(self.last_packet_at.get()) >= QUIET_MS;
+            if is_quiet || now >= end_at {
+                log::info!(
+                    target: part::FLOWS,
+                    "event=stop phase=end after_ms={} quiet={is_quiet}",
+                    now.ms_since(started_at)
+                );
+                return;
+            }
+            sleep(Duration::from_millis(TICK_MS)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/fes-passthrough-node/src/lib.rs
@@ -0,0 +1,16 @@
+//! Lean daemons that carry pass-through flows: sockets, timers, signals, logs and metrics around
+//! the decisions of `fes_passthrough`.
+
+mod agent_daemon;
+mod decision_log;
+mod entry_daemon;
+mod list_follower;
+mod node_context;
+mod settings_watch;
+mod stop;
+mod udp;
+
+pub use agent_daemon::run_agent;
+pub use entry_daemon::run_entry;
+pub use node_context::NodeContext;
+pub use settings_watch::load_settings;
--- /dev/null
+++ b/crates/fes-passthrough-node/src/main.rs
@@ -0,0 +1,92 @@
+//! `fescueshift-passthrough entry` and `fescueshift-passthrough agent`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Arg;
+use clap::Command;
+use clap::value_parser;
+use fes_passthrough::NodePlace;
+use fes_passthrough_node::NodeContext;
+use fes_passthrough_node::load_settings;
+use fes_passthrough_node::run_agent;
+use fes_passthrough_node::run_entry;
+use fes_protocol::Error;
+use log::LevelFilter;
+
+const SETTINGS: &str = "settings";
+const LOG_LEVEL: &str = "log-level";
+const ENTRY: &str = "entry";
+const AGENT: &str = "agent";
+const CHECK: &str = "check";
+const INVALID_SETTINGS_EXIT_STATUS: u8 = 2;
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let path = matches.get_one::<PathBuf>(SETTINGS).cloned();
+    let level = matches.get_one::<LevelFilter>(LOG_LEVEL).copied();
+    let settings = match load_settings(path.clone()) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}; {}", error.help());
+            return ExitCode::from(INVALID_SETTINGS_EXIT_STATUS);
+        }
+    };
+    if matches.subcommand_name() == Some(CHECK) {
+        println!("{settings:#?}");
+        return ExitCode::SUCCESS;
+    }
+    if let Err(error) = fes_telemetry::init_queued_log(level.unwrap_or(LevelFilter::Info)) {
+        eprintln!("the log can't be started: {error}");
+        return ExitCode::FAILURE;
+    }
+    let place = settings.place;
+    let context = NodeContext::new(settings, path);
+    let ended = actix_rt::System::new().block_on(async move {
+        match (matches.subcommand_name(), place) {
+            (Some(ENTRY), NodePlace::Entry) => run_entry(context).await,
+            (Some(AGENT), NodePlace::Agent(place)) => run_agent(context, place).await,
+            _ => Err(Error::coded(
+                fes_protocol::ResultCode::SettingsMissingKey,
+                "the settings don't describe a place for this command",
+            )),
+        }
+    });
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!(target: fes_telemetry::part::FLOWS, "stopped: {error}; {}", error.help());
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn command() -> Command {
+    Command::new("fescueshift-passthrough")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Carries flows between clients and targets without changing their packets")
+        .subcommand_required(true)
+        .arg(
+            Arg::new(SETTINGS)
+                .long(SETTINGS)
+                .global(true)
+                .help("Settings file; without it, the platform's variable names the file")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new(LOG_LEVEL)
+                .long(LOG_LEVEL)
+                .global(true)
+                .help("Least level that is logged")
+                .value_name("LEVEL")
+                .value_parser(value_parser!(LevelFilter)),
+        )
+        .subcommand(Command::new(ENTRY).about("Receives clients' packets and finds their target"))
+        .subcommand(Command::new(AGENT).about("Delivers packets to the target on its VM"))
+        .subcommand(Command::new(CHECK).about("Reads the settings, prints them and ends"))
+        .after_help(
+            "Drains on SIGTERM and reads its settings again on SIGHUP. Exit status: 0 after a\n\
+             drain, 1 if the start failed, 2 on invalid settings or a usage error.",
+        )
+}
--- /dev/null
+++ b/crates/fes-passthrough/src/codec.rs
@@ -0,0 +1,41 @@
+//! Encoding of messages between processes.
+
+use bincode::config::Configuration;
+use bincode::config::Limit;
+use fes_protocol::Error;
+use fes_protocol::Result;
+use fes_protocol::ResultCode;
+
+use crate::Message;
+
+/// Largest datagram between processes, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 2_048;
+
+const CONFIG: Configuration<
+    bincode::config::LittleEndian,
+    bincode::config::Varint,
+    Limit<MAX_MESSAGE_BYTES>,
+> = bincode::config::standard().with_limit::<MAX_MESSAGE_BYTES>();
+
+/// Appends a message to `buffer`.
+///
+/// # Errors
+///
+/// Returns [`ResultCode::ControlTooLarge`] if the message doesn't fit into one datagram.
+pub fn encode_message(message: &Message, buffer: &mut Vec<u8>) -> Result<()> {
+    let written = bincode::serde::encode_into_std_write(message, buffer, CONFIG);
+    written
+        .map(|_| ())
+        .map_err(|e| Error::coded(ResultCode::ControlTooLarge, e.to_string()))
+}
+
+/// Decodes a datagram into its message and the packet behind it, which is empty for most messages.
+///
+/// # Errors
+///
+/// Returns [`ResultCode::ControlMalformed`].
+pub fn decode_message(datagram: &[u8]) -> Result<(Message, &[u8])> {
+    let (message, read_bytes) = bincode::serde::decode_from_slice(datagram, CONFIG)
+        .map_err(|e| Error::coded(ResultCode::ControlMalformed, e.to_string()))?;
+    Ok((message, &datagram[read_bytes..]))
+}
--- /dev/null
+++ b/crates/fes-passthrough/src/fleet_view.rs
@@ -0,0 +1,314 @@
+//! What a process knows of routes and targets, and how it follows the platform's list.
+//!
+//! Revisions decide: a record or configuration replaces only an older one, whichever way it came
+//! (read, watch or peer), so that nothing goes back within the life of a process.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+
+use fes_protocol::FastMap;
+use fes_protocol::MonoTime;
+use fes_protocol::UpstreamName;
+
+use crate::Route;
+use crate::RouteSet;
+use crate::ServiceTag;
+use crate::TargetRecord;
+
+/// A target that the list no longer holds stays in use for this long, since entries may lapse and
+/// come back. Shorter than the bound within which a target that left must get no new flows.
+const LAPSE_MS: u64 = 800;
+/// After an outage of the platform, its list is complete again after this time.
+const RETURN_AFTER_OUTAGE_MS: u64 = 2_200;
+/// Removed records are remembered for this long, so that an older copy doesn't bring them back.
+const TOMBSTONE_MS: u64 = 60_000;
+
+/// A change of the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ListChange {
+    /// A target was written.
+    Target(TargetRecord),
+    /// An entry names no usable target: it was removed, or can't be understood.
+    NoTarget {
+        /// Identity in the list.
+        id: UpstreamName,
+        /// Revision of the change.
+        revision: u64,
+    },
+    /// A configuration was written.
+    Routes(RouteSet),
+}
+
+/// What a change did to the view.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ViewEvent {
+    /// A target is new or differs in more than its progress.
+    TargetChanged(TargetRecord),
+    /// A target is no longer listed; it is dropped if it doesn't come back.
+    TargetLapsed(UpstreamName),
+    /// A target is gone.
+    TargetGone(UpstreamName),
+    /// Another configuration is in force.
+    RoutesChanged {
+        /// Version in force before.
+        from: u64,
+        /// Version in force now.
+        to: u64,
+    },
+}
+
+#[derive(Debug, Clone)]
+enum Listing {
+    Present,
+    /// Not listed any more; dropped at the deadline.
+    Lapsed {
+        drop_at: MonoTime,
+    },
+}
+
+#[derive(Debug, Clone)]
+struct ListedTarget {
+    record: TargetRecord,
+    listing: Listing,
+    warm_at: MonoTime,
+}
+
+/// The view.
+#[derive(Debug, Default)]
+pub struct FleetView {
+    targets: FastMap<UpstreamName, ListedTarget>,
+    by_vm: FastMap<Ipv4Addr, UpstreamName>,
+    /// Revision at which a record was removed, and when that may be forgotten.
+    tombstones: FastMap<UpstreamName, (u64, MonoTime)>,
+    routes: RouteSet,
+    has_routes: bool,
+    revision: u64,
+    confirmed_at: Option<MonoTime>,
+    outage_ended_at: Option<MonoTime>,
+    is_in_outage: bool,
+}
+
+impl FleetView {
+    /// Makes an empty view.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes a change over, if it is newer than what is known.
+    pub fn apply(&mut self, now: MonoTime, change: ListChange) -> Option<ViewEvent> {
+        match change {
+            ListChange::Target(record) => self.apply_target(now, record),
+            ListChange::NoTarget { id, revision } => self.remove(now, &id, revision),
+            ListChange::Routes(routes) => self.apply_routes(routes),
+        }
+    }
+
+    /// Takes a full listing over, read at `revision`: what it lacks is gone.
+    pub fn apply_listing(
+        &mut self,
+        now: MonoTime,
+        changes: Vec<ListChange>,
+        revision: u64,
+    ) -> Vec<ViewEvent> {
+        let mut listed = Vec::with_capacity(changes.len());
+        let mut events = Vec::new();
+        for change in changes {
+            if let ListChange::Target(record) = &change {
+                listed.push(record.id.clone());
+            }
+            events.extend(self.apply(now, change));
+        }
+        let missing: Vec<UpstreamName> = self
+            .targets
+            .iter()
+            .filter(|(id, target)| target.record.revision <= revision && !listed.contains(id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in missing {
+            events.extend(self.remove(now, &id, revision));
+        }
+        events
+    }
+
+    /// Records that the platform confirmed the view up to `revision`.
+    pub fn confirm(&mut self, now: MonoTime, revision: u64) {
+        if self.is_in_outage {
+            self.is_in_outage = false;
+            self.outage_ended_at = Some(now);
+        }
+        self.revision = self.revision.max(revision);
+        self.confirmed_at = Some(now);
+    }
+
+    /// Records that a peer confirmed that `revision` was the newest one at `confirmed_at`.
+    pub fn confirm_by_peer(&mut self, confirmed_at: MonoTime, revision: u64) {
+        if revision < self.revision {
+            return;
+        }
+        self.revision = revision;
+        self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
+    }
+
+    /// Records that the platform doesn't answer.
+    pub const fn record_outage(&mut self) {
+        self.is_in_outage = true;
+    }
+
+    /// Drops targets whose time to come back has passed.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<ViewEvent> {
+        let expired: Vec<UpstreamName> = self
+            .targets
+            .iter()
+            .filter(|(_, target)| {
+                matches!(target.listing, Listing::Lapsed { drop_at } if now >= drop_at)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &expired {
+            self.forget(id);
+        }
+        self.tombstones.retain(|_, (_, until)| now < *until);
+        expired.into_iter().map(ViewEvent::TargetGone).collect()
+    }
+
+    /// Returns the route to an address.
+    #[must_use]
+    pub fn route(&self, destination: SocketAddrV4) -> Option<&Route> {
+        self.routes.routes.get(&destination)
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub const fn routes(&self) -> &RouteSet {
+        &self.routes
+    }
+
+    /// Returns whether a configuration is known.
+    #[must_use]
+    pub const fn has_routes(&self) -> bool {
+        self.has_routes
+    }
+
+    /// Returns the newest revision that the view holds in full.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns how long ago the view was last confirmed, in milliseconds.
+    #[must_use]
+    pub fn age_ms(&self, now: MonoTime) -> Option<u64> {
+        self.confirmed_at.map(|at| now.ms_since(at))
+    }
+
+    /// Returns the target on a VM.
+    #[must_use]
+    pub fn target_on(&self, vm: Ipv4Addr) -> Option<&TargetRecord> {
+        let id = self.by_vm.get(&vm)?;
+        self.targets.get(id).map(|target| &target.record)
+    }
+
+    /// Returns whether the target is still slow after its start.
+    #[must_use]
+    pub fn is_warming_up(&self, now: MonoTime, id: &UpstreamName) -> bool {
+        self.targets
+            .get(id)
+            .is_some_and(|target| now < target.warm_at)
+    }
+
+    /// Returns all targets that are listed or may come back.
+    pub fn targets(&self) -> impl Iterator<Item = &TargetRecord> {
+        self.targets.values().map(|target| &target.record)
+    }
+
+    /// Returns the targets of a service.
+    pub fn targets_of(&self, service: ServiceTag) -> impl Iterator<Item = &TargetRecord> {
+        self.targets()
+            .filter(move |record| record.service == service)
+    }
+
+    fn apply_target(&mut self, now: MonoTime, record: TargetRecord) -> Option<ViewEvent> {
+        let removed_at = self
+            .tombstones
+            .get(&record.id)
+            .map(|(revision, _)| *revision);
+        if removed_at.is_some_and(|removed_at| record.revision <= removed_at) {
+            return None;
+        }
+        let previous = self.targets.get(&record.id);
+        if previous.is_some_and(|known| record.revision < known.record.revision) {
+            return None;
+        }
+        let is_change = previous.is_none_or(|known| {
+            known.record.state != record.state
+                || known.record.service != record.service
+                || known.record.born_ms != record.born_ms
+                || known.record.vm != record.vm
+        });
+        self.index(&record);
+        let listed = ListedTarget {
+            record: record.clone(),
+            listing: Listing::Present,
+            warm_at: now.plus_ms(u64::from(record.warm_up_ms)),
+        };
+        self.targets.insert(record.id.clone(), listed);
+        is_change.then_some(ViewEvent::TargetChanged(record))
+    }
+
+    /// Of two targets listed on one VM, the one that started or was written last is there.
+    fn index(&mut self, record: &TargetRecord) {
+        let holder = self
+            .by_vm
+            .get(&record.vm)
+            .and_then(|id| self.targets.get(id));
+        let is_newer = holder.is_none_or(|holder| {
+            (record.born_ms, record.revision) >= (holder.record.born_ms, holder.record.revision)
+        });
+        if is_newer {
+            self.by_vm.insert(record.vm, record.id.clone());
+        }
+    }
+
+    fn remove(&mut self, now: MonoTime, id: &UpstreamName, revision: u64) -> Option<ViewEvent> {
+        let known = self.targets.get_mut(id)?;
+        if known.record.revision > revision || matches!(known.listing, Listing::Lapsed { .. }) {
+            return None;
+        }
+        let after_outage = self
+            .outage_ended_at
+            .map_or(MonoTime::ZERO, |at| at.plus_ms(RETURN_AFTER_OUTAGE_MS));
+        let drop_at = now.plus_ms(LAPSE_MS).max(after_outage);
+        known.listing = Listing::Lapsed { drop_at };
+        let until = now.plus_ms(TOMBSTONE_MS);
+        self.tombstones.insert(id.clone(), (revision, until));
+        Some(ViewEvent::TargetLapsed(id.clone()))
+    }
+
+    fn forget(&mut self, id: &UpstreamName) {
+        let Some(gone) = self.targets.remove(id) else {
+            return;
+        };
+        let vm = gone.record.vm;
+        if self.by_vm.get(&vm) != Some(id) {
+            return;
+        }
+        self.by_vm.remove(&vm);
+        let others = self.targets.values().filter(|other| other.record.vm == vm);
+        let newest = others.max_by_key(|other| (other.record.born_ms, other.record.revision));
+        if let Some(other) = newest {
+            self.by_vm.insert(vm, other.record.id.clone());
+        }
+    }
+
+    fn apply_routes(&mut self, routes: RouteSet) -> Option<ViewEvent> {
+        if self.has_routes && routes.version <= self.routes.version {
+            return None;
+        }
+        let from = self.routes.version;
+        let to = routes.version;
+        self.routes = routes;
+        self.has_routes = true;
+        Some(ViewEvent::RoutesChanged { from, to })
+    }
+}
--- /dev/null
+++ b/crates/fes-passthrough/src/flow_table.rs
@@ -0,0 +1,185 @@
+//! An agent's record of the flows that its target holds.
+
+use std::net::Ipv4Addr;
+
+use fes_protocol::KeyedMap;
+use fes_protocol::MonoTime;
+
+use crate::FlowKey;
+use crate::Segment;
+
+/// A flow that the target hasn't accepted, or that both ends may have closed, is kept this long.
+const SHORT_LIMIT_MS: u64 = 6_000;
+/// An idle flow may be discarded after at most this time.
+const IDLE_LIMIT_MS: u64 = 62_000;
+/// Requests after which a flow counts as one that stays open for many.
+const STREAM_REQUESTS: u32 = 2;
+
+/// A flow at the agent's target.
+#[derive(Debug, Clone)]
+pub struct AgentFlow {
+    /// VM of the entry that sent its newest packet.
+    pub entry: Option<Ipv4Addr>,
+    /// Sequence number with which the target accepted it, if the agent saw that.
+    pub opening_sequence: Option<u32>,
+    /// Whether the client is known to have chosen this target.
+    pub is_chosen: bool,
+    /// Whether the target has written on it since the agent knows it.
+    pub is_confirmed: bool,
+    /// Whether the flow is expected to stay open for many requests.
+    pub is_stream: bool,
+    /// Whether a request was handed to the target and no byte of its response was seen.
+    pub is_running: bool,
+    requests: u32,
+    next_client_sequence: Option<u32>,
+    is_closing: bool,
+    forget_at: MonoTime,
+}
+
+impl AgentFlow {
+    /// Makes the record of a flow that was just seen.
+    #[must_use]
+    pub const fn new(now: MonoTime, entry: Option<Ipv4Addr>, is_stream: bool) -> Self {
+        Self {
+            entry,
+            opening_sequence: None,
+            is_chosen: false,
+            is_confirmed: false,
+            is_stream,
+            is_running: false,
+            requests: 0,
+            next_client_sequence: None,
+            is_closing: false,
+            forget_at: now.plus_ms(SHORT_LIMIT_MS),
+        }
+    }
+
+    /// Records a packet of the client that is delivered to the target. Returns whether a request
+    /// begins with it.
+    pub fn record_delivery(&mut self, now: MonoTime, segment: &Segment) -> bool {
+        self.is_closing |= segment.is_fin || segment.is_reset;
+        if segment.is_reset {
+            self.is_running = false;
+        }
+        if !segment.is_open {
+            self.is_chosen = true;
+        }
+        self.keep(now);
+        if segment.payload_bytes == 0 {
+            return false;
+        }
+        let end = segment
+            .sequence
+            .wrapping_add(u32::from(segment.payload_bytes));
+        let is_new = self
+            .next_client_sequence
+            .is_none_or(|next| end != next && end.wrapping_sub(next) < 1 << 31);
+        if !is_new {
+            return false;
+        }
+        self.next_client_sequence = Some(end);
+        let begins = !self.is_running;
+        self.is_running = true;
+        begins
+    }
+
+    /// Records a packet of the target. Returns whether a request ends with it.
+    pub fn record_answer(&mut self, now: MonoTime, segment: &Segment) -> bool {
+        self.is_closing |= segment.is_fin || segment.is_reset;
+        self.is_confirmed = true;
+        self.keep(now);
+        let is_answer = segment.payload_bytes > 0 || segment.is_reset || segment.is_fin;
+        let ends = self.is_running && is_answer;
+        if ends {
+            self.is_running = false;
+            self.requests += 1;
+            self.is_stream |= self.requests >= STREAM_REQUESTS;
+        }
+        ends
+    }
+
+    fn keep(&mut self, now: MonoTime) {
+        let is_short = self.is_closing || !self.is_chosen;
+        let keep_ms = if is_short {
+            SHORT_LIMIT_MS
+        } else {
+            IDLE_LIMIT_MS
+        };
+        self.forget_at = now.plus_ms(keep_ms);
+    }
+}
+
+/// Counts of the flows of a target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FlowCounts {
+    /// Flows that the client has opened and no end has closed.
+    pub open: u32,
+    /// Open flows that stay open for many requests.
+    pub streams: u32,
+    /// Requests without an answer.
+    pub running: u32,
+}
+
+/// The flows of one target.
+#[derive(Debug, Default)]
+pub struct FlowTable {
+    flows: KeyedMap<FlowKey, AgentFlow>,
+    /// Flows that the target handed back, with the time until which that is remembered.
+    not_held: KeyedMap<FlowKey, MonoTime>,
+}
+
+impl FlowTable {
+    /// Returns the record of a flow.
+    pub fn get_mut(&mut self, flow: &FlowKey) -> Option<&mut AgentFlow> {
+        self.flows.get_mut(flow)
+    }
+
+    /// Returns the record of a flow, making one if there is none.
+    pub fn get_or_insert(&mut self, flow: FlowKey, new: AgentFlow) -> &mut AgentFlow {
+        self.not_held.remove(&flow);
+        self.flows.entry(flow).or_insert(new)
+    }
+
+    /// Drops a flow that the target doesn't hold and remembers that.
+    pub fn record_not_held(&mut self, now: MonoTime, flow: FlowKey) {
+        self.flows.remove(&flow);
+        self.not_held.insert(flow, now.plus_ms(IDLE_LIMIT_MS));
+    }
+
+    /// Returns whether the target is known not to hold the flow.
+    #[must_use]
+    pub fn is_not_held(&self, flow: &FlowKey) -> bool {
+        self.not_held.contains_key(flow)
+    }
+
+    /// Drops a flow.
+    pub fn remove(&mut self, flow: &FlowKey) -> Option<AgentFlow> {
+        self.flows.remove(flow)
+    }
+
+    /// Drops all flows, as when the target ended.
+    pub fn clear(&mut self) -> Vec<(FlowKey, AgentFlow)> {
+        self.not_held.clear();
+        self.flows.drain().collect()
+    }
+
+    /// Drops records whose time has passed.
+    pub fn expire(&mut self, now: MonoTime) {
+        self.flows.retain(|_, flow| now < flow.forget_at);
+        self.not_held.retain(|_, until| now < *until);
+    }
+
+    /// Counts the flows.
+    #[must_use]
+    pub fn counts(&self) -> FlowCounts {
+        let mut counts = FlowCounts::default();
+        for flow in self.flows.values() {
+            counts.running += u32::from(flow.is_running);
+            if flow.is_chosen && !flow.is_closing {
+                counts.open += 1;
+                counts.streams += u32::from(flow.is_stream);
+            }
+        }
+        counts
+    }
+}
--- a/crates/fes-platform/src/client.rs
+++ b/crates/fes-platform/src/client.rs
@@ -9,11 +9,13 @@
 use fes_protocol::Result;
 use fes_protocol::ResultCode;
 use fes_protocol::TicketNumber;
+use http::StatusCode;
 use tokio::time::timeout;
 
 use crate::TicketReply;
 use crate::VmHint;
 use crate::connection::Connection;
+use crate::connection::unreachable;
 use crate::reply::parse_vms;
 
 /// The platform answers in milliseconds; a connection that takes longer is given up.
@@ -23,7 +25,7 @@
 #[derive(Debug)]
 pub struct PlatformClient {
     address: SocketAddr,
-    reader: Arc<str>,
+    reader: Option<Arc<str>>,
     reply_timeout_ms: u64,
     connection: Option<Connection>,
 }
@@ -34,7 +36,18 @@
     pub fn new(address: SocketAddr, reader: impl Into<Arc<str>>) -> Self {
         Self {
             address,
-            reader: reader.into(),
+            reader: Some(reader.into()),
+            reply_timeout_ms: REPLY_TIMEOUT_MS,
+            connection: None,
+        }
+    }
+
+    /// Makes a client that doesn't name itself; it connects with its first call.
+    #[must_use]
+    pub const fn anonymous(address: SocketAddr) -> Self {
+        Self {
+            address,
+            reader: None,
             reply_timeout_ms: REPLY_TIMEOUT_MS,
             connection: None,
         }
@@ -80,7 +93,13 @@
         parse_vms(&body)
     }
 
-    async fn call(&mut self, path: &str, timeout_ms: u64) -> Result<Bytes> {
+    /// Reads any path of the platform, within `timeout_ms`, and returns the status and the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::PlatformUnreachable`], or [`ResultCode::PlatformMalformed`] if the
+    /// reply is too large.
+    pub async fn get(&mut self, path: &str, timeout_ms: u64) -> Result<(StatusCode, Bytes)> {
         // The connection is put back only after a complete reply: after an error, a timeout or a
         // cancelled call it may still hold the rest of an old reply.
         let kept = self.connection.take();
@@ -89,15 +108,23 @@
                 Some(connection) => connection,
                 None => Connection::open(self.address).await?,
             };
-            let body = connection.get(path, &self.reader).await?;
-            Ok((connection, body))
+            let reply = connection.get(path, self.reader.as_deref()).await?;
+            Ok((connection, reply))
         };
         let bounded = timeout(Duration::from_millis(timeout_ms), exchange).await;
-        let (connection, body) = bounded.map_err(|_| {
+        let (connection, reply) = bounded.map_err(|_| {
             let detail = format!("the platform did not answer within {timeout_ms} ms");
             Error::coded(ResultCode::PlatformUnreachable, detail)
         })??;
         self.connection = Some(connection);
+        Ok(reply)
+    }
+
+    async fn call(&mut self, path: &str, timeout_ms: u64) -> Result<Bytes> {
+        let (status, body) = self.get(path, timeout_ms).await?;
+        if status != StatusCode::OK {
+            return Err(unreachable(&format_args!("status {status}")));
+        }
         Ok(body)
     }
 }
--- a/crates/fes-platform/src/connection.rs
+++ b/crates/fes-platform/src/connection.rs
@@ -51,19 +51,22 @@
         })
     }
 
-    /// Reads `path` and returns the body of a reply with status 200.
-    pub(crate) async fn get(&mut self, path: &str, reader: &str) -> Result<Bytes> {
-        let request = Request::get(path)
-            .header(HOST, self.address.to_string())
-            .header(headers::READER, reader)
+    /// Reads `path` and returns the status and body of the reply.
+    pub(crate) async fn get(
+        &mut self,
+        path: &str,
+        reader: Option<&str>,
+    ) -> Result<(StatusCode, Bytes)> {
+        let mut request = Request::get(path).header(HOST, self.address.to_string());
+        if let Some(reader) = reader {
+            request = request.header(headers::READER, reader);
+        }
+        let request = request
             .body(Empty::new())
             .map_err(|error| unreachable(&error))?;
         let sent = self.sender.send_request(request).await;
         let response = sent.map_err(|error| unreachable(&error))?;
         let status = response.status();
-        if status != StatusCode::OK {
-            return Err(unreachable(&format_args!("status {status}")));
-        }
         let limited = Limited::new(response.into_body(), MAX_REPLY_BYTES).collect();
         let body = limited.await.map_err(|error| {
             if error.is::<LengthLimitError>() {
@@ -72,7 +75,7 @@
             }
             unreachable(&error)
         })?;
-        Ok(body.to_bytes())
+        Ok((status, body.to_bytes()))
     }
 }
 
@@ -82,7 +85,7 @@
     }
 }
 
-fn unreachable(error: &dyn std::fmt::Display) -> Error {
+pub(crate) fn unreachable(error: &dyn std::fmt::Display) -> Error {
     let detail = format!("the platform gave no usable answer: {error}");
     Error::coded(ResultCode::PlatformUnreachable, detail)
 }
--- a/crates/fes-protocol/src/lib.rs
+++ b/crates/fes-protocol/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub use collections::FastMap;
 pub use collections::FastSet;
+pub use collections::KeyedMap;
 pub use connection_id::CONNECTION_ID_LEN_BYTES;
 pub use connection_id::ConnectionIdCodec;
 pub use connection_id::RoutableId;
--- a/crates/fes-telemetry/src/lib.rs
+++ b/crates/fes-telemetry/src/lib.rs
@@ -3,16 +3,21 @@
 mod health;
 mod log_setup;
 mod metrics;
+#[cfg(feature = "otlp")]
 mod otlp;
 pub mod part;
+mod queued_writer;
+#[cfg(feature = "otlp")]
 mod span;
 mod status_server;
 mod trace_context;
+#[cfg(feature = "otlp")]
 mod tracer;
 
 pub use health::Health;
 pub use log_setup::format_line;
 pub use log_setup::init_log;
+pub use log_setup::init_queued_log;
 pub use metrics::CodeCounter;
 pub use metrics::CodeLabel;
 pub use metrics::Counter;
@@ -21,11 +26,18 @@
 pub use metrics::MetricKind;
 pub use metrics::MetricSpec;
 pub use metrics::Metrics;
+pub use metrics::OutcomeCounter;
+pub use metrics::OutcomeLabel;
 pub use metrics::set_counter;
+pub use queued_writer::QueuedWriter;
+#[cfg(feature = "otlp")]
 pub use span::FinishedSpan;
+#[cfg(feature = "otlp")]
 pub use span::Hop;
+#[cfg(feature = "otlp")]
 pub use span::Span;
 pub use status_server::StatusServer;
 pub use trace_context::TRACEPARENT_HEADER;
 pub use trace_context::TraceContext;
+#[cfg(feature = "otlp")]
 pub use tracer::Tracer;
--- a/crates/fes-telemetry/src/log_setup.rs
+++ b/crates/fes-telemetry/src/log_setup.rs
@@ -1,10 +1,14 @@
 //! Log output: one line per record, with a fixed prefix for each part.
 
+use std::io;
 use std::io::Write;
 
+use env_logger::Builder;
+use env_logger::Target;
 use log::Level;
 use log::LevelFilter;
 
+use crate::QueuedWriter;
 use crate::part;
 
 /// Start of the names of all own crates.
@@ -13,7 +17,25 @@
 /// Starts logging to standard error. Own parts log at `level`, libraries from `warn` upward. A
 /// second call has no effect.
 pub fn init_log(level: LevelFilter) {
-    let mut builder = env_logger::Builder::new();
+    // An error means that a logger is installed already, which keeps its settings.
+    let _ = builder(level).try_init();
+}
+
+/// Starts logging to standard output without ever blocking the caller: see [`QueuedWriter`].
+///
+/// # Errors
+///
+/// Returns the system's error if the writing thread can't be started.
+pub fn init_queued_log(level: LevelFilter) -> io::Result<()> {
+    let writer = QueuedWriter::start(io::stdout())?;
+    let mut builder = builder(level);
+    builder.target(Target::Pipe(Box::new(writer)));
+    let _ = builder.try_init();
+    Ok(())
+}
+
+fn builder(level: LevelFilter) -> Builder {
+    let mut builder = Builder::new();
     builder.filter_level(level.min(LevelFilter::Warn));
     for part in part::ALL {
         builder.filter_module(part, level);
@@ -30,8 +52,7 @@
         );
         writeln!(out, "{line}")
     });
-    // An error means that a logger is installed already, which keeps its settings.
-    let _ = builder.try_init();
+    builder
 }
 
 /// Formats a record: time, level, part, message. Line breaks within the message are escaped, so
--- a/crates/fes-telemetry/src/metrics.rs
+++ b/crates/fes-telemetry/src/metrics.rs
@@ -12,6 +12,8 @@
 pub type Counter = prometheus_client::metrics::counter::Counter<u64, AtomicU64>;
 /// A count for each result code.
 pub type CodeCounter = Family<CodeLabel, Counter>;
+/// A count for each outcome of a decision.
+pub type OutcomeCounter = Family<OutcomeLabel, Counter>;
 /// A value that rises and falls.
 pub type Gauge = prometheus_client::metrics::gauge::Gauge;
 /// A distribution.
@@ -36,6 +38,13 @@
     }
 }
 
+/// Label that holds the outcome of a decision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabel {
+    /// Name of the outcome.
+    pub outcome: &'static str,
+}
+
 /// Kind of a metric.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MetricKind {
@@ -43,6 +52,8 @@
     Counter,
     /// A count for each result code, under the label `code`.
     CounterByCode,
+    /// A count for each outcome, under the label `outcome`.
+    CounterByOutcome,
     /// A value that rises and falls.
     Gauge,
     /// A distribution.
@@ -79,6 +90,13 @@
     }
 }
 
+impl Described for OutcomeCounter {
+    const KIND: MetricKind = MetricKind::CounterByOutcome;
+    fn make() -> Self {
+        Self::default()
+    }
+}
+
 impl Described for Gauge {
     const KIND: MetricKind = MetricKind::Gauge;
     fn make() -> Self {
@@ -148,6 +166,12 @@
         "Client connections accepted.";
     flows_refused: Counter, "flows_refused_total",
         "Client connections refused at the flow limit.";
+    flow_decisions: OutcomeCounter, "flow_decisions_total",
+        "Decisions on pass-through flows, by outcome.";
+    flow_accept_duration: Histogram, "flow_accept_duration_seconds",
+        "Time from placing a pass-through flow to its target's acceptance.";
+    log_lines_suppressed: Counter, "log_lines_suppressed_total",
+        "Decisions that were counted but not logged, since their kind had used its budget.";
     requests_received: Counter, "requests_received_total",
         "Requests received from clients.";
     requests_started: Counter, "requests_started_total",
--- a/crates/fes-telemetry/src/part.rs
+++ b/crates/fes-telemetry/src/part.rs
@@ -25,8 +25,11 @@
 /// The command line.
 pub const COMMAND: &str = "command";
 
+/// Flows that are passed through without being changed.
+pub const FLOWS: &str = "flows";
+
 /// All prefixes.
 pub const ALL: &[&str] = &[
     ENTRY, AGENT, LINK, TICKETS, MEMBERSHIP, ADMISSION, EXECUTION, UPSTREAM, PLATFORM, TELEMETRY,
-    TESTKIT, COMMAND,
+    TESTKIT, COMMAND, FLOWS,
 ];
--- a/crates/fes-telemetry/src/status_server.rs
+++ b/crates/fes-telemetry/src/status_server.rs
@@ -38,6 +38,7 @@
 const TEXT: &str = "text/plain; charset=utf-8";
 /// Bounds the memory that readers of the status address can hold.
 const MAX_CONNECTIONS: usize = 64;
+const READY_PATH: &str = "/readyz";
 const ACCEPT_RETRY_MS: u64 = 20;
 /// A connection that sends no complete request head within this time is closed.
 const HEADER_TIMEOUT_MS: u64 = 5_000;
@@ -50,6 +51,7 @@
 }
 
 struct Pages {
+    ready_path: &'static str,
     metrics: Arc<Metrics>,
     health: Health,
     status: Box<dyn Fn() -> Value>,
@@ -68,6 +70,21 @@
         metrics: Arc<Metrics>,
         health: Health,
         status: impl Fn() -> Value + 'static,
+    ) -> Result<Self> {
+        Self::start_with_ready_path(address, metrics, health, READY_PATH, status).await
+    }
+
+    /// As [`Self::start`], with readiness served on another path.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::BindFailed`].
+    pub async fn start_with_ready_path(
+        address: SocketAddr,
+        metrics: Arc<Metrics>,
+        health: Health,
+        ready_path: &'static str,
+        status: impl Fn() -> Value + 'static,
     ) -> Result<Self> {
         let bind_failed = |source| {
             let detail = format!("the status address {address} can't be bound");
@@ -76,6 +93,7 @@
         let listener = TcpListener::bind(address).await.map_err(bind_failed)?;
         let address = listener.local_addr().map_err(bind_failed)?;
         let pages = Rc::new(Pages {
+            ready_path,
             metrics,
             health,
             status: Box::new(status),
@@ -141,10 +159,12 @@
             response.headers_mut().insert(ALLOW, allow);
             return response;
         }
+        if path == self.ready_path {
+            return self.answer(self.health.is_ready());
+        }
         match path {
             "/metrics" => page(StatusCode::OK, OPENMETRICS, self.metrics.encode()),
             "/healthz" => self.answer(self.health.is_healthy()),
-            "/readyz" => self.answer(self.health.is_ready()),
             "/status" => page(StatusCode::OK, JSON, self.status_body()),
             _ => page(StatusCode::NOT_FOUND, TEXT, "no such page\n".into()),
         }
--- a/crates/fes-telemetry/tests/metrics.rs
+++ b/crates/fes-telemetry/tests/metrics.rs
@@ -4,11 +4,13 @@
 use fes_telemetry::MetricKind;
 use fes_telemetry::MetricSpec;
 use fes_telemetry::Metrics;
+use fes_telemetry::OutcomeLabel;
 
 fn table_row(spec: &MetricSpec) -> String {
     let kind = match spec.kind {
         MetricKind::Counter => "counter",
         MetricKind::CounterByCode => "counter by `code`",
+        MetricKind::CounterByOutcome => "counter by `outcome`",
         MetricKind::Gauge => "gauge",
         MetricKind::Histogram => "histogram",
     };
@@ -43,11 +45,15 @@
         counter.get_or_create(&code.into()).inc();
     }
 
+    let outcome = OutcomeLabel { outcome: "placed" };
+    metrics.flow_decisions.get_or_create(&outcome).inc();
+
     let text = metrics.encode();
 
     for spec in Metrics::CATALOGUE {
         let sample = match spec.kind {
             MetricKind::Histogram => format!("\n{}_count 0\n", spec.name),
+            MetricKind::CounterByOutcome => format!("\n{}{{outcome=\"placed\"}} 1\n", spec.name),
             MetricKind::CounterByCode => format!("\n{}{{code=\"F5006\"}} 1\n", spec.name),
             MetricKind::Counter | MetricKind::Gauge => format!("\n{} 0\n", spec.name),
         };
