Hold requests back while the target's slots are taken

Change: the agent keeps at most slots + 1 requests at its target; of those that wait, the ones that can still meet their latency goal go first.

--- a/crates/fes-passthrough-node/src/agent_daemon.rs
+++ b/crates/fes-passthrough-node/src/agent_daemon.rs
@@ -106,7 +106,7 @@
             READINESS_PATH,
             move || {
                 let core = node.core.borrow();
-                let (flows, streams, running) = core.load();
+                let (flows, streams, running) = core.load(node.context.now());
                 json!({
                     "flows": flows,
                     "streams": streams,
@@ -154,7 +154,8 @@
         };
         let mut actions = Vec::new();
         let mut core = self.core.borrow_mut();
-        core.on_message(now, *from.ip(), &message, segment.as_ref(), &mut actions);
+        let carried = segment.as_ref().map(|segment| (segment, packet));
+        core.on_message(now, *from.ip(), &message, carried, &mut actions);
         drop(core);
         self.perform(actions, packet);
     }
@@ -204,7 +205,7 @@
     }
 
     fn update_gauges(&self, core: &AgentCore) {
-        let (flows, _, running) = core.load();
+        let (flows, _, running) = core.load(self.context.now());
         self.context.metrics.flows_open.set(i64::from(flows));
         self.context.metrics.slots_used.set(i64::from(running));
     }
@@ -212,11 +213,8 @@
     fn perform(&self, actions: Vec<AgentAction>, packet: &[u8]) {
         for action in actions {
             match action {
-                AgentAction::Deliver => {
-                    self.context.metrics.datagrams_forwarded.inc();
-                    let target = self.place.target_address;
-                    self.count_sent(self.target_socket.try_send_to(packet, target.into()));
-                }
+                AgentAction::Deliver => self.deliver(packet),
+                AgentAction::DeliverStored { packet } => self.deliver(&packet),
                 AgentAction::SendToClient => self.send_to_client(packet),
                 AgentAction::Send {
                     entry,
@@ -239,6 +237,12 @@
         }
     }
 
+    fn deliver(&self, packet: &[u8]) {
+        self.context.metrics.datagrams_forwarded.inc();
+        let target = self.place.target_address;
+        self.count_sent(self.target_socket.try_send_to(packet, target.into()));
+    }
+
     fn send_to_client(&self, packet: &[u8]) {
         let segment = match packet::decode_from_target(packet) {
             Ok(segment) => segment,
@@ -298,7 +302,7 @@
         let end_at = started_at.plus_ms(limit_ms);
         loop {
             let now = self.context.now();
-            let (_, _, running) = self.core.borrow().load();
+            let (_, _, running) = self.core.borrow().load(now);
             if running == 0 || now >= end_at {
                 self.log_end(now, started_at, running);
                 return;
--- a/crates/fes-passthrough/src/agent.rs
+++ b/crates/fes-passthrough/src/agent.rs
@@ -8,14 +8,17 @@
 
 use crate::AgentFlow;
 use crate::Claim;
+use crate::Demand;
 use crate::FlowKey;
 use crate::FlowTable;
+use crate::FlowUse;
 use crate::Forward;
 use crate::Hello;
 use crate::LoadReport;
 use crate::Message;
 use crate::Note;
 use crate::Outcome;
+use crate::RequestQueue;
 use crate::ReturnReason;
 use crate::Segment;
 use crate::ServiceTag;
@@ -28,6 +31,8 @@
 const FLOW_LIFETIME_MS: u64 = 60_000;
 /// An entry that hasn't been heard for this long gets no more reports.
 const ENTRY_SILENCE_MS: u64 = 3_000;
+/// Requests handed to the target beyond its slots.
+const REQUESTS_AHEAD: u32 = 1;
 /// How long an agent waits for a target that it asked about a flow.
 const PROBE_LIMIT_MS: u64 = 3_000;
 
@@ -36,6 +41,11 @@
 pub enum AgentAction {
     /// Hand the packet at hand to the target.
     Deliver,
+    /// Hand a packet that was held back to the target.
+    DeliverStored {
+        /// Packet.
+        packet: Box<[u8]>,
+    },
     /// Send the packet at hand to its client.
     SendToClient,
     /// Send a message to an entry.
@@ -58,6 +68,13 @@
     Note(Note),
 }
 
+/// Who sent a packet, and with what claim.
+#[derive(Debug, Clone, Copy)]
+struct Origin {
+    entry: Ipv4Addr,
+    forward: Forward,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct EntryLink {
     incarnation: u64,
@@ -82,9 +99,12 @@
     target_id: Option<UpstreamName>,
     target_revision: u64,
     born_ms: u64,
+    /// Requests that the target runs at once; 0 if unknown.
+    slots: u32,
     is_draining: bool,
     is_stopping: bool,
     flows: FlowTable,
+    queue: RequestQueue,
     probes: FastMap<FlowKey, Probe>,
     watch: TargetWatch,
     entries: FastMap<Ipv4Addr, EntryLink>,
@@ -106,9 +126,11 @@
             target_id: None,
             target_revision: 0,
             born_ms: 0,
+            slots: 0,
             is_draining: false,
             is_stopping: false,
             flows: FlowTable::default(),
+            queue: RequestQueue::default(),
             probes: FastMap::default(),
             watch: TargetWatch::default(),
             entries: FastMap::default(),
@@ -117,8 +139,8 @@
 
     /// Returns the number of flows, of streams and of running requests.
     #[must_use]
-    pub fn load(&self) -> (u32, u32, u32) {
-        let counts = self.flows.counts();
+    pub fn load(&self, now: MonoTime) -> (u32, u32, u32) {
+        let counts = self.flows.counts(now);
         (counts.open, counts.streams, counts.running)
     }
 
@@ -139,18 +161,22 @@
         self.watch.reset();
     }
 
-    /// Takes a message of the entry on VM `entry`; `segment` is the packet that it carries.
+    /// Takes a message of the entry on VM `entry`, with the packet that it carries.
     pub fn on_message(
         &mut self,
         now: MonoTime,
         entry: Ipv4Addr,
         message: &Message,
-        segment: Option<&Segment>,
+        packet: Option<(&Segment, &[u8])>,
         out: &mut Vec<AgentAction>,
     ) {
-        match (message, segment) {
-            (Message::Forward(forward), Some(segment)) => {
-                self.on_forward(now, entry, *forward, segment, out);
+        match (message, packet) {
+            (Message::Forward(forward), Some((segment, packet))) => {
+                let from = Origin {
+                    entry,
+                    forward: *forward,
+                };
+                self.on_forward(now, from, segment, packet, out);
             }
             (Message::Hello(hello), _) => self.on_hello(now, entry, hello, out),
             // Other messages are for entries.
@@ -175,7 +201,7 @@
         let flow = segment.flow;
         let new = AgentFlow::new(now, None, false);
         let record = self.flows.get_or_insert(flow, new);
-        record.record_answer(now, segment);
+        let run_us = record.record_answer(now, segment);
         out.push(AgentAction::SendToClient);
         if segment.is_open {
             record.opening_sequence = Some(segment.sequence);
@@ -184,6 +210,10 @@
             return;
         }
         record.is_chosen = true;
+        if let Some(run_us) = run_us {
+            self.queue.record_run(run_us);
+            self.release(now, out);
+        }
         if let Some(probe) = self.probes.remove(&flow) {
             self.tell_held(probe.entry, flow, out);
         }
@@ -195,6 +225,8 @@
             out.push(AgentAction::Note(Note::new(Outcome::TargetSilent)));
             self.report_to_all(now, out);
         }
+        self.expire_held(now, out);
+        self.release(now, out);
         self.entries.retain(|_, link| now < link.silent_at);
         let due: Vec<Ipv4Addr> = self
             .entries
@@ -272,6 +304,7 @@
         self.target_id = Some(hint.id.clone());
         self.born_ms = hint.born_ms;
         self.is_draining = is_draining;
+        self.slots = hint.slots;
         if is_new_life {
             self.on_target_started(now);
         }
@@ -294,33 +327,94 @@
     fn on_forward(
         &mut self,
         now: MonoTime,
-        entry: Ipv4Addr,
-        forward: Forward,
+        from: Origin,
         segment: &Segment,
+        packet: &[u8],
         out: &mut Vec<AgentAction>,
     ) {
         if segment.is_open {
-            self.on_opening(now, entry, forward, segment, out);
+            self.on_opening(now, from.entry, from.forward, segment, out);
+            return;
+        }
+        let Some(record) = self.flows.get_mut(&segment.flow) else {
+            self.on_unknown(now, from.entry, from.forward, segment, out);
+            return;
+        };
+        let opened = record.opening_sequence;
+        let is_other = opened.is_some_and(|sequence| !segment.continues(sequence));
+        if is_other && !record.is_chosen && segment.is_ack {
+            // The client chose another target that answered a copy of the opening packet.
+            self.deny(from.entry, from.forward, segment.flow, out);
             return;
         }
-        if let Some(record) = self.flows.get_mut(&segment.flow) {
-            let opened = record.opening_sequence;
-            let is_other = opened.is_some_and(|sequence| !segment.continues(sequence));
-            if is_other && !record.is_chosen && segment.is_ack {
-                // The client chose another target that answered a copy of the opening packet.
-                self.deny(entry, forward, segment.flow, out);
+        let is_news = record.entry != Some(from.entry);
+        record.entry = Some(from.entry);
+        if is_news || from.forward.claim != Claim::Owner {
+            self.tell_held(from.entry, segment.flow, out);
+        }
+        self.deliver_or_hold(now, from.forward.demand, segment, packet, out);
+    }
+
+    /// Hands a packet of a known flow to the target, or holds it back if a request begins with it
+    /// while the target has no slot, or if its request already waits.
+    fn deliver_or_hold(
+        &mut self,
+        now: MonoTime,
+        demand: Demand,
+        segment: &Segment,
+        packet: &[u8],
+        out: &mut Vec<AgentAction>,
+    ) {
+        let flow = segment.flow;
+        if segment.is_reset {
+            self.queue.remove(&flow);
+        }
+        let carries_order = segment.payload_bytes > 0 || segment.is_fin;
+        if carries_order && self.queue.append(segment, packet) {
+            return;
+        }
+        let has_slot = self.has_slot(now);
+        let Some(record) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        if record.begins_request(segment) && !has_slot && !self.queue.is_full() {
+            self.queue.push(now, demand, *segment, packet);
+            let waiting = u64::try_from(self.queue.len()).unwrap_or(u64::MAX);
+            let note = Note::new(Outcome::HeldBack).flow(flow).load(waiting);
+            out.push(AgentAction::Note(note));
+            return;
+        }
+        record.record_delivery(now, segment);
+        out.push(AgentAction::Deliver);
+    }
+
+    /// Returns whether the target can run a further request soon. One more than it can run at once
+    /// keeps a slot from standing idle between two requests.
+    fn has_slot(&self, now: MonoTime) -> bool {
+        self.slots == 0 || self.flows.counts(now).running < self.slots + REQUESTS_AHEAD
+    }
+
+    /// Hands requests that wait to the target while it has slots.
+    fn release(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
+        while !self.queue.is_empty() && self.has_slot(now) {
+            let Some(held) = self.queue.pop(now) else {
                 return;
+            };
+            let Some(record) = self.flows.get_mut(&held.flow) else {
+                continue;
+            };
+            for (segment, packet) in held.packets {
+                record.record_delivery(now, &segment);
+                out.push(AgentAction::DeliverStored { packet });
             }
-            let is_news = record.entry != Some(entry);
-            record.entry = Some(entry);
-            record.record_delivery(now, segment);
-            out.push(AgentAction::Deliver);
-            if is_news || forward.claim != Claim::Owner {
-                self.tell_held(entry, segment.flow, out);
-            }
-            return;
         }
-        self.on_unknown(now, entry, forward, segment, out);
+    }
+
+    fn expire_held(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
+        for held in self.queue.expire(now) {
+            let note = Note::new(Outcome::TimedOutWaiting).flow(held.flow);
+            out.push(AgentAction::Note(note));
+        }
     }
 
     fn on_opening(
@@ -340,10 +434,11 @@
             self.hand_back(entry, segment.flow, reason, out);
             return;
         }
-        let new = AgentFlow::new(now, Some(entry), forward.is_stream);
+        let is_stream = forward.demand.flow_use == FlowUse::Stream;
+        let new = AgentFlow::new(now, Some(entry), is_stream);
         let record = self.flows.get_or_insert(segment.flow, new);
         record.entry = Some(entry);
-        record.is_stream |= forward.is_stream;
+        record.is_stream |= is_stream;
         record.record_delivery(now, segment);
         self.watch.record_opening(now);
         out.push(AgentAction::Deliver);
@@ -367,7 +462,8 @@
             return;
         }
         if is_vouched {
-            let new = AgentFlow::new(now, Some(entry), forward.is_stream);
+            let is_stream = forward.demand.flow_use == FlowUse::Stream;
+            let new = AgentFlow::new(now, Some(entry), is_stream);
             let record = self.flows.get_or_insert(flow, new);
             record.record_delivery(now, segment);
             out.push(AgentAction::Deliver);
@@ -480,12 +576,13 @@
     }
 
     fn report(&mut self, now: MonoTime, entries: Vec<Ipv4Addr>, out: &mut Vec<AgentAction>) {
-        let counts = self.flows.counts();
+        let counts = self.flows.counts(now);
         let report = LoadReport {
             incarnation: self.incarnation,
             service: self.service,
             born_ms: self.born_ms,
             running: counts.running,
+            waiting: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
             streams: counts.streams,
             flows: counts.open,
             is_complete: self.is_complete(now),
--- a/crates/fes-passthrough/src/catalogue.rs
+++ b/crates/fes-passthrough/src/catalogue.rs
@@ -39,6 +39,17 @@
     Once,
 }
 
+/// What the requests of a flow need.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// How the flow is used.
+    pub flow_use: FlowUse,
+    /// Time within which a response is of full use, in milliseconds.
+    pub latency_goal_ms: u32,
+    /// Time after which nobody waits for the response, in milliseconds.
+    pub timeout_ms: u32,
+}
+
 /// A service among those of a route, with its share of new flows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WeightedService {
@@ -53,10 +64,8 @@
 pub struct Route {
     /// Address that clients connect to.
     pub destination: SocketAddrV4,
-    /// How the flows are used.
-    pub flow_use: FlowUse,
-    /// Time within which a response is useful, in milliseconds.
-    pub latency_goal_ms: u32,
+    /// What its requests need.
+    pub demand: Demand,
     /// Services, of which at least one has a weight above 0.
     pub services: Vec<WeightedService>,
 }
--- a/crates/fes-passthrough/src/entry.rs
+++ b/crates/fes-passthrough/src/entry.rs
@@ -330,13 +330,13 @@
             return;
         };
         record.touch(now, idle_timeout_ms);
-        let is_stream = record.flow_use == FlowUse::Stream;
+        let demand = record.demand;
         let service = record.service;
         let forward = |born_ms| Forward {
             claim: Claim::Open,
             service,
             born_ms,
-            is_stream,
+            demand,
         };
         match &mut record.state {
             FlowState::Owned(owner) => out.push(EntryAction::Forward {
@@ -367,7 +367,7 @@
         out: &mut Vec<EntryAction>,
     ) {
         let service = self.choose_service(route);
-        let Some(choice) = self.choose_target(now, service, route.flow_use, &[]) else {
+        let Some(choice) = self.choose_target(now, service, route.demand.flow_use, &[]) else {
             if self.is_view_sure(now) {
                 self.reset(now, Outcome::RefusedNoTarget, segment, out);
             }
@@ -380,7 +380,7 @@
         };
         let mut record = FlowRecord {
             service,
-            flow_use: route.flow_use,
+            demand: route.demand,
             state: FlowState::Opening(opening),
             forget_at: MonoTime::NEVER,
             is_closing: false,
@@ -439,7 +439,7 @@
         let Some(record) = self.flows.get_mut(&flow) else {
             return;
         };
-        let (service, flow_use) = (record.service, record.flow_use);
+        let (service, flow_use) = (record.service, record.demand.flow_use);
         let FlowState::Opening(opening) = &mut record.state else {
             return;
         };
@@ -473,7 +473,8 @@
         let Some(record) = self.flows.get_mut(&flow) else {
             return;
         };
-        let is_stream = record.flow_use == FlowUse::Stream;
+        let demand = record.demand;
+        let is_stream = demand.flow_use == FlowUse::Stream;
         let FlowState::Opening(opening) = &mut record.state else {
             return;
         };
@@ -494,7 +495,7 @@
                 claim: Claim::Open,
                 service: choice.service,
                 born_ms: choice.born_ms,
-                is_stream,
+                demand,
             },
             packet,
         });
@@ -523,13 +524,13 @@
         };
         record.is_closing |= segment.is_fin || segment.is_reset;
         record.touch(now, idle_timeout_ms);
-        let is_stream = record.flow_use == FlowUse::Stream;
+        let demand = record.demand;
         let service = record.service;
         let forward = |claim, born_ms| Forward {
             claim,
             service,
             born_ms,
-            is_stream,
+            demand,
         };
         let owner = match &mut record.state {
             FlowState::Owned(owner) => *owner,
@@ -589,7 +590,7 @@
         }
         let mut record = FlowRecord {
             service: route.services[0].service,
-            flow_use: route.flow_use,
+            demand: route.demand,
             state: FlowState::Sought(Search::default()),
             forget_at: MonoTime::NEVER,
             is_closing: segment.is_fin,
@@ -639,7 +640,7 @@
             },
             service: record.service,
             born_ms: 0,
-            is_stream: record.flow_use == FlowUse::Stream,
+            demand: record.demand,
         };
         for vm in self.agents.heard(now) {
             out.push(EntryAction::Forward { vm, forward });
@@ -852,6 +853,7 @@
                     service: record.service,
                     born_ms: record.born_ms,
                     state: record.state,
+                    slots: record.slots,
                     revision: record.revision,
                 }),
             };
--- a/crates/fes-passthrough/src/flow_directory.rs
+++ b/crates/fes-passthrough/src/flow_directory.rs
@@ -5,8 +5,8 @@
 use fes_protocol::KeyedMap;
 use fes_protocol::MonoTime;
 
+use crate::Demand;
 use crate::FlowKey;
-use crate::FlowUse;
 use crate::ServiceTag;
 
 /// Targets that one opening packet may be sent to.
@@ -81,8 +81,8 @@
 pub struct FlowRecord {
     /// Service that it was placed with.
     pub service: ServiceTag,
-    /// How the flow is used.
-    pub flow_use: FlowUse,
+    /// What its requests need.
+    pub demand: Demand,
     /// What is known of its target.
     pub state: FlowState,
     /// When the record is dropped if no further packet arrives.
--- a/crates/fes-passthrough/src/flow_table.rs
+++ b/crates/fes-passthrough/src/flow_table.rs
@@ -12,6 +12,8 @@
 const SHORT_LIMIT_MS: u64 = 6_000;
 /// An idle flow may be discarded after at most this time.
 const IDLE_LIMIT_MS: u64 = 62_000;
+/// Longest time that a request occupies a slot, even on a target that has turned slow.
+const RUNNING_LIMIT_MS: u64 = 3_000;
 /// Requests after which a flow counts as one that stays open for many.
 const STREAM_REQUESTS: u32 = 2;
 
@@ -30,6 +32,7 @@
     pub is_stream: bool,
     /// Whether a request was handed to the target and no byte of its response was seen.
     pub is_running: bool,
+    running_since: MonoTime,
     requests: u32,
     next_client_sequence: Option<u32>,
     is_closing: bool,
@@ -47,6 +50,7 @@
             is_confirmed: false,
             is_stream,
             is_running: false,
+            running_since: MonoTime::ZERO,
             requests: 0,
             next_client_sequence: None,
             is_closing: false,
@@ -54,9 +58,14 @@
         }
     }
 
-    /// Records a packet of the client that is delivered to the target. Returns whether a request
-    /// begins with it.
-    pub fn record_delivery(&mut self, now: MonoTime, segment: &Segment) -> bool {
+    /// Returns whether a request begins with a packet of the client.
+    #[must_use]
+    pub fn begins_request(&self, segment: &Segment) -> bool {
+        !self.is_running && self.is_new_data(segment)
+    }
+
+    /// Records a packet of the client that is delivered to the target.
+    pub fn record_delivery(&mut self, now: MonoTime, segment: &Segment) {
         self.is_closing |= segment.is_fin || segment.is_reset;
         if segment.is_reset {
             self.is_running = false;
@@ -65,26 +74,19 @@
             self.is_chosen = true;
         }
         self.keep(now);
-        if segment.payload_bytes == 0 {
-            return false;
+        if !self.is_new_data(segment) {
+            return;
         }
-        let end = segment
-            .sequence
-            .wrapping_add(u32::from(segment.payload_bytes));
-        let is_new = self
-            .next_client_sequence
-            .is_none_or(|next| end != next && end.wrapping_sub(next) < 1 << 31);
-        if !is_new {
-            return false;
+        self.next_client_sequence = Some(end_of_data(segment));
+        if !self.is_running {
+            self.is_running = true;
+            self.running_since = now;
         }
-        self.next_client_sequence = Some(end);
-        let begins = !self.is_running;
-        self.is_running = true;
-        begins
     }
 
-    /// Records a packet of the target. Returns whether a request ends with it.
-    pub fn record_answer(&mut self, now: MonoTime, segment: &Segment) -> bool {
+    /// Records a packet of the target. If a request ends with it, returns how long it ran in
+    /// microseconds.
+    pub fn record_answer(&mut self, now: MonoTime, segment: &Segment) -> Option<u64> {
         self.is_closing |= segment.is_fin || segment.is_reset;
         self.is_confirmed = true;
         self.keep(now);
@@ -95,7 +97,13 @@
             self.requests += 1;
             self.is_stream |= self.requests >= STREAM_REQUESTS;
         }
-        ends
+        ends.then(|| now.us_since(self.running_since))
+    }
+
+    fn is_new_data(&self, segment: &Segment) -> bool {
+        let end = end_of_data(segment);
+        let is_ahead = |next: u32| end != next && end.wrapping_sub(next) < 1 << 31;
+        segment.payload_bytes > 0 && self.next_client_sequence.is_none_or(is_ahead)
     }
 
     fn keep(&mut self, now: MonoTime) {
@@ -109,6 +117,11 @@
     }
 }
 
+fn end_of_data(segment: &Segment) -> u32 {
+    let payload_bytes = u32::from(segment.payload_bytes);
+    segment.sequence.wrapping_add(payload_bytes)
+}
+
 /// Counts of the flows of a target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct FlowCounts {
@@ -169,12 +182,13 @@
         self.not_held.retain(|_, until| now < *until);
     }
 
-    /// Counts the flows.
+    /// Counts the flows. A request that got no answer for long no longer counts as running.
     #[must_use]
-    pub fn counts(&self) -> FlowCounts {
+    pub fn counts(&self, now: MonoTime) -> FlowCounts {
         let mut counts = FlowCounts::default();
         for flow in self.flows.values() {
-            counts.running += u32::from(flow.is_running);
+            let runs = flow.is_running && now < flow.running_since.plus_ms(RUNNING_LIMIT_MS);
+            counts.running += u32::from(runs);
             if flow.is_chosen && !flow.is_closing {
                 counts.open += 1;
                 counts.streams += u32::from(flow.is_stream);
--- a/crates/fes-passthrough/src/message.rs
+++ b/crates/fes-passthrough/src/message.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Demand;
 use crate::FlowKey;
 use crate::Route;
 use crate::ServiceTag;
@@ -36,8 +37,8 @@
     pub service: ServiceTag,
     /// Start time of the target that the entry means, in milliseconds since the epoch; 0 if unknown.
     pub born_ms: u64,
-    /// Whether the flow is expected to stay open for many requests.
-    pub is_stream: bool,
+    /// What the flow's requests need.
+    pub demand: Demand,
 }
 
 /// What an entry tells an agent about the agent's own target.
@@ -51,6 +52,8 @@
     pub born_ms: u64,
     /// Readiness.
     pub state: TargetState,
+    /// Requests that the target runs at once.
+    pub slots: u32,
     /// Revision of the platform's list that says so.
     pub revision: u64,
 }
@@ -77,6 +80,8 @@
     pub born_ms: u64,
     /// Requests handed to the target and not answered yet.
     pub running: u32,
+    /// Requests that the agent holds back until the target has a slot.
+    pub waiting: u32,
     /// Open flows that stay open for many requests.
     pub streams: u32,
     /// Open flows.
--- a/crates/fes-passthrough/src/note.rs
+++ b/crates/fes-passthrough/src/note.rs
@@ -34,6 +34,10 @@
     RouteRemoved,
     /// A target accepted a flow.
     Accepted,
+    /// A request is held back, since the target's slots are taken.
+    HeldBack,
+    /// A request that was held back was dropped: nobody waits for it any more. It has not run.
+    TimedOutWaiting,
     /// A target or agent handed a packet back.
     HandedBack,
     /// An agent is heard for the first time or again.
@@ -66,6 +70,8 @@
             Self::TargetEnded => "target_ended",
             Self::RouteRemoved => "route_removed",
             Self::Accepted => "accepted",
+            Self::HeldBack => "held_back",
+            Self::TimedOutWaiting => "timed_out_waiting",
             Self::HandedBack => "handed_back",
             Self::AgentHeard => "agent_heard",
             Self::AgentSilent => "agent_silent",
@@ -84,6 +90,7 @@
                 | Self::RefusedNoTarget
                 | Self::RefusedOverload
                 | Self::DroppedUnsure
+                | Self::TimedOutWaiting
                 | Self::SearchLost
                 | Self::TargetEnded
                 | Self::RouteRemoved
--- a/crates/fes-passthrough/src/placement.rs
+++ b/crates/fes-passthrough/src/placement.rs
@@ -104,7 +104,7 @@
     }
     let (placed, placed_streams) = agent.placed_since_report();
     let slots = u64::from(record.slots.max(1));
-    let running = u64::from(report.running + placed);
+    let running = u64::from(report.running + report.waiting + placed);
     let present_load = running * 1_000 / slots;
     let mut load = match flow_use {
         FlowUse::Stream => {
@@ -124,7 +124,7 @@
         service: record.service,
         born_ms: record.born_ms,
         load,
-        running_and_slots: (report.running + placed, record.slots),
+        running_and_slots: (report.running + report.waiting + placed, record.slots),
         report_age_ms: agent.age_ms(now),
     };
     Some((agent.is_avoided(now) || report.is_silent, choice))
