Never run requests whose client has left

Requests that timed out while held were sent again by clients that had left, were held again and run for nobody; and requests whose answer never came kept their slot for 3 s.

Change: a flow whose request timed out or was closed while it waited is abandoned; a request counts as running for ten usual runs at most; a repetition of data that the target has acknowledged starts no request.

--- a/crates/fes-passthrough/src/agent.rs
+++ b/crates/fes-passthrough/src/agent.rs
@@ -9,6 +9,7 @@
 use crate::AgentFlow;
 use crate::Claim;
 use crate::Demand;
+use crate::FlowCounts;
 use crate::FlowKey;
 use crate::FlowTable;
 use crate::FlowUse;
@@ -140,7 +141,7 @@
     /// Returns the number of flows, of streams and of running requests.
     #[must_use]
     pub fn load(&self, now: MonoTime) -> (u32, u32, u32) {
-        let counts = self.flows.counts(now);
+        let counts = self.counts(now);
         (counts.open, counts.streams, counts.running)
     }
 
@@ -366,17 +367,22 @@
         out: &mut Vec<AgentAction>,
     ) {
         let flow = segment.flow;
-        if segment.is_reset {
-            self.queue.remove(&flow);
-        }
-        let carries_order = segment.payload_bytes > 0 || segment.is_fin;
-        if carries_order && self.queue.append(segment, packet) {
+        let gives_up = segment.is_fin || segment.is_reset;
+        if gives_up && self.queue.remove(&flow) {
+            // The client closes before it has an answer, so nobody waits for the request.
+            let note = Note::new(Outcome::GivenUpWaiting).flow(flow);
+            out.push(AgentAction::Note(note));
+            self.abandon(flow);
+        } else if segment.payload_bytes > 0 && self.queue.append(segment, packet) {
             return;
         }
         let has_slot = self.has_slot(now);
         let Some(record) = self.flows.get_mut(&flow) else {
             return;
         };
+        if record.is_abandoned() && !segment.is_reset {
+            return;
+        }
         if record.begins_request(segment) && !has_slot && !self.queue.is_full() {
             self.queue.push(now, demand, *segment, packet);
             let waiting = u64::try_from(self.queue.len()).unwrap_or(u64::MAX);
@@ -388,10 +394,22 @@
         out.push(AgentAction::Deliver);
     }
 
+    /// Nothing more of the flow is handed to the target, so that the request never runs.
+    fn abandon(&mut self, flow: FlowKey) {
+        if let Some(record) = self.flows.get_mut(&flow) {
+            record.abandon();
+        }
+    }
+
+    fn counts(&self, now: MonoTime) -> FlowCounts {
+        let running_since_us = now.as_us().saturating_sub(self.queue.longest_run_us());
+        self.flows.counts(MonoTime::from_us(running_since_us))
+    }
+
     /// Returns whether the target can run a further request soon. One more than it can run at once
     /// keeps a slot from standing idle between two requests.
     fn has_slot(&self, now: MonoTime) -> bool {
-        self.slots == 0 || self.flows.counts(now).running < self.slots + REQUESTS_AHEAD
+        self.slots == 0 || self.counts(now).running < self.slots + REQUESTS_AHEAD
     }
 
     /// Hands requests that wait to the target while it has slots.
@@ -414,6 +432,7 @@
         for held in self.queue.expire(now) {
             let note = Note::new(Outcome::TimedOutWaiting).flow(held.flow);
             out.push(AgentAction::Note(note));
+            self.abandon(held.flow);
         }
     }
 
@@ -576,7 +595,7 @@
     }
 
     fn report(&mut self, now: MonoTime, entries: Vec<Ipv4Addr>, out: &mut Vec<AgentAction>) {
-        let counts = self.flows.counts(now);
+        let counts = self.counts(now);
         let report = LoadReport {
             incarnation: self.incarnation,
             service: self.service,
--- a/crates/fes-passthrough/src/flow_table.rs
+++ b/crates/fes-passthrough/src/flow_table.rs
@@ -12,8 +12,6 @@
 const SHORT_LIMIT_MS: u64 = 6_000;
 /// An idle flow may be discarded after at most this time.
 const IDLE_LIMIT_MS: u64 = 62_000;
-/// Longest time that a request occupies a slot, even on a target that has turned slow.
-const RUNNING_LIMIT_MS: u64 = 3_000;
 /// Requests after which a flow counts as one that stays open for many.
 const STREAM_REQUESTS: u32 = 2;
 
@@ -26,15 +24,17 @@
     pub opening_sequence: Option<u32>,
     /// Whether the client is known to have chosen this target.
     pub is_chosen: bool,
-    /// Whether the target has written on it since the agent knows it.
-    pub is_confirmed: bool,
     /// Whether the flow is expected to stay open for many requests.
     pub is_stream: bool,
     /// Whether a request was handed to the target and no byte of its response was seen.
     pub is_running: bool,
     running_since: MonoTime,
     requests: u32,
+    /// Number after the newest byte of the client that was handed to the target or acknowledged by
+    /// it. Unknown until one of them is seen.
     next_client_sequence: Option<u32>,
+    /// The client has given up the request that it sent last; what it still sends is not wanted.
+    is_abandoned: bool,
     is_closing: bool,
     forget_at: MonoTime,
 }
@@ -47,12 +47,12 @@
             entry,
             opening_sequence: None,
             is_chosen: false,
-            is_confirmed: false,
             is_stream,
             is_running: false,
             running_since: MonoTime::ZERO,
             requests: 0,
             next_client_sequence: None,
+            is_abandoned: false,
             is_closing: false,
             forget_at: now.plus_ms(SHORT_LIMIT_MS),
         }
@@ -70,15 +70,17 @@
         if segment.is_reset {
             self.is_running = false;
         }
-        if !segment.is_open {
+        if segment.is_open {
+            self.next_client_sequence = Some(segment.sequence);
+        } else {
             self.is_chosen = true;
         }
         self.keep(now);
-        if !self.is_new_data(segment) {
-            return;
+        let is_new_data = self.is_new_data(segment);
+        if segment.payload_bytes > 0 && (is_new_data || self.next_client_sequence.is_none()) {
+            self.next_client_sequence = Some(end_of_data(segment));
         }
-        self.next_client_sequence = Some(end_of_data(segment));
-        if !self.is_running {
+        if is_new_data && !self.is_running {
             self.is_running = true;
             self.running_since = now;
         }
@@ -88,8 +90,10 @@
     /// microseconds.
     pub fn record_answer(&mut self, now: MonoTime, segment: &Segment) -> Option<u64> {
         self.is_closing |= segment.is_fin || segment.is_reset;
-        self.is_confirmed = true;
         self.keep(now);
+        if segment.is_ack {
+            self.learn_position(segment.acknowledged);
+        }
         let is_answer = segment.payload_bytes > 0 || segment.is_reset || segment.is_fin;
         let ends = self.is_running && is_answer;
         if ends {
@@ -100,10 +104,31 @@
         ends.then(|| now.us_since(self.running_since))
     }
 
+    /// Records that the client has given up its request.
+    pub const fn abandon(&mut self) {
+        self.is_abandoned = true;
+        self.is_closing = true;
+    }
+
+    /// Returns whether the client has given up its request.
+    #[must_use]
+    pub const fn is_abandoned(&self) -> bool {
+        self.is_abandoned
+    }
+
+    /// Takes over what the target has received. Data before that is a repetition, and starts no
+    /// request; without this, an agent that was restarted would count it as one.
+    fn learn_position(&mut self, acknowledged: u32) {
+        let is_ahead = |next: u32| acknowledged.wrapping_sub(next) < 1 << 31;
+        if self.next_client_sequence.is_none_or(is_ahead) {
+            self.next_client_sequence = Some(acknowledged);
+        }
+    }
+
     fn is_new_data(&self, segment: &Segment) -> bool {
         let end = end_of_data(segment);
         let is_ahead = |next: u32| end != next && end.wrapping_sub(next) < 1 << 31;
-        segment.payload_bytes > 0 && self.next_client_sequence.is_none_or(is_ahead)
+        segment.payload_bytes > 0 && self.next_client_sequence.is_some_and(is_ahead)
     }
 
     fn keep(&mut self, now: MonoTime) {
@@ -182,12 +207,13 @@
         self.not_held.retain(|_, until| now < *until);
     }
 
-    /// Counts the flows. A request that got no answer for long no longer counts as running.
+    /// Counts the flows. A request that began before `running_since` and got no answer no longer
+    /// counts as running: its answer may never come.
     #[must_use]
-    pub fn counts(&self, now: MonoTime) -> FlowCounts {
+    pub fn counts(&self, running_since: MonoTime) -> FlowCounts {
         let mut counts = FlowCounts::default();
         for flow in self.flows.values() {
-            let runs = flow.is_running && now < flow.running_since.plus_ms(RUNNING_LIMIT_MS);
+            let runs = flow.is_running && flow.running_since >= running_since;
             counts.running += u32::from(runs);
             if flow.is_chosen && !flow.is_closing {
                 counts.open += 1;
--- a/crates/fes-passthrough/src/lib.rs
+++ b/crates/fes-passthrough/src/lib.rs
@@ -49,6 +49,7 @@
 pub use flow_directory::Owner;
 pub use flow_directory::Search;
 pub use flow_table::AgentFlow;
+pub use flow_table::FlowCounts;
 pub use flow_table::FlowTable;
 pub use message::Claim;
 pub use message::Forward;
--- a/crates/fes-passthrough/src/note.rs
+++ b/crates/fes-passthrough/src/note.rs
@@ -38,6 +38,8 @@
     HeldBack,
     /// A request that was held back was dropped: nobody waits for it any more. It has not run.
     TimedOutWaiting,
+    /// A client gave up a request that was held back. It has not run.
+    GivenUpWaiting,
     /// A target or agent handed a packet back.
     HandedBack,
     /// An agent is heard for the first time or again.
@@ -72,6 +74,7 @@
             Self::Accepted => "accepted",
             Self::HeldBack => "held_back",
             Self::TimedOutWaiting => "timed_out_waiting",
+            Self::GivenUpWaiting => "given_up_waiting",
             Self::HandedBack => "handed_back",
             Self::AgentHeard => "agent_heard",
             Self::AgentSilent => "agent_silent",
@@ -91,6 +94,7 @@
                 | Self::RefusedOverload
                 | Self::DroppedUnsure
                 | Self::TimedOutWaiting
+                | Self::GivenUpWaiting
                 | Self::SearchLost
                 | Self::TargetEnded
                 | Self::RouteRemoved
--- a/crates/fes-passthrough/src/request_queue.rs
+++ b/crates/fes-passthrough/src/request_queue.rs
@@ -24,6 +24,11 @@
 /// percent: runs differ, and one that ends just too late is of less use.
 const ESTIMATE_MARGIN_PERCENT: u64 = 150;
 
+/// Times the usual run after which a request is taken to occupy no slot any more: the longest runs
+/// take about ten times the usual one.
+const LONGEST_RUN_FACTOR: u64 = 10;
+const SHORTEST_LIMIT_US: u64 = 200_000;
+
 /// A request that waits.
 #[derive(Debug, Clone)]
 pub struct HeldRequest {
@@ -77,6 +82,13 @@
         self.estimate_us = kept + run_us / ESTIMATE_DIVISOR;
     }
 
+    /// Returns how long a request is taken to occupy a slot at most, in microseconds. Follows the
+    /// measured runs, so that a target that has turned slow is not handed more than it can run.
+    #[must_use]
+    pub fn longest_run_us(&self) -> u64 {
+        (self.estimate_us * LONGEST_RUN_FACTOR).max(SHORTEST_LIMIT_US)
+    }
+
     /// Adds the first packet of a request.
     pub fn push(&mut self, now: MonoTime, demand: Demand, segment: Segment, packet: &[u8]) {
         self.waiting.push(HeldRequest {
@@ -103,9 +115,11 @@
         true
     }
 
-    /// Drops the request of a flow that its client broke off.
-    pub fn remove(&mut self, flow: &FlowKey) {
+    /// Drops the request of a flow that its client gave up. Returns whether one waited.
+    pub fn remove(&mut self, flow: &FlowKey) -> bool {
+        let before = self.waiting.len();
         self.waiting.retain(|held| held.flow != *flow);
+        self.waiting.len() < before
     }
 
     /// Drops and returns requests for which nobody waits any more. They have not run.
