Search for unknown flows in rounds by rendezvous order

Cause: an unknown flow's packet went whole to every agent.

Change: a flow is placed on one of the first three targets of its rendezvous order in each data centre, and looked for in that order: a short question to three agents a data centre first, then six more, then all. The packets wait at the entry meanwhile. A target is probed only by a restarted agent, and only while every agent that might hold the flow is heard.

--- a/crates/fes-passthrough/src/agent.rs
+++ b/crates/fes-passthrough/src/agent.rs
@@ -179,6 +179,7 @@
                 };
                 self.on_forward(now, from, segment, packet, out);
             }
+            (Message::Ask { flow }, _) => self.on_ask(now, entry, *flow, out),
             (Message::Hello(hello), _) => self.on_hello(now, entry, hello, out),
             // Other messages are for entries.
             _ => {}
@@ -436,6 +437,33 @@
         }
     }
 
+    fn on_ask(
+        &mut self,
+        now: MonoTime,
+        entry: Ipv4Addr,
+        flow: FlowKey,
+        out: &mut Vec<AgentAction>,
+    ) {
+        // A flow that is only half open may have been chosen elsewhere.
+        let is_chosen = self.flows.get_mut(&flow).map(|record| record.is_chosen);
+        let message = match is_chosen {
+            Some(true) => Message::Held {
+                flow,
+                born_ms: self.born_ms,
+            },
+            Some(false) => Message::Unsure { flow },
+            None if self.is_complete(now) || self.flows.is_not_held(&flow) => {
+                Message::NotHeld { flow }
+            }
+            None => Message::Unsure { flow },
+        };
+        out.push(AgentAction::Send {
+            entry,
+            message,
+            with_packet: false,
+        });
+    }
+
     fn on_opening(
         &mut self,
         now: MonoTime,
@@ -475,7 +503,7 @@
         let flow = segment.flow;
         let is_same_life = forward.born_ms == self.born_ms && self.born_ms != 0;
         let is_vouched = forward.claim == Claim::Owner && is_same_life;
-        let may_ask = forward.claim == Claim::MayProbe;
+        let may_probe = forward.claim == Claim::Probe;
         if self.is_complete(now) || self.flows.is_not_held(&flow) {
             self.deny(entry, forward, flow, out);
             return;
@@ -488,7 +516,7 @@
             out.push(AgentAction::Deliver);
             return;
         }
-        if self.probes.contains_key(&flow) || !may_ask {
+        if self.probes.contains_key(&flow) || !may_probe {
             // Neither yes nor no: the target's answer is awaited, or may not be asked for.
             return;
         }
@@ -545,7 +573,7 @@
                 flow,
                 reason: ReturnReason::NotHeld,
             },
-            Claim::Open | Claim::IfKnown | Claim::MayProbe => Message::NotHeld { flow },
+            Claim::Open | Claim::IfKnown | Claim::Probe => Message::NotHeld { flow },
         };
         out.push(AgentAction::Send {
             entry,
--- a/crates/fes-passthrough/src/entry.rs
+++ b/crates/fes-passthrough/src/entry.rs
@@ -1,8 +1,7 @@
 //! Decisions of an entry: where each packet of a client goes.
 //!
 //! A packet of an open flow is never guessed at. It goes to the target that is known to hold the
-//! flow; if none is known, every agent of the service is asked, and only the one that knows the
-//! flow delivers the packet.
+//! flow; if none is known, it is searched for.
 
 use std::collections::VecDeque;
 use std::net::Ipv4Addr;
@@ -33,13 +32,16 @@
 use crate::Outcome;
 use crate::Owner;
 use crate::ReturnReason;
+use crate::Round;
 use crate::Route;
 use crate::Search;
 use crate::Segment;
 use crate::ServiceTag;
 use crate::TargetHint;
+use crate::TargetRecord;
 use crate::ViewEvent;
 use crate::choose;
+use crate::first_of_order;
 
 /// Shortest time between two reports of an agent, in milliseconds.
 const MIN_REPORT_PERIOD_MS: u64 = 100;
@@ -49,8 +51,9 @@
 const HELLO_PERIOD_MS: u64 = 200;
 /// A target that hasn't accepted a flow by then is doubted, and another one is tried.
 const ACCEPT_TIMEOUT_MS: u64 = 70;
-/// Shortest time between two searches for one flow; clients send again after 200 ms.
-const SEARCH_PERIOD_MS: u64 = 100;
+/// A listed target whose agent has been silent for this long is taken to be gone. Longer than the
+/// planned restart of an agent.
+const ABSENT_AFTER_MS: u64 = 2_500;
 /// A route that is missing from an older view may have been added since.
 const SURE_VIEW_AGE_MS: u64 = 2_000;
 /// A target that refused a flow is passed over for this long.
@@ -107,6 +110,8 @@
     flows: FlowDirectory,
     /// Flows to look at for one more try, in the order of their deadlines.
     opening_queue: VecDeque<(MonoTime, FlowKey)>,
+    /// Searches whose next round is due, in the order of their deadlines.
+    search_queue: VecDeque<(MonoTime, FlowKey)>,
     next_hello_at: FastMap<Ipv4Addr, MonoTime>,
     turn: usize,
 }
@@ -122,6 +127,7 @@
             agents: AgentTable::default(),
             flows: FlowDirectory::default(),
             opening_queue: VecDeque::new(),
+            search_queue: VecDeque::new(),
             next_hello_at: FastMap::default(),
             turn: usize::try_from(incarnation % 1_024).unwrap_or(0),
         }
@@ -185,7 +191,7 @@
         if segment.is_open {
             self.on_opening(now, segment, &route, packet, out);
         } else {
-            self.on_following(now, segment, &route, out);
+            self.on_following(now, segment, &route, packet, out);
         }
     }
 
@@ -210,9 +216,11 @@
             }
             Message::Held { flow, born_ms } => self.on_held(now, vm, *flow, *born_ms, out),
             Message::NotHeld { flow } => self.on_not_held(now, vm, *flow, out),
+            Message::Unsure { flow } => self.on_unsure(now, vm, *flow, out),
             // Other messages are for agents or for the exchange of views.
             Message::Forward(_)
             | Message::Hello(_)
+            | Message::Ask { .. }
             | Message::Digest(_)
             | Message::Routes(_)
             | Message::Targets(_) => {}
@@ -226,6 +234,7 @@
         }
         self.send_hellos(now, out);
         self.try_due_openings(now, out);
+        self.run_due_searches(now, out);
         for (vm, age_ms) in self.agents.newly_silent(now) {
             let note = Note::new(Outcome::AgentSilent).vm(vm).age_ms(age_ms);
             out.push(EntryAction::Note(note));
@@ -367,7 +376,9 @@
         out: &mut Vec<EntryAction>,
     ) {
         let service = self.choose_service(route);
-        let Some(choice) = self.choose_target(now, service, route.demand.flow_use, &[]) else {
+        let Some(choice) =
+            self.choose_target(now, service, &segment.flow, route.demand.flow_use, &[])
+        else {
             if self.is_view_sure(now) {
                 self.reset(now, Outcome::RefusedNoTarget, segment, out);
             }
@@ -409,6 +420,7 @@
         &mut self,
         now: MonoTime,
         service: ServiceTag,
+        flow: &FlowKey,
         flow_use: FlowUse,
         excluded: &[Ipv4Addr],
     ) -> Option<Choice> {
@@ -418,7 +430,7 @@
             agents: &self.agents,
             data_centre: &self.data_centre,
         };
-        choose(now, fleet, service, flow_use, excluded, self.turn)
+        choose(now, fleet, service, flow, flow_use, excluded, self.turn)
     }
 
     fn try_due_openings(&mut self, now: MonoTime, out: &mut Vec<EntryAction>) {
@@ -457,7 +469,7 @@
         if tried.len() >= MAX_ATTEMPTS {
             return;
         }
-        if let Some(choice) = self.choose_target(now, service, flow_use, &tried) {
+        if let Some(choice) = self.choose_target(now, service, &flow, flow_use, &tried) {
             self.attempt(now, flow, choice, Outcome::PlacedAgain, out);
         }
     }
@@ -514,12 +526,13 @@
         now: MonoTime,
         segment: &Segment,
         route: &Route,
+        packet: &[u8],
         out: &mut Vec<EntryAction>,
     ) {
         let flow = segment.flow;
         let idle_timeout_ms = self.idle_timeout_ms();
         let Some(record) = self.flows.get_mut(&flow) else {
-            self.start_search(now, segment, route, out);
+            self.start_search(now, segment, route, packet, out);
             return;
         };
         record.is_closing |= segment.is_fin || segment.is_reset;
@@ -550,8 +563,14 @@
                     return;
                 }
             },
-            FlowState::Sought(_) => {
-                self.continue_search(now, segment, out);
+            FlowState::Sought(search) => {
+                if search.may_restart(now) {
+                    *search = Search::new(now, segment, packet);
+                    self.continue_search(now, flow, out);
+                } else if !search.keep(packet) {
+                    let note = self.note(now, Outcome::DroppedSearching, flow);
+                    out.push(EntryAction::Note(note));
+                }
                 return;
             }
         };
@@ -582,77 +601,166 @@
         now: MonoTime,
         segment: &Segment,
         route: &Route,
+        packet: &[u8],
         out: &mut Vec<EntryAction>,
     ) {
         // A reset of an unknown flow has nothing to deliver that is worth a search.
         if segment.is_reset {
             return;
         }
+        let flow = segment.flow;
         let mut record = FlowRecord {
             service: route.services[0].service,
             demand: route.demand,
-            state: FlowState::Sought(Search::default()),
+            state: FlowState::Sought(Search::new(now, segment, packet)),
             forget_at: MonoTime::NEVER,
             is_closing: segment.is_fin,
         };
         record.touch(now, self.idle_timeout_ms());
-        self.flows.insert(segment.flow, record);
-        out.push(EntryAction::Note(self.note(
-            now,
-            Outcome::SearchStarted,
-            segment.flow,
-        )));
-        self.ask_all(now, segment, out);
+        self.flows.insert(flow, record);
+        let unheard = self.unheard_targets(now);
+        let note = self.note(now, Outcome::SearchStarted, flow).load(unheard);
+        out.push(EntryAction::Note(note));
+        self.continue_search(now, flow, out);
     }
 
-    fn continue_search(&mut self, now: MonoTime, segment: &Segment, out: &mut Vec<EntryAction>) {
-        let Some(record) = self.flows.get_mut(&segment.flow) else {
+    /// Asks the agents of the next round; a round without agents to ask is skipped. After the last
+    /// one, the client is told if the flow surely doesn't exist.
+    fn continue_search(&mut self, now: MonoTime, flow: FlowKey, out: &mut Vec<EntryAction>) {
+        loop {
+            let Some(record) = self.flows.get_mut(&flow) else {
+                return;
+            };
+            let service = record.service;
+            let FlowState::Sought(search) = &mut record.state else {
+                return;
+            };
+            let Some(round) = search.begin_round(now) else {
+                self.conclude_search(now, flow, out);
+                return;
+            };
+            let next_round_at = search.next_round_at();
+            let is_last = round.count == usize::MAX;
+            let agents = match is_last {
+                // A flow stays at its target when its route moves to another service.
+                true => self.agents.heard(now).collect(),
+                false => self.agents_of_round(now, service, &flow, round),
+            };
+            if self.ask(flow, &agents, out) {
+                self.search_queue.push_back((next_round_at, flow));
+                return;
+            }
+        }
+    }
+
+    fn agents_of_round(
+        &self,
+        now: MonoTime,
+        service: ServiceTag,
+        flow: &FlowKey,
+        round: Round,
+    ) -> Vec<Ipv4Addr> {
+        let targets = self.view.targets_of(service);
+        let window = first_of_order(targets, flow, round.skipped, round.count);
+        let vms = window.into_iter().map(|target| target.vm);
+        vms.filter(|vm| self.agents.get(*vm).is_some_and(|a| a.is_heard(now)))
+            .collect()
+    }
+
+    /// Asks those agents that haven't answered yet. Returns whether there were any.
+    fn ask(&mut self, flow: FlowKey, agents: &[Ipv4Addr], out: &mut Vec<EntryAction>) -> bool {
+        let Some(record) = self.flows.get_mut(&flow) else {
+            return false;
+        };
+        let FlowState::Sought(search) = &mut record.state else {
+            return false;
+        };
+        let mut has_asked = false;
+        for vm in agents
+            .iter()
+            .filter(|vm| !search.is_denied_by(**vm))
+            .copied()
+            .collect::<Vec<_>>()
+        {
+            search.record_asked(vm);
+            has_asked = true;
+            let message = Message::Ask { flow };
+            out.push(EntryAction::Send { vm, message });
+        }
+        has_asked
+    }
+
+    /// Resets a flow that no target holds, if all of them could be asked.
+    fn conclude_search(&mut self, now: MonoTime, flow: FlowKey, out: &mut Vec<EntryAction>) {
+        let is_sure = self.is_view_sure(now) && self.unheard_targets(now) == 0;
+        let Some(record) = self.flows.get_mut(&flow) else {
             return;
         };
         let FlowState::Sought(search) = &record.state else {
             return;
         };
-        if now < search.asked_at.plus_ms(SEARCH_PERIOD_MS) {
-            let note = self.note(now, Outcome::DroppedSearching, segment.flow);
-            out.push(EntryAction::Note(note));
+        if !is_sure || !self.agents.heard(now).all(|vm| search.is_denied_by(vm)) {
             return;
         }
-        self.ask_all(now, segment, out);
+        let sequence = search.acknowledged();
+        self.flows.remove(&flow);
+        out.push(EntryAction::ResetClient { flow, sequence });
+        let note = self.note(now, Outcome::SearchLost, flow);
+        out.push(EntryAction::Note(note));
     }
 
-    /// Sends the packet to every agent; only one that knows the flow delivers it.
-    fn ask_all(&mut self, now: MonoTime, segment: &Segment, out: &mut Vec<EntryAction>) {
-        let may_probe = self.is_every_agent_heard(now);
-        let Some(record) = self.flows.get_mut(&segment.flow) else {
+    /// Counts listed targets that a search would miss: those whose agent isn't heard. An agent that
+    /// has been silent for long is not counted, since its VM is gone or cut off. Targets of all
+    /// services count, since a flow stays at its target when its route moves.
+    fn unheard_targets(&self, now: MonoTime) -> u64 {
+        let is_missed = |target: &&TargetRecord| match self.agents.get(target.vm) {
+            Some(agent) => !agent.is_heard(now) && agent.age_ms(now) < ABSENT_AFTER_MS,
+            None => now.as_ms() < ABSENT_AFTER_MS,
+        };
+        let missed = self.view.targets().filter(is_missed).count();
+        u64::try_from(missed).unwrap_or(u64::MAX)
+    }
+
+    /// An agent can't know whether its target holds the flow.
+    fn on_unsure(
+        &mut self,
+        now: MonoTime,
+        vm: Ipv4Addr,
+        flow: FlowKey,
+        out: &mut Vec<EntryAction>,
+    ) {
+        if !self.is_view_sure(now) || self.unheard_targets(now) > 0 {
+            return;
+        }
+        let Some(record) = self.flows.get_mut(&flow) else {
             return;
         };
-        let FlowState::Sought(search) = &mut record.state else {
+        let FlowState::Sought(search) = &record.state else {
             return;
         };
-        search.asked_at = now;
-        search.acknowledged = segment.acknowledged;
-        search.not_held_by.clear();
-        let forward = Forward {
-            claim: if may_probe {
-                Claim::MayProbe
-            } else {
-                Claim::IfKnown
+        out.push(EntryAction::ForwardStored {
+            vm,
+            forward: Forward {
+                claim: Claim::Probe,
+                service: record.service,
+                born_ms: 0,
+                demand: record.demand,
             },
-            service: record.service,
-            born_ms: 0,
-            demand: record.demand,
-        };
-        for vm in self.agents.heard(now) {
-            out.push(EntryAction::Forward { vm, forward });
-        }
+            packet: search.first_packet().into(),
+        });
     }
 
-    /// Returns whether each listed target has an agent that is heard, so that asking all of them
-    /// surely reaches the one that holds a flow. Targets of all services count, since a flow stays
-    /// at its target when its route moves to another service.
-    fn is_every_agent_heard(&self, now: MonoTime) -> bool {
-        let is_heard = |vm| self.agents.get(vm).is_some_and(|agent| agent.is_heard(now));
-        self.is_view_sure(now) && self.view.targets().all(|target| is_heard(target.vm))
+    fn run_due_searches(&mut self, now: MonoTime, out: &mut Vec<EntryAction>) {
+        while let Some((due_at, flow)) = self.search_queue.front().copied() {
+            if due_at > now {
+                return;
+            }
+            self.search_queue.pop_front();
+            let state = self.flows.get_mut(&flow).map(|record| &record.state);
+            if matches!(state, Some(FlowState::Sought(s)) if s.next_round_at() <= now) {
+                self.continue_search(now, flow, out);
+            }
+        }
     }
 
     fn on_report(
@@ -777,11 +885,28 @@
         if matches!(record.state, FlowState::Owned(_)) {
             return;
         }
-        record.state = FlowState::Owned(Owner { vm, born_ms });
         if let Some(agent) = self.agents.get(vm) {
             record.service = agent.report().service;
         }
+        let owned = FlowState::Owned(Owner { vm, born_ms });
+        let before = std::mem::replace(&mut record.state, owned);
         record.touch(now, idle_timeout_ms);
+        let forward = Forward {
+            claim: Claim::Owner,
+            service: record.service,
+            born_ms,
+            demand: record.demand,
+        };
+        if let FlowState::Sought(search) = before {
+            // A target that was probed has the first packet already, and ignores a repetition.
+            for packet in search.into_packets() {
+                out.push(EntryAction::ForwardStored {
+                    vm,
+                    forward,
+                    packet,
+                });
+            }
+        }
         let note = Note::new(Outcome::SearchFound)
             .flow(flow)
             .vm(vm)
@@ -797,24 +922,14 @@
         out: &mut Vec<EntryAction>,
     ) {
         self.on_owner_denies(now, vm, flow);
-        let is_sure = self.is_every_agent_heard(now);
         let Some(record) = self.flows.get_mut(&flow) else {
             return;
         };
         let FlowState::Sought(search) = &mut record.state else {
             return;
         };
-        if !search.not_held_by.contains(&vm) {
-            search.not_held_by.push(vm);
-        }
-        let denied = &search.not_held_by;
-        let all_deny = self.agents.heard(now).all(|vm| denied.contains(&vm));
-        if is_sure && all_deny {
-            let sequence = search.acknowledged;
-            self.flows.remove(&flow);
-            out.push(EntryAction::ResetClient { flow, sequence });
-            let note = self.note(now, Outcome::SearchLost, flow);
-            out.push(EntryAction::Note(note));
+        if search.record_not_held(vm) {
+            self.continue_search(now, flow, out);
         }
     }
 
--- a/crates/fes-passthrough/src/fleet_view.rs
+++ b/crates/fes-passthrough/src/fleet_view.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddrV4;
 
 use fes_protocol::FastMap;
+use fes_protocol::FastSet;
 use fes_protocol::MonoTime;
 use fes_protocol::UpstreamName;
 
@@ -78,6 +79,7 @@
 pub struct FleetView {
     targets: FastMap<UpstreamName, ListedTarget>,
     by_vm: FastMap<Ipv4Addr, UpstreamName>,
+    by_service: FastMap<ServiceTag, FastSet<UpstreamName>>,
     /// Revision at which a record was removed, and when that may be forgotten.
     tombstones: FastMap<UpstreamName, (u64, MonoTime)>,
     routes: RouteSet,
@@ -224,8 +226,9 @@
 
     /// Returns the targets of a service.
     pub fn targets_of(&self, service: ServiceTag) -> impl Iterator<Item = &TargetRecord> {
-        self.targets()
-            .filter(move |record| record.service == service)
+        let ids = self.by_service.get(&service).into_iter().flatten();
+        let listed = ids.filter_map(|id| self.targets.get(id));
+        listed.map(|target| &target.record)
     }
 
     fn apply_target(&mut self, now: MonoTime, record: TargetRecord) -> Option<ViewEvent> {
@@ -246,6 +249,9 @@
                 || known.record.born_ms != record.born_ms
                 || known.record.vm != record.vm
         });
+        if let Some(known) = previous.filter(|known| known.record.service != record.service) {
+            remove_from_service(&mut self.by_service, &known.record);
+        }
         self.index(&record);
         let listed = ListedTarget {
             record: record.clone(),
@@ -258,6 +264,8 @@
 
     /// Of two targets listed on one VM, the one that started or was written last is there.
     fn index(&mut self, record: &TargetRecord) {
+        let of_service = self.by_service.entry(record.service).or_default();
+        of_service.insert(record.id.clone());
         let holder = self
             .by_vm
             .get(&record.vm)
@@ -289,6 +297,7 @@
         let Some(gone) = self.targets.remove(id) else {
             return;
         };
+        remove_from_service(&mut self.by_service, &gone.record);
         let vm = gone.record.vm;
         if self.by_vm.get(&vm) != Some(id) {
             return;
@@ -312,3 +321,15 @@
         Some(ViewEvent::RoutesChanged { from, to })
     }
 }
+
+fn remove_from_service(
+    by_service: &mut FastMap<ServiceTag, FastSet<UpstreamName>>,
+    record: &TargetRecord,
+) {
+    if let Some(ids) = by_service.get_mut(&record.service) {
+        ids.remove(&record.id);
+        if ids.is_empty() {
+            by_service.remove(&record.service);
+        }
+    }
+}
--- a/crates/fes-passthrough/src/flow_directory.rs
+++ b/crates/fes-passthrough/src/flow_directory.rs
@@ -7,6 +7,7 @@
 
 use crate::Demand;
 use crate::FlowKey;
+use crate::Search;
 use crate::ServiceTag;
 
 /// Targets that one opening packet may be sent to.
@@ -54,17 +55,6 @@
     pub born_ms: u64,
 }
 
-/// A flow whose target is being looked for.
-#[derive(Debug, Clone, Default)]
-pub struct Search {
-    /// When agents were asked last.
-    pub asked_at: MonoTime,
-    /// Agents that said that their target doesn't hold the flow.
-    pub not_held_by: Vec<Ipv4Addr>,
-    /// Newest number that the client acknowledged, which a reset must be near.
-    pub acknowledged: u32,
-}
-
 /// What is known of a flow's target.
 #[derive(Debug, Clone)]
 pub enum FlowState {
--- /dev/null
+++ b/crates/fes-passthrough/src/flow_search.rs
@@ -0,0 +1,129 @@
+//! Search for the target of a flow that an entry doesn't know, as after the loss of an entry.
+//!
+//! Agents are asked in rounds, in the flow's order of targets, so that the first round nearly
+//! always finds it. An agent that was itself restarted can't know its target's flows; the packet is
+//! then handed to the target, which hands it back if the flow isn't its own. That is done only
+//! while every agent that might hold the flow is heard: packets of a flow that reach other targets
+//! and never their own would break it.
+
+use std::net::Ipv4Addr;
+
+use fes_protocol::MonoTime;
+
+use crate::CHOICES_PER_DATA_CENTRE;
+use crate::Segment;
+
+/// Agents answer within one trip between data centres.
+const ROUND_TIMEOUT_MS: u64 = 40;
+/// A search that found nothing starts again with a later packet of the client, not before this.
+const RESTART_MS: u64 = 150;
+/// Packets kept while a flow is looked for; a client has at most 16 in flight.
+const MAX_PACKETS: usize = 16;
+/// Targets in each data centre to ask per round; the last round asks all that are left.
+const ROUND_SIZES: [usize; 3] = [
+    CHOICES_PER_DATA_CENTRE,
+    2 * CHOICES_PER_DATA_CENTRE,
+    usize::MAX,
+];
+
+/// Targets to ask: how many to leave out in each data centre, and how many follow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Round {
+    /// Targets asked before, in each data centre.
+    pub skipped: usize,
+    /// Targets to ask, in each data centre.
+    pub count: usize,
+}
+
+/// A search in progress.
+#[derive(Debug, Clone, Default)]
+pub struct Search {
+    packets: Vec<Box<[u8]>>,
+    acknowledged: u32,
+    next_round: usize,
+    asked: Vec<Ipv4Addr>,
+    not_held_by: Vec<Ipv4Addr>,
+    next_round_at: MonoTime,
+    restart_at: MonoTime,
+}
+
+impl Search {
+    /// Starts a search for the flow of a packet.
+    #[must_use]
+    pub fn new(now: MonoTime, segment: &Segment, packet: &[u8]) -> Self {
+        Self {
+            packets: vec![packet.into()],
+            acknowledged: segment.acknowledged,
+            restart_at: now.plus_ms(RESTART_MS),
+            ..Self::default()
+        }
+    }
+
+    /// Keeps a further packet for the flow's target. Returns whether there was room.
+    pub fn keep(&mut self, packet: &[u8]) -> bool {
+        let has_room = self.packets.len() < MAX_PACKETS;
+        if has_room {
+            self.packets.push(packet.into());
+        }
+        has_room
+    }
+
+    /// Returns the packet with which a target may be probed.
+    #[must_use]
+    pub fn first_packet(&self) -> &[u8] {
+        self.packets.first().map_or(&[], |packet| packet)
+    }
+
+    /// Returns the packets that wait for the flow's target, in the order of their arrival.
+    #[must_use]
+    pub fn into_packets(self) -> Vec<Box<[u8]>> {
+        self.packets
+    }
+
+    /// Returns the number that the client acknowledged last, which a reset must be near.
+    #[must_use]
+    pub const fn acknowledged(&self) -> u32 {
+        self.acknowledged
+    }
+
+    /// Returns whether a later packet may start the search again.
+    #[must_use]
+    pub fn may_restart(&self, now: MonoTime) -> bool {
+        self.next_round >= ROUND_SIZES.len() && now >= self.restart_at
+    }
+
+    /// Begins the next round, if there is one.
+    pub fn begin_round(&mut self, now: MonoTime) -> Option<Round> {
+        let count = *ROUND_SIZES.get(self.next_round)?;
+        let skipped = ROUND_SIZES[..self.next_round].iter().sum();
+        self.next_round += 1;
+        self.next_round_at = now.plus_ms(ROUND_TIMEOUT_MS);
+        Some(Round { skipped, count })
+    }
+
+    /// Returns when the next round begins if agents don't answer.
+    #[must_use]
+    pub const fn next_round_at(&self) -> MonoTime {
+        self.next_round_at
+    }
+
+    /// Records that an agent was asked.
+    pub fn record_asked(&mut self, vm: Ipv4Addr) {
+        self.asked.push(vm);
+    }
+
+    /// Records that an agent's target doesn't hold the flow. Returns whether all that were asked
+    /// have said so.
+    pub fn record_not_held(&mut self, vm: Ipv4Addr) -> bool {
+        if !self.not_held_by.contains(&vm) {
+            self.not_held_by.push(vm);
+        }
+        self.asked.iter().all(|vm| self.is_denied_by(*vm))
+    }
+
+    /// Returns whether an agent said that its target doesn't hold the flow.
+    #[must_use]
+    pub fn is_denied_by(&self, vm: Ipv4Addr) -> bool {
+        self.not_held_by.contains(&vm)
+    }
+}
--- a/crates/fes-passthrough/src/message.rs
+++ b/crates/fes-passthrough/src/message.rs
@@ -23,9 +23,9 @@
     Owner,
     /// Unknown: deliver only what the target is known to hold.
     IfKnown,
-    /// Unknown, and every agent of the service is being asked: an agent that can't know whether its
-    /// target holds the flow may ask the target itself, once.
-    MayProbe,
+    /// The agent can't know whether its target holds the flow, and every agent that might is being
+    /// asked: hand the packet to the target, once, and see what it does with it.
+    Probe,
 }
 
 /// A client's packet on its way to an agent.
@@ -179,6 +179,16 @@
         /// Why.
         reason: ReturnReason,
     },
+    /// Entry to agent: does the target hold the flow?
+    Ask {
+        /// Flow.
+        flow: FlowKey,
+    },
+    /// Agent to entry: the target may hold the flow; the agent started after it.
+    Unsure {
+        /// Flow.
+        flow: FlowKey,
+    },
     /// Agent to entry: the target holds the flow.
     Held {
         /// Flow.
--- a/crates/fes-passthrough/src/placement.rs
+++ b/crates/fes-passthrough/src/placement.rs
@@ -6,11 +6,14 @@
 use fes_protocol::MonoTime;
 
 use crate::AgentTable;
+use crate::CHOICES_PER_DATA_CENTRE;
 use crate::FleetView;
+use crate::FlowKey;
 use crate::FlowUse;
 use crate::ServiceTag;
 use crate::TargetRecord;
 use crate::TargetState;
+use crate::first_of_order;
 
 /// Extra cost of a target in another data centre, in thousandths of its slots: a request there
 /// takes two more trips between data centres, and its bytes cost more.
@@ -54,7 +57,8 @@
     pub data_centre: &'a DataCentreName,
 }
 
-/// Chooses the target with the least cost that is not in `excluded`. `start` rotates the order, so
+/// Chooses the target with the least cost that is not in `excluded`, among the first of the flow's
+/// order. `start` rotates the order, so
 /// that equal targets take turns.
 ///
 /// A target whose agent isn't heard is chosen only for the first try of a flow and if no agent of
@@ -64,15 +68,18 @@
     now: MonoTime,
     fleet: Fleet<'_>,
     service: ServiceTag,
+    flow: &FlowKey,
     flow_use: FlowUse,
     excluded: &[Ipv4Addr],
     start: usize,
 ) -> Option<Choice> {
-    let usable: Vec<&TargetRecord> = fleet
-        .view
-        .targets_of(service)
-        .filter(|record| record.state == TargetState::Ready && !excluded.contains(&record.vm))
-        .collect();
+    let takes_flows = |record: &&TargetRecord| {
+        let agent = fleet.agents.get(record.vm);
+        let is_leaving = agent.is_some_and(|agent| agent.report().is_leaving);
+        record.state == TargetState::Ready && !is_leaving && !excluded.contains(&record.vm)
+    };
+    let targets = fleet.view.targets_of(service).filter(takes_flows);
+    let usable = first_of_order(targets, flow, 0, CHOICES_PER_DATA_CENTRE);
     let rotated = || {
         let offset = start.checked_rem(usable.len()).unwrap_or(0);
         usable[offset..].iter().chain(&usable[..offset])
@@ -99,7 +106,7 @@
 ) -> Option<(bool, Choice)> {
     let agent = fleet.agents.get(record.vm)?;
     let report = agent.report();
-    if !agent.is_heard(now) || report.service != record.service || report.is_leaving {
+    if !agent.is_heard(now) || report.service != record.service {
         return None;
     }
     let (placed, placed_streams) = agent.placed_since_report();
