Search without waiting for agents whose target has left

Change: a target that was draining and whose agent is silent has left; an agent that doesn't answer within 1 s of its listing is absent.

--- a/crates/fes-passthrough/src/entry.rs
+++ b/crates/fes-passthrough/src/entry.rs
@@ -39,6 +39,7 @@
 use crate::ServiceTag;
 use crate::TargetHint;
 use crate::TargetRecord;
+use crate::TargetState;
 use crate::ViewEvent;
 use crate::choose;
 use crate::first_of_order;
@@ -54,6 +55,9 @@
 /// A listed target whose agent has been silent for this long is taken to be gone. Longer than the
 /// planned restart of an agent.
 const ABSENT_AFTER_MS: u64 = 2_500;
+/// An agent answers the first hello within two trips between data centres, and one that is being
+/// restarted within this time.
+const NO_ANSWER_MS: u64 = 1_000;
 /// A route that is missing from an older view may have been added since.
 const SURE_VIEW_AGE_MS: u64 = 2_000;
 /// A target that refused a flow is passed over for this long.
@@ -709,16 +713,21 @@
         out.push(EntryAction::Note(note));
     }
 
-    /// Counts listed targets that a search would miss: those whose agent isn't heard. An agent that
-    /// has been silent for long is not counted, since its VM is gone or cut off. Targets of all
-    /// services count, since a flow stays at its target when its route moves.
+    /// Counts listed targets that a search would miss: those whose agent isn't heard for now. Not
+    /// counted are agents that have been silent for long or never answered, since their VM is gone
+    /// or cut off, and those beside a target that was about to leave, which has left. Targets of
+    /// all services count, since a flow stays at its target when its route moves.
     fn unheard_targets(&self, now: MonoTime) -> u64 {
-        let is_missed = |target: &&TargetRecord| match self.agents.get(target.vm) {
-            Some(agent) => !agent.is_heard(now) && agent.age_ms(now) < ABSENT_AFTER_MS,
-            None => now.as_ms() < ABSENT_AFTER_MS,
+        let is_missed = |(target, known_for_ms): &(&TargetRecord, u64)| {
+            let has_left = target.state == TargetState::Draining;
+            match self.agents.get(target.vm) {
+                Some(agent) if agent.is_heard(now) => false,
+                Some(agent) => !has_left && agent.age_ms(now) < ABSENT_AFTER_MS,
+                None => !has_left && *known_for_ms < NO_ANSWER_MS,
+            }
         };
-        let missed = self.view.targets().filter(is_missed).count();
-        u64::try_from(missed).unwrap_or(u64::MAX)
+        let missed = self.view.targets_with_age_ms(now).filter(is_missed);
+        u64::try_from(missed.count()).unwrap_or(u64::MAX)
     }
 
     /// An agent can't know whether its target holds the flow.
--- a/crates/fes-passthrough/src/fleet_view.rs
+++ b/crates/fes-passthrough/src/fleet_view.rs
@@ -71,6 +71,7 @@
 struct ListedTarget {
     record: TargetRecord,
     listing: Listing,
+    listed_at: MonoTime,
     warm_at: MonoTime,
 }
 
@@ -219,6 +220,12 @@
             .is_some_and(|target| now < target.warm_at)
     }
 
+    /// Returns all targets with the time since each became known, in milliseconds.
+    pub fn targets_with_age_ms(&self, now: MonoTime) -> impl Iterator<Item = (&TargetRecord, u64)> {
+        let listed = self.targets.values();
+        listed.map(move |target| (&target.record, now.ms_since(target.listed_at)))
+    }
+
     /// Returns all targets that are listed or may come back.
     pub fn targets(&self) -> impl Iterator<Item = &TargetRecord> {
         self.targets.values().map(|target| &target.record)
@@ -252,10 +259,12 @@
         if let Some(known) = previous.filter(|known| known.record.service != record.service) {
             remove_from_service(&mut self.by_service, &known.record);
         }
+        let listed_at = previous.map_or(now, |known| known.listed_at);
         self.index(&record);
         let listed = ListedTarget {
             record: record.clone(),
             listing: Listing::Present,
+            listed_at,
             warm_at: now.plus_ms(u64::from(record.warm_up_ms)),
         };
         self.targets.insert(record.id.clone(), listed);
