Share views between entries and let three of them read the platform

Cause: an entry that the platform turns away knew nothing new until it was served again, and calls to the platform grew with the number of entries. A first read that hung on a silent connection delayed a restart by 1.5 s.

Change: entries exchange digests every 400 ms and ask a peer that holds more for the difference; three readers at a time, any entry whose view is older than 1.3 s reads itself; the first read is attempted again every 250 ms on a connection of its own.

--- a/crates/fes-passthrough-node/src/entry_daemon.rs
+++ b/crates/fes-passthrough-node/src/entry_daemon.rs
@@ -15,6 +15,7 @@
 use fes_passthrough::EntryCore;
 use fes_passthrough::Forward;
 use fes_passthrough::Message;
+use fes_passthrough::NodeSettings;
 use fes_passthrough::decode_message;
 use fes_passthrough::encode_message;
 use fes_protocol::Error;
@@ -28,6 +29,7 @@
 use tokio::time::sleep;
 
 use crate::list_follower::ListNews;
+use crate::list_follower::ListSource;
 use crate::list_follower::age_for_metrics;
 use crate::list_follower::follow_list;
 use crate::list_follower::next_tick;
@@ -66,7 +68,12 @@
     let settings = &context.settings;
     let client_socket = udp::bind(settings.client_address).await?;
     let node_socket = udp::bind(settings.node_address).await?;
-    let core = EntryCore::new(context.incarnation, settings.data_centre.clone());
+    let core = EntryCore::new(
+        context.incarnation,
+        *settings.node_address.ip(),
+        settings.data_centre.clone(),
+        &settings.seed_entries,
+    );
     log::info!(
         target: part::FLOWS,
         "event=start role=entry vm={} data_centre={} incarnation={} first={}",
@@ -86,7 +93,9 @@
     let _status = node.start_status().await?;
     node.spawn_tasks();
     while signals.next().await == Request::Reload {
-        reload(&node.context, &node.context.settings);
+        if let Some(settings) = reload(&node.context, &node.context.settings) {
+            node.core.borrow_mut().set_seeds(&settings.seed_entries);
+        }
     }
     node.drain().await;
     Ok(())
@@ -129,10 +138,31 @@
         actix_rt::spawn(async move { node.tick().await });
         let node = Rc::clone(self);
         actix_rt::spawn(async move {
-            follow_list(&node.context, |news| node.on_news(news)).await;
+            let source = ListSource {
+                may_rest: &|| node.may_rest(),
+                known_revision: &|| node.known_revision(),
+            };
+            follow_list(&node.context, &source, |news| node.on_news(news)).await;
         });
         let node = Rc::clone(self);
-        actix_rt::spawn(async move { follow_settings(&node.context, |_| {}).await });
+        actix_rt::spawn(async move {
+            let apply = |settings: NodeSettings| {
+                node.core.borrow_mut().set_seeds(&settings.seed_entries);
+            };
+            follow_settings(&node.context, apply).await;
+        });
+    }
+
+    /// Other entries read the platform, and this one learns from them.
+    fn may_rest(&self) -> bool {
+        !self.core.borrow().is_reader(self.context.now())
+    }
+
+    /// Revision that is known in full, once there is one.
+    fn known_revision(&self) -> Option<u64> {
+        let core = self.core.borrow();
+        let view = core.view();
+        (view.has_routes() && view.revision() > 0).then(|| view.revision())
     }
 
     fn on_client_packet(&self, datagram: &[u8]) {
--- a/crates/fes-passthrough-node/src/list_follower.rs
+++ b/crates/fes-passthrough-node/src/list_follower.rs
@@ -17,6 +17,8 @@
 use fes_protocol::Result;
 use fes_protocol::ResultCode;
 use fes_telemetry::part;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use http::StatusCode;
 use tokio::time::sleep;
 
@@ -30,6 +32,9 @@
 /// Targets write several times a second in all; a watch that returns at once would be a busy loop.
 const WATCH_PERIOD_MS: u64 = 700;
 const RETRY_MS: u64 = 250;
+/// Attempts to read the list that may be under way at once.
+const MAX_ATTEMPTS: usize = 6;
+const REST_CHECK_MS: u64 = 100;
 /// Pages of one listing; more would mean that the list never ends.
 const MAX_PAGES: usize = 200;
 
@@ -54,49 +59,115 @@
     Outage,
 }
 
+/// What the follower needs to know of the rest of the process.
+pub(crate) struct ListSource<'a> {
+    /// Whether other processes read for this one.
+    pub(crate) may_rest: &'a dyn Fn() -> bool,
+    /// Revision that is known in full from here or from peers.
+    pub(crate) known_revision: &'a dyn Fn() -> Option<u64>,
+}
+
 /// Why a watch ended.
 enum WatchEnd {
+    /// Other processes read.
+    Resting,
     /// The history between the known revision and the present is gone, or may have gaps.
     HistoryLost,
     Failed(Error),
 }
 
 /// Follows the list and hands news to `tell`; never returns.
-pub(crate) async fn follow_list(context: &NodeContext, mut tell: impl FnMut(ListNews)) {
+pub(crate) async fn follow_list(
+    context: &NodeContext,
+    source: &ListSource<'_>,
+    mut tell: impl FnMut(ListNews),
+) {
     let address = SocketAddr::V4(context.settings.platform_address);
     let mut client = PlatformClient::anonymous(address);
     let mut is_connected = false;
+    let mut needs_listing = true;
     loop {
-        let revision = match read_all(context, &mut client).await {
-            Ok((changes, revision)) => {
-                log::info!(
-                    target: part::PLATFORM,
-                    "event=list_read revision={revision} entries={}",
-                    changes.len()
-                );
-                is_connected = true;
-                tell(ListNews::Listing { changes, revision });
-                revision
-            }
-            Err(error) => {
-                record_failure(context, &error, &mut is_connected);
-                tell(ListNews::Outage);
-                sleep(Duration::from_millis(RETRY_MS)).await;
-                continue;
-            }
+        rest(source).await;
+        let known = (source.known_revision)();
+        let revision = match known.filter(|_| !needs_listing) {
+            Some(revision) => revision,
+            None => match read_all_hedged(context).await {
+                Ok((changes, revision)) => {
+                    log::info!(
+                        target: part::PLATFORM,
+                        "event=list_read revision={revision} entries={}",
+                        changes.len()
+                    );
+                    tell(ListNews::Listing { changes, revision });
+                    revision
+                }
+                Err(error) => {
+                    record_failure(context, &error, &mut is_connected);
+                    tell(ListNews::Outage);
+                    continue;
+                }
+            },
         };
-        match watch(context, &mut client, revision, &mut tell).await {
+        needs_listing = false;
+        match watch(
+            context,
+            &mut client,
+            revision,
+            source,
+            &mut tell,
+            &mut is_connected,
+        )
+        .await
+        {
+            WatchEnd::Resting => {}
             WatchEnd::HistoryLost => {
+                needs_listing = true;
                 log::info!(target: part::PLATFORM, "event=history_lost revision={revision}");
             }
             WatchEnd::Failed(error) => {
+                // Entries may have lapsed meanwhile without an event that is still kept.
+                needs_listing = true;
                 record_failure(context, &error, &mut is_connected);
                 tell(ListNews::Outage);
+                sleep(Duration::from_millis(RETRY_MS)).await;
             }
         }
     }
 }
 
+/// Waits while other processes read for this one.
+async fn rest(source: &ListSource<'_>) {
+    while (source.may_rest)() {
+        sleep(Duration::from_millis(REST_CHECK_MS)).await;
+    }
+}
+
+/// Reads the whole list, starting another attempt on a connection of its own while the ones before
+/// have no answer: a connection may have gone silent, and the platform may have just come back.
+async fn read_all_hedged(context: &NodeContext) -> Result<(Vec<ListChange>, u64)> {
+    let address = SocketAddr::V4(context.settings.platform_address);
+    let attempt = || async move {
+        let mut client = PlatformClient::anonymous(address);
+        read_all(context, &mut client).await
+    };
+    let mut attempts = FuturesUnordered::new();
+    loop {
+        if attempts.len() < MAX_ATTEMPTS {
+            attempts.push(attempt());
+        }
+        let more_at = sleep(Duration::from_millis(RETRY_MS));
+        tokio::pin!(more_at);
+        tokio::select! {
+            Some(Ok(list)) = attempts.next() => return Ok(list),
+            () = &mut more_at => {}
+        }
+        if attempts.is_empty() {
+            let detail = "no attempt to read the list succeeded";
+            return Err(Error::coded(ResultCode::PlatformUnreachable, detail));
+        }
+    }
+}
+
 fn record_failure(context: &NodeContext, error: &Error, is_connected: &mut bool) {
     let code = error.code().into();
     context.metrics.platform_failures.get_or_create(&code).inc();
@@ -172,10 +243,15 @@
     context: &NodeContext,
     client: &mut PlatformClient,
     from_revision: u64,
+    source: &ListSource<'_>,
     tell: &mut impl FnMut(ListNews),
+    is_connected: &mut bool,
 ) -> WatchEnd {
     let mut revision = from_revision;
     loop {
+        if (source.may_rest)() {
+            return WatchEnd::Resting;
+        }
         let next_at = context.now().plus_ms(WATCH_PERIOD_MS);
         context.metrics.platform_reads.inc();
         let path = watch_path(revision, WATCH_WAIT_MS);
@@ -197,6 +273,9 @@
             return WatchEnd::HistoryLost;
         }
         revision = reply.revision;
+        if !std::mem::replace(is_connected, true) {
+            log::info!(target: part::PLATFORM, "event=platform_back revision={revision}");
+        }
         tell(ListNews::Changes {
             changes: reply.changes,
             revision,
--- a/crates/fes-passthrough/src/entry.rs
+++ b/crates/fes-passthrough/src/entry.rs
@@ -23,6 +23,7 @@
 use crate::FlowUse;
 use crate::Forward;
 use crate::Hello;
+use crate::Learnt;
 use crate::ListChange;
 use crate::LoadReport;
 use crate::MAX_ATTEMPTS;
@@ -41,6 +42,7 @@
 use crate::TargetRecord;
 use crate::TargetState;
 use crate::ViewEvent;
+use crate::ViewExchange;
 use crate::choose;
 use crate::first_of_order;
 
@@ -112,6 +114,7 @@
     view: FleetView,
     agents: AgentTable,
     flows: FlowDirectory,
+    exchange: ViewExchange,
     /// Flows to look at for one more try, in the order of their deadlines.
     opening_queue: VecDeque<(MonoTime, FlowKey)>,
     /// Searches whose next round is due, in the order of their deadlines.
@@ -121,10 +124,17 @@
 }
 
 impl EntryCore {
-    /// Makes an entry of a data centre. `incarnation` tells this run from others.
+    /// Makes the entry on VM `own` of a data centre, which knows some other entries by `seeds`.
+    /// `incarnation` tells this run from others.
     #[must_use]
-    pub fn new(incarnation: u64, data_centre: DataCentreName) -> Self {
+    pub fn new(
+        incarnation: u64,
+        own: Ipv4Addr,
+        data_centre: DataCentreName,
+        seeds: &[Ipv4Addr],
+    ) -> Self {
         Self {
+            exchange: ViewExchange::new(own, incarnation, seeds),
             incarnation,
             data_centre,
             view: FleetView::new(),
@@ -148,6 +158,17 @@
         &mut self.view
     }
 
+    /// Returns whether this entry should read the platform itself now.
+    #[must_use]
+    pub fn is_reader(&self, now: MonoTime) -> bool {
+        self.exchange.is_reader(now, &self.view)
+    }
+
+    /// Replaces the seeds, as after a change of the settings.
+    pub fn set_seeds(&mut self, seeds: &[Ipv4Addr]) {
+        self.exchange.set_seeds(seeds);
+    }
+
     /// Returns the number of flows remembered.
     #[must_use]
     pub fn flow_count(&self) -> usize {
@@ -221,13 +242,31 @@
             Message::Held { flow, born_ms } => self.on_held(now, vm, *flow, *born_ms, out),
             Message::NotHeld { flow } => self.on_not_held(now, vm, *flow, out),
             Message::Unsure { flow } => self.on_unsure(now, vm, *flow, out),
-            // Other messages are for agents or for the exchange of views.
-            Message::Forward(_)
-            | Message::Hello(_)
-            | Message::Ask { .. }
-            | Message::Digest(_)
-            | Message::Routes(_)
-            | Message::Targets(_) => {}
+            Message::Digest(digest) => {
+                let answers = self.exchange.on_digest(now, vm, digest, &mut self.view);
+                out.extend(answers.into_iter().map(send));
+            }
+            Message::Routes(part) => {
+                if let Some(change) = self.exchange.on_routes(part) {
+                    self.on_change(now, change, out);
+                }
+            }
+            Message::Targets(part) => {
+                let routes_version = self.view.routes().version;
+                let learnt = self.exchange.on_targets(now, part, routes_version);
+                self.on_learnt(now, learnt, out);
+            }
+            // Other messages are for agents.
+            Message::Forward(_) | Message::Hello(_) | Message::Ask { .. } => {}
+        }
+    }
+
+    fn on_learnt(&mut self, now: MonoTime, learnt: Learnt, out: &mut Vec<EntryAction>) {
+        for change in learnt.changes {
+            self.on_change(now, change, out);
+        }
+        if let Some((revision, confirmed_at)) = learnt.confirmed {
+            self.view.confirm_by_peer(confirmed_at, revision);
         }
     }
 
@@ -237,6 +276,8 @@
             self.on_view_event(&event, out);
         }
         self.send_hellos(now, out);
+        let digests = self.exchange.on_tick(now, &self.view);
+        out.extend(digests.into_iter().map(send));
         self.try_due_openings(now, out);
         self.run_due_searches(now, out);
         for (vm, age_ms) in self.agents.newly_silent(now) {
@@ -990,6 +1031,10 @@
     }
 }
 
+fn send((vm, message): (Ipv4Addr, Message)) -> EntryAction {
+    EntryAction::Send { vm, message }
+}
+
 /// Returns the target that the client's packet shows to have opened the flow.
 fn opener(opening: &Opening, segment: &Segment) -> Option<Owner> {
     let owner = |attempt: &Attempt| Owner {
--- a/crates/fes-passthrough/src/fleet_view.rs
+++ b/crates/fes-passthrough/src/fleet_view.rs
@@ -73,6 +73,8 @@
     listing: Listing,
     listed_at: MonoTime,
     warm_at: MonoTime,
+    /// Revision of the last change that matters to others than the reader.
+    changed_revision: u64,
 }
 
 /// The view.
@@ -144,11 +146,13 @@
         self.confirmed_at = Some(now);
     }
 
-    /// Records that a peer confirmed that `revision` was the newest one at `confirmed_at`.
+    /// Records that a peer confirmed that `revision` was the newest one at `confirmed_at`. An older
+    /// revision says nothing about what is known here.
     pub fn confirm_by_peer(&mut self, confirmed_at: MonoTime, revision: u64) {
         if revision < self.revision {
             return;
         }
+        self.is_in_outage = false;
         self.revision = revision;
         self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
     }
@@ -220,6 +224,21 @@
             .is_some_and(|target| now < target.warm_at)
     }
 
+    /// Returns listed targets that changed after a revision in more than their progress.
+    pub fn changed_after(&self, revision: u64) -> impl Iterator<Item = &TargetRecord> {
+        let is_present = |target: &&ListedTarget| matches!(target.listing, Listing::Present);
+        let changed = self.targets.values().filter(is_present);
+        let changed = changed.filter(move |target| target.changed_revision > revision);
+        changed.map(|target| &target.record)
+    }
+
+    /// Returns targets that left the list after a revision, with the revision at which they did.
+    pub fn gone_after(&self, revision: u64) -> impl Iterator<Item = (UpstreamName, u64)> {
+        let gone = self.tombstones.iter().map(|(id, (at, _))| (id, *at));
+        let gone = gone.filter(move |(_, at)| *at > revision);
+        gone.map(|(id, at)| (id.clone(), at))
+    }
+
     /// Returns all targets with the time since each became known, in milliseconds.
     pub fn targets_with_age_ms(&self, now: MonoTime) -> impl Iterator<Item = (&TargetRecord, u64)> {
         let listed = self.targets.values();
@@ -260,13 +279,20 @@
             remove_from_service(&mut self.by_service, &known.record);
         }
         let listed_at = previous.map_or(now, |known| known.listed_at);
+        let was_lapsed = previous.is_some_and(|k| matches!(k.listing, Listing::Lapsed { .. }));
+        let changed_revision = match previous {
+            Some(known) if !is_change && !was_lapsed => known.changed_revision,
+            _ => record.revision,
+        };
         self.index(&record);
         let listed = ListedTarget {
             record: record.clone(),
             listing: Listing::Present,
             listed_at,
             warm_at: now.plus_ms(u64::from(record.warm_up_ms)),
+            changed_revision,
         };
+        self.tombstones.remove(&record.id);
         self.targets.insert(record.id.clone(), listed);
         is_change.then_some(ViewEvent::TargetChanged(record))
     }
--- a/crates/fes-passthrough/src/lib.rs
+++ b/crates/fes-passthrough/src/lib.rs
@@ -21,6 +21,7 @@
 mod request_queue;
 mod segment;
 mod target_watch;
+mod view_exchange;
 
 pub use agent::AgentAction;
 pub use agent::AgentCore;
@@ -80,3 +81,5 @@
 pub use segment::Segment;
 pub use segment::Sender;
 pub use target_watch::TargetWatch;
+pub use view_exchange::Learnt;
+pub use view_exchange::ViewExchange;
--- a/crates/fes-passthrough/src/message.rs
+++ b/crates/fes-passthrough/src/message.rs
@@ -139,19 +139,23 @@
     pub routes: Vec<Route>,
 }
 
-/// Part of a list of targets.
+/// Part of the difference between two revisions of the list of targets.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetsPart {
     /// Revision of the whole list.
     pub revision: u64,
+    /// Version of the configuration in that list.
+    pub routes_version: u64,
     /// Time since the platform confirmed the list, in milliseconds.
     pub age_ms: u64,
     /// Index of the part.
     pub index: u32,
     /// Number of parts.
     pub count: u32,
-    /// Targets of the part.
+    /// Targets of the part that changed since the receiver's revision.
     pub targets: Vec<TargetRecord>,
+    /// Targets that left the list since then, with the revision at which they did.
+    pub gone: Vec<(UpstreamName, u64)>,
 }
 
 /// Any message between two processes of the system.
