Split the decisions of entries and agents by concern

Change: one file each for opening packets, following packets, searches, delivery, answers and links; no behaviour changes.

--- /dev/null
+++ b/crates/fes-passthrough/src/agent/links.rs
@@ -0,0 +1,126 @@
+//! What entries say of the agent's own target, and the reports that they get.
+
+use std::net::Ipv4Addr;
+
+use fes_protocol::MonoTime;
+
+use super::agent_core::EntryLink;
+use crate::AgentAction;
+use crate::AgentCore;
+use crate::Hello;
+use crate::LoadReport;
+use crate::Message;
+use crate::Note;
+use crate::Outcome;
+use crate::TargetHint;
+use crate::TargetState;
+
+/// An entry that hasn't been heard for this long gets no more reports.
+const ENTRY_SILENCE_MS: u64 = 3_000;
+
+impl AgentCore {
+    pub(super) fn on_hello(
+        &mut self,
+        now: MonoTime,
+        entry: Ipv4Addr,
+        hello: &Hello,
+        out: &mut Vec<AgentAction>,
+    ) {
+        if let Some(target) = &hello.target {
+            self.learn_target(now, target, out);
+        }
+        let known = self.entries.get(&entry);
+        let is_new = known.is_none_or(|link| link.incarnation != hello.incarnation);
+        let report_at = match known {
+            Some(link) if !is_new => link.report_at,
+            _ => now,
+        };
+        let link = EntryLink {
+            incarnation: hello.incarnation,
+            silent_at: now.plus_ms(ENTRY_SILENCE_MS),
+            report_period_ms: u64::from(hello.report_period_ms),
+            report_at,
+        };
+        self.entries.insert(entry, link);
+        if is_new {
+            self.report(now, vec![entry], out);
+        }
+    }
+
+    /// Takes over what an entry read about this agent's target, unless something newer is known.
+    pub(super) fn learn_target(
+        &mut self,
+        now: MonoTime,
+        hint: &TargetHint,
+        out: &mut Vec<AgentAction>,
+    ) {
+        if hint.service != self.service || hint.revision <= self.target_revision {
+            return;
+        }
+        let is_older_life = hint.born_ms < self.born_ms;
+        if is_older_life {
+            return;
+        }
+        let is_new_life = hint.born_ms > self.born_ms && self.born_ms != 0;
+        let is_draining = hint.state == TargetState::Draining;
+        let is_change = is_new_life || is_draining != self.is_draining;
+        self.target_revision = hint.revision;
+        self.target_id = Some(hint.id.clone());
+        self.born_ms = hint.born_ms;
+        self.is_draining = is_draining;
+        self.slots = hint.slots;
+        if is_new_life {
+            self.on_target_started(now);
+        }
+        if is_change {
+            let note = Note::new(Outcome::TargetChanged)
+                .version(hint.revision)
+                .load(u64::from(is_draining));
+            out.push(AgentAction::Note(note));
+            self.report_to_all(now, out);
+        }
+    }
+
+    /// The target started again: it holds no flow of before. Flows that it has written on lately
+    /// may be its new ones and stay.
+    pub(super) fn on_target_started(&mut self, now: MonoTime) {
+        self.complete_at = now;
+        self.watch.reset();
+    }
+
+    pub(super) fn report_to_all(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
+        let all = self.entries.keys().copied().collect();
+        self.report(now, all, out);
+    }
+
+    pub(super) fn report(
+        &mut self,
+        now: MonoTime,
+        entries: Vec<Ipv4Addr>,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let counts = self.counts(now);
+        let report = LoadReport {
+            incarnation: self.incarnation,
+            service: self.service,
+            born_ms: self.born_ms,
+            running: counts.running,
+            waiting: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            streams: counts.streams,
+            flows: counts.open,
+            is_complete: self.is_complete(now),
+            is_silent: self.watch.is_silent(now),
+            is_leaving: self.is_leaving(),
+        };
+        for entry in entries {
+            if let Some(link) = self.entries.get_mut(&entry) {
+                link.report_at = now.plus_ms(link.report_period_ms);
+            }
+            out.push(AgentAction::Send {
+                entry,
+                message: Message::Load(report),
+                with_packet: false,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/fes-passthrough/src/agent/mod.rs
@@ -0,0 +1,7 @@
+mod agent_core;
+mod answers;
+mod delivery;
+mod links;
+
+pub use agent_core::AgentAction;
+pub use agent_core::AgentCore;
--- /dev/null
+++ b/crates/fes-passthrough/src/entry/following.rs
@@ -0,0 +1,173 @@
+//! Packets of flows that have been opened, and flows without a route.
+
+use std::net::Ipv4Addr;
+
+use fes_protocol::MonoTime;
+
+use crate::Attempt;
+use crate::Claim;
+use crate::EntryAction;
+use crate::EntryCore;
+use crate::FlowKey;
+use crate::FlowState;
+use crate::Forward;
+use crate::Opening;
+use crate::Outcome;
+use crate::Owner;
+use crate::Route;
+use crate::Search;
+use crate::Segment;
+
+impl EntryCore {
+    pub(super) fn on_no_route(
+        &mut self,
+        now: MonoTime,
+        segment: &Segment,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let flow = segment.flow;
+        if !self.is_view_sure(now) {
+            let note = self.note(now, Outcome::DroppedUnsure, flow);
+            out.push(EntryAction::Note(note));
+            return;
+        }
+        if segment.is_reset {
+            self.flows.remove(&flow);
+            return;
+        }
+        let outcome = match segment.is_open {
+            true => Outcome::RefusedNoRoute,
+            false => Outcome::RouteRemoved,
+        };
+        self.flows.remove(&flow);
+        self.reset(now, outcome, segment, out);
+    }
+
+    pub(super) fn reset(
+        &self,
+        now: MonoTime,
+        outcome: Outcome,
+        segment: &Segment,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let sequence = match segment.is_open {
+            true => 0,
+            false => segment.acknowledged,
+        };
+        out.push(EntryAction::ResetClient {
+            flow: segment.flow,
+            sequence,
+        });
+        out.push(EntryAction::Note(self.note(now, outcome, segment.flow)));
+    }
+
+    /// Handles a packet that doesn't open a flow.
+    pub(super) fn on_following(
+        &mut self,
+        now: MonoTime,
+        segment: &Segment,
+        route: &Route,
+        packet: &[u8],
+        out: &mut Vec<EntryAction>,
+    ) {
+        let flow = segment.flow;
+        let idle_timeout_ms = self.idle_timeout_ms();
+        let Some(record) = self.flows.get_mut(&flow) else {
+            self.start_search(now, segment, route, packet, out);
+            return;
+        };
+        record.is_closing |= segment.is_fin || segment.is_reset;
+        record.touch(now, idle_timeout_ms);
+        let demand = record.demand;
+        let service = record.service;
+        let forward = |claim, born_ms| Forward {
+            claim,
+            service,
+            born_ms,
+            demand,
+        };
+        let owner = match &mut record.state {
+            FlowState::Owned(owner) => *owner,
+            FlowState::Opening(opening) => match opener(opening, segment) {
+                Some(owner) => {
+                    record.state = FlowState::Owned(owner);
+                    record.touch(now, idle_timeout_ms);
+                    owner
+                }
+                None => {
+                    for attempt in &opening.attempts {
+                        out.push(EntryAction::Forward {
+                            vm: attempt.vm,
+                            forward: forward(Claim::IfKnown, attempt.born_ms),
+                        });
+                    }
+                    return;
+                }
+            },
+            FlowState::Sought(search) => {
+                if search.may_restart(now) {
+                    *search = Search::new(now, segment, packet);
+                    self.continue_search(now, flow, out);
+                } else if !search.keep(packet) {
+                    let note = self.note(now, Outcome::DroppedSearching, flow);
+                    out.push(EntryAction::Note(note));
+                }
+                return;
+            }
+        };
+        if self.has_ended(owner) {
+            self.flows.remove(&flow);
+            if !segment.is_reset {
+                self.reset(now, Outcome::TargetEnded, segment, out);
+            }
+            return;
+        }
+        out.push(EntryAction::Forward {
+            vm: owner.vm,
+            forward: forward(Claim::Owner, owner.born_ms),
+        });
+    }
+
+    /// Returns whether the target with this start time has been replaced by a later one.
+    pub(super) fn has_ended(&self, owner: Owner) -> bool {
+        if owner.born_ms == 0 {
+            return false;
+        }
+        let listed = self.view.target_on(owner.vm);
+        listed.is_some_and(|record| record.born_ms > owner.born_ms)
+    }
+
+    /// The agent that was taken for the owner's says that its target doesn't hold the flow; the
+    /// flow's next packet starts a search.
+    pub(super) fn on_owner_denies(&mut self, now: MonoTime, vm: Ipv4Addr, flow: FlowKey) {
+        let idle_timeout_ms = self.idle_timeout_ms();
+        let Some(record) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        let is_owner = matches!(&record.state, FlowState::Owned(owner) if owner.vm == vm);
+        if is_owner {
+            record.state = FlowState::Sought(Search::default());
+            record.touch(now, idle_timeout_ms);
+        }
+    }
+}
+
+/// Returns the target that the client's packet shows to have opened the flow.
+fn opener(opening: &Opening, segment: &Segment) -> Option<Owner> {
+    let owner = |attempt: &Attempt| Owner {
+        vm: attempt.vm,
+        born_ms: attempt.born_ms,
+    };
+    let accepted_by = |attempt: &&Attempt| {
+        attempt
+            .opening_sequence
+            .is_some_and(|sequence| segment.continues(sequence))
+    };
+    if let Some(attempt) = opening.attempts.iter().find(accepted_by) {
+        return Some(owner(attempt));
+    }
+    match opening.attempts.as_slice() {
+        [only] => Some(owner(only)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/fes-passthrough/src/entry/mod.rs
@@ -0,0 +1,7 @@
+mod entry_core;
+mod following;
+mod opening;
+mod searching;
+
+pub use entry_core::EntryAction;
+pub use entry_core::EntryCore;
--- /dev/null
+++ b/crates/fes-passthrough/src/entry/opening.rs
@@ -0,0 +1,329 @@
+//! Opening packets: which target they go to, and what happens when it gives no sign.
+
+use std::net::Ipv4Addr;
+
+use fes_protocol::MonoTime;
+
+use crate::Attempt;
+use crate::Choice;
+use crate::Claim;
+use crate::EntryAction;
+use crate::EntryCore;
+use crate::Fleet;
+use crate::FlowKey;
+use crate::FlowRecord;
+use crate::FlowState;
+use crate::FlowUse;
+use crate::Forward;
+use crate::MAX_ATTEMPTS;
+use crate::Note;
+use crate::Opening;
+use crate::Outcome;
+use crate::ReturnReason;
+use crate::Route;
+use crate::Segment;
+use crate::ServiceTag;
+use crate::choose;
+
+/// A target that hasn't accepted a flow by then is doubted, and another one is tried.
+const ACCEPT_TIMEOUT_MS: u64 = 70;
+/// A target that refused a flow is passed over for this long.
+const REFUSED_AVOID_MS: u64 = 150;
+
+impl EntryCore {
+    pub(super) fn on_opening(
+        &mut self,
+        now: MonoTime,
+        segment: &Segment,
+        route: &Route,
+        packet: &[u8],
+        out: &mut Vec<EntryAction>,
+    ) {
+        let flow = segment.flow;
+        if !self.flows.contains(&flow) {
+            self.place_first(now, segment, route, packet, out);
+            return;
+        }
+        self.repeat_opening(now, segment, out);
+    }
+
+    /// Sends a copy of an opening packet where the flow was accepted, or else to one more target.
+    pub(super) fn repeat_opening(
+        &mut self,
+        now: MonoTime,
+        segment: &Segment,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let idle_timeout_ms = self.idle_timeout_ms();
+        let Some(record) = self.flows.get_mut(&segment.flow) else {
+            return;
+        };
+        record.touch(now, idle_timeout_ms);
+        let demand = record.demand;
+        let service = record.service;
+        let forward = |born_ms| Forward {
+            claim: Claim::Open,
+            service,
+            born_ms,
+            demand,
+        };
+        match &mut record.state {
+            FlowState::Owned(owner) => out.push(EntryAction::Forward {
+                vm: owner.vm,
+                forward: forward(owner.born_ms),
+            }),
+            FlowState::Sought(_) => {}
+            FlowState::Opening(opening) => {
+                let accepted = |a: &&Attempt| a.opening_sequence.is_some();
+                if let Some(attempt) = opening.attempts.iter().find(accepted) {
+                    out.push(EntryAction::Forward {
+                        vm: attempt.vm,
+                        forward: forward(attempt.born_ms),
+                    });
+                    return;
+                }
+                self.try_next_target(now, segment.flow, out);
+            }
+        }
+    }
+
+    pub(super) fn place_first(
+        &mut self,
+        now: MonoTime,
+        segment: &Segment,
+        route: &Route,
+        packet: &[u8],
+        out: &mut Vec<EntryAction>,
+    ) {
+        let service = self.choose_service(route);
+        let Some(choice) =
+            self.choose_target(now, service, &segment.flow, route.demand.flow_use, &[])
+        else {
+            if self.is_view_sure(now) {
+                self.reset(now, Outcome::RefusedNoTarget, segment, out);
+            }
+            return;
+        };
+        let opening = Opening {
+            attempts: Vec::with_capacity(1),
+            packet: packet.into(),
+            try_next_at: MonoTime::NEVER,
+        };
+        let mut record = FlowRecord {
+            service,
+            demand: route.demand,
+            state: FlowState::Opening(opening),
+            forget_at: MonoTime::NEVER,
+            is_closing: false,
+        };
+        record.touch(now, 0);
+        self.flows.insert(segment.flow, record);
+        self.attempt(now, segment.flow, choice, Outcome::Placed, out);
+    }
+
+    /// Among the services of a route, new flows take turns by weight.
+    pub(super) fn choose_service(&mut self, route: &Route) -> ServiceTag {
+        self.turn = self.turn.wrapping_add(1);
+        let total: u32 = route.services.iter().map(|service| service.weight).sum();
+        let turn = u32::try_from(self.turn % 1_000_003).unwrap_or(0);
+        let mut position = turn.wrapping_mul(2_654_435_761) % total.max(1);
+        for service in &route.services {
+            if position < service.weight {
+                return service.service;
+            }
+            position -= service.weight;
+        }
+        route.services[0].service
+    }
+
+    pub(super) fn choose_target(
+        &mut self,
+        now: MonoTime,
+        service: ServiceTag,
+        flow: &FlowKey,
+        flow_use: FlowUse,
+        excluded: &[Ipv4Addr],
+    ) -> Option<Choice> {
+        self.turn = self.turn.wrapping_add(1);
+        let fleet = Fleet {
+            view: &self.view,
+            agents: &self.agents,
+            data_centre: &self.data_centre,
+        };
+        choose(now, fleet, service, flow, flow_use, excluded, self.turn)
+    }
+
+    pub(super) fn try_due_openings(&mut self, now: MonoTime, out: &mut Vec<EntryAction>) {
+        while let Some((due_at, flow)) = self.opening_queue.front().copied() {
+            if due_at > now {
+                return;
+            }
+            self.opening_queue.pop_front();
+            let state = self.flows.get_mut(&flow).map(|record| &record.state);
+            if matches!(state, Some(FlowState::Opening(opening)) if opening.try_next_at <= now) {
+                self.try_next_target(now, flow, out);
+            }
+        }
+    }
+
+    /// Sends the stored opening packet to one more target, if there is one.
+    pub(super) fn try_next_target(
+        &mut self,
+        now: MonoTime,
+        flow: FlowKey,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(record) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        let (service, flow_use) = (record.service, record.demand.flow_use);
+        let FlowState::Opening(opening) = &mut record.state else {
+            return;
+        };
+        opening.try_next_at = MonoTime::NEVER;
+        let tried: Vec<Ipv4Addr> = opening.attempts.iter().map(|a| a.vm).collect();
+        let unanswered: Vec<Ipv4Addr> = opening
+            .attempts
+            .iter()
+            .filter(|a| !a.is_handed_back && a.opening_sequence.is_none())
+            .map(|a| a.vm)
+            .collect();
+        for vm in unanswered {
+            self.agents.record_unanswered(now, vm);
+        }
+        if tried.len() >= MAX_ATTEMPTS {
+            return;
+        }
+        if let Some(choice) = self.choose_target(now, service, &flow, flow_use, &tried) {
+            self.attempt(now, flow, choice, Outcome::PlacedAgain, out);
+        }
+    }
+
+    pub(super) fn attempt(
+        &mut self,
+        now: MonoTime,
+        flow: FlowKey,
+        choice: Choice,
+        outcome: Outcome,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(record) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        let demand = record.demand;
+        let is_stream = demand.flow_use == FlowUse::Stream;
+        let FlowState::Opening(opening) = &mut record.state else {
+            return;
+        };
+        opening.attempts.push(Attempt {
+            vm: choice.vm,
+            born_ms: choice.born_ms,
+            sent_at: now,
+            opening_sequence: None,
+            is_handed_back: false,
+        });
+        opening.try_next_at = now.plus_ms(ACCEPT_TIMEOUT_MS);
+        self.opening_queue.push_back((opening.try_next_at, flow));
+        let packet = opening.packet.clone();
+        self.agents.record_placed(now, choice.vm, is_stream);
+        out.push(EntryAction::ForwardStored {
+            vm: choice.vm,
+            forward: Forward {
+                claim: Claim::Open,
+                service: choice.service,
+                born_ms: choice.born_ms,
+                demand,
+            },
+            packet,
+        });
+        let note = Note::new(outcome)
+            .flow(flow)
+            .vm(choice.vm)
+            .age_ms(choice.report_age_ms)
+            .version(self.view.revision())
+            .load(choice.load);
+        out.push(EntryAction::Note(note));
+    }
+
+    pub(super) fn on_opened(
+        &mut self,
+        vm: Ipv4Addr,
+        flow: FlowKey,
+        sequence: u32,
+        born_ms: u64,
+        out: &mut Vec<EntryAction>,
+    ) {
+        self.agents.record_accepted(vm);
+        let Some(record) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        let FlowState::Opening(opening) = &mut record.state else {
+            return;
+        };
+        opening.try_next_at = MonoTime::NEVER;
+        if let Some(attempt) = opening.attempts.iter_mut().find(|a| a.vm == vm) {
+            attempt.opening_sequence = Some(sequence);
+            attempt.born_ms = born_ms;
+        }
+        let note = Note::new(Outcome::Accepted)
+            .flow(flow)
+            .vm(vm)
+            .version(born_ms);
+        out.push(EntryAction::Note(note));
+    }
+
+    pub(super) fn on_returned(
+        &mut self,
+        now: MonoTime,
+        vm: Ipv4Addr,
+        flow: FlowKey,
+        reason: ReturnReason,
+        packet: &[u8],
+        out: &mut Vec<EntryAction>,
+    ) {
+        out.push(EntryAction::Note(
+            self.note(now, Outcome::HandedBack, flow).vm(vm),
+        ));
+        if reason == ReturnReason::NotHeld {
+            self.on_owner_denies(now, vm, flow);
+            return;
+        }
+        self.agents.avoid_until(vm, now.plus_ms(REFUSED_AVOID_MS));
+        let Some(record) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        let FlowState::Opening(opening) = &mut record.state else {
+            return;
+        };
+        if opening.packet.is_empty() {
+            opening.packet = packet.into();
+        }
+        for attempt in &mut opening.attempts {
+            attempt.is_handed_back |= attempt.vm == vm;
+        }
+        let is_last = opening.attempts.len() >= MAX_ATTEMPTS;
+        let is_refused = is_last && opening.attempts.iter().all(|a| a.is_handed_back);
+        if is_refused {
+            self.refuse_handed_back(now, flow, out);
+        } else if opening
+            .attempts
+            .iter()
+            .all(|a| a.opening_sequence.is_none())
+        {
+            self.try_next_target(now, flow, out);
+        }
+    }
+
+    /// Every target that was tried handed the opening packet back, so nothing has run.
+    pub(super) fn refuse_handed_back(
+        &mut self,
+        now: MonoTime,
+        flow: FlowKey,
+        out: &mut Vec<EntryAction>,
+    ) {
+        self.flows.remove(&flow);
+        out.push(EntryAction::ResetClient { flow, sequence: 0 });
+        let note = self.note(now, Outcome::RefusedOverload, flow);
+        out.push(EntryAction::Note(note));
+    }
+}
--- /dev/null
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -0,0 +1,284 @@
+//! Search for the target of a flow that the entry doesn't know.
+
+use std::net::Ipv4Addr;
+
+use fes_protocol::MonoTime;
+
+use crate::Claim;
+use crate::EntryAction;
+use crate::EntryCore;
+use crate::FlowKey;
+use crate::FlowRecord;
+use crate::FlowState;
+use crate::Forward;
+use crate::Message;
+use crate::Note;
+use crate::Outcome;
+use crate::Owner;
+use crate::Round;
+use crate::Route;
+use crate::Search;
+use crate::Segment;
+use crate::ServiceTag;
+use crate::TargetRecord;
+use crate::TargetState;
+use crate::first_of_order;
+
+/// A listed target whose agent has been silent for this long is taken to be gone. Longer than the
+/// planned restart of an agent.
+const ABSENT_AFTER_MS: u64 = 2_500;
+/// An agent answers the first hello within two trips between data centres, and one that is being
+/// restarted within this time.
+const NO_ANSWER_MS: u64 = 1_000;
+
+impl EntryCore {
+    pub(super) fn start_search(
+        &mut self,
+        now: MonoTime,
+        segment: &Segment,
+        route: &Route,
+        packet: &[u8],
+        out: &mut Vec<EntryAction>,
+    ) {
+        // A reset of an unknown flow has nothing to deliver that is worth a search.
+        if segment.is_reset {
+            return;
+        }
+        let flow = segment.flow;
+        let mut record = FlowRecord {
+            service: route.services[0].service,
+            demand: route.demand,
+            state: FlowState::Sought(Search::new(now, segment, packet)),
+            forget_at: MonoTime::NEVER,
+            is_closing: segment.is_fin,
+        };
+        record.touch(now, self.idle_timeout_ms());
+        self.flows.insert(flow, record);
+        let unheard = self.unheard_targets(now);
+        let note = self.note(now, Outcome::SearchStarted, flow).load(unheard);
+        out.push(EntryAction::Note(note));
+        self.continue_search(now, flow, out);
+    }
+
+    /// Asks the agents of the next round; a round without agents to ask is skipped. After the last
+    /// one, the client is told if the flow surely doesn't exist.
+    pub(super) fn continue_search(
+        &mut self,
+        now: MonoTime,
+        flow: FlowKey,
+        out: &mut Vec<EntryAction>,
+    ) {
+        loop {
+            let Some(record) = self.flows.get_mut(&flow) else {
+                return;
+            };
+            let service = record.service;
+            let FlowState::Sought(search) = &mut record.state else {
+                return;
+            };
+            let Some(round) = search.begin_round(now) else {
+                self.conclude_search(now, flow, out);
+                return;
+            };
+            let next_round_at = search.next_round_at();
+            let is_last = round.count == usize::MAX;
+            let agents = match is_last {
+                // A flow stays at its target when its route moves to another service.
+                true => self.agents.heard(now).collect(),
+                false => self.agents_of_round(now, service, &flow, round),
+            };
+            if self.ask(flow, &agents, out) {
+                self.search_queue.push_back((next_round_at, flow));
+                return;
+            }
+        }
+    }
+
+    pub(super) fn agents_of_round(
+        &self,
+        now: MonoTime,
+        service: ServiceTag,
+        flow: &FlowKey,
+        round: Round,
+    ) -> Vec<Ipv4Addr> {
+        let targets = self.view.targets_of(service);
+        let window = first_of_order(targets, flow, round.skipped, round.count);
+        let vms = window.into_iter().map(|target| target.vm);
+        vms.filter(|vm| self.agents.get(*vm).is_some_and(|a| a.is_heard(now)))
+            .collect()
+    }
+
+    /// Asks those agents that haven't answered yet. Returns whether there were any.
+    pub(super) fn ask(
+        &mut self,
+        flow: FlowKey,
+        agents: &[Ipv4Addr],
+        out: &mut Vec<EntryAction>,
+    ) -> bool {
+        let Some(record) = self.flows.get_mut(&flow) else {
+            return false;
+        };
+        let FlowState::Sought(search) = &mut record.state else {
+            return false;
+        };
+        let mut has_asked = false;
+        for vm in agents
+            .iter()
+            .filter(|vm| !search.is_denied_by(**vm))
+            .copied()
+            .collect::<Vec<_>>()
+        {
+            search.record_asked(vm);
+            has_asked = true;
+            let message = Message::Ask { flow };
+            out.push(EntryAction::Send { vm, message });
+        }
+        has_asked
+    }
+
+    /// Resets a flow that no target holds, if all of them could be asked.
+    pub(super) fn conclude_search(
+        &mut self,
+        now: MonoTime,
+        flow: FlowKey,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let is_sure = self.is_view_sure(now) && self.unheard_targets(now) == 0;
+        let Some(record) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        let FlowState::Sought(search) = &record.state else {
+            return;
+        };
+        if !is_sure || !self.agents.heard(now).all(|vm| search.is_denied_by(vm)) {
+            return;
+        }
+        let sequence = search.acknowledged();
+        self.flows.remove(&flow);
+        out.push(EntryAction::ResetClient { flow, sequence });
+        let note = self.note(now, Outcome::SearchLost, flow);
+        out.push(EntryAction::Note(note));
+    }
+
+    /// Counts listed targets that a search would miss: those whose agent isn't heard for now. Not
+    /// counted are agents that have been silent for long or never answered, since their VM is gone
+    /// or cut off, and those beside a target that was about to leave, which has left. Targets of
+    /// all services count, since a flow stays at its target when its route moves.
+    pub(super) fn unheard_targets(&self, now: MonoTime) -> u64 {
+        let is_missed = |(target, known_for_ms): &(&TargetRecord, u64)| {
+            let has_left = target.state == TargetState::Draining;
+            match self.agents.get(target.vm) {
+                Some(agent) if agent.is_heard(now) => false,
+                Some(agent) => !has_left && agent.age_ms(now) < ABSENT_AFTER_MS,
+                None => !has_left && *known_for_ms < NO_ANSWER_MS,
+            }
+        };
+        let missed = self.view.targets_with_age_ms(now).filter(is_missed);
+        u64::try_from(missed.count()).unwrap_or(u64::MAX)
+    }
+
+    /// An agent can't know whether its target holds the flow.
+    pub(super) fn on_unsure(
+        &mut self,
+        now: MonoTime,
+        vm: Ipv4Addr,
+        flow: FlowKey,
+        out: &mut Vec<EntryAction>,
+    ) {
+        if !self.is_view_sure(now) || self.unheard_targets(now) > 0 {
+            return;
+        }
+        let Some(record) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        let FlowState::Sought(search) = &record.state else {
+            return;
+        };
+        out.push(EntryAction::ForwardStored {
+            vm,
+            forward: Forward {
+                claim: Claim::Probe,
+                service: record.service,
+                born_ms: 0,
+                demand: record.demand,
+            },
+            packet: search.first_packet().into(),
+        });
+    }
+
+    pub(super) fn run_due_searches(&mut self, now: MonoTime, out: &mut Vec<EntryAction>) {
+        while let Some((due_at, flow)) = self.search_queue.front().copied() {
+            if due_at > now {
+                return;
+            }
+            self.search_queue.pop_front();
+            let state = self.flows.get_mut(&flow).map(|record| &record.state);
+            if matches!(state, Some(FlowState::Sought(s)) if s.next_round_at() <= now) {
+                self.continue_search(now, flow, out);
+            }
+        }
+    }
+
+    pub(super) fn on_held(
+        &mut self,
+        now: MonoTime,
+        vm: Ipv4Addr,
+        flow: FlowKey,
+        born_ms: u64,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let idle_timeout_ms = self.idle_timeout_ms();
+        let Some(record) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        if matches!(record.state, FlowState::Owned(_)) {
+            return;
+        }
+        if let Some(agent) = self.agents.get(vm) {
+            record.service = agent.report().service;
+        }
+        let owned = FlowState::Owned(Owner { vm, born_ms });
+        let before = std::mem::replace(&mut record.state, owned);
+        record.touch(now, idle_timeout_ms);
+        let forward = Forward {
+            claim: Claim::Owner,
+            service: record.service,
+            born_ms,
+            demand: record.demand,
+        };
+        if let FlowState::Sought(search) = before {
+            // A target that was probed has the first packet already, and ignores a repetition.
+            for packet in search.into_packets() {
+                out.push(EntryAction::ForwardStored {
+                    vm,
+                    forward,
+                    packet,
+                });
+            }
+        }
+        let note = Note::new(Outcome::SearchFound)
+            .flow(flow)
+            .vm(vm)
+            .version(born_ms);
+        out.push(EntryAction::Note(note));
+    }
+
+    pub(super) fn on_not_held(
+        &mut self,
+        now: MonoTime,
+        vm: Ipv4Addr,
+        flow: FlowKey,
+        out: &mut Vec<EntryAction>,
+    ) {
+        self.on_owner_denies(now, vm, flow);
+        let Some(record) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        let FlowState::Sought(search) = &mut record.state else {
+            return;
+        };
+        if search.record_not_held(vm) {
+            self.continue_search(now, flow, out);
+        }
+    }
+}
