--- /dev/null
+++ b/crates/fes-passthrough/tests/codec.rs
@@ -0,0 +1,62 @@
+//! Messages between processes: whatever arrives, decoding ends with a message or an error.
+
+mod support;
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+
+use fes_passthrough::Claim;
+use fes_passthrough::FlowKey;
+use fes_passthrough::FlowUse;
+use fes_passthrough::Forward;
+use fes_passthrough::Message;
+use fes_passthrough::ServiceTag;
+use fes_passthrough::decode_message;
+use fes_passthrough::encode_message;
+use proptest::prelude::any;
+use proptest::prelude::proptest;
+
+use support::fixtures::demand;
+
+proptest! {
+    /// Guards against a datagram that ends the process.
+    #[test]
+    fn any_datagram_is_decoded_or_refused(datagram: Vec<u8>) {
+        let _ = decode_message(&datagram);
+    }
+
+    /// Guards against a packet that changes on its way.
+    #[test]
+    fn a_packet_behind_a_message_arrives_unchanged(
+        packet: Vec<u8>,
+        born_ms: u64,
+        service: u64,
+    ) {
+        let message = Message::Forward(Forward {
+            claim: Claim::Owner,
+            service: ServiceTag(service),
+            born_ms,
+            demand: demand(FlowUse::Once, 200, 1_000),
+        });
+        let mut datagram = Vec::new();
+        encode_message(&message, &mut datagram).expect("fits");
+        datagram.extend_from_slice(&packet);
+
+        let (decoded, carried) = decode_message(&datagram).expect("decodes");
+
+        assert_eq!(decoded, message);
+        assert_eq!(carried, packet);
+    }
+
+    /// Guards against a short datagram that is taken for a whole one.
+    #[test]
+    fn a_cut_message_is_refused(ip in any::<u32>(), port: u16, cut in 1_usize..6) {
+        let address = SocketAddrV4::new(Ipv4Addr::from(ip), port);
+        let flow = FlowKey { client: address, destination: address };
+        let mut datagram = Vec::new();
+        encode_message(&Message::NotHeld { flow }, &mut datagram).expect("fits");
+        datagram.truncate(datagram.len() - cut);
+
+        assert!(decode_message(&datagram).is_err());
+    }
+}
--- /dev/null
+++ b/crates/fes-passthrough/tests/request_queue.rs
@@ -0,0 +1,96 @@
+//! The order of requests that wait for a slot.
+
+mod support;
+
+use fes_passthrough::FlowUse;
+use fes_passthrough::RequestQueue;
+use fes_passthrough::Segment;
+use fes_protocol::MonoTime;
+use rstest::rstest;
+
+use support::fixtures::client_segment;
+use support::fixtures::demand;
+use support::fixtures::flow;
+use support::fixtures::stream_address;
+
+fn request(port: u16) -> Segment {
+    Segment {
+        payload_bytes: 100,
+        ..client_segment(flow(port, stream_address()))
+    }
+}
+
+fn push(queue: &mut RequestQueue, now_ms: u64, port: u16, flow_use: FlowUse, goal_ms: u32) {
+    let now = MonoTime::from_ms(now_ms);
+    queue.push(now, demand(flow_use, goal_ms, 1_000), request(port), &[]);
+}
+
+fn pop_port(queue: &mut RequestQueue, now_ms: u64) -> Option<u16> {
+    let held = queue.pop(MonoTime::from_ms(now_ms))?;
+    Some(held.flow.client.port())
+}
+
+/// Guards against a request that is late anyway and delays one that isn't.
+#[test]
+fn a_request_that_can_meet_its_goal_goes_before_a_late_one() {
+    let mut queue = RequestQueue::default();
+    push(&mut queue, 0, 1, FlowUse::Stream, 200);
+    push(&mut queue, 300, 2, FlowUse::Stream, 200);
+
+    let order = [pop_port(&mut queue, 310), pop_port(&mut queue, 310)];
+
+    assert_eq!(order, [Some(2), Some(1)]);
+}
+
+/// Guards against requests that must not be repeated and wait behind those that may be.
+#[test]
+fn requests_that_must_not_be_repeated_go_first() {
+    let mut queue = RequestQueue::default();
+    push(&mut queue, 0, 1, FlowUse::Stream, 200);
+    push(&mut queue, 10, 2, FlowUse::Once, 200);
+
+    assert_eq!(pop_port(&mut queue, 20), Some(2));
+}
+
+/// Guards against a request that runs after its caller has left.
+#[rstest]
+#[case(999, 0)]
+#[case(1_000, 1)]
+fn requests_expire_at_their_timeout(#[case] now_ms: u64, #[case] expected: usize) {
+    let mut queue = RequestQueue::default();
+    push(&mut queue, 0, 1, FlowUse::Once, 200);
+
+    let expired = queue.expire(MonoTime::from_ms(now_ms));
+
+    assert_eq!(expired.len(), expected);
+}
+
+/// Guards against a request that the client sends again and that then runs twice.
+#[test]
+fn a_repeated_packet_is_kept_once() {
+    let mut queue = RequestQueue::default();
+    push(&mut queue, 0, 1, FlowUse::Once, 200);
+
+    let is_known = queue.append(&request(1), &[]);
+    let is_other = queue.append(&request(2), &[]);
+
+    assert!(is_known);
+    assert!(!is_other);
+    let held = queue.pop(MonoTime::from_ms(1)).expect("held");
+    assert_eq!(held.packets.len(), 1);
+}
+
+/// Guards against a slot that a request without an answer blocks for ever, and against one that is
+/// given away while a target that has turned slow still works.
+#[test]
+fn the_longest_run_follows_the_measured_ones() {
+    let mut queue = RequestQueue::default();
+    let before_us = queue.longest_run_us();
+
+    for _ in 0..100 {
+        queue.record_run(150_000);
+    }
+
+    assert!(before_us <= 400_000);
+    assert!(queue.longest_run_us() >= 1_000_000);
+}
--- /dev/null
+++ b/crates/fes-passthrough/tests/view.rs
@@ -0,0 +1,146 @@
+//! The view of routes and targets: nothing goes back, lapsed entries may return.
+
+mod support;
+
+use fes_passthrough::FleetView;
+use fes_passthrough::ListChange;
+use fes_passthrough::TargetState;
+use fes_passthrough::ViewEvent;
+use fes_protocol::MonoTime;
+use fes_protocol::UpstreamName;
+use rstest::rstest;
+
+use support::fixtures::OTHER_SERVICE;
+use support::fixtures::SERVICE;
+use support::fixtures::routes;
+use support::fixtures::stream_address;
+use support::fixtures::target;
+use support::fixtures::vm;
+
+const START: MonoTime = MonoTime::from_ms(10_000);
+
+fn view_with_targets(count: usize) -> FleetView {
+    let mut view = FleetView::new();
+    let mut changes: Vec<ListChange> = (0..count)
+        .map(|i| ListChange::Target(target(i, 10)))
+        .collect();
+    changes.push(ListChange::Routes(routes(5, SERVICE)));
+    view.apply_listing(START, changes, 20);
+    view.confirm(START, 20);
+    view
+}
+
+fn removal(index: usize, revision: u64) -> ListChange {
+    ListChange::NoTarget {
+        id: UpstreamName::from(format!("t-{index}")),
+        revision,
+    }
+}
+
+/// Guards against a late or stale reply that brings an older configuration back.
+#[rstest]
+#[case(4)]
+#[case(5)]
+fn an_older_configuration_changes_nothing(#[case] version: u64) {
+    let mut view = view_with_targets(1);
+
+    let event = view.apply(START, ListChange::Routes(routes(version, OTHER_SERVICE)));
+
+    assert_eq!(event, None);
+    let route = view.route(stream_address()).expect("route");
+    assert_eq!(route.services[0].service, SERVICE);
+}
+
+/// Guards against a leaving target that an older copy of its entry makes ready again.
+#[test]
+fn an_older_record_changes_nothing() {
+    let mut view = view_with_targets(1);
+    let mut leaving = target(0, 15);
+    leaving.state = TargetState::Draining;
+    view.apply(START, ListChange::Target(leaving));
+
+    view.apply(START, ListChange::Target(target(0, 14)));
+
+    let record = view.target_on(vm(0)).expect("target");
+    assert_eq!(record.state, TargetState::Draining);
+}
+
+/// Guards against a removed target that an older copy of its entry brings back.
+#[test]
+fn a_removed_target_returns_only_with_a_newer_record() {
+    let mut view = view_with_targets(1);
+    view.apply(START, removal(0, 30));
+    view.expire(START.plus_ms(5_000));
+
+    view.apply(START.plus_ms(5_000), ListChange::Target(target(0, 29)));
+    let with_older = view.targets().count();
+    view.apply(START.plus_ms(5_000), ListChange::Target(target(0, 31)));
+
+    assert_eq!(with_older, 0);
+    assert_eq!(view.targets().count(), 1);
+}
+
+/// Guards against a target that is dropped in the moment in which its entry lapses, and against one
+/// that is kept for longer than the bound for leaving targets.
+#[rstest]
+#[case(100, 1)]
+#[case(2_000, 0)]
+fn a_removed_target_stays_for_a_moment(#[case] after_ms: u64, #[case] expected: usize) {
+    let mut view = view_with_targets(1);
+
+    view.apply(START, removal(0, 30));
+    view.expire(START.plus_ms(after_ms));
+
+    assert_eq!(view.targets().count(), expected);
+}
+
+/// Guards against an outage of the platform after which entries that lapsed meanwhile are taken for
+/// gone before they could be written again.
+#[rstest]
+#[case(2_000, 1)]
+#[case(2_500, 0)]
+fn entries_that_lapsed_in_an_outage_have_time_to_return(
+    #[case] after_ms: u64,
+    #[case] expected: usize,
+) {
+    let mut view = view_with_targets(1);
+    view.record_outage();
+    view.confirm(START, 40);
+
+    view.apply_listing(START, Vec::new(), 40);
+    view.expire(START.plus_ms(after_ms));
+
+    assert_eq!(view.targets().count(), expected);
+}
+
+/// Guards against an entry of another writer that takes a target's place.
+#[test]
+fn an_unusable_entry_names_no_target() {
+    let mut view = view_with_targets(2);
+
+    let event = view.apply(START, removal(1, 30));
+    view.expire(START.plus_ms(5_000));
+
+    assert_eq!(
+        event,
+        Some(ViewEvent::TargetLapsed(UpstreamName::from("t-1")))
+    );
+    assert!(view.target_on(vm(0)).is_some());
+    assert!(view.target_on(vm(1)).is_none());
+}
+
+/// Guards against packets for an address that another service uses now.
+#[test]
+fn an_address_belongs_to_the_target_that_started_last() {
+    let mut view = view_with_targets(1);
+    let mut successor = target(7, 25);
+    successor.vm = vm(0);
+    successor.service = OTHER_SERVICE;
+    successor.born_ms = 9_000;
+
+    view.apply(START, ListChange::Target(successor));
+    view.apply(START, ListChange::Target(target(0, 26)));
+
+    let holder = view.target_on(vm(0)).expect("target");
+    assert_eq!(holder.service, OTHER_SERVICE);
+}
