--- a/crates/fes-passthrough/tests/support/world.rs
+++ b/crates/fes-passthrough/tests/support/world.rs
@@ -404,16 +404,16 @@
         for action in actions {
             match action {
                 EntryAction::Forward { vm, forward } => {
-                    self.to_agent(vm, from, forward, packet.clone());
+                    self.send_to_agent(vm, from, forward, packet.clone());
                 }
                 EntryAction::ForwardStored {
                     vm,
                     forward,
                     packet,
                 } => {
-                    self.to_agent(vm, from, forward, packet.to_vec());
+                    self.send_to_agent(vm, from, forward, packet.to_vec());
                 }
-                EntryAction::Send { vm, message } => self.to_process(vm, from, message),
+                EntryAction::Send { vm, message } => self.send_to_process(vm, from, message),
                 EntryAction::ResetClient { flow, .. } => self.send(Event::ToClient(reset(flow))),
                 EntryAction::Note(note) => {
                     *self.outcomes.entry(note.outcome.name()).or_default() += 1
@@ -462,7 +462,7 @@
         }
     }
 
-    fn to_agent(&mut self, to: Ipv4Addr, from: Ipv4Addr, forward: Forward, packet: Vec<u8>) {
+    fn send_to_agent(&mut self, to: Ipv4Addr, from: Ipv4Addr, forward: Forward, packet: Vec<u8>) {
         if let Some(index) = (0..self.agents.len()).find(|i| vm(*i) == to) {
             self.send(Event::AgentMessage(
                 index,
@@ -473,7 +473,7 @@
         }
     }
 
-    fn to_process(&mut self, to: Ipv4Addr, from: Ipv4Addr, message: Message) {
+    fn send_to_process(&mut self, to: Ipv4Addr, from: Ipv4Addr, message: Message) {
         if let Some(index) = (0..self.agents.len()).find(|i| vm(*i) == to) {
             self.send(Event::AgentMessage(index, from, message, Vec::new()));
         } else if let Some(index) = (0..self.entries.len()).find(|i| entry_vm(*i) == to) {
