Log the start and the answer of each request

Cause: a caller's request id appeared in the logs only if its request was held back or its flow was looked for, and a note could carry the id of another flow's packet.

Change: agents log 'started' with the id and 'answered' with the time that the request ran, within the budget of each kind; an id is logged only with the flow of its own packet.

Conclusion: the walk from an id to its cause begins at any request.

--- a/crates/fes-passthrough-node/src/agent_daemon.rs
+++ b/crates/fes-passthrough-node/src/agent_daemon.rs
@@ -230,8 +230,7 @@
                 }
                 AgentAction::Note(note) => {
                     let now = self.context.now();
-                    let request = packet::request_id(packet);
-                    self.context.decisions.record(now, &note, request);
+                    self.context.decisions.record(now, &note, packet);
                 }
             }
         }
--- a/crates/fes-passthrough-node/src/decision_log.rs
+++ b/crates/fes-passthrough-node/src/decision_log.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::sync::Arc;
 
+use fes_adapter::packet;
 use fes_passthrough::Note;
 use fes_passthrough::Outcome;
 use fes_protocol::FastMap;
@@ -40,8 +41,8 @@
         }
     }
 
-    /// Logs and counts a decision. `request` is the identity of the request at hand, if known.
-    pub fn record(&self, now: MonoTime, note: &Note, request: Option<&str>) {
+    /// Logs and counts a decision that was made with `packet` at hand.
+    pub fn record(&self, now: MonoTime, note: &Note, packet: &[u8]) {
         let label = OutcomeLabel {
             outcome: note.outcome.name(),
         };
@@ -55,7 +56,7 @@
             return;
         }
         budget.used += 1;
-        let request = request.unwrap_or("-");
+        let request = request_of(note, packet).unwrap_or("-");
         if note.outcome.is_harmful() {
             log::warn!(target: part::FLOWS, "{note} request={request}");
         } else {
@@ -77,3 +78,9 @@
         }
     }
 }
+
+/// Returns the identity of the request in a packet, if the decision concerns the packet's flow.
+fn request_of<'a>(note: &Note, packet: &'a [u8]) -> Option<&'a str> {
+    let segment = packet::decode_from_client(packet).ok()?;
+    packet::request_id(packet).filter(|_| note.flow == Some(segment.flow))
+}
--- a/crates/fes-passthrough-node/src/entry_daemon.rs
+++ b/crates/fes-passthrough-node/src/entry_daemon.rs
@@ -302,8 +302,7 @@
                 }
                 EntryAction::Note(note) => {
                     let now = self.context.now();
-                    let request = packet::request_id(packet);
-                    self.context.decisions.record(now, &note, request);
+                    self.context.decisions.record(now, &note, packet);
                 }
             }
         }
--- a/crates/fes-passthrough/src/agent/answers.rs
+++ b/crates/fes-passthrough/src/agent/answers.rs
@@ -45,6 +45,10 @@
         record.is_chosen = true;
         if let Some(run_us) = run_us {
             self.queue.record_run(run_us);
+            let note = Note::new(Outcome::Answered)
+                .flow(flow)
+                .age_ms(run_us / 1_000);
+            out.push(AgentAction::Note(note));
             self.release(now, out);
         }
         if let Some(probe) = self.probes.remove(&flow) {
--- a/crates/fes-passthrough/src/agent/delivery.rs
+++ b/crates/fes-passthrough/src/agent/delivery.rs
@@ -91,8 +91,18 @@
             out.push(AgentAction::Note(note));
             return;
         }
+        let begins = record.begins_request(segment);
         record.record_delivery(now, segment);
         out.push(AgentAction::Deliver);
+        if begins {
+            self.note_started(now, flow, out);
+        }
+    }
+
+    fn note_started(&self, now: MonoTime, flow: FlowKey, out: &mut Vec<AgentAction>) {
+        let running = u64::from(self.counts(now).running);
+        let note = Note::new(Outcome::Started).flow(flow).load(running);
+        out.push(AgentAction::Note(note.version(self.born_ms)));
     }
 
     /// Nothing more of the flow is handed to the target, so that the request never runs.
@@ -126,6 +136,7 @@
                 record.record_delivery(now, &segment);
                 out.push(AgentAction::DeliverStored { packet });
             }
+            self.note_started(now, held.flow, out);
         }
     }
 
--- a/crates/fes-passthrough/src/note.rs
+++ b/crates/fes-passthrough/src/note.rs
@@ -34,6 +34,10 @@
     RouteRemoved,
     /// A target accepted a flow.
     Accepted,
+    /// A request was handed to the target; `load` is the number that run with it.
+    Started,
+    /// The target answered a request; `age_ms` is how long it ran.
+    Answered,
     /// A request is held back, since the target's slots are taken.
     HeldBack,
     /// A request that was held back was dropped: nobody waits for it any more. It has not run.
@@ -72,6 +76,8 @@
             Self::TargetEnded => "target_ended",
             Self::RouteRemoved => "route_removed",
             Self::Accepted => "accepted",
+            Self::Started => "started",
+            Self::Answered => "answered",
             Self::HeldBack => "held_back",
             Self::TimedOutWaiting => "timed_out_waiting",
             Self::GivenUpWaiting => "given_up_waiting",
