Reset flows of a crashed target with a number that clients accept

Change: the flow's record keeps the client's newest acknowledgement; a search without a packet probes nobody.

--- a/crates/fes-passthrough/src/entry/following.rs
+++ b/crates/fes-passthrough/src/entry/following.rs
@@ -77,6 +77,7 @@
             return;
         };
         record.is_closing |= segment.is_fin || segment.is_reset;
+        record.acknowledged = segment.acknowledged;
         record.touch(now, idle_timeout_ms);
         let demand = record.demand;
         let service = record.service;
@@ -106,7 +107,7 @@
             },
             FlowState::Sought(search) => {
                 if search.may_restart(now) {
-                    *search = Search::new(now, segment, packet);
+                    *search = Search::new(now, packet);
                     self.continue_search(now, flow, out);
                 } else if !search.keep(packet) {
                     let note = self.note(now, Outcome::DroppedSearching, flow);
--- a/crates/fes-passthrough/src/entry/opening.rs
+++ b/crates/fes-passthrough/src/entry/opening.rs
@@ -115,6 +115,7 @@
             state: FlowState::Opening(opening),
             forget_at: MonoTime::NEVER,
             is_closing: false,
+            acknowledged: 0,
         };
         record.touch(now, 0);
         self.flows.insert(segment.flow, record);
--- a/crates/fes-passthrough/src/entry/searching.rs
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -49,9 +49,10 @@
         let mut record = FlowRecord {
             service: route.services[0].service,
             demand: route.demand,
-            state: FlowState::Sought(Search::new(now, segment, packet)),
+            state: FlowState::Sought(Search::new(now, packet)),
             forget_at: MonoTime::NEVER,
             is_closing: segment.is_fin,
+            acknowledged: segment.acknowledged,
         };
         record.touch(now, self.idle_timeout_ms());
         self.flows.insert(flow, record);
@@ -154,7 +155,7 @@
         if !is_sure || !self.agents.heard(now).all(|vm| search.is_denied_by(vm)) {
             return;
         }
-        let sequence = search.acknowledged();
+        let sequence = record.acknowledged;
         self.flows.remove(&flow);
         out.push(EntryAction::ResetClient { flow, sequence });
         let note = self.note(now, Outcome::SearchLost, flow);
@@ -233,13 +234,16 @@
         let FlowState::Sought(search) = &mut record.state else {
             return;
         };
+        let Some(packet) = search.first_packet().map(Box::<[u8]>::from) else {
+            return;
+        };
         search.record_probed(now, vms);
         self.search_queue.push_back((search.next_round_at(), flow));
         for vm in vms {
             out.push(EntryAction::ForwardStored {
                 vm: *vm,
                 forward,
-                packet: search.first_packet().into(),
+                packet: packet.clone(),
             });
         }
     }
--- a/crates/fes-passthrough/src/flow_directory.rs
+++ b/crates/fes-passthrough/src/flow_directory.rs
@@ -79,6 +79,8 @@
     pub forget_at: MonoTime,
     /// An end has closed its half.
     pub is_closing: bool,
+    /// Newest number that the client acknowledged, which a reset must be near.
+    pub acknowledged: u32,
 }
 
 /// All flows that the entry remembers.
--- a/crates/fes-passthrough/src/flow_search.rs
+++ b/crates/fes-passthrough/src/flow_search.rs
@@ -11,7 +11,6 @@
 use fes_protocol::MonoTime;
 
 use crate::CHOICES_PER_DATA_CENTRE;
-use crate::Segment;
 
 /// Agents answer within one trip between data centres.
 const ROUND_TIMEOUT_MS: u64 = 40;
@@ -52,7 +51,6 @@
 #[derive(Debug, Clone, Default)]
 pub struct Search {
     packets: Vec<Box<[u8]>>,
-    acknowledged: u32,
     next_round: usize,
     repeats: u32,
     asked: Vec<Ipv4Addr>,
@@ -66,10 +64,9 @@
 impl Search {
     /// Starts a search for the flow of a packet.
     #[must_use]
-    pub fn new(now: MonoTime, segment: &Segment, packet: &[u8]) -> Self {
+    pub fn new(now: MonoTime, packet: &[u8]) -> Self {
         Self {
             packets: vec![packet.into()],
-            acknowledged: segment.acknowledged,
             restart_at: now.plus_ms(RESTART_MS),
             ..Self::default()
         }
@@ -84,10 +81,11 @@
         has_room
     }
 
-    /// Returns the packet with which a target may be probed.
+    /// Returns the packet with which a target may be probed. There is none until the client sends
+    /// again, if the search began with a target's denial.
     #[must_use]
-    pub fn first_packet(&self) -> &[u8] {
-        self.packets.first().map_or(&[], |packet| packet)
+    pub fn first_packet(&self) -> Option<&[u8]> {
+        self.packets.first().map(|packet| &**packet)
     }
 
     /// Returns the packets that wait for the flow's target, in the order of their arrival.
@@ -96,12 +94,6 @@
         self.packets
     }
 
-    /// Returns the number that the client acknowledged last, which a reset must be near.
-    #[must_use]
-    pub const fn acknowledged(&self) -> u32 {
-        self.acknowledged
-    }
-
     /// Returns whether a later packet may start the search, for the first time or again.
     #[must_use]
     pub fn may_restart(&self, now: MonoTime) -> bool {
--- a/crates/fes-passthrough/tests/flows.rs
+++ b/crates/fes-passthrough/tests/flows.rs
@@ -147,6 +147,25 @@
     assert!(world.count(Outcome::TargetEnded) + world.count(Outcome::SearchLost) >= told);
 }
 
+/// Guards against a reset that clients ignore, because its sequence number is far from what they
+/// acknowledged, after a crash that the platform's list doesn't show yet.
+#[test]
+fn clients_are_told_before_they_send_again() {
+    let mut world = world_with_streams(3, 3, 30, 4);
+    world.run_until(1_500);
+
+    world.targets[1].crash_and_restart();
+    world.run_until(3_000);
+
+    let told: Vec<u64> = world
+        .clients
+        .iter()
+        .filter_map(|c| c.told_after_ms)
+        .collect();
+    assert!(told.len() >= 5, "{} clients were told", told.len());
+    assert!(told.iter().all(|after_ms| *after_ms < 100), "{told:?}");
+}
+
 /// Guards against new flows at a target that is about to leave, and against cut-off ones.
 #[test]
 fn a_draining_target_gets_no_new_flow_and_keeps_its_own() {
--- a/crates/fes-passthrough/tests/support/client.rs
+++ b/crates/fes-passthrough/tests/support/client.rs
@@ -10,6 +10,9 @@
 const FIRST_RETRY_MS: u64 = 200;
 const LONGEST_RETRY_MS: u64 = 1_600;
 
+/// A client with an open flow ignores resets that are further from its last acknowledgement.
+const RESET_WINDOW: u32 = 76_800;
+
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Answer {
@@ -32,6 +35,8 @@
     /// Resets that arrived while the flow was open.
     pub resets_while_open: usize,
     pub is_refused: bool,
+    /// Time from sending a request to the reset that ended it.
+    pub told_after_ms: Option<u64>,
     pause_ms: u64,
     requests_left: usize,
     state: State,
@@ -50,6 +55,7 @@
             answers: Vec::new(),
             resets_while_open: 0,
             is_refused: false,
+            told_after_ms: None,
             pause_ms,
             requests_left: requests,
             state: State::Opening { copies: 0 },
@@ -119,6 +125,16 @@
 
     fn take(&mut self, now_ms: u64, segment: &Segment) -> (Option<Segment>, Option<u64>) {
         if segment.is_reset {
+            let distance = segment
+                .sequence
+                .wrapping_sub(self.acknowledgement().acknowledged);
+            let is_near = distance.min(distance.wrapping_neg()) <= RESET_WINDOW;
+            if self.is_open() && !is_near {
+                return (None, None);
+            }
+            if let State::Waiting { since_ms } = self.state {
+                self.told_after_ms = Some(now_ms - since_ms);
+            }
             if self.is_open() {
                 self.resets_while_open += 1;
             } else {
--- a/crates/fes-passthrough/tests/support/world.rs
+++ b/crates/fes-passthrough/tests/support/world.rs
@@ -414,7 +414,9 @@
                     self.send_to_agent(vm, from, forward, packet.to_vec());
                 }
                 EntryAction::Send { vm, message } => self.send_to_process(vm, from, message),
-                EntryAction::ResetClient { flow, .. } => self.send(Event::ToClient(reset(flow))),
+                EntryAction::ResetClient { flow, sequence } => {
+                    self.send(Event::ToClient(reset(flow, sequence)));
+                }
                 EntryAction::Note(note) => {
                     *self.outcomes.entry(note.outcome.name()).or_default() += 1
                 }
@@ -448,7 +450,9 @@
                         self.send(Event::EntryMessage(known, vm(index), message, carried));
                     }
                 }
-                AgentAction::ResetClient { flow, .. } => self.send(Event::ToClient(reset(flow))),
+                AgentAction::ResetClient { flow, sequence } => {
+                    self.send(Event::ToClient(reset(flow, sequence)));
+                }
                 AgentAction::Note(note) => {
                     *self.outcomes.entry(note.outcome.name()).or_default() += 1
                 }
@@ -482,7 +486,7 @@
     }
 }
 
-fn reset(flow: FlowKey) -> Segment {
+fn reset(flow: FlowKey, sequence: u32) -> Segment {
     Segment {
         flow,
         sender: Sender::Target,
@@ -491,7 +495,7 @@
         is_fin: false,
         is_reset: true,
         is_returned: false,
-        sequence: 0,
+        sequence,
         acknowledged: 0,
         payload_bytes: 0,
     }
