--- a/crates/fes-passthrough-node/src/lib.rs
+++ b/crates/fes-passthrough-node/src/lib.rs
@@ -4,6 +4,7 @@
 mod agent_daemon;
 mod decision_log;
 mod entry_daemon;
+mod explain_logs;
 mod list_follower;
 mod node_context;
 mod settings_watch;
@@ -12,5 +13,10 @@
 
 pub use agent_daemon::run_agent;
 pub use entry_daemon::run_entry;
+pub use explain_logs::Explanation;
+pub use explain_logs::LogLine;
+pub use explain_logs::explain;
+pub use explain_logs::render;
 pub use node_context::NodeContext;
 pub use settings_watch::load_settings;
+pub use settings_watch::load_settings_at_start;
--- a/crates/fes-passthrough-node/src/main.rs
+++ b/crates/fes-passthrough-node/src/main.rs
@@ -4,11 +4,15 @@
 use std::process::ExitCode;
 
 use clap::Arg;
+use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
 use fes_passthrough::NodePlace;
+use fes_passthrough_node::LogLine;
 use fes_passthrough_node::NodeContext;
-use fes_passthrough_node::load_settings;
+use fes_passthrough_node::explain;
+use fes_passthrough_node::load_settings_at_start;
+use fes_passthrough_node::render;
 use fes_passthrough_node::run_agent;
 use fes_passthrough_node::run_entry;
 use fes_protocol::Error;
@@ -19,13 +23,19 @@
 const ENTRY: &str = "entry";
 const AGENT: &str = "agent";
 const CHECK: &str = "check";
+const EXPLAIN: &str = "explain";
+const LOGS: &str = "logs";
+const REQUEST: &str = "request";
 const INVALID_SETTINGS_EXIT_STATUS: u8 = 2;
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
+    if let Some(matches) = matches.subcommand_matches(EXPLAIN) {
+        return explain_request(matches);
+    }
     let path = matches.get_one::<PathBuf>(SETTINGS).cloned();
     let level = matches.get_one::<LevelFilter>(LOG_LEVEL).copied();
-    let settings = match load_settings(path.clone()) {
+    let settings = match load_settings_at_start(path.as_deref()) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error}; {}", error.help());
@@ -61,6 +71,28 @@
     }
 }
 
+fn explain_request(matches: &ArgMatches) -> ExitCode {
+    let paths = matches.get_many::<PathBuf>(LOGS).into_iter().flatten();
+    let mut files = Vec::new();
+    for path in paths {
+        match std::fs::read_to_string(path) {
+            Ok(text) => files.push((path.display().to_string(), text)),
+            Err(error) => {
+                eprintln!("{}: {error}", path.display());
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    let lines: Vec<LogLine<'_>> = files
+        .iter()
+        .flat_map(|(file, text)| text.lines().map(move |text| LogLine { file, text }))
+        .collect();
+    let request = matches.get_one::<String>(REQUEST);
+    let explanation = explain(&lines, request.map_or("", String::as_str));
+    print!("{}", render(&explanation));
+    ExitCode::SUCCESS
+}
+
 fn command() -> Command {
     Command::new("fescueshift-passthrough")
         .version(env!("CARGO_PKG_VERSION"))
@@ -85,6 +117,24 @@
         .subcommand(Command::new(ENTRY).about("Receives clients' packets and finds their target"))
         .subcommand(Command::new(AGENT).about("Delivers packets to the target on its VM"))
         .subcommand(Command::new(CHECK).about("Reads the settings, prints them and ends"))
+        .subcommand(
+            Command::new(EXPLAIN)
+                .about("Follows a request through collected logs and says how it ended")
+                .arg(
+                    Arg::new(LOGS)
+                        .long(LOGS)
+                        .help("Collected output of the processes")
+                        .value_name("FILE")
+                        .num_args(1..)
+                        .required(true)
+                        .value_parser(value_parser!(PathBuf)),
+                )
+                .arg(
+                    Arg::new(REQUEST)
+                        .help("Identity of the request")
+                        .required(true),
+                ),
+        )
         .after_help(
             "Drains on SIGTERM and reads its settings again on SIGHUP. Exit status: 0 after a\n\
              drain, 1 if the start failed, 2 on invalid settings or a usage error.",
--- a/crates/fes-passthrough-node/src/settings_watch.rs
+++ b/crates/fes-passthrough-node/src/settings_watch.rs
@@ -1,5 +1,6 @@
 //! Reads settings at the start, on request, and when the file changed without a signal.
 
+use std::path::Path;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -15,6 +16,9 @@
 use crate::node_context::NodeContext;
 
 const FILE_CHECK_PERIOD_MS: u64 = 2_000;
+/// A file is written within milliseconds; a wrong one should end the process soon.
+const START_ATTEMPTS: u32 = 10;
+const START_RETRY_MS: u64 = 50;
 
 /// Reads the settings from `path`, or from the file that the platform names.
 ///
@@ -35,6 +39,23 @@
     parse_settings(&text)
 }
 
+/// As [`load_settings`], but reads an unusable file again for a short while: it may just be written.
+///
+/// # Errors
+///
+/// As [`load_settings`], of the last attempt.
+pub fn load_settings_at_start(path: Option<&Path>) -> Result<NodeSettings> {
+    let mut attempt = 1;
+    loop {
+        let loaded = load_settings(path.map(Path::to_path_buf));
+        if loaded.is_ok() || attempt >= START_ATTEMPTS {
+            return loaded;
+        }
+        attempt += 1;
+        std::thread::sleep(Duration::from_millis(START_RETRY_MS));
+    }
+}
+
 /// Reads the settings again and returns them if they changed. Unusable settings are logged, and
 /// those in force stay.
 pub(crate) fn reload(context: &NodeContext, current: &NodeSettings) -> Option<NodeSettings> {
--- /dev/null
+++ b/crates/fes-passthrough-node/tests/settings.rs
@@ -0,0 +1,53 @@
+//! Settings files that are being written while a process starts.
+
+use std::fs;
+use std::sync::mpsc::channel;
+use std::thread;
+
+use fes_passthrough_node::load_settings;
+use fes_passthrough_node::load_settings_at_start;
+
+const SETTINGS: &str = r#"
+nodeName = "n"
+zone = "z"
+internalPortRange = [1, 2]
+[listenAddresses]
+datagramAddress = "127.0.0.1:3"
+ready = "127.0.0.1:4"
+[bounds]
+gracePeriodS = 6
+[platform]
+address = "127.0.0.1:5"
+"#;
+
+/// Guards against a process that ends because its settings file was half written (soak, seed 113).
+#[test]
+fn a_file_that_is_being_written_is_read_again() {
+    let folder = tempfile::tempdir().expect("folder");
+    let path = folder.path().join("settings.toml");
+    fs::write(&path, "").expect("written");
+    let is_refused_at_once = load_settings(Some(path.clone())).is_err();
+    let (begin, begun) = channel::<()>();
+    let written = path.clone();
+    let writer = thread::spawn(move || {
+        begun.recv().expect("told");
+        fs::write(written, SETTINGS).expect("written");
+    });
+
+    begin.send(()).expect("writer waits");
+    let settings = load_settings_at_start(Some(&path));
+
+    writer.join().expect("written");
+    assert!(is_refused_at_once);
+    assert_eq!(settings.expect("valid").name.as_str(), "n");
+}
+
+/// Guards against a process that waits for ever for usable settings.
+#[test]
+fn a_file_that_stays_unusable_is_refused() {
+    let folder = tempfile::tempdir().expect("folder");
+    let path = folder.path().join("settings.toml");
+    fs::write(&path, "nonsense").expect("written");
+
+    assert!(load_settings_at_start(Some(&path)).is_err());
+}
--- /dev/null
+++ b/crates/fes-passthrough-node/tests/soak.rs
@@ -0,0 +1,32 @@
+//! A short seeded soak of the real daemons; longer ones are run by hand with `fescueshift-soak`.
+
+use std::path::PathBuf;
+
+use fes_soak::SoakOptions;
+use fes_soak::run;
+use rstest::rstest;
+
+/// Guards against daemons that lose, double or misdirect requests, break flows, end by themselves
+/// or don't recover, while they are killed, paused, stopped and restarted and the store fails.
+#[rstest]
+#[case::first(1)]
+fn no_promise_is_broken_under_faults(#[case] seed: u64) {
+    let folder = tempfile::tempdir().expect("folder");
+    let options = SoakOptions {
+        seed,
+        program: PathBuf::from(env!("CARGO_BIN_EXE_fescueshift-passthrough")),
+        entries: 3,
+        targets: 4,
+        clients: 6,
+        faults_ms: 6_000,
+        folder: folder.path().into(),
+    };
+
+    let soak = run(&options);
+    let report = actix_rt::System::new()
+        .block_on(soak)
+        .expect("stand-ins start");
+
+    println!("{report:?}");
+    assert_eq!(report.violations, Vec::<String>::new());
+}
