Fill the latency histograms from decisions and drop what nothing used

Change: acceptances carry the time since the flow was placed; answers and acceptances go into histograms; the unused items are gone.

--- a/crates/fes-passthrough-node/src/agent_daemon.rs
+++ b/crates/fes-passthrough-node/src/agent_daemon.rs
@@ -224,10 +224,6 @@
                     let packet = if with_packet { packet } else { &[] };
                     self.send(entry, &message, packet);
                 }
-                AgentAction::ResetClient { flow, sequence } => {
-                    let reset = packet::encode_reset(flow, sequence);
-                    self.send_to_client(&reset);
-                }
                 AgentAction::Note(note) => {
                     let now = self.context.now();
                     self.context.decisions.record(now, &note, packet);
--- a/crates/fes-passthrough-node/src/decision_log.rs
+++ b/crates/fes-passthrough-node/src/decision_log.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::sync::Arc;
+use std::time::Duration;
 
 use fes_adapter::packet;
 use fes_passthrough::Note;
@@ -47,6 +48,7 @@
             outcome: note.outcome.name(),
         };
         self.metrics.flow_decisions.get_or_create(&label).inc();
+        self.observe_duration(note);
         self.renew(now);
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(note.outcome).or_default();
@@ -64,6 +66,19 @@
         }
     }
 
+    /// Adds what a decision says of a duration to the histograms.
+    fn observe_duration(&self, note: &Note) {
+        let duration_s = Duration::from_millis(note.age_ms).as_secs_f64();
+        match note.outcome {
+            Outcome::Answered => self.metrics.request_duration.observe(duration_s),
+            // Agents note the acceptance too, but don't know when the flow was placed.
+            Outcome::Accepted if note.vm.is_some() => {
+                self.metrics.flow_accept_duration.observe(duration_s);
+            }
+            _ => {}
+        }
+    }
+
     /// Starts new budgets each second and says what the old ones left out.
     fn renew(&self, now: MonoTime) {
         if now < *self.renew_at.borrow() {
--- a/crates/fes-passthrough-node/src/lib.rs
+++ b/crates/fes-passthrough-node/src/lib.rs
@@ -12,6 +12,7 @@
 mod udp;
 
 pub use agent_daemon::run_agent;
+pub use decision_log::DecisionLog;
 pub use entry_daemon::run_entry;
 pub use explain_logs::Explanation;
 pub use explain_logs::LogLine;
--- a/crates/fes-passthrough/src/agent/agent_core.rs
+++ b/crates/fes-passthrough/src/agent/agent_core.rs
@@ -38,13 +38,6 @@
         /// Whether the packet at hand goes with it.
         with_packet: bool,
     },
-    /// Tell the client that the flow doesn't exist.
-    ResetClient {
-        /// Flow.
-        flow: FlowKey,
-        /// Sequence number, near what the client acknowledged.
-        sequence: u32,
-    },
     /// Log and count a decision.
     Note(Note),
 }
@@ -196,13 +189,6 @@
         self.probes.retain(|_, probe| now < probe.forget_at);
     }
 
-    /// Returns when the next report is due.
-    #[must_use]
-    pub fn next_report_at(&self) -> MonoTime {
-        let due = self.entries.values().map(|link| link.report_at);
-        due.min().unwrap_or(MonoTime::NEVER)
-    }
-
     pub(super) fn is_complete(&self, now: MonoTime) -> bool {
         now >= self.complete_at
     }
--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -206,7 +206,7 @@
                 flow,
                 sequence,
                 born_ms,
-            } => self.on_opened(vm, *flow, *sequence, *born_ms, out),
+            } => self.on_opened(now, vm, *flow, *sequence, *born_ms, out),
             Message::Returned { flow, reason } => {
                 self.on_returned(now, vm, *flow, *reason, packet, out);
             }
--- a/crates/fes-passthrough/src/entry/opening.rs
+++ b/crates/fes-passthrough/src/entry/opening.rs
@@ -248,6 +248,7 @@
 
     pub(super) fn on_opened(
         &mut self,
+        now: MonoTime,
         vm: Ipv4Addr,
         flow: FlowKey,
         sequence: u32,
@@ -262,13 +263,15 @@
             return;
         };
         opening.try_next_at = MonoTime::NEVER;
-        if let Some(attempt) = opening.attempts.iter_mut().find(|a| a.vm == vm) {
-            attempt.opening_sequence = Some(sequence);
-            attempt.born_ms = born_ms;
-        }
+        let Some(attempt) = opening.attempts.iter_mut().find(|a| a.vm == vm) else {
+            return;
+        };
+        attempt.opening_sequence = Some(sequence);
+        attempt.born_ms = born_ms;
         let note = Note::new(Outcome::Accepted)
             .flow(flow)
             .vm(vm)
+            .age_ms(now.ms_since(attempt.sent_at))
             .version(born_ms);
         out.push(EntryAction::Note(note));
     }
--- a/crates/fes-passthrough/src/note.rs
+++ b/crates/fes-passthrough/src/note.rs
@@ -32,7 +32,7 @@
     TargetEnded,
     /// The route was removed; the client was told by a reset.
     RouteRemoved,
-    /// A target accepted a flow.
+    /// A target accepted a flow; at an entry, `age_ms` is the time since it was placed there.
     Accepted,
     /// A request was handed to the target; `load` is the number that run with it.
     Started,
--- a/crates/fes-passthrough/tests/support/world.rs
+++ b/crates/fes-passthrough/tests/support/world.rs
@@ -450,9 +450,6 @@
                         self.send(Event::EntryMessage(known, vm(index), message, carried));
                     }
                 }
-                AgentAction::ResetClient { flow, sequence } => {
-                    self.send(Event::ToClient(reset(flow, sequence)));
-                }
                 AgentAction::Note(note) => {
                     *self.outcomes.entry(note.outcome.name()).or_default() += 1
                 }
