Learn a target that lapsed and returned from any peer

Change: the revision in which an entry was created is kept; an entry listed anew counts as a change, whether or not its lapse was seen.

--- a/crates/fes-passthrough/src/catalogue.rs
+++ b/crates/fes-passthrough/src/catalogue.rs
@@ -111,4 +111,6 @@
     pub warm_up_ms: u32,
     /// Revision of the platform's list in which the record was written.
     pub revision: u64,
+    /// Revision in which the target was listed; a later one after a lapse.
+    pub created_revision: u64,
 }
--- a/crates/fes-passthrough/src/fleet_view.rs
+++ b/crates/fes-passthrough/src/fleet_view.rs
@@ -279,9 +279,13 @@
             remove_from_service(&mut self.by_service, &known.record);
         }
         let listed_at = previous.map_or(now, |known| known.listed_at);
-        let was_lapsed = previous.is_some_and(|k| matches!(k.listing, Listing::Lapsed { .. }));
+        // Others may have seen a lapse that wasn't seen here.
+        let is_listed_anew = previous.is_none_or(|known| {
+            known.record.created_revision != record.created_revision
+                || matches!(known.listing, Listing::Lapsed { .. })
+        });
         let changed_revision = match previous {
-            Some(known) if !is_change && !was_lapsed => known.changed_revision,
+            Some(known) if !is_change && !is_listed_anew => known.changed_revision,
             _ => record.revision,
         };
         self.index(&record);
--- a/crates/fes-passthrough/tests/exchange.rs
+++ b/crates/fes-passthrough/tests/exchange.rs
@@ -10,6 +10,7 @@
 use fes_passthrough::Message;
 use fes_passthrough::Route;
 use fes_passthrough::RouteSet;
+use fes_passthrough::TargetRecord;
 use fes_passthrough::TargetState;
 use fes_passthrough::ViewDigest;
 use fes_passthrough::ViewExchange;
@@ -261,3 +262,46 @@
     let is_known = learner.view.revision() == 20;
     assert!(!is_known || learner.view.targets().count() == TARGETS);
 }
+
+/// Guards against a target that stays lost: one peer saw its entry lapse, another only saw it after
+/// it was back, and so had no change to tell of (trouble-3 of the grown stave-market).
+#[test]
+fn an_entry_that_lapsed_and_returned_is_learnt_from_any_peer() {
+    let now = MonoTime::from_ms(500);
+    let mut saw_the_lapse = reader();
+    let id = UpstreamName::from("t-1");
+    let lapse = ListChange::NoTarget { id, revision: 25 };
+    saw_the_lapse.view.apply(now, lapse);
+    saw_the_lapse.view.confirm(now, 26);
+    let mut saw_the_return = reader();
+    let returned = TargetRecord {
+        revision: 27,
+        created_revision: 27,
+        ..target(1, 27)
+    };
+    saw_the_return.view.apply(now, ListChange::Target(returned));
+    saw_the_return.view.confirm(now, 30);
+    let mut learner = reader();
+
+    for peer in [&mut saw_the_lapse, &mut saw_the_return] {
+        let question = ViewDigest {
+            incarnation: 1,
+            revision: learner.view.revision(),
+            routes_version: learner.view.routes().version,
+            age_ms: 0,
+            wants_newer: true,
+            entries: Vec::new(),
+        };
+        let from = peer.vm;
+        let answers = peer
+            .exchange
+            .on_digest(now, entry_vm(5), &question, &mut peer.view);
+        for (_, message) in answers {
+            take(&mut learner, now, from, &message);
+        }
+    }
+    learner.view.expire(MonoTime::from_ms(60_000));
+
+    assert_eq!(learner.view.revision(), 30);
+    assert_eq!(learner.view.targets().count(), TARGETS);
+}
--- a/crates/fes-passthrough/tests/support/fixtures.rs
+++ b/crates/fes-passthrough/tests/support/fixtures.rs
@@ -79,6 +79,7 @@
         born_ms: 1_000,
         warm_up_ms: 0,
         revision,
+        created_revision: 1,
     }
 }
 
--- a/crates/fes-soak/src/store.rs
+++ b/crates/fes-soak/src/store.rs
@@ -49,6 +49,7 @@
 struct Item {
     value: String,
     revision: u64,
+    created: u64,
 }
 
 /// The store.
@@ -89,10 +90,17 @@
     /// Writes an entry.
     pub fn put(&self, key: &str, value: String) {
         let revision = self.next_revision();
-        self.record(revision, encode_item(key, &value, revision));
-        self.items
-            .borrow_mut()
-            .insert(key.into(), Item { value, revision });
+        let created = self.items.borrow().get(key).map(|item| item.created);
+        let created = created.unwrap_or(revision);
+        self.record(revision, encode_item(key, &value, revision, created));
+        self.items.borrow_mut().insert(
+            key.into(),
+            Item {
+                value,
+                revision,
+                created,
+            },
+        );
     }
 
     /// Removes an entry.
@@ -153,14 +161,17 @@
         let page: Vec<Value> = matching
             .by_ref()
             .take(PAGE_ITEMS)
-            .map(|(key, item)| encode_item(key, &item.value, item.revision))
+            .map(|(key, item)| encode_item(key, &item.value, item.revision, item.created))
             .collect();
         encode_page(&page, matching.next().is_some(), self.revision.get())
     }
 
     fn read(&self, key: &str) -> (StatusCode, Value) {
         match self.items.borrow().get(key) {
-            Some(item) => (StatusCode::OK, encode_item(key, &item.value, item.revision)),
+            Some(item) => (
+                StatusCode::OK,
+                encode_item(key, &item.value, item.revision, item.created),
+            ),
             None => (StatusCode::NOT_FOUND, Value::Null),
         }
     }
--- a/crates/fes-soak/src/targets.rs
+++ b/crates/fes-soak/src/targets.rs
@@ -133,6 +133,7 @@
             born_ms: self.born_ms.get(),
             warm_up_ms: 0,
             revision: 0,
+            created_revision: 0,
         }
     }
 
