Let no start time from the list end a flow

For the same reason an agent may not call itself complete when its target's start time changes.

Change: a packet goes to its known target whatever the list says; one that the target hands back starts a search, and only that ends in a reset. An agent that can't vouch for an owner says so.

--- a/crates/fes-passthrough-node/src/explain_logs.rs
+++ b/crates/fes-passthrough-node/src/explain_logs.rs
@@ -84,9 +84,7 @@
             "It waited for a slot until its client left. It has not run."
         }
         () if has("timed_out_waiting") => "It waited for a slot until its timeout. It has not run.",
-        () if has("search_lost") || has("target_ended") => {
-            "Its target ended, and the client was told by a reset."
-        }
+        () if has("search_lost") => "Its target ended, and the client was told by a reset.",
         () if has("route_removed") => "Its route was removed, and the client was told by a reset.",
         () if has("started") => {
             "The target had it and no answer was seen: look for the end of the target or agent."
--- a/crates/fes-passthrough/src/agent/delivery.rs
+++ b/crates/fes-passthrough/src/agent/delivery.rs
@@ -185,6 +185,8 @@
         out: &mut Vec<AgentAction>,
     ) {
         let flow = segment.flow;
+        // Start times come from the platform's list, which may lag behind a restart; so one that
+        // differs proves nothing, and the entry has to search.
         let is_same_life = forward.born_ms == self.born_ms && self.born_ms != 0;
         let is_vouched = forward.claim == Claim::Owner && is_same_life;
         let may_probe = forward.claim == Claim::Probe;
@@ -200,6 +202,10 @@
             out.push(AgentAction::Deliver);
             return;
         }
+        if forward.claim == Claim::Owner {
+            self.deny(entry, forward, flow, out);
+            return;
+        }
         if self.probes.contains_key(&flow) || !may_probe {
             // Neither yes nor no: the target's answer is awaited, or may not be asked for.
             return;
--- a/crates/fes-passthrough/src/agent/links.rs
+++ b/crates/fes-passthrough/src/agent/links.rs
@@ -70,7 +70,7 @@
         self.is_draining = is_draining;
         self.slots = hint.slots;
         if is_new_life {
-            self.on_target_started(now);
+            self.watch.reset();
         }
         if is_change {
             let note = Note::new(Outcome::TargetChanged)
@@ -81,13 +81,6 @@
         }
     }
 
-    /// The target started again: it holds no flow of before. Flows that it has written on lately
-    /// may be its new ones and stay.
-    pub(super) fn on_target_started(&mut self, now: MonoTime) {
-        self.complete_at = now;
-        self.watch.reset();
-    }
-
     pub(super) fn report_to_all(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
         let all = self.entries.keys().copied().collect();
         self.report(now, all, out);
--- a/crates/fes-passthrough/src/entry/following.rs
+++ b/crates/fes-passthrough/src/entry/following.rs
@@ -116,28 +116,12 @@
                 return;
             }
         };
-        if self.has_ended(owner) {
-            self.flows.remove(&flow);
-            if !segment.is_reset {
-                self.reset(now, Outcome::TargetEnded, segment, out);
-            }
-            return;
-        }
         out.push(EntryAction::Forward {
             vm: owner.vm,
             forward: forward(Claim::Owner, owner.born_ms),
         });
     }
 
-    /// Returns whether the target with this start time has been replaced by a later one.
-    pub(super) fn has_ended(&self, owner: Owner) -> bool {
-        if owner.born_ms == 0 {
-            return false;
-        }
-        let listed = self.view.target_on(owner.vm);
-        listed.is_some_and(|record| record.born_ms > owner.born_ms)
-    }
-
     /// The agent that was taken for the owner's says that its target doesn't hold the flow; the
     /// flow's next packet starts a search.
     pub(super) fn on_owner_denies(&mut self, now: MonoTime, vm: Ipv4Addr, flow: FlowKey) {
--- a/crates/fes-passthrough/src/note.rs
+++ b/crates/fes-passthrough/src/note.rs
@@ -28,8 +28,6 @@
     SearchFound,
     /// No target holds the flow; the client was told by a reset.
     SearchLost,
-    /// The flow's target ended; the client was told by a reset.
-    TargetEnded,
     /// The route was removed; the client was told by a reset.
     RouteRemoved,
     /// A target accepted a flow; at an entry, `age_ms` is the time since it was placed there.
@@ -73,7 +71,6 @@
             Self::SearchStarted => "search_started",
             Self::SearchFound => "search_found",
             Self::SearchLost => "search_lost",
-            Self::TargetEnded => "target_ended",
             Self::RouteRemoved => "route_removed",
             Self::Accepted => "accepted",
             Self::Started => "started",
@@ -102,7 +99,6 @@
                 | Self::TimedOutWaiting
                 | Self::GivenUpWaiting
                 | Self::SearchLost
-                | Self::TargetEnded
                 | Self::RouteRemoved
         )
     }
