--- a/crates/fes-passthrough/tests/support/mod.rs
+++ b/crates/fes-passthrough/tests/support/mod.rs
@@ -5,5 +5,6 @@
 
 pub mod client;
 pub mod fixtures;
+pub mod script;
 pub mod target;
 pub mod world;
