Let delegates ask about flows for an entry

Cause: after all power is lost no process knows a flow, so each is looked for at every agent of its service, and agents that were restarted make the entry send the packet to each of them too: with 49 agents 196 messages, some 27 KB. The logs show it: entries with 200 Mbit/s had every opening accepted, the small ones 41 to 146 of 300 to 500, and all their agents fell silent.

Change: an entry asks up to nine agents itself, and more through a delegate near it, which asks them and tells their answers in one message. Probes go the same way. Claim::Probe is gone: a question with a packet is a probe.

Test: a_search_costs_an_entry_few_messages_however_many_agents_there_are failed with 82 messages at 48 agents, now below its bound of 30.

--- a/crates/fes-passthrough-node/src/entry_daemon.rs
+++ b/crates/fes-passthrough-node/src/entry_daemon.rs
@@ -293,6 +293,11 @@
                     packet,
                 } => self.forward(vm, forward, &packet),
                 EntryAction::Send { vm, message } => self.send(vm, &message, &[]),
+                EntryAction::SendStored {
+                    vm,
+                    message,
+                    packet,
+                } => self.send(vm, &message, &packet),
                 EntryAction::ResetClient { flow, sequence } => {
                     let reset = packet::encode_reset(flow, sequence);
                     let port = self.context.settings.client_address.port();
--- a/crates/fes-passthrough/src/agent/agent_core.rs
+++ b/crates/fes-passthrough/src/agent/agent_core.rs
@@ -6,6 +6,7 @@
 use fes_protocol::MonoTime;
 use fes_protocol::UpstreamName;
 
+use super::asking::Collection;
 use crate::FlowKey;
 use crate::FlowTable;
 use crate::Forward;
@@ -29,9 +30,9 @@
     },
     /// Send the packet at hand to its client.
     SendToClient,
-    /// Send a message to an entry.
+    /// Send a message to an entry, or to another agent.
     Send {
-        /// VM of the entry.
+        /// VM of the receiver.
         entry: Ipv4Addr,
         /// Message.
         message: Message,
@@ -59,6 +60,9 @@
 
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Probe {
+    /// VM that hears if the target doesn't hold the flow.
+    pub(super) asked_by: Ipv4Addr,
+    /// VM of the entry that hears if it does.
     pub(super) entry: Ipv4Addr,
     pub(super) forget_at: MonoTime,
 }
@@ -80,6 +84,7 @@
     pub(super) flows: FlowTable,
     pub(super) queue: RequestQueue,
     pub(super) probes: FastMap<FlowKey, Probe>,
+    pub(super) collections: FastMap<FlowKey, Collection>,
     pub(super) watch: TargetWatch,
     pub(super) entries: FastMap<Ipv4Addr, EntryLink>,
 }
@@ -110,6 +115,7 @@
             flows: FlowTable::default(),
             queue: RequestQueue::default(),
             probes: FastMap::default(),
+            collections: FastMap::default(),
             watch: TargetWatch::default(),
             entries: FastMap::default(),
         }
@@ -156,7 +162,22 @@
                 };
                 self.on_forward(now, from, segment, packet, out);
             }
-            (Message::Ask { flow }, _) => self.on_ask(now, entry, *flow, out),
+            (
+                Message::Ask {
+                    flow,
+                    entry: asks_for,
+                },
+                packet,
+            ) => {
+                let asks_for = asks_for.unwrap_or(entry);
+                let segment = packet.map(|(segment, _)| segment);
+                self.on_ask(now, entry, asks_for, *flow, segment, out);
+            }
+            (Message::AskOthers { flow, agents }, packet) => {
+                self.on_ask_others(now, entry, *flow, agents, packet.is_some(), out);
+            }
+            (Message::NotHeld { flow }, _) => self.on_answer(entry, *flow, false, out),
+            (Message::Unsure { flow }, _) => self.on_answer(entry, *flow, true, out),
             (Message::Hello(hello), _) => self.on_hello(now, entry, hello, out),
             // Other messages are for entries.
             _ => {}
@@ -169,6 +190,7 @@
             out.push(AgentAction::Note(Note::new(Outcome::TargetSilent)));
             self.report_to_all(now, out);
         }
+        self.tell_collected(now, out);
         self.expire_held(now, out);
         self.release(now, out);
         self.entries.retain(|_, link| now < link.silent_at);
@@ -186,7 +208,7 @@
     /// Drops old records; called about once a second.
     pub fn on_slow_tick(&mut self, now: MonoTime) {
         self.flows.expire(now);
-        self.probes.retain(|_, probe| now < probe.forget_at);
+        self.expire_questions(now);
     }
 
     pub(super) fn is_complete(&self, now: MonoTime) -> bool {
--- a/crates/fes-passthrough/src/agent/answers.rs
+++ b/crates/fes-passthrough/src/agent/answers.rs
@@ -73,7 +73,7 @@
         let probe = self.probes.remove(&flow);
         let record = self.flows.remove(&flow);
         self.flows.record_not_held(now, flow);
-        let asked_by = probe.map(|probe| probe.entry);
+        let asked_by = probe.map(|probe| probe.asked_by);
         if let Some(entry) = asked_by.or(record.and_then(|record| record.entry)) {
             out.push(AgentAction::Send {
                 entry,
@@ -114,7 +114,7 @@
                 flow,
                 reason: ReturnReason::NotHeld,
             },
-            Claim::Open | Claim::IfKnown | Claim::Probe => Message::NotHeld { flow },
+            Claim::Open | Claim::IfKnown => Message::NotHeld { flow },
         };
         out.push(AgentAction::Send {
             entry,
@@ -157,31 +157,4 @@
             with_packet: false,
         });
     }
-
-    pub(super) fn on_ask(
-        &mut self,
-        now: MonoTime,
-        entry: Ipv4Addr,
-        flow: FlowKey,
-        out: &mut Vec<AgentAction>,
-    ) {
-        // A flow that is only half open may have been chosen elsewhere.
-        let is_chosen = self.flows.get_mut(&flow).map(|record| record.is_chosen);
-        let message = match is_chosen {
-            Some(true) => Message::Held {
-                flow,
-                born_ms: self.born_ms,
-            },
-            Some(false) => Message::Unsure { flow },
-            None if self.is_complete(now) || self.flows.is_not_held(&flow) => {
-                Message::NotHeld { flow }
-            }
-            None => Message::Unsure { flow },
-        };
-        out.push(AgentAction::Send {
-            entry,
-            message,
-            with_packet: false,
-        });
-    }
 }
--- a/crates/fes-passthrough/src/agent/delivery.rs
+++ b/crates/fes-passthrough/src/agent/delivery.rs
@@ -5,7 +5,6 @@
 use fes_protocol::MonoTime;
 
 use super::agent_core::Origin;
-use super::agent_core::Probe;
 use crate::AgentAction;
 use crate::AgentCore;
 use crate::AgentFlow;
@@ -22,8 +21,6 @@
 
 /// Requests handed to the target beyond its slots.
 const REQUESTS_AHEAD: u32 = 1;
-/// How long an agent waits for a target that it asked about a flow.
-const PROBE_LIMIT_MS: u64 = 3_000;
 
 impl AgentCore {
     pub(super) fn on_forward(
@@ -189,7 +186,6 @@
         // differs proves nothing, and the entry has to search.
         let is_same_life = forward.born_ms == self.born_ms && self.born_ms != 0;
         let is_vouched = forward.claim == Claim::Owner && is_same_life;
-        let may_probe = forward.claim == Claim::Probe;
         if self.is_complete(now) || self.flows.is_not_held(&flow) {
             self.deny(entry, forward, flow, out);
             return;
@@ -202,17 +198,9 @@
             out.push(AgentAction::Deliver);
             return;
         }
+        // Without a claim the answer is neither yes nor no, and the target must not be asked.
         if forward.claim == Claim::Owner {
             self.deny(entry, forward, flow, out);
-            return;
-        }
-        if self.probes.contains_key(&flow) || !may_probe {
-            // Neither yes nor no: the target's answer is awaited, or may not be asked for.
-            return;
         }
-        let forget_at = now.plus_ms(PROBE_LIMIT_MS);
-        self.probes.insert(flow, Probe { entry, forget_at });
-        self.watch.record_opening(now);
-        out.push(AgentAction::Deliver);
     }
 }
--- a/crates/fes-passthrough/src/agent/mod.rs
+++ b/crates/fes-passthrough/src/agent/mod.rs
@@ -1,5 +1,6 @@
 mod agent_core;
 mod answers;
+mod asking;
 mod delivery;
 mod links;
 
--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -59,6 +59,15 @@
         /// Packet.
         packet: Box<[u8]>,
     },
+    /// Send a message to the agent on this VM, with a stored packet.
+    SendStored {
+        /// VM.
+        vm: Ipv4Addr,
+        /// Message.
+        message: Message,
+        /// Packet.
+        packet: Box<[u8]>,
+    },
     /// Send a message to a process on this VM.
     Send {
         /// VM.
@@ -213,6 +222,11 @@
             Message::Held { flow, born_ms } => self.on_held(now, vm, *flow, *born_ms, out),
             Message::NotHeld { flow } => self.on_not_held(now, vm, *flow, out),
             Message::Unsure { flow } => self.on_unsure(now, vm, *flow, out),
+            Message::Answers {
+                flow,
+                not_held_by,
+                unsure,
+            } => self.on_answers(now, *flow, not_held_by, unsure, out),
             Message::Digest(digest) => {
                 let answers = self.exchange.on_digest(now, vm, digest, &mut self.view);
                 out.extend(answers.into_iter().map(send));
@@ -228,7 +242,10 @@
                 self.on_learnt(now, learnt, out);
             }
             // Other messages are for agents.
-            Message::Forward(_) | Message::Hello(_) | Message::Ask { .. } => {}
+            Message::Forward(_)
+            | Message::Hello(_)
+            | Message::Ask { .. }
+            | Message::AskOthers { .. } => {}
         }
     }
 
--- a/crates/fes-passthrough/src/entry/searching.rs
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -31,6 +31,10 @@
 /// An agent answers the first hello within two trips between data centres, and one that is being
 /// restarted within this time.
 const NO_ANSWER_MS: u64 = 1_000;
+/// So many agents are asked without a delegate, which would answer later than they do.
+const ASKED_DIRECTLY: usize = 9;
+/// Agents that one delegate asks: their addresses and a packet fit into a datagram.
+const ASKED_BY_DELEGATE: usize = 64;
 
 impl EntryCore {
     pub(super) fn start_search(
@@ -89,7 +93,7 @@
                 true => self.agents.heard(now).collect(),
                 false => self.agents_of_round(now, service, &flow, round),
             };
-            if self.ask(flow, &agents, out) {
+            if self.ask(now, flow, &agents, out) {
                 self.search_queue.push_back((next_round_at, flow));
                 return;
             }
@@ -113,6 +117,7 @@
     /// Asks those agents that haven't answered yet. Returns whether there were any.
     pub(super) fn ask(
         &mut self,
+        now: MonoTime,
         flow: FlowKey,
         agents: &[Ipv4Addr],
         out: &mut Vec<EntryAction>,
@@ -123,19 +128,64 @@
         let FlowState::Sought(search) = &mut record.state else {
             return false;
         };
-        let mut has_asked = false;
-        for vm in agents
-            .iter()
-            .filter(|vm| !search.is_denied_by(**vm))
-            .copied()
-            .collect::<Vec<_>>()
-        {
-            search.record_asked(vm);
-            has_asked = true;
-            let message = Message::Ask { flow };
-            out.push(EntryAction::Send { vm, message });
+        let open = agents.iter().filter(|vm| !search.is_denied_by(**vm));
+        let open: Vec<Ipv4Addr> = open.copied().collect();
+        for vm in &open {
+            search.record_asked(*vm);
+        }
+        let repeats = search.repeats();
+        self.send_questions(now, flow, &open, repeats, None, out);
+        !open.is_empty()
+    }
+
+    /// Asks few agents directly, and many through delegates.
+    fn send_questions(
+        &self,
+        now: MonoTime,
+        flow: FlowKey,
+        agents: &[Ipv4Addr],
+        repeats: u32,
+        packet: Option<&[u8]>,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let send = |vm, message| match packet {
+            None => EntryAction::Send { vm, message },
+            Some(packet) => EntryAction::SendStored {
+                vm,
+                message,
+                packet: packet.into(),
+            },
+        };
+        if agents.len() <= ASKED_DIRECTLY {
+            let ask = |vm: &Ipv4Addr| send(*vm, Message::Ask { flow, entry: None });
+            out.extend(agents.iter().map(ask));
+            return;
+        }
+        let delegates = self.delegates(now);
+        let first = usize::from(flow.client.port()) + repeats as usize;
+        for (index, part) in agents.chunks(ASKED_BY_DELEGATE).enumerate() {
+            let Some(offset) = (first + index).checked_rem(delegates.len()) else {
+                return;
+            };
+            let agents = part.to_vec();
+            out.push(send(delegates[offset], Message::AskOthers { flow, agents }));
+        }
+    }
+
+    /// Returns agents that may ask others for this entry: those near it, since their answers take
+    /// no longer than if it asked itself.
+    fn delegates(&self, now: MonoTime) -> Vec<Ipv4Addr> {
+        let heard: Vec<Ipv4Addr> = self.agents.heard(now).collect();
+        let is_near = |vm: &&Ipv4Addr| {
+            let target = self.view.target_on(**vm);
+            target.is_some_and(|target| target.data_centre == self.data_centre)
+        };
+        let mut delegates: Vec<Ipv4Addr> = heard.iter().filter(is_near).copied().collect();
+        if delegates.is_empty() {
+            delegates = heard;
         }
-        has_asked
+        delegates.sort_unstable();
+        delegates
     }
 
     /// Resets a flow that no target holds, if all of them could be asked.
@@ -197,6 +247,27 @@
         }
     }
 
+    /// Takes the answers that a delegate has collected.
+    pub(super) fn on_answers(
+        &mut self,
+        now: MonoTime,
+        flow: FlowKey,
+        not_held_by: &[Ipv4Addr],
+        unsure: &[Ipv4Addr],
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(record) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        if let FlowState::Sought(search) = &mut record.state {
+            not_held_by
+                .iter()
+                .for_each(|vm| search.record_not_held(*vm));
+            unsure.iter().for_each(|vm| search.record_unsure(*vm));
+            self.follow_progress(now, flow, out);
+        }
+    }
+
     /// Goes on with a search once all that were asked have answered.
     fn follow_progress(&mut self, now: MonoTime, flow: FlowKey, out: &mut Vec<EntryAction>) {
         let Some(record) = self.flows.get_mut(&flow) else {
@@ -225,12 +296,6 @@
         let Some(record) = self.flows.get_mut(&flow) else {
             return;
         };
-        let forward = Forward {
-            claim: Claim::Probe,
-            service: record.service,
-            born_ms: 0,
-            demand: record.demand,
-        };
         let FlowState::Sought(search) = &mut record.state else {
             return;
         };
@@ -238,14 +303,9 @@
             return;
         };
         search.record_probed(now, vms);
+        let repeats = search.repeats();
         self.search_queue.push_back((search.next_round_at(), flow));
-        for vm in vms {
-            out.push(EntryAction::ForwardStored {
-                vm: *vm,
-                forward,
-                packet: packet.clone(),
-            });
-        }
+        self.send_questions(now, flow, vms, repeats, Some(&packet), out);
     }
 
     pub(super) fn run_due_searches(&mut self, now: MonoTime, out: &mut Vec<EntryAction>) {
@@ -276,7 +336,7 @@
             self.continue_search(now, flow, out);
             return;
         }
-        self.ask(flow, &missing, out);
+        self.ask(now, flow, &missing, out);
         self.search_queue.push_back((next_round_at, flow));
     }
 
--- a/crates/fes-passthrough/src/flow_search.rs
+++ b/crates/fes-passthrough/src/flow_search.rs
@@ -111,6 +111,12 @@
         Some(Round { skipped, count })
     }
 
+    /// Returns how often the agents of this round were asked again.
+    #[must_use]
+    pub const fn repeats(&self) -> u32 {
+        self.repeats
+    }
+
     /// Returns the agents that haven't answered, to be asked again, or none if that was done often
     /// enough in this round.
     pub fn repeat_round(&mut self, now: MonoTime) -> Vec<Ipv4Addr> {
--- a/crates/fes-passthrough/src/message.rs
+++ b/crates/fes-passthrough/src/message.rs
@@ -23,9 +23,6 @@
     Owner,
     /// Unknown: deliver only what the target is known to hold.
     IfKnown,
-    /// The agent can't know whether its target holds the flow, and every agent that might is being
-    /// asked: hand the packet to the target, once, and see what it does with it.
-    Probe,
 }
 
 /// A client's packet on its way to an agent.
@@ -185,12 +182,33 @@
         /// Why.
         reason: ReturnReason,
     },
-    /// Entry to agent: does the target hold the flow?
+    /// Entry or delegate to agent: does the target hold the flow? If a packet of the flow follows,
+    /// every agent that might hold it is being asked: an agent that can't know hands the packet to
+    /// its target, once, and sees what it does with it.
     Ask {
         /// Flow.
         flow: FlowKey,
+        /// VM of the entry that learns who holds the flow, if a delegate asks for it.
+        entry: Option<Ipv4Addr>,
     },
-    /// Agent to entry: the target may hold the flow; the agent started after it.
+    /// Entry to agent: ask these agents, and tell what they answer together. May be followed by a
+    /// packet to pass on to them.
+    AskOthers {
+        /// Flow.
+        flow: FlowKey,
+        /// VMs of the agents.
+        agents: Vec<Ipv4Addr>,
+    },
+    /// Agent to entry: what agents answered that it was told to ask.
+    Answers {
+        /// Flow.
+        flow: FlowKey,
+        /// VMs of agents whose target doesn't hold the flow.
+        not_held_by: Vec<Ipv4Addr>,
+        /// VMs of agents that can't know.
+        unsure: Vec<Ipv4Addr>,
+    },
+    /// Agent to whoever asked: the target may hold the flow; the agent started after it.
     Unsure {
         /// Flow.
         flow: FlowKey,
@@ -202,7 +220,7 @@
         /// Start time of the target, in milliseconds since the epoch.
         born_ms: u64,
     },
-    /// Agent to entry: the target doesn't hold the flow.
+    /// Agent to entry, or to whoever asked: the target doesn't hold the flow.
     NotHeld {
         /// Flow.
         flow: FlowKey,
--- a/crates/fes-passthrough/tests/flows.rs
+++ b/crates/fes-passthrough/tests/flows.rs
@@ -249,3 +249,31 @@
     assert_eq!(world.resets_while_open(), 0);
     assert_eq!(world.broken_flows(), 0);
 }
+
+/// Guards against searches that fill the link of a small entry after the loss of all power, when
+/// every flow is looked for everywhere (stave-market-grown, trouble-1).
+#[rstest]
+#[case(12)]
+#[case(48)]
+fn a_search_costs_an_entry_few_messages_however_many_agents_there_are(#[case] targets: usize) {
+    let mut world = world_with_streams(1, targets, 10, 1);
+    world.run_until(1_500);
+    for index in 0..targets {
+        world.crash_target(index);
+        world.start_agent(index, false);
+    }
+    world.start_entry(0);
+    world.run_until(1_700);
+    let before = world.entry_messages;
+
+    world.run_until(4_000);
+
+    let searches = world.count(Outcome::SearchStarted);
+    let lost = world.count(Outcome::SearchLost);
+    assert!(
+        lost >= usize::from(STREAMS),
+        "{lost} of {searches} searches ended"
+    );
+    let messages = (world.entry_messages - before) / searches;
+    assert!(messages <= 30, "{messages} messages a search");
+}
--- a/crates/fes-passthrough/tests/support/world.rs
+++ b/crates/fes-passthrough/tests/support/world.rs
@@ -60,6 +60,8 @@
     pub astray: Vec<(FlowKey, u64)>,
     /// Packets that reached the target that holds their flow, with the time.
     pub home: Vec<(FlowKey, u64)>,
+    /// Messages that entries sent or received, apart from heartbeats and the view.
+    pub entry_messages: usize,
     packets: Vec<Segment>,
     queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
     events: Vec<Option<Event>>,
@@ -84,6 +86,7 @@
             outcomes: HashMap::new(),
             astray: Vec::new(),
             home: Vec::new(),
+            entry_messages: 0,
             packets: Vec::new(),
             queue: BinaryHeap::new(),
             events: Vec::new(),
@@ -290,6 +293,7 @@
                 self.perform_entry(index, out, Some(bytes));
             }
             Event::EntryMessage(index, from, message, packet) => {
+                self.count_entry_message(&message);
                 let now = self.now();
                 let mut out = Vec::new();
                 if let Some(entry) = &mut self.entries[index] {
@@ -413,7 +417,18 @@
                 } => {
                     self.send_to_agent(vm, from, forward, packet.to_vec());
                 }
-                EntryAction::Send { vm, message } => self.send_to_process(vm, from, message),
+                EntryAction::Send { vm, message } => {
+                    self.count_entry_message(&message);
+                    self.send_to_process(vm, from, message, Vec::new());
+                }
+                EntryAction::SendStored {
+                    vm,
+                    message,
+                    packet,
+                } => {
+                    self.count_entry_message(&message);
+                    self.send_to_process(vm, from, message, packet.to_vec());
+                }
                 EntryAction::ResetClient { flow, sequence } => {
                     self.send(Event::ToClient(reset(flow, sequence)));
                 }
@@ -445,10 +460,7 @@
                     } else {
                         Vec::new()
                     };
-                    let known = (0..self.entries.len()).find(|i| entry_vm(*i) == entry);
-                    if let Some(known) = known {
-                        self.send(Event::EntryMessage(known, vm(index), message, carried));
-                    }
+                    self.send_to_process(entry, vm(index), message, carried);
                 }
                 AgentAction::Note(note) => {
                     *self.outcomes.entry(note.outcome.name()).or_default() += 1
@@ -463,7 +475,20 @@
         }
     }
 
+    fn count_entry_message(&mut self, message: &Message) {
+        let is_background = matches!(
+            message,
+            Message::Hello(_)
+                | Message::Load(_)
+                | Message::Digest(_)
+                | Message::Routes(_)
+                | Message::Targets(_)
+        );
+        self.entry_messages += usize::from(!is_background);
+    }
+
     fn send_to_agent(&mut self, to: Ipv4Addr, from: Ipv4Addr, forward: Forward, packet: Vec<u8>) {
+        self.entry_messages += 1;
         if let Some(index) = (0..self.agents.len()).find(|i| vm(*i) == to) {
             self.send(Event::AgentMessage(
                 index,
@@ -474,11 +499,11 @@
         }
     }
 
-    fn send_to_process(&mut self, to: Ipv4Addr, from: Ipv4Addr, message: Message) {
+    fn send_to_process(&mut self, to: Ipv4Addr, from: Ipv4Addr, message: Message, packet: Vec<u8>) {
         if let Some(index) = (0..self.agents.len()).find(|i| vm(*i) == to) {
-            self.send(Event::AgentMessage(index, from, message, Vec::new()));
+            self.send(Event::AgentMessage(index, from, message, packet));
         } else if let Some(index) = (0..self.entries.len()).find(|i| entry_vm(*i) == to) {
-            self.send(Event::EntryMessage(index, from, message, Vec::new()));
+            self.send(Event::EntryMessage(index, from, message, packet));
         }
     }
 }
