Count only the newest run of a target as missed by a search

That target's VM stood on the list twice: its former run was ready, its present run drained, and the agent's report that it is leaving was held against the former run.

Change: only the newest target of a VM counts. Hellos use the same list.

--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -343,14 +343,7 @@
 
     pub(super) fn send_hellos(&mut self, now: MonoTime, out: &mut Vec<EntryAction>) {
         let report_period_ms = u32::try_from(self.report_period_ms()).unwrap_or(u32::MAX);
-        for record in self.view.targets() {
-            if self
-                .view
-                .target_on(record.vm)
-                .is_none_or(|r| r.id != record.id)
-            {
-                continue;
-            }
+        for record in self.view.newest_targets() {
             let next_at = self.next_hello_at.entry(record.vm).or_default();
             if now < *next_at {
                 continue;
--- a/crates/fes-passthrough/src/entry/searching.rs
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -218,15 +218,16 @@
     /// or cut off, and those beside a target that was about to leave, which has left. Targets of
     /// all services count, since a flow stays at its target when its route moves.
     pub(super) fn unheard_targets(&self, now: MonoTime) -> u64 {
-        let is_missed = |(target, known_for_ms): &(&TargetRecord, u64)| {
+        let is_missed = |target: &&TargetRecord| {
             let has_left = target.state == TargetState::Draining;
-            match self.agents.get(target.vm) {
-                Some(agent) if agent.is_heard(now) => !has_left && agent.report().is_leaving,
-                Some(agent) => !has_left && agent.age_ms(now) < ABSENT_AFTER_MS,
-                None => !has_left && *known_for_ms < NO_ANSWER_MS,
-            }
+            let is_late = match self.agents.get(target.vm) {
+                Some(agent) if agent.is_heard(now) => agent.report().is_leaving,
+                Some(agent) => agent.age_ms(now) < ABSENT_AFTER_MS,
+                None => self.view.listed_for_ms(now, &target.id) < NO_ANSWER_MS,
+            };
+            is_late && !has_left
         };
-        let missed = self.view.targets_with_age_ms(now).filter(is_missed);
+        let missed = self.view.newest_targets().filter(is_missed);
         u64::try_from(missed.count()).unwrap_or(u64::MAX)
     }
 
--- a/crates/fes-passthrough/src/fleet_view.rs
+++ b/crates/fes-passthrough/src/fleet_view.rs
@@ -239,10 +239,16 @@
         gone.map(|(id, at)| (id.clone(), at))
     }
 
-    /// Returns all targets with the time since each became known, in milliseconds.
-    pub fn targets_with_age_ms(&self, now: MonoTime) -> impl Iterator<Item = (&TargetRecord, u64)> {
-        let listed = self.targets.values();
-        listed.map(move |target| (&target.record, now.ms_since(target.listed_at)))
+    /// Returns the newest listed target of each VM; others on the list have ended.
+    pub fn newest_targets(&self) -> impl Iterator<Item = &TargetRecord> {
+        self.by_vm.keys().filter_map(|vm| self.target_on(*vm))
+    }
+
+    /// Returns how long a target has been listed, in milliseconds, or 0 if it isn't.
+    #[must_use]
+    pub fn listed_for_ms(&self, now: MonoTime, id: &UpstreamName) -> u64 {
+        let target = self.targets.get(id);
+        target.map_or(0, |target| now.ms_since(target.listed_at))
     }
 
     /// Returns all targets that are listed or may come back.
--- a/crates/fes-passthrough/tests/flows.rs
+++ b/crates/fes-passthrough/tests/flows.rs
@@ -277,3 +277,23 @@
     let messages = (world.entry_messages - before) / searches;
     assert!(messages <= 30, "{messages} messages a search");
 }
+
+/// Guards against searches that wait for a target's former run, which is still listed while its
+/// present run drains (mafraq-gauge-grown, trouble-2: 2 s after a loss of all power).
+#[test]
+fn a_former_run_on_the_list_delays_no_search() {
+    let mut world = world_with_streams(1, 6, 10, 3);
+    world.run_until(1_500);
+    for index in 0..6 {
+        world.crash_target(index);
+        world.start_agent(index, false);
+    }
+    world.change_target(0, |record| record.state = TargetState::Draining);
+    world.start_entry(0);
+    world.list_former_run(0);
+
+    world.run_until(2_500);
+
+    let lost = world.count(Outcome::SearchLost);
+    assert!(lost >= usize::from(STREAMS), "{lost} searches ended");
+}
--- a/crates/fes-passthrough/tests/support/world.rs
+++ b/crates/fes-passthrough/tests/support/world.rs
@@ -17,8 +17,10 @@
 use fes_passthrough::Segment;
 use fes_passthrough::Sender;
 use fes_passthrough::TargetRecord;
+use fes_passthrough::TargetState;
 use fes_protocol::DataCentreName;
 use fes_protocol::MonoTime;
+use fes_protocol::UpstreamName;
 
 use super::client::Client;
 use super::fixtures::SERVICE;
@@ -170,6 +172,22 @@
         }
     }
 
+    /// Leaves the record of a target's former run on the list, beside the one of its present run.
+    pub fn list_former_run(&mut self, index: usize) {
+        let mut former = self.records[index].clone();
+        former.id = UpstreamName::from(format!("former-{index}"));
+        former.born_ms -= 1;
+        former.state = TargetState::Ready;
+        let now = self.now();
+        for entry in 0..self.entries.len() {
+            let mut out = Vec::new();
+            if let Some(core) = &mut self.entries[entry] {
+                core.on_change(now, ListChange::Target(former.clone()), &mut out);
+            }
+            self.perform_entry(entry, out, None);
+        }
+    }
+
     pub fn crash_target(&mut self, index: usize) {
         self.targets[index].crash_and_restart();
         let born_ms = self.targets[index].born_ms;
