Don't leave callers to their next retransmission

Cause: clients double the time between retransmissions, up to 1.6 s, and three waits ended only with the next one. (2) A search waited for the answer of an agent that had ended meanwhile.

Change: a search goes on every 60 ms for 2 s, and without agents that aren't heard any more. Packets that come before any route is known are kept and carried then, unless their client must have given up. A flow's first request is as old as its opening. More than two agents are asked through a delegate.

--- a/crates/fes-passthrough/src/agent/delivery.rs
+++ b/crates/fes-passthrough/src/agent/delivery.rs
@@ -82,6 +82,7 @@
             return;
         }
         if record.begins_request(segment) && !has_slot && !self.queue.is_full() {
+            let demand = record.next_demand(now, demand);
             self.queue.push(now, demand, *segment, packet);
             let waiting = u64::try_from(self.queue.len()).unwrap_or(u64::MAX);
             let note = Note::new(Outcome::HeldBack).flow(flow).load(waiting);
@@ -167,6 +168,7 @@
         let record = self.flows.get_or_insert(segment.flow, new);
         record.entry = Some(entry);
         record.is_stream |= is_stream;
+        record.record_opening(now, forward.demand);
         record.record_delivery(now, segment);
         self.watch.record_opening(now);
         out.push(AgentAction::Deliver);
--- a/crates/fes-passthrough/src/catalogue.rs
+++ b/crates/fes-passthrough/src/catalogue.rs
@@ -50,6 +50,19 @@
     pub timeout_ms: u32,
 }
 
+impl Demand {
+    /// Returns what is left of it for a request that has waited.
+    #[must_use]
+    pub fn after_ms(self, waited_ms: u64) -> Self {
+        let waited_ms = u32::try_from(waited_ms).unwrap_or(u32::MAX);
+        Self {
+            latency_goal_ms: self.latency_goal_ms.saturating_sub(waited_ms),
+            timeout_ms: self.timeout_ms.saturating_sub(waited_ms),
+            ..self
+        }
+    }
+}
+
 /// A service among those of a route, with its share of new flows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WeightedService {
--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -10,6 +10,7 @@
 use fes_protocol::FastMap;
 use fes_protocol::MonoTime;
 
+use super::early_packets::EarlyPackets;
 use crate::AgentTable;
 use crate::FleetView;
 use crate::FlowDirectory;
@@ -95,6 +96,7 @@
     pub(super) agents: AgentTable,
     pub(super) flows: FlowDirectory,
     pub(super) exchange: ViewExchange,
+    pub(super) early: EarlyPackets,
     /// Flows to look at for one more try, in the order of their deadlines.
     pub(super) opening_queue: VecDeque<(MonoTime, FlowKey)>,
     /// Searches whose next round is due, in the order of their deadlines.
@@ -120,6 +122,7 @@
             view: FleetView::new(),
             agents: AgentTable::default(),
             flows: FlowDirectory::default(),
+            early: EarlyPackets::default(),
             opening_queue: VecDeque::new(),
             search_queue: VecDeque::new(),
             next_hello_at: FastMap::default(),
@@ -188,15 +191,38 @@
         segment: &Segment,
         packet: &[u8],
         out: &mut Vec<EntryAction>,
+    ) {
+        if !self.view.has_routes() && self.keep_early(now, segment, packet) {
+            let note = self.note(now, Outcome::KeptEarly, segment.flow);
+            out.push(EntryAction::Note(note));
+            return;
+        }
+        self.carry(now, now, segment, packet, out);
+    }
+
+    /// Carries a packet that may have waited here since it arrived.
+    pub(super) fn carry(
+        &mut self,
+        now: MonoTime,
+        arrived_at: MonoTime,
+        segment: &Segment,
+        packet: &[u8],
+        out: &mut Vec<EntryAction>,
     ) {
         let Some(route) = self.view.route(segment.flow.destination).cloned() else {
             self.on_no_route(now, segment, out);
             return;
         };
+        let waited_ms = now.ms_since(arrived_at);
+        if waited_ms >= u64::from(route.demand.timeout_ms) {
+            let note = self.note(now, Outcome::DroppedStale, segment.flow);
+            out.push(EntryAction::Note(note.age_ms(waited_ms)));
+            return;
+        }
         if segment.is_open {
-            self.on_opening(now, segment, &route, packet, out);
+            self.on_opening(now, arrived_at, segment, &route, packet, out);
         } else {
-            self.on_following(now, segment, &route, packet, out);
+            self.on_following(now, arrived_at, segment, &route, packet, out);
         }
     }
 
@@ -264,6 +290,7 @@
             self.on_view_event(&event, out);
         }
         self.send_hellos(now, out);
+        self.carry_early(now, out);
         let digests = self.exchange.on_tick(now, &self.view);
         out.extend(digests.into_iter().map(send));
         self.try_due_openings(now, out);
--- a/crates/fes-passthrough/src/entry/following.rs
+++ b/crates/fes-passthrough/src/entry/following.rs
@@ -65,6 +65,7 @@
     pub(super) fn on_following(
         &mut self,
         now: MonoTime,
+        arrived_at: MonoTime,
         segment: &Segment,
         route: &Route,
         packet: &[u8],
@@ -73,7 +74,7 @@
         let flow = segment.flow;
         let idle_timeout_ms = self.idle_timeout_ms();
         let Some(record) = self.flows.get_mut(&flow) else {
-            self.start_search(now, segment, route, packet, out);
+            self.start_search(now, arrived_at, segment, route, packet, out);
             return;
         };
         record.is_closing |= segment.is_fin || segment.is_reset;
@@ -107,7 +108,7 @@
             },
             FlowState::Sought(search) => {
                 if search.may_restart(now) {
-                    *search = Search::new(now, packet);
+                    *search = Search::new(now, arrived_at, packet);
                     self.continue_search(now, flow, out);
                 } else if !search.keep(packet) {
                     let note = self.note(now, Outcome::DroppedSearching, flow);
--- a/crates/fes-passthrough/src/entry/mod.rs
+++ b/crates/fes-passthrough/src/entry/mod.rs
@@ -1,3 +1,4 @@
+mod early_packets;
 mod entry_core;
 mod following;
 mod opening;
--- a/crates/fes-passthrough/src/entry/opening.rs
+++ b/crates/fes-passthrough/src/entry/opening.rs
@@ -34,6 +34,7 @@
     pub(super) fn on_opening(
         &mut self,
         now: MonoTime,
+        arrived_at: MonoTime,
         segment: &Segment,
         route: &Route,
         packet: &[u8],
@@ -41,7 +42,7 @@
     ) {
         let flow = segment.flow;
         if !self.flows.contains(&flow) {
-            self.place_first(now, segment, route, packet, out);
+            self.place_first(now, arrived_at, segment, route, packet, out);
             return;
         }
         self.repeat_opening(now, segment, out);
@@ -90,6 +91,7 @@
     pub(super) fn place_first(
         &mut self,
         now: MonoTime,
+        arrived_at: MonoTime,
         segment: &Segment,
         route: &Route,
         packet: &[u8],
@@ -105,6 +107,7 @@
             return;
         };
         let opening = Opening {
+            arrived_at,
             attempts: Vec::with_capacity(1),
             packet: packet.into(),
             try_next_at: MonoTime::NEVER,
@@ -226,6 +229,7 @@
         opening.try_next_at = now.plus_ms(ACCEPT_TIMEOUT_MS);
         self.opening_queue.push_back((opening.try_next_at, flow));
         let packet = opening.packet.clone();
+        let waited_ms = now.ms_since(opening.arrived_at);
         self.agents.record_placed(now, choice.vm, is_stream);
         out.push(EntryAction::ForwardStored {
             vm: choice.vm,
@@ -233,7 +237,7 @@
                 claim: Claim::Open,
                 service: choice.service,
                 born_ms: choice.born_ms,
-                demand,
+                demand: demand.after_ms(waited_ms),
             },
             packet,
         });
--- a/crates/fes-passthrough/src/entry/searching.rs
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -24,6 +24,7 @@
 use crate::TargetRecord;
 use crate::TargetState;
 use crate::first_of_order;
+use crate::rank_of_attempt;
 
 /// A listed target whose agent has been silent for this long is taken to be gone. Longer than the
 /// planned restart of an agent.
@@ -31,8 +32,9 @@
 /// An agent answers the first hello within two trips between data centres, and one that is being
 /// restarted within this time.
 const NO_ANSWER_MS: u64 = 1_000;
-/// So many agents are asked without a delegate, which would answer later than they do.
-const ASKED_DIRECTLY: usize = 9;
+/// Agents that are asked without a delegate. Each packet costs an entry with a small share of a core
+/// dearly, while the detour through an agent nearby takes half a millisecond.
+const ASKED_DIRECTLY: usize = 2;
 /// Agents that one delegate asks: their addresses and a packet fit into a datagram.
 const ASKED_BY_DELEGATE: usize = 64;
 
@@ -40,6 +42,7 @@
     pub(super) fn start_search(
         &mut self,
         now: MonoTime,
+        arrived_at: MonoTime,
         segment: &Segment,
         route: &Route,
         packet: &[u8],
@@ -53,7 +56,7 @@
         let mut record = FlowRecord {
             service: route.services[0].service,
             demand: route.demand,
-            state: FlowState::Sought(Search::new(now, packet)),
+            state: FlowState::Sought(Search::new(now, arrived_at, packet)),
             forget_at: MonoTime::NEVER,
             is_closing: segment.is_fin,
             acknowledged: segment.acknowledged,
@@ -161,31 +164,25 @@
             out.extend(agents.iter().map(ask));
             return;
         }
-        let delegates = self.delegates(now);
-        let first = usize::from(flow.client.port()) + repeats as usize;
         for (index, part) in agents.chunks(ASKED_BY_DELEGATE).enumerate() {
-            let Some(offset) = (first + index).checked_rem(delegates.len()) else {
+            let attempt = u64::from(repeats) + u64::try_from(index).unwrap_or(0);
+            let Some(delegate) = self.delegate(now, &flow, attempt) else {
                 return;
             };
             let agents = part.to_vec();
-            out.push(send(delegates[offset], Message::AskOthers { flow, agents }));
+            out.push(send(delegate, Message::AskOthers { flow, agents }));
         }
     }
 
-    /// Returns agents that may ask others for this entry: those near it, since their answers take
-    /// no longer than if it asked itself.
-    fn delegates(&self, now: MonoTime) -> Vec<Ipv4Addr> {
-        let heard: Vec<Ipv4Addr> = self.agents.heard(now).collect();
-        let is_near = |vm: &&Ipv4Addr| {
-            let target = self.view.target_on(**vm);
-            target.is_some_and(|target| target.data_centre == self.data_centre)
+    /// Returns an agent that may ask others for this entry, another one for each attempt. Agents
+    /// near the entry go first.
+    fn delegate(&self, now: MonoTime, flow: &FlowKey, attempt: u64) -> Option<Ipv4Addr> {
+        let is_far = |vm: Ipv4Addr| {
+            let target = self.view.target_on(vm);
+            target.is_none_or(|target| target.data_centre != self.data_centre)
         };
-        let mut delegates: Vec<Ipv4Addr> = heard.iter().filter(is_near).copied().collect();
-        if delegates.is_empty() {
-            delegates = heard;
-        }
-        delegates.sort_unstable();
-        delegates
+        let heard = self.agents.heard(now);
+        heard.min_by_key(|vm| (is_far(*vm), rank_of_attempt(flow, *vm, attempt)))
     }
 
     /// Resets a flow that no target holds, if all of them could be asked.
@@ -199,10 +196,13 @@
         let Some(record) = self.flows.get_mut(&flow) else {
             return;
         };
-        let FlowState::Sought(search) = &record.state else {
+        let FlowState::Sought(search) = &mut record.state else {
             return;
         };
         if !is_sure || !self.agents.heard(now).all(|vm| search.is_denied_by(vm)) {
+            if search.retry_later(now) {
+                self.search_queue.push_back((search.next_round_at(), flow));
+            }
             return;
         }
         let sequence = record.acknowledged;
@@ -280,33 +280,38 @@
         match search.progress() {
             Progress::Waiting => {}
             Progress::AllDenied => self.continue_search(now, flow, out),
-            Progress::MayProbe(vms) => self.probe(now, flow, &vms, out),
+            Progress::MayProbe(vms) => {
+                self.probe(now, flow, &vms, out);
+            }
         }
     }
 
+    /// Hands the packet to targets whose agents can't know, unless the flow's own target might not be
+    /// among them. Returns whether it did.
     fn probe(
         &mut self,
         now: MonoTime,
         flow: FlowKey,
         vms: &[Ipv4Addr],
         out: &mut Vec<EntryAction>,
-    ) {
+    ) -> bool {
         if !self.is_view_sure(now) || self.unheard_targets(now) > 0 {
-            return;
+            return false;
         }
         let Some(record) = self.flows.get_mut(&flow) else {
-            return;
+            return false;
         };
         let FlowState::Sought(search) = &mut record.state else {
-            return;
+            return false;
         };
         let Some(packet) = search.first_packet().map(Box::<[u8]>::from) else {
-            return;
+            return false;
         };
         search.record_probed(now, vms);
         let repeats = search.repeats();
         self.search_queue.push_back((search.next_round_at(), flow));
         self.send_questions(now, flow, vms, repeats, Some(&packet), out);
+        true
     }
 
     pub(super) fn run_due_searches(&mut self, now: MonoTime, out: &mut Vec<EntryAction>) {
@@ -322,7 +327,8 @@
         }
     }
 
-    /// Asks agents again that are heard but haven't answered; without such, begins the next round.
+    /// Asks agents again that are heard but haven't answered; without such, goes on with the
+    /// answers that there are.
     fn repeat_or_continue(&mut self, now: MonoTime, flow: FlowKey, out: &mut Vec<EntryAction>) {
         let Some(record) = self.flows.get_mut(&flow) else {
             return;
@@ -330,11 +336,19 @@
         let FlowState::Sought(search) = &mut record.state else {
             return;
         };
-        let mut missing = search.repeat_round(now);
+        let missing = search.repeat_round(now);
+        let is_heard = |vm: &Ipv4Addr| self.agents.get(*vm).is_some_and(|a| a.is_heard(now));
+        let (missing, gone): (Vec<_>, Vec<_>) = missing.into_iter().partition(is_heard);
+        search.forget_asked(&gone);
         let next_round_at = search.next_round_at();
-        missing.retain(|vm| self.agents.get(*vm).is_some_and(|a| a.is_heard(now)));
         if missing.is_empty() {
-            self.continue_search(now, flow, out);
+            let is_probed = match search.progress() {
+                Progress::MayProbe(vms) => self.probe(now, flow, &vms, out),
+                Progress::Waiting | Progress::AllDenied => false,
+            };
+            if !is_probed {
+                self.continue_search(now, flow, out);
+            }
             return;
         }
         self.ask(now, flow, &missing, out);
@@ -362,13 +376,13 @@
         let owned = FlowState::Owned(Owner { vm, born_ms });
         let before = std::mem::replace(&mut record.state, owned);
         record.touch(now, idle_timeout_ms);
-        let forward = Forward {
-            claim: Claim::Owner,
-            service: record.service,
-            born_ms,
-            demand: record.demand,
-        };
         if let FlowState::Sought(search) = before {
+            let forward = Forward {
+                claim: Claim::Owner,
+                service: record.service,
+                born_ms,
+                demand: record.demand.after_ms(now.ms_since(search.arrived_at())),
+            };
             // A target that was probed has the first packet already, and ignores a repetition.
             for packet in search.into_packets() {
                 out.push(EntryAction::ForwardStored {
--- a/crates/fes-passthrough/src/flow_directory.rs
+++ b/crates/fes-passthrough/src/flow_directory.rs
@@ -38,6 +38,8 @@
 /// A flow that is being opened.
 #[derive(Debug, Clone)]
 pub struct Opening {
+    /// When its first packet arrived.
+    pub arrived_at: MonoTime,
     /// Targets tried, in order.
     pub attempts: Vec<Attempt>,
     /// The opening packet, for a further attempt.
--- a/crates/fes-passthrough/src/flow_search.rs
+++ b/crates/fes-passthrough/src/flow_search.rs
@@ -16,6 +16,10 @@
 const ROUND_TIMEOUT_MS: u64 = 40;
 /// Questions and answers may be lost, and agents may be busy.
 const MAX_REPEATS: u32 = 3;
+/// A search that couldn't be concluded goes on after this time: an agent may be heard again.
+const RETRY_MS: u64 = 60;
+/// After this time a search is left to the client, which sends again every 1.6 s at least.
+const RETRY_LIMIT_MS: u64 = 2_000;
 /// A search that found nothing starts again with a later packet of the client, not before this.
 const RESTART_MS: u64 = 150;
 /// Packets kept while a flow is looked for; a client has at most 16 in flight.
@@ -50,6 +54,8 @@
 /// A search in progress.
 #[derive(Debug, Clone, Default)]
 pub struct Search {
+    /// When the first packet arrived.
+    arrived_at: MonoTime,
     packets: Vec<Box<[u8]>>,
     next_round: usize,
     repeats: u32,
@@ -59,15 +65,18 @@
     probed: Vec<Ipv4Addr>,
     next_round_at: MonoTime,
     restart_at: MonoTime,
+    retry_until: MonoTime,
 }
 
 impl Search {
-    /// Starts a search for the flow of a packet.
+    /// Starts a search for the flow of a packet that may have arrived earlier.
     #[must_use]
-    pub fn new(now: MonoTime, packet: &[u8]) -> Self {
+    pub fn new(now: MonoTime, arrived_at: MonoTime, packet: &[u8]) -> Self {
         Self {
+            arrived_at,
             packets: vec![packet.into()],
             restart_at: now.plus_ms(RESTART_MS),
+            retry_until: now.plus_ms(RETRY_LIMIT_MS),
             ..Self::default()
         }
     }
@@ -88,6 +97,12 @@
         self.packets.first().map(|packet| &**packet)
     }
 
+    /// Returns when the first packet arrived.
+    #[must_use]
+    pub const fn arrived_at(&self) -> MonoTime {
+        self.arrived_at
+    }
+
     /// Returns the packets that wait for the flow's target, in the order of their arrival.
     #[must_use]
     pub fn into_packets(self) -> Vec<Box<[u8]>> {
@@ -133,6 +148,21 @@
         self.is_denied_by(vm) || self.unsure.contains(&vm)
     }
 
+    /// Prepares to ask those agents again that haven't denied to hold the flow. Returns whether it
+    /// isn't too late for that.
+    pub fn retry_later(&mut self, now: MonoTime) -> bool {
+        let may_retry = now < self.retry_until;
+        if may_retry {
+            self.asked.clear();
+            self.unsure.clear();
+            self.probed.clear();
+            self.next_round = ROUND_SIZES.len() - 1;
+            self.repeats = MAX_REPEATS;
+            self.next_round_at = now.plus_ms(RETRY_MS);
+        }
+        may_retry
+    }
+
     /// Returns when the next round begins if agents don't answer.
     #[must_use]
     pub const fn next_round_at(&self) -> MonoTime {
@@ -146,6 +176,11 @@
         }
     }
 
+    /// Records that agents won't answer, since they have ended.
+    pub fn forget_asked(&mut self, agents: &[Ipv4Addr]) {
+        self.asked.retain(|vm| !agents.contains(vm));
+    }
+
     /// Records that an agent's target doesn't hold the flow.
     pub fn record_not_held(&mut self, vm: Ipv4Addr) {
         if !self.not_held_by.contains(&vm) {
--- a/crates/fes-passthrough/src/flow_table.rs
+++ b/crates/fes-passthrough/src/flow_table.rs
@@ -5,6 +5,7 @@
 use fes_protocol::KeyedMap;
 use fes_protocol::MonoTime;
 
+use crate::Demand;
 use crate::FlowKey;
 use crate::Segment;
 
@@ -33,6 +34,8 @@
     pub is_running: bool,
     running_since: MonoTime,
     requests: u32,
+    /// What the first request needs, counted from when the flow was opened here.
+    first_demand: Option<(Demand, MonoTime)>,
     /// Number after the newest byte of the client that was handed to the target or acknowledged by
     /// it. Unknown until one of them is seen.
     next_client_sequence: Option<u32>,
@@ -54,6 +57,7 @@
             is_running: false,
             running_since: MonoTime::ZERO,
             requests: 0,
+            first_demand: None,
             next_client_sequence: None,
             is_abandoned: false,
             is_closing: false,
@@ -67,6 +71,25 @@
         !self.is_running && self.is_new_data(segment)
     }
 
+    /// Records what the flow's first request needs, with the opening packet.
+    pub const fn record_opening(&mut self, now: MonoTime, demand: Demand) {
+        if self.first_demand.is_none() {
+            self.first_demand = Some((demand, now));
+        }
+    }
+
+    /// Returns what is left of what the flow's next request needs. The first one waits since the
+    /// flow was opened; for later ones it is `demand`.
+    #[must_use]
+    pub fn next_demand(&self, now: MonoTime, demand: Demand) -> Demand {
+        match self.first_demand {
+            Some((first, opened_at)) if self.requests == 0 => {
+                first.after_ms(now.ms_since(opened_at))
+            }
+            _ => demand,
+        }
+    }
+
     /// Records a packet of the client that is delivered to the target.
     pub fn record_delivery(&mut self, now: MonoTime, segment: &Segment) {
         self.is_closing |= segment.is_fin || segment.is_reset;
--- a/crates/fes-passthrough/src/lib.rs
+++ b/crates/fes-passthrough/src/lib.rs
@@ -76,6 +76,7 @@
 pub use placement::choose;
 pub use ranking::CHOICES_PER_DATA_CENTRE;
 pub use ranking::first_of_order;
+pub use ranking::rank_of_attempt;
 pub use request_queue::HeldRequest;
 pub use request_queue::RequestQueue;
 pub use segment::FlowKey;
--- a/crates/fes-passthrough/src/note.rs
+++ b/crates/fes-passthrough/src/note.rs
@@ -20,6 +20,10 @@
     RefusedOverload,
     /// A packet was dropped: routes aren't known yet or may be out of date.
     DroppedUnsure,
+    /// A packet that came before any route is known is kept until then.
+    KeptEarly,
+    /// A packet that was kept was dropped: its client has given up meanwhile.
+    DroppedStale,
     /// A packet was dropped: its flow is being looked for.
     DroppedSearching,
     /// All agents of the service were asked for a flow.
@@ -67,6 +71,8 @@
             Self::RefusedNoTarget => "refused_no_target",
             Self::RefusedOverload => "refused_overload",
             Self::DroppedUnsure => "dropped_unsure",
+            Self::KeptEarly => "kept_early",
+            Self::DroppedStale => "dropped_stale",
             Self::DroppedSearching => "dropped_searching",
             Self::SearchStarted => "search_started",
             Self::SearchFound => "search_found",
@@ -96,6 +102,8 @@
                 | Self::RefusedNoTarget
                 | Self::RefusedOverload
                 | Self::DroppedUnsure
+                | Self::KeptEarly
+                | Self::DroppedStale
                 | Self::TimedOutWaiting
                 | Self::GivenUpWaiting
                 | Self::SearchLost
--- a/crates/fes-passthrough/src/ranking.rs
+++ b/crates/fes-passthrough/src/ranking.rs
@@ -47,6 +47,12 @@
     mix(mix(client).wrapping_add(destination) ^ mix(u64::from(u32::from(vm))))
 }
 
+/// Rank of a VM for one of several attempts, each of which has another order.
+#[must_use]
+pub fn rank_of_attempt(flow: &FlowKey, vm: Ipv4Addr, attempt: u64) -> u64 {
+    mix(rank(flow, vm).wrapping_add(attempt))
+}
+
 /// Finaliser of SplitMix64, by Steele, Lea and Flood.
 const fn mix(value: u64) -> u64 {
     let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- /dev/null
+++ b/crates/fes-passthrough/tests/agent.rs
@@ -0,0 +1,120 @@
+//! Decisions of an agent on its own, with a target that has one slot.
+
+mod support;
+
+use fes_passthrough::AgentAction;
+use fes_passthrough::AgentCore;
+use fes_passthrough::Claim;
+use fes_passthrough::Demand;
+use fes_passthrough::FlowKey;
+use fes_passthrough::FlowUse;
+use fes_passthrough::Forward;
+use fes_passthrough::Hello;
+use fes_passthrough::Message;
+use fes_passthrough::Segment;
+use fes_passthrough::Sender;
+use fes_passthrough::TargetHint;
+use fes_passthrough::TargetState;
+use fes_protocol::MonoTime;
+
+use support::fixtures::SERVICE;
+use support::fixtures::client_segment;
+use support::fixtures::demand;
+use support::fixtures::entry_vm;
+use support::fixtures::flow;
+use support::fixtures::opening;
+use support::fixtures::stream_address;
+
+const REQUEST_BYTES: u16 = 100;
+
+fn agent_with_one_slot() -> AgentCore {
+    let mut agent = AgentCore::new(MonoTime::ZERO, 1, SERVICE, true);
+    let hello = Message::Hello(Hello {
+        incarnation: 1,
+        report_period_ms: 100,
+        target: Some(TargetHint {
+            id: "t-0".into(),
+            service: SERVICE,
+            born_ms: 1_000,
+            state: TargetState::Ready,
+            slots: 1,
+            revision: 1,
+        }),
+    });
+    agent.on_message(MonoTime::ZERO, entry_vm(0), &hello, None, &mut Vec::new());
+    agent
+}
+
+fn forward(
+    agent: &mut AgentCore,
+    now_ms: u64,
+    claim: Claim,
+    demand: Demand,
+    segment: &Segment,
+) -> Vec<AgentAction> {
+    let message = Message::Forward(Forward {
+        claim,
+        service: SERVICE,
+        born_ms: 1_000,
+        demand,
+    });
+    let packet = segment.flow.client.port().to_be_bytes();
+    let mut out = Vec::new();
+    let carried = Some((segment, packet.as_slice()));
+    let now = MonoTime::from_ms(now_ms);
+    agent.on_message(now, entry_vm(0), &message, carried, &mut out);
+    out
+}
+
+fn open(agent: &mut AgentCore, now_ms: u64, flow: FlowKey, demand: Demand) {
+    forward(agent, now_ms, Claim::Open, demand, &opening(flow));
+}
+
+fn request(agent: &mut AgentCore, now_ms: u64, flow: FlowKey, demand: Demand) {
+    let segment = Segment {
+        payload_bytes: REQUEST_BYTES,
+        sequence: opening(flow).sequence.wrapping_add(1),
+        ..client_segment(flow)
+    };
+    forward(agent, now_ms, Claim::Owner, demand, &segment);
+}
+
+fn answer(agent: &mut AgentCore, now_ms: u64, flow: FlowKey) -> Vec<AgentAction> {
+    let segment = Segment {
+        sender: Sender::Target,
+        payload_bytes: REQUEST_BYTES,
+        ..client_segment(flow)
+    };
+    let mut out = Vec::new();
+    agent.on_target_packet(MonoTime::from_ms(now_ms), &segment, &mut out);
+    out
+}
+
+fn released_port(actions: &[AgentAction]) -> Option<u16> {
+    let port = |action: &AgentAction| match action {
+        AgentAction::DeliverStored { packet } => Some([packet[0], packet[1]]),
+        _ => None,
+    };
+    actions.iter().find_map(port).map(u16::from_be_bytes)
+}
+
+/// Guards against requests that are late already, since their flow waited to be opened, and run
+/// before fresh ones (mafraq-gauge-grown, trouble-3).
+#[test]
+fn a_request_is_as_old_as_the_opening_of_its_flow() {
+    let mut agent = agent_with_one_slot();
+    let flows: Vec<FlowKey> = (1..=4).map(|port| flow(port, stream_address())).collect();
+    let full = demand(FlowUse::Stream, 200, 1_000);
+    for flow in &flows[..2] {
+        open(&mut agent, 0, *flow, full);
+        request(&mut agent, 10, *flow, full);
+    }
+    open(&mut agent, 20, flows[2], full.after_ms(500));
+    open(&mut agent, 30, flows[3], full);
+    request(&mut agent, 40, flows[2], full);
+    request(&mut agent, 50, flows[3], full);
+
+    let actions = answer(&mut agent, 60, flows[0]);
+
+    assert_eq!(released_port(&actions), Some(4));
+}
--- a/crates/fes-passthrough/tests/flows.rs
+++ b/crates/fes-passthrough/tests/flows.rs
@@ -297,3 +297,72 @@
     let lost = world.count(Outcome::SearchLost);
     assert!(lost >= usize::from(STREAMS), "{lost} searches ended");
 }
+
+/// Guards against callers that learn of a lost flow only when they send again, though the search
+/// could have ended long before (mafraq-gauge-grown, trouble-2).
+#[test]
+fn a_search_ends_as_soon_as_the_last_agent_answers() {
+    let mut world = world_with_streams(1, 6, 10, 3);
+    world.run_until(1_500);
+    for index in 0..6 {
+        world.crash_target(index);
+        world.start_agent(index, false);
+    }
+    world.agents[5] = None;
+    world.start_entry(0);
+    world.run_until(2_200);
+    let before = world.count(Outcome::SearchLost);
+    world.start_agent(5, false);
+
+    world.run_until(2_650);
+
+    let lost = world.count(Outcome::SearchLost);
+    assert_eq!(before, 0);
+    assert!(lost >= usize::from(STREAMS), "{lost} searches ended");
+}
+
+/// Guards against callers that wait for their next retransmission, up to 1.6 s, after all
+/// processes ended while the platform was down (mafraq-gauge-grown, trouble-3).
+#[test]
+fn packets_that_came_before_the_routes_are_carried_once_these_are_known() {
+    let mut world = world_with_streams(1, 6, 10, 3);
+    world.run_until(1_500);
+    for index in 0..6 {
+        world.start_agent(index, false);
+    }
+    world.start_entry_without_list(0);
+    world.run_until(2_300);
+    let before = world.answered();
+    world.list_to(0);
+
+    world.run_until(2_600);
+
+    let answered = world.answered() - before;
+    assert!(
+        answered >= usize::from(STREAMS),
+        "{answered} requests answered"
+    );
+    assert_eq!(world.resets_while_open(), 0);
+    assert_eq!(world.broken_flows(), 0);
+}
+
+/// Guards against searches that wait for an answer of an agent which has ended meanwhile, with its
+/// target drained (mafraq-gauge-grown, trouble-2).
+#[test]
+fn a_search_goes_on_without_an_agent_that_ends_while_it_is_asked() {
+    let mut world = world_with_streams(1, 6, 10, 3);
+    world.run_until(1_500);
+    for index in 0..6 {
+        world.crash_target(index);
+        world.start_agent(index, false);
+    }
+    world.change_target(5, |record| record.state = TargetState::Draining);
+    world.start_entry(0);
+    world.run_until(1_530);
+    world.agents[5] = None;
+
+    world.run_until(2_050);
+
+    let lost = world.count(Outcome::SearchLost);
+    assert!(lost >= usize::from(STREAMS), "{lost} searches ended");
+}
--- a/crates/fes-passthrough/tests/support/world.rs
+++ b/crates/fes-passthrough/tests/support/world.rs
@@ -123,12 +123,17 @@
     }
 
     pub fn start_entry(&mut self, index: usize) {
+        self.start_entry_without_list(index);
+        self.list_to(index);
+    }
+
+    /// Starts an entry while the platform can't be read.
+    pub fn start_entry_without_list(&mut self, index: usize) {
         self.incarnation += 1;
         let data_centre = DataCentreName::from("a");
         let seeds = [entry_vm(0), entry_vm(1)];
         let entry = EntryCore::new(self.incarnation, entry_vm(index), data_centre, &seeds);
         self.entries[index] = Some(entry);
-        self.list_to(index);
     }
 
     /// Hands the whole list to an entry, as a read of the platform does.
