Harm links between the daemons in the soak

Cause: the soak harmed processes, the store and clients' packets, but no link between the daemons themselves; the store stand-in had no 429 and no lost answers.

Change: each daemon is reached by others at an alias of a loopback relay, which cuts one way, delays out of order or loses what it passes on. Entries still reach each other directly. The store answers 429, or does what it is asked and breaks off. Tests prove the relay for each fault.

Clocks aren't moved.

--- a/crates/fes-soak/src/lib.rs
+++ b/crates/fes-soak/src/lib.rs
@@ -8,11 +8,17 @@
 mod network;
 mod plan;
 mod record;
+mod relay;
 mod run;
 mod store;
 mod targets;
 
+pub use fleet::Place;
+pub use network::NODE_PORT;
+pub use network::Network;
 pub use record::Record;
+pub use relay::LinkFault;
+pub use relay::Relay;
 pub use run::Report;
 pub use run::SoakOptions;
 pub use run::run;
--- a/crates/fes-soak/src/network.rs
+++ b/crates/fes-soak/src/network.rs
@@ -3,8 +3,11 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 
+use crate::fleet::Place;
+
 pub const CLIENT_PORT: u16 = 8_172;
 pub const READY_PORT: u16 = 8_167;
+/// Port for messages between daemons.
 pub const NODE_PORT: u16 = 7_720;
 pub const TARGET_PORT: u16 = 8_165;
 pub const FROM_TARGET_PORT: u16 = 8_162;
@@ -18,22 +21,43 @@
 /// Loopback addresses of one soak; `block` keeps soaks that run at once apart.
 #[derive(Debug, Clone, Copy)]
 pub struct Network {
+    /// Second byte of the addresses.
     pub block: u8,
 }
 
 impl Network {
+    /// Returns the address of an entry.
     pub fn entry(self, index: usize) -> Ipv4Addr {
         self.address(1, index)
     }
 
+    /// Returns the address of a target and its agent.
     pub fn target(self, index: usize) -> Ipv4Addr {
         self.address(2, index)
     }
 
+    /// Returns where a daemon receives messages.
+    pub fn daemon(self, place: Place) -> Ipv4Addr {
+        match place {
+            Place::Entry(index) => self.entry(index),
+            Place::Agent(index) => self.target(index),
+        }
+    }
+
+    /// Returns where the relay receives messages for a daemon.
+    pub fn alias(self, place: Place) -> Ipv4Addr {
+        match place {
+            Place::Entry(index) => self.address(5, index),
+            Place::Agent(index) => self.address(6, index),
+        }
+    }
+
+    /// Returns the address of all clients.
     pub fn clients(self) -> Ipv4Addr {
         self.address(3, 0)
     }
 
+    /// Returns where the store is read.
     pub fn store(self) -> SocketAddrV4 {
         SocketAddrV4::new(self.address(4, 0), STORE_PORT)
     }
--- a/crates/fes-soak/src/plan.rs
+++ b/crates/fes-soak/src/plan.rs
@@ -5,6 +5,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::fleet::Place;
+use crate::relay::LinkFault;
 use crate::store::StoreMode;
 
 const SHORTEST_GAP_MS: u64 = 150;
@@ -33,6 +34,8 @@
     Crash(usize),
     /// Packets of clients are lost, in percent.
     Loss(u32),
+    /// Links between daemons are harmed.
+    Link(LinkFault),
     /// The operator writes a new configuration.
     Configure,
 }
@@ -70,7 +73,7 @@
         true => Place::Entry(random.random_range(0..entries)),
         false => Place::Agent(random.random_range(0..targets)),
     };
-    match random.random_range(0..20) {
+    match random.random_range(0..26) {
         0..5 => Fault::Kill(place),
         5..8 => Fault::Terminate(place),
         8..10 => Fault::Pause(place),
@@ -82,6 +85,12 @@
         15 => Fault::DropHistory,
         16..18 => Fault::Crash(random.random_range(0..targets)),
         18 => Fault::Loss(random.random_range(1..20)),
+        19 => Fault::Store(StoreMode::Limited),
+        20 => Fault::Store(StoreMode::Losing),
+        21 => Fault::Link(LinkFault::CutFrom(place)),
+        22 => Fault::Link(LinkFault::CutTo(place)),
+        23 => Fault::Link(LinkFault::Delay(place, random.random_range(20..400))),
+        24 => Fault::Link(LinkFault::Loss(place, random.random_range(5..60))),
         _ => Fault::Configure,
     }
 }
--- a/crates/fes-soak/src/run.rs
+++ b/crates/fes-soak/src/run.rs
@@ -26,6 +26,7 @@
 use crate::plan::Step;
 use crate::plan::draw;
 use crate::record::Record;
+use crate::relay::Relay;
 use crate::store::Store;
 use crate::store::StoreMode;
 use crate::targets::Target;
@@ -85,6 +86,7 @@
     store: Rc<Store>,
     targets: Vec<Rc<Target>>,
     clients: Rc<Clients>,
+    relay: Rc<Relay>,
     record: Rc<RefCell<Record>>,
     routes_version: u64,
 }
@@ -127,6 +129,7 @@
     let places = (0..options.entries)
         .map(Place::Entry)
         .chain((0..options.targets).map(Place::Agent));
+    let relay = Relay::start(network, places.clone()).await?;
     let mut daemons = Vec::new();
     for place in places {
         let (program, folder) = (&options.program, &options.folder);
@@ -138,6 +141,7 @@
         store,
         targets,
         clients,
+        relay,
         record,
         routes_version: ROUTES_VERSION,
     })
@@ -188,6 +192,7 @@
             Fault::DropHistory => self.store.drop_history(),
             Fault::Crash(target) => self.targets[target].crash(),
             Fault::Loss(percent) => self.clients.loss_percent.set(percent),
+            Fault::Link(fault) => self.relay.begin(fault),
             Fault::Configure => {
                 self.routes_version += 3;
                 self.store.put(routes_key(), routes(self.routes_version));
@@ -202,6 +207,7 @@
             Fault::Store(_) => self.store.mode.set(StoreMode::Up),
             Fault::Crash(target) => self.targets[target].restart(),
             Fault::Loss(_) => self.clients.loss_percent.set(0),
+            Fault::Link(fault) => self.relay.end(fault),
             Fault::Kill(_) | Fault::Terminate(_) | Fault::KillAll => {
                 for (_, daemon) in &mut self.daemons {
                     daemon.spawn()?;
@@ -224,6 +230,10 @@
             | Fault::Pause(Place::Entry(_))
             | Fault::Store(_)
             | Fault::Loss(_) => record.disturb_entries(),
+            Fault::Link(fault) => match fault.place() {
+                Place::Agent(index) => record.disturb_target(index),
+                Place::Entry(_) => record.disturb_entries(),
+            },
             // A crash ends the target's life, which the target records itself. Planned work excuses
             // nobody.
             Fault::Crash(_)
--- a/crates/fes-soak/src/store.rs
+++ b/crates/fes-soak/src/store.rs
@@ -4,7 +4,6 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
-use std::convert::Infallible;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
@@ -42,6 +41,10 @@
     Silent,
     /// Answers 503.
     Busy,
+    /// Answers 429.
+    Limited,
+    /// Does what it is asked and breaks off without an answer.
+    Losing,
     /// Answers after this many milliseconds.
     Slow(u64),
 }
@@ -130,15 +133,14 @@
         }
     }
 
-    async fn respond(
-        &self,
-        request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
+    async fn respond(&self, request: Request<Incoming>) -> std::io::Result<Response<Full<Bytes>>> {
         match self.mode.get() {
             StoreMode::Up => {}
+            StoreMode::Losing => return Err(std::io::Error::other("the answer is lost")),
             StoreMode::Slow(by_ms) => sleep(Duration::from_millis(by_ms)).await,
             StoreMode::Silent => sleep(Duration::from_millis(SILENCE_MS)).await,
             StoreMode::Busy => return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, &Value::Null)),
+            StoreMode::Limited => return Ok(reply(StatusCode::TOO_MANY_REQUESTS, &Value::Null)),
         }
         let query = request.uri().query().unwrap_or_default();
         let (status, body) = match parse_call(request.uri().path(), query) {
--- a/crates/fes-soak/src/targets.rs
+++ b/crates/fes-soak/src/targets.rs
@@ -26,6 +26,7 @@
 use tokio::time::Duration;
 use tokio::time::sleep;
 
+use crate::fleet::Place;
 use crate::network::DATA_CENTRE;
 use crate::network::FROM_TARGET_PORT;
 use crate::network::Network;
@@ -126,7 +127,7 @@
         TargetRecord {
             id: UpstreamName::from(id),
             service: ServiceTag::from(&ServiceName::from(SERVICE)),
-            vm: self.network.target(self.index),
+            vm: self.network.alias(Place::Agent(self.index)),
             data_centre: DataCentreName::from(DATA_CENTRE),
             slots: SLOTS,
             state: TargetState::Ready,
--- /dev/null
+++ b/crates/fes-soak/tests/relay.rs
@@ -0,0 +1,103 @@
+//! Proves that the soak's relay carries messages between daemons, and harms them as it is told.
+
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+use fes_soak::LinkFault;
+use fes_soak::NODE_PORT;
+use fes_soak::Network;
+use fes_soak::Place;
+use fes_soak::Relay;
+use rstest::rstest;
+use tokio::net::UdpSocket;
+use tokio::time::Duration;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+const ENTRY: Place = Place::Entry(0);
+const AGENT: Place = Place::Agent(0);
+const WAIT_MS: u64 = 500;
+const DELAY_MS: u64 = 200;
+
+struct Link {
+    relay: Rc<Relay>,
+    network: Network,
+    entry: UdpSocket,
+    agent: UdpSocket,
+}
+
+/// `block` keeps tests that run at once apart.
+async fn link(block: u8) -> Link {
+    let network = Network { block };
+    let bind = |place| UdpSocket::bind(SocketAddrV4::new(network.daemon(place), NODE_PORT));
+    Link {
+        relay: Relay::start(network, [ENTRY, AGENT].into_iter())
+            .await
+            .expect("aliases are free"),
+        network,
+        entry: bind(ENTRY).await.expect("the entry's address is free"),
+        agent: bind(AGENT).await.expect("the agent's address is free"),
+    }
+}
+
+impl Link {
+    async fn send_to_agent(&self) {
+        let alias = SocketAddrV4::new(self.network.alias(AGENT), NODE_PORT);
+        self.entry.send_to(b"ask", alias).await.expect("sent");
+    }
+
+    /// Returns how long the agent's next message took, in milliseconds.
+    async fn received_after_ms(&self) -> Option<u64> {
+        let started = Instant::now();
+        let mut buffer = [0; 16];
+        let received = timeout(
+            Duration::from_millis(WAIT_MS),
+            self.agent.recv_from(&mut buffer),
+        );
+        let (_, from) = received.await.ok()?.ok()?;
+        assert_eq!(from.ip(), self.network.alias(ENTRY));
+        u64::try_from(started.elapsed().as_millis()).ok()
+    }
+}
+
+#[rstest]
+#[case(221, LinkFault::CutFrom(ENTRY), false)]
+#[case(222, LinkFault::CutTo(AGENT), false)]
+#[case(223, LinkFault::Loss(AGENT, 100), false)]
+#[case(224, LinkFault::CutFrom(AGENT), true)]
+#[case(225, LinkFault::CutTo(ENTRY), true)]
+fn faults_harm_one_way_until_they_end(
+    #[case] block: u8,
+    #[case] fault: LinkFault,
+    #[case] arrives: bool,
+) {
+    actix_rt::System::new().block_on(async {
+        let link = link(block).await;
+        link.relay.begin(fault);
+        link.send_to_agent().await;
+
+        let during = link.received_after_ms().await;
+        link.relay.end(fault);
+        link.send_to_agent().await;
+        let after = link.received_after_ms().await;
+
+        assert_eq!(during.is_some(), arrives);
+        assert!(after.is_some());
+    });
+}
+
+#[test]
+fn a_delay_makes_messages_late() {
+    actix_rt::System::new().block_on(async {
+        let link = link(226).await;
+        link.relay.begin(LinkFault::Delay(ENTRY, DELAY_MS));
+        link.send_to_agent().await;
+
+        let after_ms = link.received_after_ms().await;
+
+        assert!(
+            after_ms.is_some_and(|ms| ms >= DELAY_MS / 2 - 1),
+            "{after_ms:?}"
+        );
+    });
+}
