Show what an entry knows, and how old it is

Cause: the status page of an entry held four numbers; an operator could not see which targets are leaving or how old each agent's report is. The soak overwrote the settings of a daemon's first start while it read them, so that no agent ever counted as complete.

Change: EntryCore::status tells flows, version, revision, age, whether the entry reads the platform, leaving targets and each agent's report with its age. 'fescueshift-passthrough status IP:PORT' shows the page. The soak writes the settings of later starts at the second start.

Tests: entry_status.rs; status.rs for the command.

--- a/crates/fes-passthrough-node/src/entry_daemon.rs
+++ b/crates/fes-passthrough-node/src/entry_daemon.rs
@@ -110,14 +110,8 @@
             self.context.health.clone(),
             READINESS_PATH,
             move || {
-                let core = node.core.borrow();
-                json!({
-                    "flows": core.flow_count(),
-                    "agents": core.agent_count(),
-                    "routes_version": core.view().routes().version,
-                    "list_revision": core.view().revision(),
-                    "list_age_ms": core.view().age_ms(node.context.now()),
-                })
+                let status = node.core.borrow().status(node.context.now());
+                serde_json::to_value(status).unwrap_or_else(|e| json!({ "error": e.to_string() }))
             },
         )
         .await
--- a/crates/fes-passthrough-node/src/lib.rs
+++ b/crates/fes-passthrough-node/src/lib.rs
@@ -8,6 +8,7 @@
 mod list_follower;
 mod node_context;
 mod settings_watch;
+mod status_command;
 mod stop;
 mod udp;
 
@@ -21,3 +22,4 @@
 pub use node_context::NodeContext;
 pub use settings_watch::load_settings;
 pub use settings_watch::load_settings_at_start;
+pub use status_command::fetch_status;
--- a/crates/fes-passthrough-node/src/main.rs
+++ b/crates/fes-passthrough-node/src/main.rs
@@ -1,5 +1,6 @@
 //! `fescueshift-passthrough entry` and `fescueshift-passthrough agent`.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -11,6 +12,7 @@
 use fes_passthrough_node::LogLine;
 use fes_passthrough_node::NodeContext;
 use fes_passthrough_node::explain;
+use fes_passthrough_node::fetch_status;
 use fes_passthrough_node::load_settings_at_start;
 use fes_passthrough_node::render;
 use fes_passthrough_node::run_agent;
@@ -24,6 +26,8 @@
 const AGENT: &str = "agent";
 const CHECK: &str = "check";
 const EXPLAIN: &str = "explain";
+const STATUS: &str = "status";
+const ADDRESS: &str = "address";
 const LOGS: &str = "logs";
 const REQUEST: &str = "request";
 const INVALID_SETTINGS_EXIT_STATUS: u8 = 2;
@@ -33,6 +37,9 @@
     if let Some(matches) = matches.subcommand_matches(EXPLAIN) {
         return explain_request(matches);
     }
+    if let Some(matches) = matches.subcommand_matches(STATUS) {
+        return show_status(matches);
+    }
     let path = matches.get_one::<PathBuf>(SETTINGS).cloned();
     let level = matches.get_one::<LevelFilter>(LOG_LEVEL).copied();
     let settings = match load_settings_at_start(path.as_deref()) {
@@ -71,6 +78,22 @@
     }
 }
 
+fn show_status(matches: &ArgMatches) -> ExitCode {
+    let Some(address) = matches.get_one::<SocketAddr>(ADDRESS) else {
+        return ExitCode::FAILURE;
+    };
+    match actix_rt::System::new().block_on(fetch_status(*address)) {
+        Ok(status) => {
+            println!("{status}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{error}; {}", error.help());
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn explain_request(matches: &ArgMatches) -> ExitCode {
     let paths = matches.get_many::<PathBuf>(LOGS).into_iter().flatten();
     let mut files = Vec::new();
@@ -117,6 +140,17 @@
         .subcommand(Command::new(ENTRY).about("Receives clients' packets and finds their target"))
         .subcommand(Command::new(AGENT).about("Delivers packets to the target on its VM"))
         .subcommand(Command::new(CHECK).about("Reads the settings, prints them and ends"))
+        .subcommand(
+            Command::new(STATUS)
+                .about("Shows what a running process knows, and how old it is")
+                .arg(
+                    Arg::new(ADDRESS)
+                        .help("Address at which the process serves readiness and metrics")
+                        .value_name("IP:PORT")
+                        .required(true)
+                        .value_parser(value_parser!(SocketAddr)),
+                ),
+        )
         .subcommand(
             Command::new(EXPLAIN)
                 .about("Follows a request through collected logs and says how it ended")
--- a/crates/fes-passthrough/src/agent_table.rs
+++ b/crates/fes-passthrough/src/agent_table.rs
@@ -159,6 +159,11 @@
         self.agents.get(&vm)
     }
 
+    /// Returns all agents with their VMs.
+    pub fn iter(&self) -> impl Iterator<Item = (Ipv4Addr, &AgentState)> {
+        self.agents.iter().map(|(vm, agent)| (*vm, agent))
+    }
+
     /// Returns the VMs of agents that have reported lately.
     pub fn heard(&self, now: MonoTime) -> impl Iterator<Item = Ipv4Addr> {
         let heard = self.agents.iter().filter(move |(_, a)| a.is_heard(now));
--- a/crates/fes-passthrough/src/entry/mod.rs
+++ b/crates/fes-passthrough/src/entry/mod.rs
@@ -3,6 +3,9 @@
 mod following;
 mod opening;
 mod searching;
+mod status;
 
 pub use entry_core::EntryAction;
 pub use entry_core::EntryCore;
+pub use status::AgentStatus;
+pub use status::EntryStatus;
--- a/crates/fes-soak/src/fleet.rs
+++ b/crates/fes-soak/src/fleet.rs
@@ -39,6 +39,9 @@
 pub struct Daemon {
     place: Place,
     settings: PathBuf,
+    /// Settings from the second start on.
+    later_settings: String,
+    was_started: bool,
     program: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -65,17 +68,15 @@
         )?;
         let mut daemon = Self {
             place,
-            settings: settings.clone(),
+            settings,
+            later_settings: settings_text(&name, place, network, entries, false),
+            was_started: false,
             program: program.into(),
             log: folder.join(format!("{name}.log")),
             child: None,
             is_end_expected: false,
         };
         daemon.spawn()?;
-        std::fs::write(
-            settings,
-            settings_text(&name, place, network, entries, false),
-        )?;
         Ok(daemon)
     }
 
@@ -84,6 +85,10 @@
         if self.is_running() {
             return Ok(());
         }
+        if self.was_started {
+            std::fs::write(&self.settings, &self.later_settings)?;
+        }
+        self.was_started = true;
         let log = File::options().create(true).append(true).open(&self.log)?;
         let command = match self.place {
             Place::Entry(_) => "entry",
