--- a/crates/fes-passthrough-node/src/main.rs
+++ b/crates/fes-passthrough-node/src/main.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::Arg;
 use clap::ArgMatches;
@@ -30,6 +31,8 @@
 const ADDRESS: &str = "address";
 const LOGS: &str = "logs";
 const REQUEST: &str = "request";
+/// A process that ends waits for its last lines, but not for an output that nobody reads.
+const LAST_LINES_LIMIT: Duration = Duration::from_millis(200);
 const INVALID_SETTINGS_EXIT_STATUS: u8 = 2;
 
 fn main() -> ExitCode {
@@ -53,10 +56,13 @@
         println!("{settings:#?}");
         return ExitCode::SUCCESS;
     }
-    if let Err(error) = fes_telemetry::init_queued_log(level.unwrap_or(LevelFilter::Info)) {
-        eprintln!("the log can't be started: {error}");
-        return ExitCode::FAILURE;
-    }
+    let log = match fes_telemetry::init_queued_log(level.unwrap_or(LevelFilter::Info)) {
+        Ok(log) => log,
+        Err(error) => {
+            eprintln!("the log can't be started: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
     let place = settings.place;
     let context = NodeContext::new(settings, path);
     let ended = actix_rt::System::new().block_on(async move {
@@ -69,13 +75,17 @@
             )),
         }
     });
-    match ended {
+    let status = match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!(target: fes_telemetry::part::FLOWS, "stopped: {error}; {}", error.help());
             ExitCode::FAILURE
         }
+    };
+    if !log.wait(LAST_LINES_LIMIT) {
+        eprintln!("the last log lines were not written: nobody reads them");
     }
+    status
 }
 
 fn show_status(matches: &ArgMatches) -> ExitCode {
--- a/crates/fes-telemetry/src/lib.rs
+++ b/crates/fes-telemetry/src/lib.rs
@@ -29,6 +29,7 @@
 pub use metrics::OutcomeCounter;
 pub use metrics::OutcomeLabel;
 pub use metrics::set_counter;
+pub use queued_writer::LogFlush;
 pub use queued_writer::QueuedWriter;
 #[cfg(feature = "otlp")]
 pub use span::FinishedSpan;
--- a/crates/fes-telemetry/src/log_setup.rs
+++ b/crates/fes-telemetry/src/log_setup.rs
@@ -8,6 +8,7 @@
 use log::Level;
 use log::LevelFilter;
 
+use crate::LogFlush;
 use crate::QueuedWriter;
 use crate::part;
 
@@ -21,17 +22,19 @@
     let _ = builder(level).try_init();
 }
 
-/// Starts logging to standard output without ever blocking the caller: see [`QueuedWriter`].
+/// Starts logging to standard output without ever blocking the caller: see [`QueuedWriter`]. Returns
+/// what waits for the last lines before the process ends.
 ///
 /// # Errors
 ///
 /// Returns the system's error if the writing thread can't be started.
-pub fn init_queued_log(level: LevelFilter) -> io::Result<()> {
+pub fn init_queued_log(level: LevelFilter) -> io::Result<LogFlush> {
     let writer = QueuedWriter::start(io::stdout())?;
+    let flush = writer.flusher();
     let mut builder = builder(level);
     builder.target(Target::Pipe(Box::new(writer)));
     let _ = builder.try_init();
-    Ok(())
+    Ok(flush)
 }
 
 fn builder(level: LevelFilter) -> Builder {
@@ -61,8 +64,15 @@
 pub fn format_line(time: &str, level: Level, target: &str, message: &str) -> String {
     let crate_name = target.split("::").next().unwrap_or(target);
     let part = crate_name.strip_prefix(OWN_CRATES).unwrap_or(crate_name);
-    let prefix = format!("{part}: ");
-    let message = message.strip_prefix(prefix.as_str()).unwrap_or(message);
-    let message = message.replace('\n', "\\n").replace('\r', "\\r");
-    format!("{time} {level:<5} [{part}] {message}")
+    let without_part = message
+        .strip_prefix(part)
+        .and_then(|rest| rest.strip_prefix(": "));
+    let message = without_part.unwrap_or(message);
+    let mut line = format!("{time} {level:<5} [{part}] ");
+    if message.contains(['\n', '\r']) {
+        line.push_str(&message.replace('\n', "\\n").replace('\r', "\\r"));
+    } else {
+        line.push_str(message);
+    }
+    line
 }
