--- a/crates/fes-measure/src/capacity/mod.rs
+++ b/crates/fes-measure/src/capacity/mod.rs
@@ -12,6 +12,7 @@
 mod datagram;
 mod idempotency;
 mod membership;
+mod pass_through;
 mod routing;
 mod tickets;
 
--- a/crates/fes-measure/src/capacity/run.rs
+++ b/crates/fes-measure/src/capacity/run.rs
@@ -7,6 +7,7 @@
 use super::datagram;
 use super::idempotency;
 use super::membership;
+use super::pass_through;
 use super::routing;
 use super::tickets;
 
@@ -17,6 +18,7 @@
 pub fn run_capacity(seed: u64) -> CapacityReport {
     let design = DesignSize::required();
     let mut slopes = routing::slopes(&design);
+    slopes.extend(pass_through::slopes(&design));
     slopes.extend(datagram::slopes());
     slopes.extend(tickets::slopes(&design));
     slopes.extend(control_messages::slopes());
--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -32,8 +32,8 @@
 const MIN_REPORT_PERIOD_MS: u64 = 100;
 /// Time between reports grows with the number of agents, which bounds what an entry receives.
 const REPORT_MS_PER_AGENT: u64 = 4;
-/// Time between two hellos to one agent, in milliseconds.
-const HELLO_PERIOD_MS: u64 = 200;
+/// Shortest time between two hellos to one agent, in milliseconds; it grows like that of reports.
+const MIN_HELLO_PERIOD_MS: u64 = 200;
 /// A route that is missing from an older view may have been added since.
 const SURE_VIEW_AGE_MS: u64 = 2_000;
 /// Agents that were silent for this long are forgotten.
@@ -209,7 +209,7 @@
         packet: &[u8],
         out: &mut Vec<EntryAction>,
     ) {
-        let Some(route) = self.view.route(segment.flow.destination).cloned() else {
+        let Some(route) = self.view.route(segment.flow.destination) else {
             self.on_no_route(now, segment, out);
             return;
         };
@@ -220,9 +220,10 @@
             return;
         }
         if segment.is_open {
+            let route = route.clone();
             self.on_opening(now, arrived_at, segment, &route, packet, out);
         } else {
-            self.on_following(now, arrived_at, segment, &route, packet, out);
+            self.on_following(now, arrived_at, segment, packet, out);
         }
     }
 
@@ -369,13 +370,14 @@
     }
 
     pub(super) fn send_hellos(&mut self, now: MonoTime, out: &mut Vec<EntryAction>) {
+        let hello_period_ms = self.report_period_ms().max(MIN_HELLO_PERIOD_MS);
         let report_period_ms = u32::try_from(self.report_period_ms()).unwrap_or(u32::MAX);
         for record in self.view.newest_targets() {
             let next_at = self.next_hello_at.entry(record.vm).or_default();
             if now < *next_at {
                 continue;
             }
-            *next_at = now.plus_ms(HELLO_PERIOD_MS);
+            *next_at = now.plus_ms(hello_period_ms);
             let hello = Hello {
                 incarnation: self.incarnation,
                 report_period_ms,
--- a/crates/fes-passthrough/src/entry/following.rs
+++ b/crates/fes-passthrough/src/entry/following.rs
@@ -14,7 +14,6 @@
 use crate::Opening;
 use crate::Outcome;
 use crate::Owner;
-use crate::Route;
 use crate::Search;
 use crate::Segment;
 
@@ -67,14 +66,13 @@
         now: MonoTime,
         arrived_at: MonoTime,
         segment: &Segment,
-        route: &Route,
         packet: &[u8],
         out: &mut Vec<EntryAction>,
     ) {
         let flow = segment.flow;
         let idle_timeout_ms = self.idle_timeout_ms();
         let Some(record) = self.flows.get_mut(&flow) else {
-            self.start_search(now, arrived_at, segment, route, packet, out);
+            self.start_search(now, arrived_at, segment, packet, out);
             return;
         };
         record.is_closing |= segment.is_fin || segment.is_reset;
--- a/crates/fes-passthrough/src/entry/searching.rs
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -17,7 +17,6 @@
 use crate::Owner;
 use crate::Progress;
 use crate::Round;
-use crate::Route;
 use crate::Search;
 use crate::Segment;
 use crate::ServiceTag;
@@ -44,7 +43,6 @@
         now: MonoTime,
         arrived_at: MonoTime,
         segment: &Segment,
-        route: &Route,
         packet: &[u8],
         out: &mut Vec<EntryAction>,
     ) {
@@ -53,6 +51,9 @@
             return;
         }
         let flow = segment.flow;
+        let Some(route) = self.view.route(flow.destination) else {
+            return;
+        };
         let mut record = FlowRecord {
             service: route.services[0].service,
             demand: route.demand,
