--- a/crates/fes-passthrough/src/agent/links.rs
+++ b/crates/fes-passthrough/src/agent/links.rs
@@ -16,7 +16,9 @@
 use crate::TargetState;
 
 /// An entry that hasn't been heard for this long gets no more reports.
-const ENTRY_SILENCE_MS: u64 = 3_000;
+const MIN_ENTRY_SILENCE_MS: u64 = 3_000;
+/// Hellos come about as often as the entry wants reports, and some may be lost.
+const MISSED_HELLOS: u64 = 4;
 
 impl AgentCore {
     pub(super) fn on_hello(
@@ -35,10 +37,12 @@
             Some(link) if !is_new => link.report_at,
             _ => now,
         };
+        let report_period_ms = u64::from(hello.report_period_ms);
+        let silence_ms = (report_period_ms * MISSED_HELLOS).max(MIN_ENTRY_SILENCE_MS);
         let link = EntryLink {
             incarnation: hello.incarnation,
-            silent_at: now.plus_ms(ENTRY_SILENCE_MS),
-            report_period_ms: u64::from(hello.report_period_ms),
+            silent_at: now.plus_ms(silence_ms),
+            report_period_ms,
             report_at,
         };
         self.entries.insert(entry, link);
