Give ticks a module, and messages of agents their receiver's name

Cause: two functions about ticks and ages stood in list_follower.rs, which both daemons imported for them; AgentAction::Send named its receiver 'entry', which may be another agent now.

Change: timing.rs; the field is 'to'.

--- a/crates/fes-passthrough-node/src/agent_daemon.rs
+++ b/crates/fes-passthrough-node/src/agent_daemon.rs
@@ -28,12 +28,12 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-use crate::list_follower::next_tick;
 use crate::node_context::NodeContext;
 use crate::settings_watch::follow_settings;
 use crate::settings_watch::reload;
 use crate::stop::NodeSignals;
 use crate::stop::Request;
+use crate::timing::next_tick;
 use crate::udp;
 
 const TICK_MS: u64 = 25;
@@ -217,12 +217,12 @@
                 AgentAction::DeliverStored { packet } => self.deliver(&packet),
                 AgentAction::SendToClient => self.send_to_client(packet),
                 AgentAction::Send {
-                    entry,
+                    to,
                     message,
                     with_packet,
                 } => {
                     let packet = if with_packet { packet } else { &[] };
-                    self.send(entry, &message, packet);
+                    self.send(to, &message, packet);
                 }
                 AgentAction::Note(note) => {
                     let now = self.context.now();
@@ -249,7 +249,7 @@
         self.count_sent(self.node_socket.try_send_to(packet, client.into()));
     }
 
-    fn send(&self, entry: Ipv4Addr, message: &Message, packet: &[u8]) {
+    fn send(&self, to: Ipv4Addr, message: &Message, packet: &[u8]) {
         let mut buffer = self.buffer.borrow_mut();
         buffer.clear();
         if let Err(error) = encode_message(message, &mut buffer) {
@@ -261,7 +261,7 @@
             .inc_by(buffer.len() as u64);
         buffer.extend_from_slice(packet);
         let port = self.context.settings.node_address.port();
-        let address = SocketAddrV4::new(entry, port);
+        let address = SocketAddrV4::new(to, port);
         self.count_sent(self.node_socket.try_send_to(&buffer, address.into()));
     }
 
--- a/crates/fes-passthrough-node/src/entry_daemon.rs
+++ b/crates/fes-passthrough-node/src/entry_daemon.rs
@@ -30,14 +30,14 @@
 
 use crate::list_follower::ListNews;
 use crate::list_follower::ListSource;
-use crate::list_follower::age_for_metrics;
 use crate::list_follower::follow_list;
-use crate::list_follower::next_tick;
 use crate::node_context::NodeContext;
 use crate::settings_watch::follow_settings;
 use crate::settings_watch::reload;
 use crate::stop::NodeSignals;
 use crate::stop::Request;
+use crate::timing::age_for_metrics;
+use crate::timing::next_tick;
 use crate::udp;
 
 const TICK_MS: u64 = 20;
--- a/crates/fes-passthrough-node/src/lib.rs
+++ b/crates/fes-passthrough-node/src/lib.rs
@@ -10,6 +10,7 @@
 mod settings_watch;
 mod status_command;
 mod stop;
+mod timing;
 mod udp;
 
 pub use agent_daemon::run_agent;
--- a/crates/fes-passthrough-node/src/list_follower.rs
+++ b/crates/fes-passthrough-node/src/list_follower.rs
@@ -13,7 +13,6 @@
 use fes_passthrough::ListChange;
 use fes_platform::PlatformClient;
 use fes_protocol::Error;
-use fes_protocol::MonoTime;
 use fes_protocol::Result;
 use fes_protocol::ResultCode;
 use fes_telemetry::part;
@@ -294,13 +293,3 @@
         );
     }
 }
-
-/// Returns the age of the list's confirmation for metrics, in milliseconds.
-pub(crate) fn age_for_metrics(age_ms: Option<u64>) -> i64 {
-    age_ms.map_or(-1, |age_ms| i64::try_from(age_ms).unwrap_or(i64::MAX))
-}
-
-/// Returns the deadline of the next tick, skipping those that were missed.
-pub(crate) fn next_tick(now: MonoTime, last: MonoTime, period_ms: u64) -> MonoTime {
-    last.plus_ms(period_ms).max(now)
-}
--- a/crates/fes-passthrough/src/agent/agent_core.rs
+++ b/crates/fes-passthrough/src/agent/agent_core.rs
@@ -33,7 +33,7 @@
     /// Send a message to an entry, or to another agent.
     Send {
         /// VM of the receiver.
-        entry: Ipv4Addr,
+        to: Ipv4Addr,
         /// Message.
         message: Message,
         /// Whether the packet at hand goes with it.
--- a/crates/fes-passthrough/src/agent/answers.rs
+++ b/crates/fes-passthrough/src/agent/answers.rs
@@ -76,7 +76,7 @@
         let asked_by = probe.map(|probe| probe.asked_by);
         if let Some(entry) = asked_by.or(record.and_then(|record| record.entry)) {
             out.push(AgentAction::Send {
-                entry,
+                to: entry,
                 message: Message::NotHeld { flow },
                 with_packet: false,
             });
@@ -91,7 +91,7 @@
         out: &mut Vec<AgentAction>,
     ) {
         out.push(AgentAction::Send {
-            entry,
+            to: entry,
             message: Message::Returned { flow, reason },
             with_packet: true,
         });
@@ -117,7 +117,7 @@
             Claim::Open | Claim::IfKnown => Message::NotHeld { flow },
         };
         out.push(AgentAction::Send {
-            entry,
+            to: entry,
             message,
             with_packet: false,
         });
@@ -132,7 +132,7 @@
     ) {
         if let Some(entry) = entry {
             out.push(AgentAction::Send {
-                entry,
+                to: entry,
                 message: Message::Opened {
                     flow,
                     sequence,
@@ -149,7 +149,7 @@
 
     pub(super) fn tell_held(&self, entry: Ipv4Addr, flow: FlowKey, out: &mut Vec<AgentAction>) {
         out.push(AgentAction::Send {
-            entry,
+            to: entry,
             message: Message::Held {
                 flow,
                 born_ms: self.born_ms,
--- a/crates/fes-passthrough/src/agent/asking.rs
+++ b/crates/fes-passthrough/src/agent/asking.rs
@@ -41,7 +41,7 @@
     /// Takes what was collected since the entry was last told.
     fn take_answers(&mut self, flow: FlowKey) -> AgentAction {
         AgentAction::Send {
-            entry: self.entry,
+            to: self.entry,
             message: Message::Answers {
                 flow,
                 not_held_by: std::mem::take(&mut self.not_held_by),
@@ -74,7 +74,7 @@
         self.collections.insert(flow, collection);
         for agent in agents {
             out.push(AgentAction::Send {
-                entry: *agent,
+                to: *agent,
                 message: Message::Ask {
                     flow,
                     entry: Some(entry),
@@ -187,7 +187,7 @@
 
 fn answer(asked_by: Ipv4Addr, message: Message) -> AgentAction {
     AgentAction::Send {
-        entry: asked_by,
+        to: asked_by,
         message,
         with_packet: false,
     }
--- a/crates/fes-passthrough/src/agent/links.rs
+++ b/crates/fes-passthrough/src/agent/links.rs
@@ -114,7 +114,7 @@
                 link.report_at = now.plus_ms(link.report_period_ms);
             }
             out.push(AgentAction::Send {
-                entry,
+                to: entry,
                 message: Message::Load(report),
                 with_packet: false,
             });
--- a/crates/fes-passthrough/src/entry/searching.rs
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -217,10 +217,10 @@
     }
 
     /// Counts listed targets that a search would miss: those whose agent isn't heard for now, or is
-    /// being restarted. Not
-    /// counted are agents that have been silent for long or never answered, since their VM is gone
-    /// or cut off, and those beside a target that was about to leave, which has left. Targets of
-    /// all services count, since a flow stays at its target when its route moves.
+    /// being restarted. Not counted are agents that have been silent for long or never answered,
+    /// since their VM is gone or cut off, and those beside a target that was about to leave, which
+    /// has left. Targets of all services count, since a flow stays at its target when its route
+    /// moves.
     pub(super) fn unheard_targets(&self, now: MonoTime) -> u64 {
         let is_missed = |target: &&TargetRecord| {
             let has_left = target.state == TargetState::Draining;
--- a/crates/fes-passthrough/tests/support/world.rs
+++ b/crates/fes-passthrough/tests/support/world.rs
@@ -474,7 +474,7 @@
                     }
                 }
                 AgentAction::Send {
-                    entry,
+                    to,
                     message,
                     with_packet,
                 } => {
@@ -483,7 +483,7 @@
                     } else {
                         Vec::new()
                     };
-                    self.send_to_process(entry, vm(index), message, carried);
+                    self.send_to_process(to, vm(index), message, carried);
                 }
                 AgentAction::Note(note) => {
                     *self.outcomes.entry(note.outcome.name()).or_default() += 1
