Learn run times quickly and count the age of retransmitted openings

Cause: after a loss of all processes, agents assume 30 ms a request and learn the real time in some 30 requests; a SYN that arrives as a second or third copy passes for a fresh request, though its client has waited for 200 or 600 ms; a request that will end after its timeout goes before one that won't. Change: the first measurements weigh more (RunTime, a type of its own); an opening packet's age counts from its first transmission; requests that would miss their timeout go last.

--- a/crates/fes-passthrough/src/agent/delivery.rs
+++ b/crates/fes-passthrough/src/agent/delivery.rs
@@ -116,7 +116,9 @@
     }
 
     pub(super) fn counts(&self, now: MonoTime) -> FlowCounts {
-        let running_since_us = now.as_us().saturating_sub(self.queue.longest_run_us());
+        let running_since_us = now
+            .as_us()
+            .saturating_sub(self.queue.run_time().longest_us());
         self.flows.counts(MonoTime::from_us(running_since_us))
     }
 
--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -11,6 +11,7 @@
 use fes_protocol::MonoTime;
 
 use super::early_packets::EarlyPackets;
+use super::opening::first_sent_at;
 use crate::AgentTable;
 use crate::FleetView;
 use crate::FlowDecision;
@@ -229,7 +230,8 @@
         }
         if segment.is_syn {
             let route = route.clone();
-            self.on_opening(now, arrived_at, segment, &route, packet, out);
+            let sent_at = first_sent_at(arrived_at, segment);
+            self.on_opening(now, sent_at, segment, &route, packet, out);
         } else {
             self.on_established_packet(now, arrived_at, segment, packet, out);
         }
--- a/crates/fes-passthrough/src/entry/opening.rs
+++ b/crates/fes-passthrough/src/entry/opening.rs
@@ -27,14 +27,25 @@
 
 /// Time after which another target is tried if none has accepted the flow.
 const ACCEPT_TIMEOUT_MS: u64 = 70;
+/// Ages of the transmissions of an opening packet: clients retransmit it after 200 ms and 600 ms.
+const TRANSMISSION_AGES_MS: [u64; 3] = [0, 200, 600];
 /// Time for which a target is avoided after it returned an opening packet.
 const AVOID_AFTER_RETURN_MS: u64 = 150;
 
+/// Returns when the client first sent an opening packet, of which this transmission arrived at
+/// `arrived_at`. Earlier transmissions may have been lost, and the client has waited since then.
+pub(super) fn first_sent_at(arrived_at: MonoTime, segment: &Segment) -> MonoTime {
+    let earlier_transmissions = usize::try_from(segment.acknowledged).unwrap_or(usize::MAX);
+    let last = TRANSMISSION_AGES_MS.len() - 1;
+    let age_ms = TRANSMISSION_AGES_MS[earlier_transmissions.min(last)];
+    MonoTime::from_us(arrived_at.as_us().saturating_sub(age_ms * 1_000))
+}
+
 impl EntryCore {
     pub(super) fn on_opening(
         &mut self,
         now: MonoTime,
-        arrived_at: MonoTime,
+        first_sent_at: MonoTime,
         segment: &Segment,
         route: &Route,
         packet: &[u8],
@@ -42,7 +53,7 @@
     ) {
         let flow = segment.flow;
         if !self.flows.contains(&flow) {
-            self.place_first(now, arrived_at, segment, route, packet, out);
+            self.place_first(now, first_sent_at, segment, route, packet, out);
             return;
         }
         self.repeat_opening(now, segment, out);
@@ -92,7 +103,7 @@
     pub(super) fn place_first(
         &mut self,
         now: MonoTime,
-        arrived_at: MonoTime,
+        first_sent_at: MonoTime,
         segment: &Segment,
         route: &Route,
         packet: &[u8],
@@ -112,7 +123,7 @@
             return;
         };
         let opening = Opening {
-            arrived_at,
+            first_sent_at,
             attempts: Vec::with_capacity(1),
             packet: packet.into(),
             try_next_at: MonoTime::NEVER,
@@ -244,7 +255,7 @@
         opening.try_next_at = now.plus_ms(ACCEPT_TIMEOUT_MS);
         self.opening_queue.push_back((opening.try_next_at, flow));
         let packet = opening.packet.clone();
-        let waited_ms = now.ms_since(opening.arrived_at);
+        let waited_ms = now.ms_since(opening.first_sent_at);
         self.agents.record_placed(now, selected.vm, is_stream);
         out.push(EntryAction::ForwardStored {
             vm: selected.vm,
--- a/crates/fes-passthrough/src/flow_directory.rs
+++ b/crates/fes-passthrough/src/flow_directory.rs
@@ -38,8 +38,8 @@
 /// A flow that is being opened.
 #[derive(Debug, Clone)]
 pub struct Opening {
-    /// When its first packet arrived.
-    pub arrived_at: MonoTime,
+    /// When the client first sent the opening packet.
+    pub first_sent_at: MonoTime,
     /// Attempts, in order.
     pub attempts: Vec<Attempt>,
     /// The opening packet, kept for further attempts.
--- a/crates/fes-passthrough/src/request_queue.rs
+++ b/crates/fes-passthrough/src/request_queue.rs
@@ -2,32 +2,21 @@
 //!
 //! When, for some seconds, more requests arrive than the target can run, a FIFO queue makes every
 //! request late. This queue first releases requests that can still be answered within their latency
-//! goal; the others are released when no such request is queued.
+//! goal, then those that can be answered before their timeout. Others are released only when no
+//! such request is queued.
 
 use fes_protocol::MonoTime;
 
 use crate::FlowKey;
 use crate::FlowRequirements;
 use crate::FlowUse;
+use crate::RunTime;
 use crate::Segment;
 
 /// Maximum number of queued requests; further ones are delivered and queue at the target.
 const MAX_QUEUED: usize = 512;
 /// Maximum number of queued packets of one request; a client has at most 16 in flight.
 const MAX_PACKETS: usize = 16;
-/// Estimated run time of a request before the first measurement.
-const INITIAL_ESTIMATE_US: u64 = 30_000;
-/// Divisor that gives the weight of a new measurement in the estimate.
-const ESTIMATE_WEIGHT_DIVISOR: u64 = 16;
-/// Run time that must remain before the latency goal for a request to count as able to meet it, in
-/// percent of the estimate. The margin covers the variation of run times, because a response that
-/// is just too late is of less use.
-const ESTIMATE_MARGIN_PERCENT: u64 = 150;
-
-/// Multiple of the estimated run time after which a request no longer counts as occupying a slot.
-/// The longest requests run about ten times as long as a typical one.
-const LONGEST_RUN_FACTOR: u64 = 10;
-const MIN_LONGEST_RUN_US: u64 = 200_000;
 
 /// A queued request.
 #[derive(Debug, Clone)]
@@ -42,19 +31,10 @@
 }
 
 /// Queue of requests for the slots of one target.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct RequestQueue {
     queued: Vec<QueuedRequest>,
-    estimate_us: u64,
-}
-
-impl Default for RequestQueue {
-    fn default() -> Self {
-        Self {
-            queued: Vec::new(),
-            estimate_us: INITIAL_ESTIMATE_US,
-        }
-    }
+    run_time: RunTime,
 }
 
 impl RequestQueue {
@@ -77,16 +57,14 @@
     }
 
     /// Records the measured run time of a request, in microseconds.
-    pub const fn record_run(&mut self, run_us: u64) {
-        let kept = self.estimate_us - self.estimate_us / ESTIMATE_WEIGHT_DIVISOR;
-        self.estimate_us = kept + run_us / ESTIMATE_WEIGHT_DIVISOR;
+    pub fn record_run(&mut self, run_us: u64) {
+        self.run_time.record(run_us);
     }
 
-    /// Returns the longest time for which a request counts as occupying a slot, in microseconds. It
-    /// follows the measured run times, so that a target that has become slow isn't overloaded.
+    /// Returns the measured run times.
     #[must_use]
-    pub fn longest_run_us(&self) -> u64 {
-        (self.estimate_us * LONGEST_RUN_FACTOR).max(MIN_LONGEST_RUN_US)
+    pub const fn run_time(&self) -> &RunTime {
+        &self.run_time
     }
 
     /// Adds the first packet of a request.
@@ -143,23 +121,36 @@
 
     /// Removes and returns the request that should run next.
     pub fn pop(&mut self, now: MonoTime) -> Option<QueuedRequest> {
-        let run_us = self.estimate_us * ESTIMATE_MARGIN_PERCENT / 100;
-        let estimated_end_at = now.plus_us(run_us);
-        // Requests that can meet their latency goal come before those that can't. In each group,
-        // requests that must not be repeated come first, because a failure costs their clients
-        // most: they must not retry. The rest of the order is by deadline.
-        let rank = |request: &QueuedRequest| {
-            let misses_goal = estimated_end_at > request.latency_goal_at;
-            let is_repeatable = request.flow_use != FlowUse::NonRepeatable;
-            let deadline = if misses_goal {
-                request.timeout_at
-            } else {
-                request.latency_goal_at
-            };
-            (misses_goal, is_repeatable, deadline)
-        };
+        let expected_end_at = now.plus_us(self.run_time.expected_us());
         let ranked = self.queued.iter().enumerate();
-        let (index, _) = ranked.min_by_key(|(_, request)| rank(request))?;
+        let (index, _) = ranked.min_by_key(|(_, request)| request.rank(expected_end_at))?;
         Some(self.queued.remove(index))
     }
 }
+
+/// What a request can still achieve, in the order in which requests are released.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Prospect {
+    MeetsGoal,
+    MeetsTimeout,
+    MissesTimeout,
+}
+
+impl QueuedRequest {
+    /// Returns the sort key of a request that would end at `expected_end_at` if it were released
+    /// now.
+    ///
+    /// Among requests with the same prospect, those that must not be repeated come first, because
+    /// a failure costs their clients most: they must not retry. The rest of the order is by
+    /// deadline.
+    fn rank(&self, expected_end_at: MonoTime) -> (Prospect, bool, MonoTime) {
+        let is_repeatable = self.flow_use != FlowUse::NonRepeatable;
+        if expected_end_at <= self.latency_goal_at {
+            (Prospect::MeetsGoal, is_repeatable, self.latency_goal_at)
+        } else if expected_end_at <= self.timeout_at {
+            (Prospect::MeetsTimeout, is_repeatable, self.timeout_at)
+        } else {
+            (Prospect::MissesTimeout, is_repeatable, self.timeout_at)
+        }
+    }
+}
--- a/crates/fes-passthrough/tests/request_queue.rs
+++ b/crates/fes-passthrough/tests/request_queue.rs
@@ -90,12 +90,39 @@
 #[test]
 fn the_longest_run_follows_the_measured_ones() {
     let mut queue = RequestQueue::default();
-    let before_us = queue.longest_run_us();
+    let before_us = queue.run_time().longest_us();
 
     for _ in 0..100 {
         queue.record_run(150_000);
     }
 
     assert!(before_us <= 400_000);
-    assert!(queue.longest_run_us() >= 1_000_000);
+    assert!(queue.run_time().longest_us() >= 1_000_000);
+}
+
+/// Guards against a request that ends after its timeout and delays one that can still be answered.
+#[test]
+fn a_request_that_would_miss_its_timeout_goes_last() {
+    let mut queue = RequestQueue::default();
+    queue.record_run(60_000);
+    push(&mut queue, 0, 1, FlowUse::NonRepeatable, 200);
+    push(&mut queue, 100, 2, FlowUse::Stream, 200);
+
+    let order = [pop_port(&mut queue, 950), pop_port(&mut queue, 950)];
+
+    assert_eq!(order, [Some(2), Some(1)]);
+}
+
+/// Guards against an agent that was just restarted and, for as long as it assumes short run times,
+/// releases requests that can't meet their goal before those that can.
+#[test]
+fn the_run_time_is_learnt_within_a_few_requests() {
+    let mut queue = RequestQueue::default();
+    for _ in 0..3 {
+        queue.record_run(400_000);
+    }
+    push(&mut queue, 0, 1, FlowUse::Stream, 300);
+    push(&mut queue, 0, 2, FlowUse::Stream, 700);
+
+    assert_eq!(pop_port(&mut queue, 10), Some(2));
 }
