Detect targets that fail their requests and place no new flows on them

Change: an agent keeps a moving average of its target's failed requests (closed without a response, or a response of the server error class) and reports it, at once when it passes 300 per mille. Entries avoid such outliers, unless more than half of the service's targets fail. All entries together try an outlier every 500 ms, with requests that may be repeated only. Less frequent failures add to the cost of a target. The end of a flow may overtake its response; it counts as a failure only if the client has acknowledged all bytes before it. Entries and agents must be upgraded together, since the report has a new field.

--- a/crates/fes-passthrough/src/agent/agent_core.rs
+++ b/crates/fes-passthrough/src/agent/agent_core.rs
@@ -7,6 +7,7 @@
 use fes_protocol::UpstreamName;
 
 use super::lookup::PendingLookup;
+use crate::FailureRate;
 use crate::FlowDecision;
 use crate::FlowKey;
 use crate::FlowTable;
@@ -87,6 +88,7 @@
     pub(super) probes: FastMap<FlowKey, Probe>,
     pub(super) pending_lookups: FastMap<FlowKey, PendingLookup>,
     pub(super) target_monitor: TargetMonitor,
+    pub(super) failure_rate: FailureRate,
     pub(super) entries: FastMap<Ipv4Addr, EntryState>,
 }
 
@@ -118,6 +120,7 @@
             probes: FastMap::default(),
             pending_lookups: FastMap::default(),
             target_monitor: TargetMonitor::default(),
+            failure_rate: FailureRate::default(),
             entries: FastMap::default(),
         }
     }
@@ -141,10 +144,11 @@
         self.report_to_all(now, out);
     }
 
-    /// Resets the health check of the target after a pause of the process, during which answers may
+    /// Resets the health checks of the target after a pause of the process, during which answers may
     /// have been missed.
     pub fn on_pause(&mut self) {
         self.target_monitor.reset();
+        self.failure_rate.reset();
     }
 
     /// Handles a message from the process on VM `from_vm`, with the packet that it carries.
--- a/crates/fes-passthrough/src/agent/heartbeats.rs
+++ b/crates/fes-passthrough/src/agent/heartbeats.rs
@@ -76,6 +76,7 @@
         self.slots = hint.slots;
         if is_new_instance {
             self.target_monitor.reset();
+            self.failure_rate.reset();
         }
         if is_change {
             let decision = FlowDecision::new(Outcome::TargetChanged)
@@ -106,6 +107,7 @@
             waiting: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
             streams: counts.streams,
             flows: counts.open,
+            failures_per_mille: self.failure_rate.per_mille(),
             is_complete: self.is_complete(now),
             is_silent: self.target_monitor.is_silent(now),
             is_leaving: self.is_leaving(),
--- a/crates/fes-passthrough/src/agent/mod.rs
+++ b/crates/fes-passthrough/src/agent/mod.rs
@@ -2,6 +2,7 @@
 mod delivery;
 mod heartbeats;
 mod lookup;
+mod request_results;
 mod target_packets;
 
 pub use agent_core::AgentAction;
--- /dev/null
+++ b/crates/fes-passthrough/src/agent/request_results.rs
@@ -0,0 +1,46 @@
+//! Results of the target's requests: run times and failures.
+
+use fes_protocol::MonoTime;
+
+use crate::AgentAction;
+use crate::AgentCore;
+use crate::FlowDecision;
+use crate::FlowKey;
+use crate::Outcome;
+use crate::RequestEnd;
+use crate::is_failing;
+
+impl AgentCore {
+    pub(super) fn on_request_end(
+        &mut self,
+        now: MonoTime,
+        flow: FlowKey,
+        end: RequestEnd,
+        out: &mut Vec<AgentAction>,
+    ) {
+        if let RequestEnd::Answered { run_us } = end {
+            self.queue.record_run(run_us);
+            let decision = FlowDecision::new(Outcome::Answered)
+                .flow(flow)
+                .age_ms(run_us / 1_000);
+            out.push(AgentAction::Record(decision));
+        }
+        self.record_result(now, end == RequestEnd::Failed, out);
+        self.release(now, out);
+    }
+
+    /// Records a result. Entries get a report at once if the target begins or ceases to fail.
+    fn record_result(&mut self, now: MonoTime, is_failed: bool, out: &mut Vec<AgentAction>) {
+        let was_failing = is_failing(self.failure_rate.per_mille());
+        self.failure_rate.record(is_failed);
+        let per_mille = self.failure_rate.per_mille();
+        let outcome = match (was_failing, is_failing(per_mille)) {
+            (false, true) => Outcome::TargetFailing,
+            (true, false) => Outcome::TargetWorks,
+            _ => return,
+        };
+        let decision = FlowDecision::new(outcome).load(u64::from(per_mille));
+        out.push(AgentAction::Record(decision));
+        self.report_to_all(now, out);
+    }
+}
--- a/crates/fes-passthrough/src/agent/target_packets.rs
+++ b/crates/fes-passthrough/src/agent/target_packets.rs
@@ -36,7 +36,7 @@
         let flow = segment.flow;
         let new = AgentFlow::new(now, None, false);
         let record = self.flows.get_or_insert(flow, new);
-        let run_us = record.record_answer(now, segment);
+        let end = record.record_answer(now, segment);
         out.push(AgentAction::SendToClient);
         if segment.is_syn {
             record.initial_sequence = Some(segment.sequence);
@@ -45,13 +45,8 @@
             return;
         }
         record.is_established = true;
-        if let Some(run_us) = run_us {
-            self.queue.record_run(run_us);
-            let decision = FlowDecision::new(Outcome::Answered)
-                .flow(flow)
-                .age_ms(run_us / 1_000);
-            out.push(AgentAction::Record(decision));
-            self.release(now, out);
+        if let Some(end) = end {
+            self.on_request_end(now, flow, end, out);
         }
         if let Some(probe) = self.probes.remove(&flow) {
             self.send_held(probe.entry, flow, out);
--- a/crates/fes-passthrough/src/agent_table.rs
+++ b/crates/fes-passthrough/src/agent_table.rs
@@ -20,6 +20,8 @@
 const PLACEMENT_EXPIRY_MS: u64 = 400;
 /// Number of consecutive unanswered opening packets after which a target is avoided.
 const MAX_UNANSWERED_OPENINGS: u32 = 2;
+/// Interval at which all entries together place a flow on a failing target.
+const TRIAL_INTERVAL_MS: u64 = 500;
 /// Time for which a target is avoided before it is tried again.
 const AVOID_MS: u64 = 700;
 
@@ -39,6 +41,8 @@
     recent_placements: VecDeque<RecentPlacement>,
     unanswered_openings: u32,
     avoid_until: MonoTime,
+    /// When a flow may be placed on a failing target again, to find out whether it still fails.
+    trial_at: MonoTime,
 }
 
 impl AgentState {
@@ -66,6 +70,12 @@
         now < self.avoid_until
     }
 
+    /// Returns whether a flow may be placed on the target although it fails its requests.
+    #[must_use]
+    pub fn is_trial_due(&self, now: MonoTime) -> bool {
+        now >= self.trial_at
+    }
+
     /// Returns the numbers of flows and of streams that were placed recently and that the latest
     /// report doesn't include yet.
     #[must_use]
@@ -84,9 +94,19 @@
 #[derive(Debug, Default)]
 pub struct AgentTable {
     agents: FastMap<Ipv4Addr, AgentState>,
+    other_entries: u64,
 }
 
 impl AgentTable {
+    /// Sets the number of other entries, with which the trials of failing targets are shared.
+    pub const fn set_other_entries(&mut self, count: u64) {
+        self.other_entries = count;
+    }
+
+    const fn trial_interval_ms(&self) -> u64 {
+        TRIAL_INTERVAL_MS * (self.other_entries + 1)
+    }
+
     /// Records a report. Returns whether the agent was unknown or silent before.
     pub fn record_report(
         &mut self,
@@ -97,6 +117,7 @@
     ) -> bool {
         let silent_at =
             now.plus_ms((report_period_ms * MAX_MISSED_REPORTS).max(MIN_REPORT_TIMEOUT_MS));
+        let trial_interval_ms = self.trial_interval_ms();
         let Some(agent) = self.agents.get_mut(&vm) else {
             let agent = AgentState {
                 report,
@@ -106,6 +127,7 @@
                 recent_placements: VecDeque::new(),
                 unanswered_openings: 0,
                 avoid_until: MonoTime::ZERO,
+                trial_at: now.plus_ms(trial_interval_ms),
             };
             self.agents.insert(vm, agent);
             return true;
@@ -124,9 +146,11 @@
 
     /// Records that an opening packet was sent to the agent.
     pub fn record_placed(&mut self, now: MonoTime, vm: Ipv4Addr, is_stream: bool) {
+        let trial_interval_ms = self.trial_interval_ms();
         let Some(agent) = self.agents.get_mut(&vm) else {
             return;
         };
+        agent.trial_at = now.plus_ms(trial_interval_ms);
         agent
             .recent_placements
             .push_back(RecentPlacement { at: now, is_stream });
--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -313,6 +313,9 @@
         self.route_early(now, out);
         let digests = self.gossip.on_tick(now, &self.view);
         out.extend(digests.into_iter().map(send));
+        let other_entries = self.gossip.reachable(now).count();
+        self.agents
+            .set_other_entries(u64::try_from(other_entries).unwrap_or(u64::MAX));
         self.try_due_openings(now, out);
         self.run_due_searches(now, out);
         for (vm, age_ms) in self.agents.newly_silent(now) {
--- a/crates/fes-passthrough/src/entry/status.rs
+++ b/crates/fes-passthrough/src/entry/status.rs
@@ -48,6 +48,8 @@
     pub is_leaving: bool,
     /// Whether the target is unresponsive.
     pub is_silent: bool,
+    /// Share of the latest requests that failed at the target, in thousandths.
+    pub failures_per_mille: u32,
     /// Whether the agent knows all flows of its target.
     pub is_complete: bool,
 }
@@ -72,6 +74,7 @@
                     flows: report.flows,
                     is_leaving: report.is_leaving,
                     is_silent: report.is_silent,
+                    failures_per_mille: report.failures_per_mille,
                     is_complete: report.is_complete,
                 }
             })
--- a/crates/fes-passthrough/src/flow_decision.rs
+++ b/crates/fes-passthrough/src/flow_decision.rs
@@ -57,6 +57,11 @@
     AgentHeard,
     /// The reports of an agent have stopped.
     AgentSilent,
+    /// The target fails the requests that it accepts; `load` is the share of failed requests in
+    /// thousandths.
+    TargetFailing,
+    /// The target no longer fails its requests.
+    TargetWorks,
     /// The target is unresponsive.
     TargetSilent,
     /// The target responds again.
@@ -93,6 +98,8 @@
             Self::HandedBack => "handed_back",
             Self::AgentHeard => "agent_heard",
             Self::AgentSilent => "agent_silent",
+            Self::TargetFailing => "target_failing",
+            Self::TargetWorks => "target_works",
             Self::TargetSilent => "target_silent",
             Self::TargetAnswers => "target_answers",
             Self::TargetChanged => "target_changed",
--- a/crates/fes-passthrough/src/flow_table.rs
+++ b/crates/fes-passthrough/src/flow_table.rs
@@ -7,6 +7,7 @@
 
 use crate::FlowKey;
 use crate::FlowRequirements;
+use crate::RequestEnd;
 use crate::Segment;
 
 /// Time for which a closing flow is kept.
@@ -41,6 +42,9 @@
     /// Sequence number after the last byte of the client that was delivered to the target or
     /// acknowledged by it. Unknown until either is seen.
     next_client_sequence: Option<u32>,
+    /// Latest acknowledgement number of the client: sequence number after the last byte that it
+    /// got from the target.
+    client_acknowledged: Option<u32>,
     /// Whether the client's latest request was cancelled or timed out. No further packets of the
     /// flow are delivered, except resets.
     is_abandoned: bool,
@@ -62,6 +66,7 @@
             requests: 0,
             first_requirements: None,
             next_client_sequence: None,
+            client_acknowledged: None,
             is_abandoned: false,
             is_closing: false,
             expires_at: now.plus_ms(HALF_OPEN_EXPIRY_MS),
@@ -108,6 +113,9 @@
         } else {
             self.is_established = true;
         }
+        if segment.is_ack {
+            self.client_acknowledged = Some(segment.acknowledged);
+        }
         self.extend_expiry(now);
         let is_new_data = self.is_new_data(segment);
         if segment.payload_bytes > 0 && (is_new_data || self.next_client_sequence.is_none()) {
@@ -119,9 +127,8 @@
         }
     }
 
-    /// Records a packet of the target. If it completes a request, returns the time that the request
-    /// ran, in microseconds.
-    pub fn record_answer(&mut self, now: MonoTime, segment: &Segment) -> Option<u64> {
+    /// Records a packet of the target. Returns how the request ended if the packet ends one.
+    pub fn record_answer(&mut self, now: MonoTime, segment: &Segment) -> Option<RequestEnd> {
         self.is_closing |= segment.is_fin || segment.is_reset;
         self.extend_expiry(now);
         if segment.is_ack {
@@ -134,7 +141,19 @@
             self.requests += 1;
             self.is_stream |= self.requests >= STREAM_REQUESTS;
         }
-        is_request_end.then(|| now.us_since(self.running_since))
+        let is_failed = segment.is_failure || self.closes_without_response(segment);
+        is_request_end.then(|| match is_failed {
+            true => RequestEnd::Failed,
+            false => RequestEnd::Answered {
+                run_us: now.us_since(self.running_since),
+            },
+        })
+    }
+
+    /// Returns whether the target closes the flow, and no byte precedes that the client hasn't got.
+    /// The end of the flow may overtake the response.
+    fn closes_without_response(&self, segment: &Segment) -> bool {
+        segment.payload_bytes == 0 && self.client_acknowledged == Some(segment.sequence)
     }
 
     /// Records that the client's request was cancelled or timed out.
--- a/crates/fes-passthrough/src/message.rs
+++ b/crates/fes-passthrough/src/message.rs
@@ -84,6 +84,8 @@
     pub streams: u32,
     /// Open flows.
     pub flows: u32,
+    /// Share of the latest requests that failed at the target, in thousandths.
+    pub failures_per_mille: u32,
     /// Whether the agent knows all flows of its target.
     pub is_complete: bool,
     /// Whether the target is unresponsive.
--- a/crates/fes-passthrough/src/placement.rs
+++ b/crates/fes-passthrough/src/placement.rs
@@ -4,6 +4,7 @@
 use std::net::Ipv4Addr;
 
 use fes_protocol::DataCentreName;
+use fes_protocol::FastSet;
 use fes_protocol::MonoTime;
 
 use crate::AgentTable;
@@ -14,6 +15,8 @@
 use crate::ServiceTag;
 use crate::TargetRecord;
 use crate::TargetState;
+use crate::is_failing;
+use crate::outliers;
 use crate::preferred_targets;
 
 /// Additional cost of a target in another data centre, in thousandths of its slots: a request there
@@ -85,9 +88,21 @@
         let offset = rotation.checked_rem(candidates.len()).unwrap_or(0);
         candidates[offset..].iter().chain(&candidates[..offset])
     };
+    let is_any_failing = candidates.iter().any(|record| {
+        let agent = context.agents.get(record.vm);
+        agent.is_some_and(|agent| is_failing(agent.report().failures_per_mille))
+    });
+    let outliers = match is_any_failing {
+        true => outliers(now, context.agents, context.view.targets_of(service)),
+        false => FastSet::default(),
+    };
+    let is_outlier = |vm: Ipv4Addr| outliers.contains(&vm) && !may_try(now, context, vm, flow_use);
     let reachable =
         rotated().filter_map(|record| reported_candidate(now, context, record, flow_use));
-    let lowest_cost = reachable.min_by_key(|(is_avoided, selected)| (*is_avoided, selected.load));
+    let lowest_cost = reachable.min_by_key(|(is_avoided, selected)| {
+        let is_avoided = *is_avoided || is_outlier(selected.vm);
+        (is_avoided, selected.load)
+    });
     if let Some((_, selected)) = lowest_cost {
         return Some(selected);
     }
@@ -98,6 +113,13 @@
     rotated().next().map(|record| unreported_candidate(record))
 }
 
+/// Returns whether a flow may be placed on an outlier, to find out whether it still fails. Requests
+/// that must not be repeated aren't used for that, since their clients can't retry.
+fn may_try(now: MonoTime, context: PlacementContext<'_>, vm: Ipv4Addr, flow_use: FlowUse) -> bool {
+    let agent = context.agents.get(vm);
+    flow_use != FlowUse::NonRepeatable && agent.is_some_and(|agent| agent.is_trial_due(now))
+}
+
 /// Returns the target as a candidate if its agent has a current report, and whether it should be
 /// selected only if there are no others.
 fn reported_candidate(
@@ -129,6 +151,9 @@
     if record.data_centre != *context.data_centre {
         load += CROSS_DATA_CENTRE_COST_PER_MILLE;
     }
+    if !is_failing(report.failures_per_mille) {
+        load += u64::from(report.failures_per_mille);
+    }
     let selected = SelectedTarget {
         vm: record.vm,
         service: record.service,
--- a/crates/fes-passthrough/src/segment.rs
+++ b/crates/fes-passthrough/src/segment.rs
@@ -50,6 +50,8 @@
     pub is_fin: bool,
     /// Aborts the flow (RST).
     pub is_reset: bool,
+    /// Whether the payload begins a response that reports a failure of the target.
+    pub is_failure: bool,
     /// Whether the target returned the packet because it doesn't hold or accept the flow.
     pub is_returned: bool,
     /// Sequence number of the first byte.
--- a/crates/fes-passthrough/tests/agent.rs
+++ b/crates/fes-passthrough/tests/agent.rs
@@ -16,6 +16,7 @@
 use fes_passthrough::TargetHint;
 use fes_passthrough::TargetState;
 use fes_protocol::MonoTime;
+use rstest::rstest;
 
 use support::fixtures::SERVICE;
 use support::fixtures::client_segment;
@@ -125,3 +126,67 @@
 
     assert_eq!(released_port(&actions), Some(4));
 }
+
+/// Returns the share of failed requests that the agent reports to a new entry.
+fn reported_failures(agent: &mut AgentCore, now_ms: u64) -> u32 {
+    let hello = Message::Hello(Hello {
+        incarnation: 2,
+        report_period_ms: 100,
+        target: None,
+    });
+    let mut out = Vec::new();
+    agent.on_message(
+        MonoTime::from_ms(now_ms),
+        entry_vm(1),
+        &hello,
+        None,
+        &mut out,
+    );
+    let report = out.iter().find_map(|action| match action {
+        AgentAction::Send {
+            message: Message::Load(report),
+            ..
+        } => Some(*report),
+        _ => None,
+    });
+    report
+        .expect("a new entry gets a report")
+        .failures_per_mille
+}
+
+fn end_of_flow(flow: FlowKey, is_fin: bool, sequence: u32) -> Segment {
+    Segment {
+        sender: Sender::Target,
+        is_fin,
+        is_reset: !is_fin,
+        sequence,
+        ..client_segment(flow)
+    }
+}
+
+/// Guards against a failing target that looks healthy, and against a healthy one that counts as
+/// failing because the end of a flow overtakes the response.
+#[rstest]
+#[case::closed_without_a_response(end_of_flow(flow(1, stream_address()), true, 0), true)]
+#[case::reset_without_a_response(end_of_flow(flow(1, stream_address()), false, 0), true)]
+#[case::closed_after_a_response_still_in_flight(
+    end_of_flow(flow(1, stream_address()), true, 700),
+    false
+)]
+#[case::failure_response(
+    Segment { is_failure: true, payload_bytes: 50, ..end_of_flow(flow(1, stream_address()), true, 0) },
+    true
+)]
+fn only_requests_without_a_good_response_count_as_failed(
+    #[case] last: Segment,
+    #[case] expected: bool,
+) {
+    let mut agent = agent_with_one_slot();
+    let requirements = requirements(FlowUse::Stream, 200, 1_000);
+    open(&mut agent, 0, last.flow, requirements);
+    request(&mut agent, 10, last.flow, requirements);
+
+    agent.on_target_packet(MonoTime::from_ms(20), &last, &mut Vec::new());
+
+    assert_eq!(reported_failures(&mut agent, 30) > 0, expected);
+}
--- a/crates/fes-passthrough/tests/many_agents.rs
+++ b/crates/fes-passthrough/tests/many_agents.rs
@@ -43,6 +43,7 @@
         waiting: 0,
         streams: 0,
         flows: 0,
+        failures_per_mille: 0,
         is_complete: true,
         is_silent: false,
         is_leaving: false,
--- a/crates/fes-passthrough/tests/support/fixtures.rs
+++ b/crates/fes-passthrough/tests/support/fixtures.rs
@@ -92,6 +92,7 @@
         is_ack: true,
         is_fin: false,
         is_reset: false,
+        is_failure: false,
         is_returned: false,
         sequence: 1,
         acknowledged: 0,
--- a/crates/fes-passthrough/tests/support/simulation.rs
+++ b/crates/fes-passthrough/tests/support/simulation.rs
@@ -543,6 +543,7 @@
         is_ack: false,
         is_fin: false,
         is_reset: true,
+        is_failure: false,
         is_returned: false,
         sequence,
         acknowledged: 0,
--- a/crates/fes-passthrough/tests/support/target.rs
+++ b/crates/fes-passthrough/tests/support/target.rs
@@ -38,6 +38,10 @@
     pub started_at_ms: u64,
     pub slots: usize,
     pub work_ms: u64,
+    /// Whether it resets the flow of each request instead of running it.
+    pub resets_requests: bool,
+    /// Number of requests that reached it.
+    pub received_requests: usize,
     /// Number of completed requests.
     pub completed_requests: usize,
     running_requests: usize,
@@ -52,6 +56,8 @@
             started_at_ms: 1_000,
             slots,
             work_ms,
+            resets_requests: false,
+            received_requests: 0,
             completed_requests: 0,
             running_requests: 0,
             queue: VecDeque::new(),
@@ -108,6 +114,15 @@
         }
         flow_state.next_client_sequence = end;
         flow_state.is_answered = false;
+        self.received_requests += 1;
+        if self.resets_requests {
+            let reset = Segment {
+                is_reset: true,
+                ..from_target(segment.flow, flow_state, 0)
+            };
+            self.flows.remove(&segment.flow);
+            return vec![TargetAction::Send(reset)];
+        }
         self.queue.push_back(segment.flow);
         self.start_queued_requests()
     }
@@ -164,6 +179,7 @@
         is_ack: true,
         is_fin: false,
         is_reset: false,
+        is_failure: false,
         is_returned: false,
         sequence: flow_state.initial_sequence.wrapping_add(1),
         acknowledged: flow_state.next_client_sequence,
--- a/crates/fes-soak/src/clients.rs
+++ b/crates/fes-soak/src/clients.rs
@@ -319,6 +319,7 @@
         is_ack: true,
         is_fin: false,
         is_reset: false,
+        is_failure: false,
         is_returned: false,
         sequence,
         acknowledged,
--- a/crates/fes-soak/src/targets.rs
+++ b/crates/fes-soak/src/targets.rs
@@ -269,6 +269,7 @@
         is_ack: true,
         is_fin: false,
         is_reset: false,
+        is_failure: false,
         is_returned: false,
         sequence: flow
             .initial_sequence
