Mend flows of reused ports and messages that end a process

Cause, each shown by a test that failed first: - port_reuse.rs: a client that uses a port again within 6 to 62 s gets no flow. The entry sent the new opening packet to the earlier flow's target, also when that is leaving and returns it; the agent dropped the packets of the new flow if the earlier one's request was cancelled while queued. - hostile_messages.rs: a route without services, from a peer or the platform, ended every entry that got a packet for it (index out of bounds). Slots of 4,294,967,295 made the agent's limit wrap to zero, so that no request was ever released; counts in reports and weights could wrap too. Change: records keep the sequence number of the opening packet, and a different one starts a new flow. A route without services is refused like one without targets. Counts saturate or are wider. SelectedTarget::running_and_slots and FlowDirectory::contains had no readers left and are removed.

--- a/crates/fes-passthrough/src/agent/delivery.rs
+++ b/crates/fes-passthrough/src/agent/delivery.rs
@@ -125,7 +125,8 @@
     /// Returns whether another request may be delivered to the target. One more than it can run
     /// concurrently is allowed, so that no slot is idle between two requests.
     pub(super) fn has_slot(&self, now: MonoTime) -> bool {
-        self.slots == 0 || self.counts(now).running < self.slots + MAX_REQUESTS_BEYOND_SLOTS
+        self.slots == 0
+            || self.counts(now).running < self.slots.saturating_add(MAX_REQUESTS_BEYOND_SLOTS)
     }
 
     /// Delivers queued requests to the target while it has free slots.
@@ -170,12 +171,17 @@
             self.return_packet(entry, segment.flow, reason, out);
             return;
         }
+        let earlier = self.flows.get_mut(&segment.flow);
+        if earlier.is_some_and(|earlier| earlier.is_superseded_by(segment)) {
+            self.flows.remove(&segment.flow);
+            self.queue.remove(&segment.flow);
+        }
         let is_stream = forward.requirements.flow_use == FlowUse::Stream;
         let new = AgentFlow::new(now, Some(entry), is_stream);
         let record = self.flows.get_or_insert(segment.flow, new);
         record.entry = Some(entry);
         record.is_stream |= is_stream;
-        record.record_opening(now, forward.requirements);
+        record.record_opening(now, segment, forward.requirements);
         record.record_delivery(now, segment);
         self.target_monitor.record_opening(now);
         out.push(AgentAction::Deliver);
--- a/crates/fes-passthrough/src/entry/opening.rs
+++ b/crates/fes-passthrough/src/entry/opening.rs
@@ -52,7 +52,8 @@
         out: &mut Vec<EntryAction>,
     ) {
         let flow = segment.flow;
-        if !self.flows.contains(&flow) {
+        let earlier = self.flows.get_mut(&flow);
+        if earlier.is_none_or(|earlier| earlier.is_superseded_by(segment)) {
             self.place_first(now, first_sent_at, segment, route, packet, out);
             return;
         }
@@ -109,14 +110,12 @@
         packet: &[u8],
         out: &mut Vec<EntryAction>,
     ) {
-        let service = self.select_service(route);
-        let Some(selected) = self.select_target(
-            now,
-            service,
-            &segment.flow,
-            route.requirements.flow_use,
-            &[],
-        ) else {
+        let flow_use = route.requirements.flow_use;
+        let placement = self.select_service(route).and_then(|service| {
+            let selected = self.select_target(now, service, &segment.flow, flow_use, &[])?;
+            Some((service, selected))
+        });
+        let Some((service, selected)) = placement else {
             if self.is_view_current(now) {
                 self.reset(now, Outcome::RefusedNoTarget, segment, out);
             }
@@ -130,6 +129,7 @@
         };
         let mut record = FlowRecord {
             service,
+            opening_sequence: Some(segment.sequence),
             requirements: route.requirements,
             state: FlowState::Opening(opening),
             expires_at: MonoTime::NEVER,
@@ -142,20 +142,22 @@
     }
 
     /// Selects the service of a new flow in proportion to the weights of the route's services.
-    pub(super) fn select_service(&mut self, route: &Route) -> ServiceTag {
+    /// Returns none for a route without services.
+    pub(super) fn select_service(&mut self, route: &Route) -> Option<ServiceTag> {
         self.rotation = self.rotation.wrapping_add(1);
-        let total: u32 = route.services.iter().map(|service| service.weight).sum();
+        let weights = route.services.iter().map(|service| service.weight);
+        let total = weights.fold(0, u32::saturating_add);
         // Multiplicative hashing, so that consecutive flows are spread over the services instead of
         // going to the same one many times in a row.
         let rotation = u32::try_from(self.rotation % 1_000_003).unwrap_or(0);
         let mut position = rotation.wrapping_mul(2_654_435_761) % total.max(1);
         for service in &route.services {
             if position < service.weight {
-                return service.service;
+                return Some(service.service);
             }
             position -= service.weight;
         }
-        route.services[0].service
+        route.services.first().map(|service| service.service)
     }
 
     pub(super) fn select_target(
--- a/crates/fes-passthrough/src/entry/searching.rs
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -55,8 +55,12 @@
         let Some(route) = self.view.route(flow.destination) else {
             return;
         };
+        let Some(first) = route.services.first() else {
+            return;
+        };
         let mut record = FlowRecord {
-            service: route.services[0].service,
+            service: first.service,
+            opening_sequence: None,
             requirements: route.requirements,
             state: FlowState::Searching(Search::new(now, arrived_at, packet)),
             expires_at: MonoTime::NEVER,
--- a/crates/fes-passthrough/src/flow_directory.rs
+++ b/crates/fes-passthrough/src/flow_directory.rs
@@ -8,6 +8,7 @@
 use crate::FlowKey;
 use crate::FlowRequirements;
 use crate::Search;
+use crate::Segment;
 use crate::ServiceTag;
 
 /// Maximum number of targets to which an opening packet is sent.
@@ -73,6 +74,8 @@
 pub struct FlowRecord {
     /// Service of its target.
     pub service: ServiceTag,
+    /// Sequence number of its opening packet, if the entry saw it.
+    pub opening_sequence: Option<u32>,
     /// Requirements of its requests.
     pub requirements: FlowRequirements,
     /// State.
@@ -98,12 +101,6 @@
         self.flows.get_mut(flow)
     }
 
-    /// Returns whether the flow has a record.
-    #[must_use]
-    pub fn contains(&self, flow: &FlowKey) -> bool {
-        self.flows.contains_key(flow)
-    }
-
     /// Adds or replaces the record of a flow. A new flow is not recorded if the directory is full.
     pub fn insert(&mut self, flow: FlowKey, record: FlowRecord) {
         if self.flows.len() < MAX_FLOWS || self.flows.contains_key(&flow) {
@@ -138,6 +135,14 @@
 }
 
 impl FlowRecord {
+    /// Returns whether an opening packet belongs to a later flow, for which the client uses the same
+    /// port again. Retransmissions have the same sequence number.
+    #[must_use]
+    pub fn is_superseded_by(&self, opening: &Segment) -> bool {
+        self.opening_sequence
+            .is_some_and(|sequence| sequence != opening.sequence)
+    }
+
     /// Extends the record's expiry after a packet of the flow.
     pub fn touch(&mut self, now: MonoTime, idle_timeout_ms: u64) {
         let expiry_ms = match (&self.state, self.is_closing) {
--- a/crates/fes-passthrough/src/flow_table.rs
+++ b/crates/fes-passthrough/src/flow_table.rs
@@ -36,6 +36,8 @@
     pub is_running: bool,
     running_since: MonoTime,
     requests: u32,
+    /// Sequence number of the client's opening packet, if the agent saw it.
+    opening_sequence: Option<u32>,
     /// Requirements of the first request, and when the opening packet arrived. The times in the
     /// requirements count from then.
     first_requirements: Option<(FlowRequirements, MonoTime)>,
@@ -64,6 +66,7 @@
             is_running: false,
             running_since: MonoTime::ZERO,
             requests: 0,
+            opening_sequence: None,
             first_requirements: None,
             next_client_sequence: None,
             client_acknowledged: None,
@@ -79,8 +82,22 @@
         !self.is_running && self.is_new_data(segment)
     }
 
-    /// Records the requirements of the first request, as given with the opening packet.
-    pub const fn record_opening(&mut self, now: MonoTime, requirements: FlowRequirements) {
+    /// Returns whether an opening packet belongs to a later flow, for which the client uses the same
+    /// port again. Retransmissions have the same sequence number.
+    #[must_use]
+    pub fn is_superseded_by(&self, opening: &Segment) -> bool {
+        self.opening_sequence
+            .is_some_and(|sequence| sequence != opening.sequence)
+    }
+
+    /// Records an opening packet and the requirements of the first request, which come with it.
+    pub const fn record_opening(
+        &mut self,
+        now: MonoTime,
+        opening: &Segment,
+        requirements: FlowRequirements,
+    ) {
+        self.opening_sequence = Some(opening.sequence);
         if self.first_requirements.is_none() {
             self.first_requirements = Some((requirements, now));
         }
--- a/crates/fes-passthrough/src/placement.rs
+++ b/crates/fes-passthrough/src/placement.rs
@@ -43,8 +43,6 @@
     pub started_at_ms: u64,
     /// Cost of the target: its expected load and the additional costs, in thousandths of its slots.
     pub load: u64,
-    /// Number of running requests, and number of slots.
-    pub running_and_slots: (u32, u32),
     /// Age of the agent's report, in milliseconds; [`u64::MAX`] if there is none.
     pub report_age_ms: u64,
 }
@@ -135,11 +133,11 @@
     }
     let (placed, placed_streams) = agent.placed_since_report();
     let slots = u64::from(record.slots.max(1));
-    let running = u64::from(report.running + report.waiting + placed);
-    let current_load = running * 1_000 / slots;
+    let requests = u64::from(report.running) + u64::from(report.waiting) + u64::from(placed);
+    let current_load = requests * 1_000 / slots;
     let mut load = match flow_use {
         FlowUse::Stream => {
-            let streams = u64::from(report.streams + placed_streams);
+            let streams = u64::from(report.streams) + u64::from(placed_streams);
             streams * STREAM_COST_MILLISLOTS / slots
                 + current_load * STREAM_CURRENT_LOAD_PERCENT / 100
         }
@@ -159,7 +157,6 @@
         service: record.service,
         started_at_ms: record.started_at_ms,
         load,
-        running_and_slots: (report.running + report.waiting + placed, record.slots),
         report_age_ms: agent.age_ms(now),
     };
     Some((agent.is_avoided(now) || report.is_silent, selected))
@@ -171,7 +168,6 @@
         service: record.service,
         started_at_ms: record.started_at_ms,
         load: 0,
-        running_and_slots: (0, record.slots),
         report_age_ms: u64::MAX,
     }
 }
