Contain panics of handlers

Cause: a panic in the handling of one datagram ended the task that receives all of them, while the process still reported that it was ready; on links between processes, a panic in the handler of one message ended the links of all peers. After an error such as too many open files, links were accepted again without a pause, in a loop at full speed. Change: datagrams, ticks and link messages are handled behind catch_unwind; the panic is logged. The accept loop waits 50 ms after an error. The pause after an error of accept is by reading only; no test exhausts descriptors.

--- a/crates/fes-link/src/server.rs
+++ b/crates/fes-link/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use fes_protocol::Error;
 use fes_protocol::Result;
 use fes_protocol::ResultCode;
+use futures::FutureExt;
 use futures::stream::FuturesUnordered;
 use futures::stream::StreamExt;
 use h2::RecvStream;
@@ -34,6 +36,9 @@
 /// descriptor open.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Delay before connections are accepted again after an error, such as too many open files.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Handles one message. The returned future is dropped when the link closes.
 pub type LinkHandler = Rc<dyn Fn(LinkRequest) -> Pin<Box<dyn Future<Output = ()>>>>;
 
@@ -165,7 +170,7 @@
             }
             Err(e) => {
                 log::warn!("link: accepting a connection failed: {e}");
-                tokio::task::yield_now().await;
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
@@ -219,14 +224,18 @@
     let mut body = request.into_body();
     match read_head(&mut body).await {
         Ok((head, first_body)) => {
-            handler(LinkRequest {
+            let request = LinkRequest {
                 kind,
                 head,
                 first_body,
                 body,
                 responder: LinkResponder { respond },
-            })
-            .await;
+            };
+            // All links are served by one task, which a panic must not end.
+            let handled = AssertUnwindSafe(async { handler(request).await }).catch_unwind();
+            if handled.await.is_err() {
+                log::error!("link: the handler of a message panicked");
+            }
         }
         Err(e) => {
             log::debug!("link: rejected a message whose head can't be read: {e}");
--- a/crates/fes-link/tests/links.rs
+++ b/crates/fes-link/tests/links.rs
@@ -72,6 +72,24 @@
     );
 }
 
+/// Fails if a message that makes its handler panic ends the links of all peers.
+#[actix_rt::test]
+async fn calls_after_a_panic_of_the_handler_get_replies() {
+    let tls = tls(&CertificateAuthority::new());
+    let server = serve(loopback(), &tls, |request| async {
+        let number: u64 = decode_head(&request.head).expect("a number");
+        assert_ne!(number, 0, "unexpected message");
+        double(request).await;
+    });
+    let pool = LinkPool::new(tls);
+
+    let failed = pool.call::<u64>(server.address(), KIND, &0_u64).await;
+    let reply = pool.call::<u64>(server.address(), KIND, &21_u64).await;
+
+    assert!(failed.is_err());
+    assert_eq!(reply.expect("reply"), 42);
+}
+
 /// Fails if a process with a certificate of another certificate authority can exchange messages.
 #[actix_rt::test]
 async fn certificate_of_another_authority_is_rejected() {
--- a/crates/fes-passthrough-node/src/agent_daemon.rs
+++ b/crates/fes-passthrough-node/src/agent_daemon.rs
@@ -29,6 +29,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
+use crate::contain;
 use crate::node_context::NodeContext;
 use crate::settings_watch::reload;
 use crate::settings_watch::watch_settings;
@@ -188,17 +189,22 @@
             if let Some(event) = clock_event {
                 self.on_clock_event(event);
             }
-            let mut actions = Vec::new();
-            let mut core = self.core.borrow_mut();
-            core.on_tick(now, &mut actions);
             count = count.wrapping_add(1);
-            if count.is_multiple_of(TICKS_PER_SLOW_TICK) {
-                core.on_slow_tick(now);
-                self.update_gauges(&core);
-            }
-            drop(core);
-            self.perform(actions, &[]);
+            let is_slow_tick = count.is_multiple_of(TICKS_PER_SLOW_TICK);
+            contain("tick", || self.on_tick(now, is_slow_tick));
+        }
+    }
+
+    fn on_tick(&self, now: MonoTime, is_slow_tick: bool) {
+        let mut actions = Vec::new();
+        let mut core = self.core.borrow_mut();
+        core.on_tick(now, &mut actions);
+        if is_slow_tick {
+            core.on_slow_tick(now);
+            self.update_gauges(&core);
         }
+        drop(core);
+        self.perform(actions, &[]);
     }
 
     fn on_clock_event(&self, event: ClockEvent) {
--- a/crates/fes-passthrough-node/src/entry_daemon.rs
+++ b/crates/fes-passthrough-node/src/entry_daemon.rs
@@ -28,6 +28,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
+use crate::contain;
 use crate::list_watcher::ListUpdate;
 use crate::list_watcher::WatchControl;
 use crate::list_watcher::watch_list;
@@ -248,19 +249,24 @@
                     clock_event_text(event)
                 );
             }
-            let mut actions = Vec::new();
-            let mut core = self.core.borrow_mut();
-            core.on_tick(now, &mut actions);
             count = count.wrapping_add(1);
-            if count.is_multiple_of(TICKS_PER_SLOW_TICK) {
-                core.on_slow_tick(now);
-                self.update_gauges(&core, now);
-            }
-            drop(core);
-            self.perform(actions, &[]);
+            let is_slow_tick = count.is_multiple_of(TICKS_PER_SLOW_TICK);
+            contain("tick", || self.on_tick(now, is_slow_tick));
         }
     }
 
+    fn on_tick(&self, now: MonoTime, is_slow_tick: bool) {
+        let mut actions = Vec::new();
+        let mut core = self.core.borrow_mut();
+        core.on_tick(now, &mut actions);
+        if is_slow_tick {
+            core.on_slow_tick(now);
+            self.update_gauges(&core, now);
+        }
+        drop(core);
+        self.perform(actions, &[]);
+    }
+
     fn update_gauges(&self, core: &EntryCore, now: MonoTime) {
         let metrics = &self.context.metrics;
         let gauge = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
--- a/crates/fes-passthrough-node/src/lib.rs
+++ b/crates/fes-passthrough-node/src/lib.rs
@@ -2,6 +2,7 @@
 //! to the state machines of `fes_passthrough`.
 
 mod agent_daemon;
+mod containment;
 mod decision_log;
 mod entry_daemon;
 mod explain_logs;
@@ -14,6 +15,7 @@
 mod udp;
 
 pub use agent_daemon::run_agent;
+pub use containment::contain;
 pub use decision_log::DecisionLog;
 pub use entry_daemon::run_entry;
 pub use explain_logs::Explanation;
--- a/crates/fes-passthrough-node/src/udp.rs
+++ b/crates/fes-passthrough-node/src/udp.rs
@@ -9,6 +9,8 @@
 use fes_protocol::ResultCode;
 use tokio::net::UdpSocket;
 
+use crate::contain;
+
 /// Maximum length of a datagram from any peer, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 4_096;
 
@@ -24,7 +26,7 @@
     })
 }
 
-/// Calls `handle` with each received datagram. Never returns. Socket errors, such as a destination
+/// Calls `handle` with each received datagram. Never returns, even if `handle` panics. Socket errors, such as a destination
 /// port that no process listens on, concern single datagrams and are passed to `on_error`.
 pub(crate) async fn receive_all(
     socket: &UdpSocket,
@@ -52,7 +54,9 @@
     on_error: &impl Fn(&io::Error),
 ) {
     match received {
-        Ok((length, SocketAddr::V4(from))) => handle(from, &buffer[..length]),
+        Ok((length, SocketAddr::V4(from))) => {
+            contain("datagram", || handle(from, &buffer[..length]));
+        }
         // Sockets are bound to IPv4 addresses only.
         Ok((_, SocketAddr::V6(_))) => {}
         Err(error) => on_error(&error),
