--- a/crates/fes-passthrough-node/src/main.rs
+++ b/crates/fes-passthrough-node/src/main.rs
@@ -30,6 +30,8 @@
 const STATUS: &str = "status";
 const ADDRESS: &str = "address";
 const LOGS: &str = "logs";
+#[cfg(feature = "ablation")]
+const WITHOUT: &str = "without";
 const REQUEST: &str = "request";
 /// Time for writing the last log lines at exit. Bounded, because the output may not be read.
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
@@ -63,6 +65,8 @@
             return ExitCode::FAILURE;
         }
     };
+    #[cfg(feature = "ablation")]
+    disable_mechanisms(&matches);
     let place = settings.place;
     let context = NodeContext::new(settings, path);
     let ended = actix_rt::System::new().block_on(async move {
@@ -131,6 +135,33 @@
 }
 
 fn command() -> Command {
+    let command = base_command();
+    #[cfg(feature = "ablation")]
+    let command = command.arg(without_option());
+    command
+}
+
+#[cfg(feature = "ablation")]
+fn without_option() -> Arg {
+    let names = fes_passthrough::Mechanism::ALL.map(fes_passthrough::Mechanism::name);
+    Arg::new(WITHOUT)
+        .long(WITHOUT)
+        .global(true)
+        .help("Mechanism to switch off")
+        .value_name("MECHANISM")
+        .value_parser(names)
+        .action(clap::ArgAction::Append)
+}
+
+#[cfg(feature = "ablation")]
+fn disable_mechanisms(matches: &ArgMatches) {
+    let names: Vec<&String> = matches.get_many(WITHOUT).into_iter().flatten().collect();
+    let all = fes_passthrough::Mechanism::ALL.into_iter();
+    all.filter(|mechanism| names.iter().any(|name| *name == mechanism.name()))
+        .for_each(fes_passthrough::Mechanism::disable);
+}
+
+fn base_command() -> Command {
     Command::new("fescueshift-passthrough")
         .version(env!("CARGO_PKG_VERSION"))
         .about("Forwards flows between clients and targets without changing their packets")
--- a/crates/fes-passthrough/src/agent/delivery.rs
+++ b/crates/fes-passthrough/src/agent/delivery.rs
@@ -15,6 +15,7 @@
 use crate::FlowUse;
 use crate::Forward;
 use crate::ForwardMode;
+use crate::Mechanism;
 use crate::Outcome;
 use crate::ReturnReason;
 use crate::Segment;
@@ -125,7 +126,8 @@
     /// Returns whether another request may be delivered to the target. One more than it can run
     /// concurrently is allowed, so that no slot is idle between two requests.
     pub(super) fn has_slot(&self, now: MonoTime) -> bool {
-        self.slots == 0
+        let is_unlimited = self.slots == 0 || !Mechanism::AgentQueue.is_enabled();
+        is_unlimited
             || self.counts(now).running < self.slots.saturating_add(MAX_REQUESTS_BEYOND_SLOTS)
     }
 
--- a/crates/fes-passthrough/src/entry/opening.rs
+++ b/crates/fes-passthrough/src/entry/opening.rs
@@ -15,6 +15,7 @@
 use crate::Forward;
 use crate::ForwardMode;
 use crate::MAX_ATTEMPTS;
+use crate::Mechanism;
 use crate::Opening;
 use crate::Outcome;
 use crate::PlacementContext;
@@ -35,6 +36,9 @@
 /// Returns when the client first sent an opening packet, of which this transmission arrived at
 /// `arrived_at`. Earlier transmissions may have been lost, and the client has waited since then.
 pub(super) fn first_sent_at(arrived_at: MonoTime, segment: &Segment) -> MonoTime {
+    if !Mechanism::OpeningAge.is_enabled() {
+        return arrived_at;
+    }
     let earlier_transmissions = usize::try_from(segment.acknowledged).unwrap_or(usize::MAX);
     let last = TRANSMISSION_AGES_MS.len() - 1;
     let age_ms = TRANSMISSION_AGES_MS[earlier_transmissions.min(last)];
@@ -254,7 +258,10 @@
             initial_sequence: None,
             is_returned: false,
         });
-        opening.try_next_at = now.plus_ms(ACCEPT_TIMEOUT_MS);
+        opening.try_next_at = match Mechanism::FurtherAttempts.is_enabled() {
+            true => now.plus_ms(ACCEPT_TIMEOUT_MS),
+            false => MonoTime::NEVER,
+        };
         self.opening_queue.push_back((opening.try_next_at, flow));
         let packet = opening.packet.clone();
         let waited_ms = now.ms_since(opening.first_sent_at);
--- a/crates/fes-passthrough/src/placement.rs
+++ b/crates/fes-passthrough/src/placement.rs
@@ -12,6 +12,7 @@
 use crate::FleetView;
 use crate::FlowKey;
 use crate::FlowUse;
+use crate::Mechanism;
 use crate::ServiceTag;
 use crate::TargetRecord;
 use crate::TargetState;
@@ -86,10 +87,11 @@
         let offset = rotation.checked_rem(candidates.len()).unwrap_or(0);
         candidates[offset..].iter().chain(&candidates[..offset])
     };
-    let is_any_failing = candidates.iter().any(|record| {
-        let agent = context.agents.get(record.vm);
-        agent.is_some_and(|agent| is_failing(agent.report().failures_per_mille))
-    });
+    let is_any_failing = Mechanism::Outliers.is_enabled()
+        && candidates.iter().any(|record| {
+            let agent = context.agents.get(record.vm);
+            agent.is_some_and(|agent| is_failing(agent.report().failures_per_mille))
+        });
     let outliers = match is_any_failing {
         true => outliers(now, context.agents, context.view.targets_of(service)),
         false => FastSet::default(),
@@ -143,13 +145,14 @@
         }
         FlowUse::Repeatable | FlowUse::NonRepeatable => current_load,
     };
-    if context.view.is_warming_up(now, &record.id) {
+    if Mechanism::WarmUpCost.is_enabled() && context.view.is_warming_up(now, &record.id) {
         load = load * WARM_UP_LOAD_PERCENT / 100 + WARM_UP_COST_PER_MILLE;
     }
-    if record.data_centre != *context.data_centre {
+    let is_remote = record.data_centre != *context.data_centre;
+    if Mechanism::RemoteCost.is_enabled() && is_remote {
         load += CROSS_DATA_CENTRE_COST_PER_MILLE;
     }
-    if !is_failing(report.failures_per_mille) {
+    if Mechanism::FailureCost.is_enabled() && !is_failing(report.failures_per_mille) {
         load += u64::from(report.failures_per_mille);
     }
     let selected = SelectedTarget {
--- a/crates/fes-passthrough/src/request_queue.rs
+++ b/crates/fes-passthrough/src/request_queue.rs
@@ -10,6 +10,7 @@
 use crate::FlowKey;
 use crate::FlowRequirements;
 use crate::FlowUse;
+use crate::Mechanism;
 use crate::RunTime;
 use crate::Segment;
 
@@ -121,6 +122,9 @@
 
     /// Removes and returns the request that should run next.
     pub fn pop(&mut self, now: MonoTime) -> Option<QueuedRequest> {
+        if !Mechanism::ReleaseOrder.is_enabled() && !self.queued.is_empty() {
+            return Some(self.queued.remove(0));
+        }
         let expected_end_at = now.plus_us(self.run_time.expected_us());
         let ranked = self.queued.iter().enumerate();
         let (index, _) = ranked.min_by_key(|(_, request)| request.rank(expected_end_at))?;
