--- a/crates/fes-passthrough/src/entry/opening.rs
+++ b/crates/fes-passthrough/src/entry/opening.rs
@@ -15,6 +15,7 @@
 use crate::Forward;
 use crate::ForwardMode;
 use crate::MAX_ATTEMPTS;
+use crate::Mechanism;
 use crate::Opening;
 use crate::Outcome;
 use crate::PlacementContext;
@@ -35,6 +36,9 @@
 /// Returns when the client first sent an opening packet, of which this transmission arrived at
 /// `arrived_at`. Earlier transmissions may have been lost, and the client has waited since then.
 pub(super) fn first_sent_at(arrived_at: MonoTime, segment: &Segment) -> MonoTime {
+    if !Mechanism::OpeningAge.is_enabled() {
+        return arrived_at;
+    }
     let earlier_transmissions = usize::try_from(segment.acknowledged).unwrap_or(usize::MAX);
     let last = TRANSMISSION_AGES_MS.len() - 1;
     let age_ms = TRANSMISSION_AGES_MS[earlier_transmissions.min(last)];
@@ -52,7 +56,8 @@
         out: &mut Vec<EntryAction>,
     ) {
         let flow = segment.flow;
-        if !self.flows.contains(&flow) {
+        let earlier = self.flows.get_mut(&flow);
+        if earlier.is_none_or(|earlier| earlier.is_superseded_by(segment)) {
             self.place_first(now, first_sent_at, segment, route, packet, out);
             return;
         }
@@ -109,14 +114,12 @@
         packet: &[u8],
         out: &mut Vec<EntryAction>,
     ) {
-        let service = self.select_service(route);
-        let Some(selected) = self.select_target(
-            now,
-            service,
-            &segment.flow,
-            route.requirements.flow_use,
-            &[],
-        ) else {
+        let flow_use = route.requirements.flow_use;
+        let placement = self.select_service(route).and_then(|service| {
+            let selected = self.select_target(now, service, &segment.flow, flow_use, &[])?;
+            Some((service, selected))
+        });
+        let Some((service, selected)) = placement else {
             if self.is_view_current(now) {
                 self.reset(now, Outcome::RefusedNoTarget, segment, out);
             }
@@ -130,6 +133,7 @@
         };
         let mut record = FlowRecord {
             service,
+            opening_sequence: Some(segment.sequence),
             requirements: route.requirements,
             state: FlowState::Opening(opening),
             expires_at: MonoTime::NEVER,
@@ -142,20 +146,22 @@
     }
 
     /// Selects the service of a new flow in proportion to the weights of the route's services.
-    pub(super) fn select_service(&mut self, route: &Route) -> ServiceTag {
+    /// Returns none for a route without services.
+    pub(super) fn select_service(&mut self, route: &Route) -> Option<ServiceTag> {
         self.rotation = self.rotation.wrapping_add(1);
-        let total: u32 = route.services.iter().map(|service| service.weight).sum();
+        let weights = route.services.iter().map(|service| service.weight);
+        let total = weights.fold(0, u32::saturating_add);
         // Multiplicative hashing, so that consecutive flows are spread over the services instead of
         // going to the same one many times in a row.
         let rotation = u32::try_from(self.rotation % 1_000_003).unwrap_or(0);
         let mut position = rotation.wrapping_mul(2_654_435_761) % total.max(1);
         for service in &route.services {
             if position < service.weight {
-                return service.service;
+                return Some(service.service);
             }
             position -= service.weight;
         }
-        route.services[0].service
+        route.services.first().map(|service| service.service)
     }
 
     pub(super) fn select_target(
@@ -252,7 +258,10 @@
             initial_sequence: None,
             is_returned: false,
         });
-        opening.try_next_at = now.plus_ms(ACCEPT_TIMEOUT_MS);
+        opening.try_next_at = match Mechanism::FurtherAttempts.is_enabled() {
+            true => now.plus_ms(ACCEPT_TIMEOUT_MS),
+            false => MonoTime::NEVER,
+        };
         self.opening_queue.push_back((opening.try_next_at, flow));
         let packet = opening.packet.clone();
         let waited_ms = now.ms_since(opening.first_sent_at);
--- a/crates/fes-passthrough/src/placement.rs
+++ b/crates/fes-passthrough/src/placement.rs
@@ -12,6 +12,7 @@
 use crate::FleetView;
 use crate::FlowKey;
 use crate::FlowUse;
+use crate::Mechanism;
 use crate::ServiceTag;
 use crate::TargetRecord;
 use crate::TargetState;
@@ -43,8 +44,6 @@
     pub started_at_ms: u64,
     /// Cost of the target: its expected load and the additional costs, in thousandths of its slots.
     pub load: u64,
-    /// Number of running requests, and number of slots.
-    pub running_and_slots: (u32, u32),
     /// Age of the agent's report, in milliseconds; [`u64::MAX`] if there is none.
     pub report_age_ms: u64,
 }
@@ -88,10 +87,11 @@
         let offset = rotation.checked_rem(candidates.len()).unwrap_or(0);
         candidates[offset..].iter().chain(&candidates[..offset])
     };
-    let is_any_failing = candidates.iter().any(|record| {
-        let agent = context.agents.get(record.vm);
-        agent.is_some_and(|agent| is_failing(agent.report().failures_per_mille))
-    });
+    let is_any_failing = Mechanism::Outliers.is_enabled()
+        && candidates.iter().any(|record| {
+            let agent = context.agents.get(record.vm);
+            agent.is_some_and(|agent| is_failing(agent.report().failures_per_mille))
+        });
     let outliers = match is_any_failing {
         true => outliers(now, context.agents, context.view.targets_of(service)),
         false => FastSet::default(),
@@ -135,23 +135,24 @@
     }
     let (placed, placed_streams) = agent.placed_since_report();
     let slots = u64::from(record.slots.max(1));
-    let running = u64::from(report.running + report.waiting + placed);
-    let current_load = running * 1_000 / slots;
+    let requests = u64::from(report.running) + u64::from(report.waiting) + u64::from(placed);
+    let current_load = requests * 1_000 / slots;
     let mut load = match flow_use {
         FlowUse::Stream => {
-            let streams = u64::from(report.streams + placed_streams);
+            let streams = u64::from(report.streams) + u64::from(placed_streams);
             streams * STREAM_COST_MILLISLOTS / slots
                 + current_load * STREAM_CURRENT_LOAD_PERCENT / 100
         }
         FlowUse::Repeatable | FlowUse::NonRepeatable => current_load,
     };
-    if context.view.is_warming_up(now, &record.id) {
+    if Mechanism::WarmUpCost.is_enabled() && context.view.is_warming_up(now, &record.id) {
         load = load * WARM_UP_LOAD_PERCENT / 100 + WARM_UP_COST_PER_MILLE;
     }
-    if record.data_centre != *context.data_centre {
+    let is_remote = record.data_centre != *context.data_centre;
+    if Mechanism::RemoteCost.is_enabled() && is_remote {
         load += CROSS_DATA_CENTRE_COST_PER_MILLE;
     }
-    if !is_failing(report.failures_per_mille) {
+    if Mechanism::FailureCost.is_enabled() && !is_failing(report.failures_per_mille) {
         load += u64::from(report.failures_per_mille);
     }
     let selected = SelectedTarget {
@@ -159,7 +160,6 @@
         service: record.service,
         started_at_ms: record.started_at_ms,
         load,
-        running_and_slots: (report.running + report.waiting + placed, record.slots),
         report_age_ms: agent.age_ms(now),
     };
     Some((agent.is_avoided(now) || report.is_silent, selected))
@@ -171,7 +171,6 @@
         service: record.service,
         started_at_ms: record.started_at_ms,
         load: 0,
-        running_and_slots: (0, record.slots),
         report_age_ms: u64::MAX,
     }
 }
