Don't use targets again that left before a restart

Cause, shown by two tests of exchange.rs that failed first: an entry that was restarted used a target that had left, for good. It happened when a peer that had been paused, or had long not reached the platform, answered after a peer with a newer list; and when the peer with the newer list had started after the removal, so that its list of changes didn't contain it. Change: responses older than the view are ignored. An entry that doesn't know all removals since the asker's revision sends its whole list, and the asker removes what isn't on it. A response with no parts, or with more than the limit, no longer counts as complete.

--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -277,8 +277,7 @@
                 }
             }
             Message::Targets(part) => {
-                let routes_version = self.view.routes().version;
-                let update = self.gossip.on_targets(now, vm, part, routes_version);
+                let update = self.gossip.on_targets(now, vm, part, &self.view);
                 self.on_view_update(now, update, out);
             }
             // These messages are addressed to agents.
--- a/crates/fes-passthrough/src/fleet_view.rs
+++ b/crates/fes-passthrough/src/fleet_view.rs
@@ -90,6 +90,8 @@
     routes: RouteSet,
     has_routes: bool,
     revision: u64,
+    /// Revision after which every removal has a tombstone.
+    removals_known_after: u64,
     confirmed_at: Option<MonoTime>,
     outage_ended_at: Option<MonoTime>,
     is_in_outage: bool,
@@ -145,7 +147,7 @@
             self.is_in_outage = false;
             self.outage_ended_at = Some(now);
         }
-        self.revision = self.revision.max(revision);
+        self.advance_revision(self.revision.max(revision));
         self.confirmed_at = Some(now);
     }
 
@@ -156,10 +158,18 @@
             return;
         }
         self.is_in_outage = false;
-        self.revision = revision;
+        self.advance_revision(revision);
         self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
     }
 
+    fn advance_revision(&mut self, revision: u64) {
+        let is_first = self.revision == 0;
+        if is_first {
+            self.removals_known_after = revision;
+        }
+        self.revision = revision;
+    }
+
     /// Records that the platform is unreachable.
     pub const fn record_outage(&mut self) {
         self.is_in_outage = true;
@@ -178,10 +188,24 @@
         for id in &expired {
             self.drop_target(id);
         }
-        self.tombstones.retain(|_, (_, until)| now < *until);
+        self.expire_tombstones(now);
         expired.into_iter().map(ViewEvent::TargetRemoved).collect()
     }
 
+    fn expire_tombstones(&mut self, now: MonoTime) {
+        let forgotten = self.tombstones.values().filter(|(_, until)| now >= *until);
+        let newest_forgotten = forgotten.map(|(revision, _)| *revision).max();
+        self.removals_known_after = self.removals_known_after.max(newest_forgotten.unwrap_or(0));
+        self.tombstones.retain(|_, (_, until)| now < *until);
+    }
+
+    /// Returns whether all removals after a revision are known, so that the changes since then can
+    /// be sent to a peer instead of the whole list.
+    #[must_use]
+    pub const fn knows_removals_after(&self, revision: u64) -> bool {
+        revision >= self.removals_known_after
+    }
+
     /// Returns the route to an address.
     #[must_use]
     pub fn route(&self, destination: SocketAddrV4) -> Option<&Route> {
--- a/crates/fes-passthrough/src/view_gossip.rs
+++ b/crates/fes-passthrough/src/view_gossip.rs
@@ -8,7 +8,9 @@
 use std::net::Ipv4Addr;
 
 use fes_protocol::FastMap;
+use fes_protocol::FastSet;
 use fes_protocol::MonoTime;
+use fes_protocol::UpstreamName;
 
 use crate::FleetView;
 use crate::ListChange;
@@ -16,6 +18,7 @@
 use crate::Route;
 use crate::RouteSet;
 use crate::RoutesPart;
+use crate::TargetRecord;
 use crate::TargetsPart;
 use crate::ViewDigest;
 
@@ -62,6 +65,7 @@
     response: ResponseKey,
     parts_received: Vec<bool>,
     routes: Vec<Route>,
+    listed: FastSet<UpstreamName>,
 }
 
 impl Reassembly {
@@ -73,7 +77,7 @@
             *self = Self {
                 response,
                 parts_received: vec![false; count.min(MAX_PARTS)],
-                routes: Vec::new(),
+                ..Self::default()
             };
         }
         let index = usize::try_from(index).unwrap_or(usize::MAX);
@@ -81,8 +85,11 @@
         is_received.is_some_and(|is_received| !std::mem::replace(is_received, true))
     }
 
+    /// Responses without parts, or with more than [`MAX_PARTS`], are never complete.
     fn is_complete(&self) -> bool {
-        self.parts_received.iter().all(|is_received| *is_received)
+        let count = u32::try_from(self.parts_received.len()).unwrap_or(u32::MAX);
+        let is_valid = count > 0 && count == self.response.count;
+        is_valid && self.parts_received.iter().all(|is_received| *is_received)
     }
 }
 
@@ -225,13 +232,20 @@
 
     /// Handles a part of a peer's response with targets. The revision is confirmed only once the
     /// configuration of that revision is known too.
+    ///
+    /// A response that is older than the view is ignored, since the view has all changes up to its
+    /// own revision, and what it doesn't contain was removed. Targets that a complete list doesn't
+    /// contain are removed.
     pub fn on_targets(
         &mut self,
         now: MonoTime,
         from: Ipv4Addr,
         part: &TargetsPart,
-        routes_version: u64,
+        view: &FleetView,
     ) -> ViewUpdate {
+        if part.revision < view.revision() {
+            return ViewUpdate::default();
+        }
         let listed = part.targets.iter().cloned().map(ListChange::Target);
         let removed = part
             .removed
@@ -247,10 +261,17 @@
         };
         let reassembly = self.target_parts.entry(from).or_default();
         reassembly.record(response, part.index);
+        let ids = part.targets.iter().map(|target| target.id.clone());
+        reassembly.listed.extend(ids);
         let is_complete = reassembly.is_complete();
-        let is_confirmed = is_complete && routes_version >= part.routes_version;
+        let is_whole_list = is_complete && part.after_revision == 0;
+        let unlisted = match is_whole_list {
+            true => unlisted_targets(view, &reassembly.listed, part.revision),
+            false => Vec::new(),
+        };
+        let is_confirmed = is_complete && view.routes().version >= part.routes_version;
         ViewUpdate {
-            changes: listed.chain(removed).collect(),
+            changes: listed.chain(removed).chain(unlisted).collect(),
             confirmed: is_confirmed.then(|| (part.revision, before(now, part.age_ms))),
         }
     }
@@ -314,13 +335,32 @@
         }
         if view.revision() > digest.revision {
             let age_ms = view.age_ms(now).unwrap_or(u64::MAX);
-            let parts = targets_parts(view, digest.revision, age_ms);
+            let since_revision = match view.knows_removals_after(digest.revision) {
+                true => digest.revision,
+                false => 0,
+            };
+            let parts = targets_parts(view, since_revision, age_ms);
             messages.extend(parts.into_iter().map(Message::Targets));
         }
         messages.into_iter().map(|message| (to, message)).collect()
     }
 }
 
+/// Returns the removals of the targets that a complete list of a revision doesn't contain.
+fn unlisted_targets(
+    view: &FleetView,
+    listed: &FastSet<UpstreamName>,
+    revision: u64,
+) -> Vec<ListChange> {
+    let is_unlisted =
+        |target: &&TargetRecord| target.revision <= revision && !listed.contains(&target.id);
+    let removal = |target: &TargetRecord| ListChange::NoTarget {
+        id: target.id.clone(),
+        revision,
+    };
+    view.targets().filter(is_unlisted).map(removal).collect()
+}
+
 fn is_reachable(peer: &Peer, now: MonoTime) -> bool {
     let last_digest_at = peer.last_digest_at;
     last_digest_at.is_some_and(|at| now.ms_since(at) < PEER_TIMEOUT_MS)
--- a/crates/fes-passthrough/tests/exchange.rs
+++ b/crates/fes-passthrough/tests/exchange.rs
@@ -72,8 +72,7 @@
             Vec::new()
         }
         Message::Targets(part) => {
-            let version = node.view.routes().version;
-            let update = node.gossip.on_targets(now, from, part, version);
+            let update = node.gossip.on_targets(now, from, part, &node.view);
             for change in update.changes {
                 node.view.apply(now, change);
             }
@@ -309,3 +308,69 @@
     assert_eq!(receiver.view.revision(), 30);
     assert_eq!(receiver.view.targets().count(), TARGETS);
 }
+
+/// Guards against a target that has left and is used again after a restart: a peer that was paused
+/// answers the restarted entry later than a peer whose list no longer has the target.
+#[test]
+fn a_late_response_of_a_stale_peer_brings_no_removed_target_back() {
+    let stale = responses_of(0, full_listing());
+    let mut fresh = node(1);
+    let remaining = full_listing().into_iter().skip(1).collect();
+    fresh.view.apply_listing(MonoTime::ZERO, remaining, 30);
+    fresh.view.confirm(MonoTime::ZERO, 30);
+    let request = ViewDigest {
+        incarnation: 2,
+        revision: 0,
+        routes_version: 0,
+        age_ms: u64::MAX,
+        wants_newer: true,
+        entries: Vec::new(),
+    };
+    let now = MonoTime::from_ms(100);
+    let answers = fresh
+        .gossip
+        .on_digest(now, entry_vm(5), &request, &mut fresh.view);
+    let mut restarted = node(5);
+
+    for (_, message) in &answers {
+        handle(&mut restarted, now, entry_vm(1), message);
+    }
+    for message in &stale {
+        handle(&mut restarted, now, entry_vm(0), message);
+    }
+
+    assert_eq!(restarted.view.revision(), 30);
+    assert_eq!(restarted.view.targets().count(), TARGETS - 1);
+}
+
+/// Guards against a target that has left and stays in use at a restarted entry: it learns the
+/// target from a peer that was paused, and then the changes since from a peer that started after
+/// the target was removed and knows nothing of it.
+#[test]
+fn a_peer_that_missed_a_removal_sends_its_whole_list() {
+    let mut fresh = node(1);
+    let remaining = full_listing().into_iter().skip(1).collect();
+    fresh.view.apply_listing(MonoTime::ZERO, remaining, 30);
+    fresh.view.confirm(MonoTime::ZERO, 30);
+    let mut restarted = reader();
+    let request = ViewDigest {
+        incarnation: 2,
+        revision: restarted.view.revision(),
+        routes_version: restarted.view.routes().version,
+        age_ms: 0,
+        wants_newer: true,
+        entries: Vec::new(),
+    };
+    let now = MonoTime::from_ms(100);
+
+    let answers = fresh
+        .gossip
+        .on_digest(now, entry_vm(5), &request, &mut fresh.view);
+    for (_, message) in &answers {
+        handle(&mut restarted, now, entry_vm(1), message);
+    }
+    restarted.view.expire(MonoTime::from_ms(10_000));
+
+    assert_eq!(restarted.view.revision(), 30);
+    assert_eq!(restarted.view.targets().count(), TARGETS - 1);
+}
--- a/crates/fes-passthrough/tests/support/simulation.rs
+++ b/crates/fes-passthrough/tests/support/simulation.rs
@@ -466,7 +466,12 @@
         }
     }
 
-    fn perform_agent(&mut self, index: usize, actions: Vec<AgentAction>, packet: Option<Vec<u8>>) {
+    pub fn perform_agent(
+        &mut self,
+        index: usize,
+        actions: Vec<AgentAction>,
+        packet: Option<Vec<u8>>,
+    ) {
         let packet = packet.unwrap_or_default();
         for action in actions {
             match action {
