Log requests that a target failed

Change: the decision failed, with the flow and the time that the request ran; explain names it. Measured: the tests of explain and of fes-passthrough pass.

--- a/crates/fes-passthrough-node/src/explain_logs.rs
+++ b/crates/fes-passthrough-node/src/explain_logs.rs
@@ -81,6 +81,10 @@
     };
     match () {
         () if has("answered") => "The target answered the request.",
+        () if has("failed") => {
+            "The target got the request and failed it: it closed the flow without a response, or \
+             reported a failure of its own."
+        }
         () if has("given_up_waiting") => {
             "The client gave up while the request waited for a slot. The request has not run."
         }
--- a/crates/fes-passthrough-node/tests/explain_logs.rs
+++ b/crates/fes-passthrough-node/tests/explain_logs.rs
@@ -25,6 +25,7 @@
 #[case("timed_out_waiting", "It has not run")]
 #[case("search_lost", "target of the flow ended")]
 #[case("answered", "answered")]
+#[case("failed", "failed it")]
 #[case("accepted", "don't show that the request was sent")]
 fn the_outcomes_determine_the_conclusion(#[case] outcome: &str, #[case] expected: &str) {
     let texts = [line(2, outcome, "-"), line(1, "held_back", "r1")];
--- a/crates/fes-passthrough/src/agent/request_results.rs
+++ b/crates/fes-passthrough/src/agent/request_results.rs
@@ -18,14 +18,17 @@
         end: RequestEnd,
         out: &mut Vec<AgentAction>,
     ) {
-        if let RequestEnd::Answered { run_us } = end {
-            self.queue.record_run(run_us);
-            let decision = FlowDecision::new(Outcome::Answered)
-                .flow(flow)
-                .age_ms(run_us / 1_000);
-            out.push(AgentAction::Record(decision));
-        }
-        self.record_result(now, end == RequestEnd::Failed, out);
+        // A failure may come much sooner than a response, and says nothing about run times.
+        let outcome = match end.is_failed {
+            true => Outcome::Failed,
+            false => {
+                self.queue.record_run(end.run_us);
+                Outcome::Answered
+            }
+        };
+        let decision = FlowDecision::new(outcome).flow(flow);
+        out.push(AgentAction::Record(decision.age_ms(end.run_us / 1_000)));
+        self.record_result(now, end.is_failed, out);
         self.release(now, out);
     }
 
--- a/crates/fes-passthrough/src/failure_rate.rs
+++ b/crates/fes-passthrough/src/failure_rate.rs
@@ -5,16 +5,13 @@
 const WEIGHT_DIVISOR: u32 = 8;
 const PER_MILLE: u32 = 1_000;
 
-/// How a request ended at its target.
+/// End of a request at its target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RequestEnd {
-    /// The target answered, `run_us` microseconds after the request was delivered.
-    Answered {
-        /// Run time in microseconds.
-        run_us: u64,
-    },
-    /// The target reported a failure of its own, or closed the flow without a response.
-    Failed,
+pub struct RequestEnd {
+    /// Time from the delivery of the request to its end, in microseconds.
+    pub run_us: u64,
+    /// Whether the target reported a failure of its own, or closed the flow without a response.
+    pub is_failed: bool,
 }
 
 /// Moving average of failed requests.
--- a/crates/fes-passthrough/src/flow_decision.rs
+++ b/crates/fes-passthrough/src/flow_decision.rs
@@ -44,6 +44,9 @@
     Started,
     /// The target answered a request; `age_ms` is the time that the request ran.
     Answered,
+    /// The target closed the flow without a response, or reported a failure of its own; `age_ms` is
+    /// the time that the request ran.
+    Failed,
     /// A request was queued because all slots of the target are in use; `load` is the number of
     /// queued requests, including this one.
     HeldBack,
@@ -92,6 +95,7 @@
             Self::Accepted => "accepted",
             Self::Started => "started",
             Self::Answered => "answered",
+            Self::Failed => "failed",
             Self::HeldBack => "held_back",
             Self::TimedOutWaiting => "timed_out_waiting",
             Self::GivenUpWaiting => "given_up_waiting",
@@ -117,6 +121,7 @@
                 | Self::DroppedUnsure
                 | Self::KeptEarly
                 | Self::DroppedStale
+                | Self::Failed
                 | Self::TimedOutWaiting
                 | Self::GivenUpWaiting
                 | Self::SearchLost
--- a/crates/fes-passthrough/src/flow_table.rs
+++ b/crates/fes-passthrough/src/flow_table.rs
@@ -159,11 +159,9 @@
             self.is_stream |= self.requests >= STREAM_REQUESTS;
         }
         let is_failed = segment.is_failure || self.closes_without_response(segment);
-        is_request_end.then(|| match is_failed {
-            true => RequestEnd::Failed,
-            false => RequestEnd::Answered {
-                run_us: now.us_since(self.running_since),
-            },
+        is_request_end.then(|| RequestEnd {
+            run_us: now.us_since(self.running_since),
+            is_failed,
         })
     }
 
