--- a/crates/fes-passthrough/tests/outliers.rs
+++ b/crates/fes-passthrough/tests/outliers.rs
@@ -12,8 +12,8 @@
 use rstest::rstest;
 
 use support::client::Client;
-use support::fixtures::SERVICE;
 use support::fixtures::flow;
+use support::fixtures::idle_report;
 use support::fixtures::once_address;
 use support::fixtures::stream_address;
 use support::fixtures::target;
@@ -60,17 +60,8 @@
     let mut targets = Vec::new();
     for (index, per_mille) in failures_per_mille.iter().enumerate() {
         let report = LoadReport {
-            incarnation: 1,
-            service: SERVICE,
-            started_at_ms: 1_000,
-            running: 0,
-            waiting: 0,
-            streams: 0,
-            flows: 0,
             failures_per_mille: *per_mille,
-            is_complete: true,
-            is_silent: false,
-            is_leaving: false,
+            ..idle_report()
         };
         agents.record_report(MonoTime::ZERO, vm(index), report, REPORT_PERIOD_MS);
         targets.push(target(index, 1));
--- a/crates/fes-passthrough/tests/support/fixtures.rs
+++ b/crates/fes-passthrough/tests/support/fixtures.rs
@@ -6,11 +6,15 @@
 use fes_passthrough::FlowKey;
 use fes_passthrough::FlowRequirements;
 use fes_passthrough::FlowUse;
+use fes_passthrough::Hello;
+use fes_passthrough::LoadReport;
+use fes_passthrough::Message;
 use fes_passthrough::Route;
 use fes_passthrough::RouteSet;
 use fes_passthrough::Segment;
 use fes_passthrough::Sender;
 use fes_passthrough::ServiceTag;
+use fes_passthrough::TargetHint;
 use fes_passthrough::TargetRecord;
 use fes_passthrough::TargetState;
 use fes_passthrough::WeightedService;
@@ -107,3 +111,36 @@
         ..client_segment(flow)
     }
 }
+
+/// Returns the hello of an entry, by which an agent learns the slots of its target.
+pub fn hello(slots: u32) -> Message {
+    Message::Hello(Hello {
+        incarnation: 1,
+        report_period_ms: 100,
+        target: Some(TargetHint {
+            id: "t-0".into(),
+            service: SERVICE,
+            started_at_ms: 1_000,
+            state: TargetState::Ready,
+            slots,
+            revision: 1,
+        }),
+    })
+}
+
+/// Returns the report of an agent whose target runs nothing.
+pub fn idle_report() -> LoadReport {
+    LoadReport {
+        incarnation: 1,
+        service: SERVICE,
+        started_at_ms: 1_000,
+        running: 0,
+        waiting: 0,
+        streams: 0,
+        flows: 0,
+        failures_per_mille: 0,
+        is_complete: true,
+        is_silent: false,
+        is_leaving: false,
+    }
+}
