Hold packets over planned restarts of agents and end searches while agents leave

Cause: with 136 agents an entry gets a report of each every 544 ms and takes four missed reports, 2.2 s, to notice that an agent is gone. Until then every search for a lost flow waits for it. The same delay froze open flows over a planned restart: the agent's next incarnation learned of an entry only with its next hello.

Change: a stopping agent ends at a moment when nothing is in progress, returns requests that it hasn't started, and says in its last message that it ends. Entries hold the packets of its target's flows, place nothing there, greet it every 20 ms and forward the packets in order once the next incarnation reports. An agent reports at once to an entry that sends packets before a hello. First reports are awaited with hellos every 40 ms (4,000 a second at most). Searches no longer wait for agents whose target isn't listed any more.

--- a/crates/fes-passthrough-node/src/agent_daemon.rs
+++ b/crates/fes-passthrough-node/src/agent_daemon.rs
@@ -41,8 +41,8 @@
 
 const TICK_MS: u64 = 25;
 const TICKS_PER_SLOW_TICK: u32 = 40;
-/// Time for entries to learn that the agent is leaving before it exits.
-const LEAVE_NOTICE_MS: u64 = 150;
+/// Interval at which a stopping agent looks for a moment at which nothing is in progress.
+const STOP_CHECK_MS: u64 = 4;
 /// Upper limit of the drain time. Requests that run longer are left to the next incarnation of the
 /// agent, which learns their flows from the target.
 const MAX_DRAIN_MS: u64 = 1_500;
@@ -237,6 +237,11 @@
                     let packet = if with_packet { packet } else { &[] };
                     self.send(to, &message, packet);
                 }
+                AgentAction::SendStored {
+                    to,
+                    message,
+                    packet,
+                } => self.send(to, &message, &packet),
                 AgentAction::Record(decision) => {
                     let now = self.context.now();
                     self.context.decisions.record(now, &decision, packet);
@@ -297,29 +302,36 @@
         log::debug!(target: log_target::FLOWS, "event=datagram_dropped reason=\"{error}\"");
     }
 
-    /// Refuses new flows and returns once no request is running or the drain time has passed.
+    /// Refuses new flows and returns once the core allows the process to exit.
     async fn drain(&self) {
         let started_at = self.context.now();
         self.context
             .health
             .set(Lifecycle::Draining, "the process was told to stop");
         log::info!(target: log_target::FLOWS, "event=stop phase=drain");
-        let mut actions = Vec::new();
-        self.core.borrow_mut().begin_stop(started_at, &mut actions);
-        self.perform(actions, &[]);
-        sleep(Duration::from_millis(LEAVE_NOTICE_MS)).await;
         let grace_ms = self.context.settings.stop_grace_ms;
         let limit_ms = grace_ms.saturating_sub(EXIT_MARGIN_MS).min(MAX_DRAIN_MS);
-        let end_at = started_at.plus_ms(limit_ms);
-        loop {
-            let now = self.context.now();
-            let (_, _, running) = self.core.borrow().load(now);
-            if running == 0 || now >= end_at {
-                self.log_end(now, started_at, running);
-                return;
-            }
-            sleep(Duration::from_millis(TICK_MS)).await;
+        let end_by = started_at.plus_ms(limit_ms);
+        let mut actions = Vec::new();
+        self.core
+            .borrow_mut()
+            .begin_stop(started_at, end_by, &mut actions);
+        self.perform(actions, &[]);
+        while !self.advance_stop() {
+            sleep(Duration::from_millis(STOP_CHECK_MS)).await;
         }
+        let now = self.context.now();
+        let (_, _, running) = self.core.borrow().load(now);
+        self.log_end(now, started_at, running);
+    }
+
+    /// Returns whether the process may exit.
+    fn advance_stop(&self) -> bool {
+        let mut actions = Vec::new();
+        let now = self.context.now();
+        let may_exit = self.core.borrow_mut().advance_stop(now, &mut actions);
+        self.perform(actions, &[]);
+        may_exit
     }
 
     fn log_end(&self, now: MonoTime, started_at: MonoTime, running: u32) {
--- a/crates/fes-passthrough/src/agent/agent_core.rs
+++ b/crates/fes-passthrough/src/agent/agent_core.rs
@@ -7,6 +7,7 @@
 use fes_protocol::UpstreamName;
 
 use super::lookup::PendingLookup;
+use super::stopping::StopPhase;
 use crate::FailureRate;
 use crate::FlowDecision;
 use crate::FlowKey;
@@ -32,6 +33,15 @@
     },
     /// Send the current packet to its client.
     SendToClient,
+    /// Send a message with a queued packet to an entry.
+    SendStored {
+        /// VM of the receiver.
+        to: Ipv4Addr,
+        /// Message.
+        message: Message,
+        /// Packet.
+        packet: Box<[u8]>,
+    },
     /// Send a message to an entry, or to another agent.
     Send {
         /// VM of the receiver.
@@ -82,7 +92,7 @@
     /// Number of requests that the target runs concurrently; 0 if unknown.
     pub(super) slots: u32,
     pub(super) is_draining: bool,
-    pub(super) is_stopping: bool,
+    pub(super) stop_phase: StopPhase,
     pub(super) flows: FlowTable,
     pub(super) queue: RequestQueue,
     pub(super) probes: FastMap<FlowKey, Probe>,
@@ -114,7 +124,7 @@
             started_at_ms: 0,
             slots: 0,
             is_draining: false,
-            is_stopping: false,
+            stop_phase: StopPhase::Serving,
             flows: FlowTable::default(),
             queue: RequestQueue::default(),
             probes: FastMap::default(),
@@ -138,12 +148,6 @@
         self.entries.len()
     }
 
-    /// Stops accepting new flows and reports that to all entries immediately.
-    pub fn begin_stop(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
-        self.is_stopping = true;
-        self.report_to_all(now, out);
-    }
-
     /// Resets the health checks of the target after a pause of the process, during which answers may
     /// have been missed.
     pub fn on_pause(&mut self) {
@@ -160,6 +164,12 @@
         packet: Option<(&Segment, &[u8])>,
         out: &mut Vec<AgentAction>,
     ) {
+        if matches!(
+            message,
+            Message::Forward(_) | Message::Lookup { entry: None, .. }
+        ) {
+            self.report_to_unknown_entry(now, from_vm, out);
+        }
         match (message, packet) {
             (Message::Forward(forward), Some((segment, packet))) => {
                 let from = ForwardOrigin {
@@ -208,7 +218,7 @@
             .filter(|(_, state)| now >= state.next_report_at)
             .map(|(entry, _)| *entry)
             .collect();
-        if !due.is_empty() {
+        if !due.is_empty() && !self.has_ended() {
             self.report(now, due, out);
         }
     }
@@ -224,6 +234,6 @@
     }
 
     pub(super) const fn is_leaving(&self) -> bool {
-        self.is_draining || self.is_stopping
+        self.is_draining || !matches!(self.stop_phase, StopPhase::Serving)
     }
 }
--- a/crates/fes-passthrough/src/agent/delivery.rs
+++ b/crates/fes-passthrough/src/agent/delivery.rs
@@ -36,8 +36,20 @@
             self.on_opening(now, from.entry, from.forward, segment, out);
             return;
         }
-        let Some(record) = self.flows.get_mut(&segment.flow) else {
-            self.on_unknown_flow(now, from.entry, from.forward, segment, out);
+        let flow = segment.flow;
+        let Some(record) = self.flows.get_mut(&flow) else {
+            match self.has_ended() {
+                true => self.return_to_hold(from.entry, flow, out),
+                false => self.on_unknown_flow(now, from.entry, from.forward, segment, out),
+            }
+            return;
+        };
+        let begins_request = record.begins_request(segment);
+        if self.is_held_by_entry(begins_request) {
+            self.return_to_hold(from.entry, flow, out);
+            return;
+        }
+        let Some(record) = self.flows.get_mut(&flow) else {
             return;
         };
         let initial_sequence = record.initial_sequence;
@@ -46,13 +58,13 @@
         if is_other_target && !record.is_established && segment.is_ack {
             // The client completed the handshake with another target that answered a copy of the
             // opening packet.
-            self.send_not_held(from.entry, from.forward, segment.flow, out);
+            self.send_not_held(from.entry, from.forward, flow, out);
             return;
         }
         let is_new_entry = record.entry != Some(from.entry);
         record.entry = Some(from.entry);
         if is_new_entry || from.forward.mode != ForwardMode::Owner {
-            self.send_held(from.entry, segment.flow, out);
+            self.send_held(from.entry, flow, out);
         }
         self.deliver_or_queue(now, from.forward.requirements, segment, packet, out);
     }
@@ -203,7 +215,11 @@
         // differ, the target may still hold the flow, and the entry has to search for it.
         let is_same_instance =
             forward.started_at_ms == self.started_at_ms && self.started_at_ms != 0;
-        let is_owner_confirmed = forward.mode == ForwardMode::Owner && is_same_instance;
+        // Right after its start, the agent doesn't know its target's start time yet. A target that
+        // doesn't hold the flow returns the packet.
+        let is_instance_unknown = self.started_at_ms == 0 && forward.service == self.service;
+        let is_owner_confirmed =
+            forward.mode == ForwardMode::Owner && (is_same_instance || is_instance_unknown);
         if self.is_complete(now) || self.flows.is_not_held(&flow) {
             self.send_not_held(entry, forward, flow, out);
             return;
--- a/crates/fes-passthrough/src/agent/heartbeats.rs
+++ b/crates/fes-passthrough/src/agent/heartbeats.rs
@@ -20,6 +20,8 @@
 /// Number of hellos that may be lost in a row. They are counted in report periods, because hellos
 /// are about as frequent as reports.
 const MAX_MISSED_HELLOS: u64 = 4;
+/// Incarnation of an entry that hasn't sent a hello yet. Processes have random ones.
+const UNKNOWN_INCARNATION: u64 = 0;
 
 impl AgentCore {
     pub(super) fn on_hello(
@@ -52,6 +54,27 @@
         }
     }
 
+    /// Reports to an entry that sends packets before its first hello, so that the entry learns that
+    /// this agent was restarted.
+    pub(super) fn report_to_unknown_entry(
+        &mut self,
+        now: MonoTime,
+        entry: Ipv4Addr,
+        out: &mut Vec<AgentAction>,
+    ) {
+        if self.entries.contains_key(&entry) || self.has_ended() {
+            return;
+        }
+        let state = EntryState {
+            incarnation: UNKNOWN_INCARNATION,
+            silent_at: now.plus_ms(MIN_ENTRY_TIMEOUT_MS),
+            report_period_ms: MIN_ENTRY_TIMEOUT_MS,
+            next_report_at: now.plus_ms(MIN_ENTRY_TIMEOUT_MS),
+        };
+        self.entries.insert(entry, state);
+        self.report(now, vec![entry], out);
+    }
+
     /// Updates the state of this agent's target from an entry's hello, unless a newer one is known.
     pub(super) fn update_target(
         &mut self,
--- a/crates/fes-passthrough/src/agent/mod.rs
+++ b/crates/fes-passthrough/src/agent/mod.rs
@@ -3,6 +3,7 @@
 mod heartbeats;
 mod lookup;
 mod request_results;
+mod stopping;
 mod target_packets;
 
 pub use agent_core::AgentAction;
--- /dev/null
+++ b/crates/fes-passthrough/src/agent/stopping.rs
@@ -0,0 +1,167 @@
+//! Planned stop of an agent.
+//!
+//! The target goes on while its agent is restarted, and it is reachable through nothing else. So
+//! the agent ends at a moment when nothing is in progress, and tells the entries to hold the
+//! packets of the target's flows until its next incarnation reports.
+
+use std::net::Ipv4Addr;
+
+use fes_protocol::MonoTime;
+
+use crate::AgentAction;
+use crate::AgentCore;
+use crate::FlowDecision;
+use crate::FlowKey;
+use crate::Message;
+use crate::Outcome;
+use crate::ReturnReason;
+
+/// Time for entries to learn that the agent accepts no new flows.
+const LEAVE_NOTICE_MS: u64 = 150;
+/// Time after the notice from which no further request is started, if the target was never idle
+/// until then.
+const MAX_WAIT_FOR_IDLE_MS: u64 = 300;
+/// Time for which packets that were sent before the agent's last message are returned. Longer than
+/// a trip between data centres.
+const LAST_PACKETS_MS: u64 = 20;
+
+/// Phase of an agent's life cycle.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StopPhase {
+    /// The agent accepts flows and requests.
+    Serving,
+    /// The agent refuses new flows and waits until nothing is in progress.
+    Leaving {
+        may_end_at: MonoTime,
+        suspend_at: MonoTime,
+        end_by: MonoTime,
+    },
+    /// New requests are returned to the entries as well.
+    Suspended { end_by: MonoTime },
+    /// Entries hold all packets.
+    Ended { exit_at: MonoTime },
+}
+
+impl AgentCore {
+    /// Stops accepting new flows and reports that to all entries immediately. Requests that still
+    /// run at `end_by` are left to the next incarnation of the agent.
+    pub fn begin_stop(&mut self, now: MonoTime, end_by: MonoTime, out: &mut Vec<AgentAction>) {
+        let may_end_at = now.plus_ms(LEAVE_NOTICE_MS);
+        self.stop_phase = StopPhase::Leaving {
+            may_end_at,
+            suspend_at: may_end_at.plus_ms(MAX_WAIT_FOR_IDLE_MS),
+            end_by,
+        };
+        self.report_to_all(now, out);
+    }
+
+    /// Continues a planned stop. Returns whether the process may exit now. Called every few
+    /// milliseconds, since a busy target is idle only for short times.
+    pub fn advance_stop(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) -> bool {
+        match self.stop_phase {
+            StopPhase::Serving => {}
+            StopPhase::Leaving {
+                may_end_at,
+                suspend_at,
+                end_by,
+            } => {
+                let is_noticed = now >= may_end_at;
+                if (is_noticed && self.is_idle(now)) || now >= end_by {
+                    self.end(now, out);
+                } else if now >= suspend_at {
+                    self.stop_phase = StopPhase::Suspended { end_by };
+                    self.return_queued(out);
+                }
+            }
+            StopPhase::Suspended { end_by } => {
+                if self.is_idle(now) || now >= end_by {
+                    self.end(now, out);
+                }
+            }
+            StopPhase::Ended { exit_at } => return now >= exit_at,
+        }
+        false
+    }
+
+    /// Returns whether no request is running or queued and no response is being transferred.
+    fn is_idle(&self, now: MonoTime) -> bool {
+        let is_running = self.counts(now).running > 0;
+        !is_running && self.queue.is_empty() && !self.flows.is_transferring(now)
+    }
+
+    fn end(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
+        self.return_queued(out);
+        self.stop_phase = StopPhase::Ended {
+            exit_at: now.plus_ms(LAST_PACKETS_MS),
+        };
+        let incarnation = self.incarnation;
+        let entries = self.entries.keys();
+        out.extend(entries.map(|entry| AgentAction::Send {
+            to: *entry,
+            message: Message::AgentStopped { incarnation },
+            with_packet: false,
+        }));
+    }
+
+    /// Returns the packets of queued requests, which have not run, to the entries that sent them.
+    fn return_queued(&mut self, out: &mut Vec<AgentAction>) {
+        for queued in self.queue.take_all() {
+            let flow = queued.flow;
+            let record = self.flows.get_mut(&flow);
+            let Some(entry) = record.and_then(|record| record.entry) else {
+                continue;
+            };
+            for (_, packet) in queued.packets {
+                out.push(AgentAction::SendStored {
+                    to: entry,
+                    message: returned(flow),
+                    packet,
+                });
+            }
+            self.record_returned(flow, out);
+        }
+    }
+
+    /// Returns whether a client's packet must be held by the entry until the next incarnation of
+    /// the agent.
+    pub(super) const fn is_held_by_entry(&self, begins_request: bool) -> bool {
+        match self.stop_phase {
+            StopPhase::Serving | StopPhase::Leaving { .. } => false,
+            StopPhase::Suspended { .. } => begins_request,
+            StopPhase::Ended { .. } => true,
+        }
+    }
+
+    pub(super) const fn has_ended(&self) -> bool {
+        matches!(self.stop_phase, StopPhase::Ended { .. })
+    }
+
+    /// Returns the current packet to an entry, which holds it.
+    pub(super) fn return_to_hold(
+        &self,
+        entry: Ipv4Addr,
+        flow: FlowKey,
+        out: &mut Vec<AgentAction>,
+    ) {
+        out.push(AgentAction::Send {
+            to: entry,
+            message: returned(flow),
+            with_packet: true,
+        });
+        self.record_returned(flow, out);
+    }
+
+    fn record_returned(&self, flow: FlowKey, out: &mut Vec<AgentAction>) {
+        let decision = FlowDecision::new(Outcome::HandedBack)
+            .flow(flow)
+            .version(self.target_revision);
+        out.push(AgentAction::Record(decision));
+    }
+}
+
+const fn returned(flow: FlowKey) -> Message {
+    Message::Returned {
+        flow,
+        reason: ReturnReason::Stopping,
+    }
+}
--- a/crates/fes-passthrough/src/agent_table.rs
+++ b/crates/fes-passthrough/src/agent_table.rs
@@ -38,6 +38,8 @@
     last_report_at: MonoTime,
     silent_at: MonoTime,
     is_reported_silent: bool,
+    /// Whether the reported incarnation has ended.
+    has_stopped: bool,
     recent_placements: VecDeque<RecentPlacement>,
     unanswered_openings: u32,
     avoid_until: MonoTime,
@@ -55,7 +57,13 @@
     /// Returns whether the agent's latest report is current.
     #[must_use]
     pub fn is_reachable(&self, now: MonoTime) -> bool {
-        now < self.silent_at
+        now < self.silent_at && !self.has_stopped
+    }
+
+    /// Returns whether the agent's process ended as planned and hasn't reported since.
+    #[must_use]
+    pub const fn has_stopped(&self) -> bool {
+        self.has_stopped
     }
 
     /// Returns the age of the latest report in milliseconds.
@@ -90,6 +98,17 @@
     }
 }
 
+/// Effect of a report on what the entry knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportEffect {
+    /// The agent was known and reported before.
+    None,
+    /// The agent was unknown or silent before.
+    Heard,
+    /// The report is the first one of another incarnation.
+    Restarted,
+}
+
 /// Agents by VM.
 #[derive(Debug, Default)]
 pub struct AgentTable {
@@ -107,14 +126,24 @@
         TRIAL_INTERVAL_MS * (self.other_entries + 1)
     }
 
-    /// Records a report. Returns whether the agent was unknown or silent before.
+    /// Records that the process of an agent ended as planned. Returns whether the agent is known
+    /// and no other incarnation has reported since.
+    pub fn record_stopped(&mut self, vm: Ipv4Addr, incarnation: u64) -> bool {
+        let agent = self.agents.get_mut(&vm);
+        let Some(agent) = agent.filter(|agent| agent.report.incarnation == incarnation) else {
+            return false;
+        };
+        !std::mem::replace(&mut agent.has_stopped, true)
+    }
+
+    /// Records a report. Ignores a delayed one of an incarnation that has ended.
     pub fn record_report(
         &mut self,
         now: MonoTime,
         vm: Ipv4Addr,
         report: LoadReport,
         report_period_ms: u64,
-    ) -> bool {
+    ) -> ReportEffect {
         let silent_at =
             now.plus_ms((report_period_ms * MAX_MISSED_REPORTS).max(MIN_REPORT_TIMEOUT_MS));
         let trial_interval_ms = self.trial_interval_ms();
@@ -124,15 +153,21 @@
                 last_report_at: now,
                 silent_at,
                 is_reported_silent: false,
+                has_stopped: false,
                 recent_placements: VecDeque::new(),
                 unanswered_openings: 0,
                 avoid_until: MonoTime::ZERO,
                 trial_at: now.plus_ms(trial_interval_ms),
             };
             self.agents.insert(vm, agent);
-            return true;
+            return ReportEffect::Heard;
         };
+        let is_restarted = agent.report.incarnation != report.incarnation;
+        if agent.has_stopped && !is_restarted {
+            return ReportEffect::None;
+        }
         let was_silent = agent.is_reported_silent;
+        agent.has_stopped = false;
         agent.report = report;
         agent.last_report_at = now;
         agent.silent_at = silent_at;
@@ -141,7 +176,11 @@
         while agent.recent_placements.front().is_some_and(is_in_report) {
             agent.recent_placements.pop_front();
         }
-        was_silent
+        match (is_restarted, was_silent) {
+            (true, _) => ReportEffect::Restarted,
+            (false, true) => ReportEffect::Heard,
+            (false, false) => ReportEffect::None,
+        }
     }
 
     /// Records that an opening packet was sent to the agent.
--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -11,7 +11,9 @@
 use fes_protocol::MonoTime;
 
 use super::early_packets::EarlyPackets;
+use super::held_packets::HeldPackets;
 use super::opening::first_sent_at;
+use super::searching::MAX_AGENT_ABSENCE_MS;
 use crate::AgentTable;
 use crate::FleetView;
 use crate::FlowDecision;
@@ -23,8 +25,10 @@
 use crate::LoadReport;
 use crate::Message;
 use crate::Outcome;
+use crate::ReportEffect;
 use crate::Segment;
 use crate::TargetHint;
+use crate::TargetRecord;
 use crate::ViewEvent;
 use crate::ViewGossip;
 use crate::ViewUpdate;
@@ -36,6 +40,14 @@
 const REPORT_MS_PER_AGENT: u64 = 4;
 /// Minimum period of hellos to an agent. A longer report period is used for hellos as well.
 const MIN_HELLO_PERIOD_MS: u64 = 200;
+/// Minimum period of hellos to an agent whose first report is awaited, as when all processes are
+/// restarted. An agent reports only once it gets a hello.
+const MIN_AWAITED_HELLO_PERIOD_MS: u64 = 40;
+/// Limit of such hellos, which a small entry can send beside the traffic.
+const MAX_AWAITED_HELLOS_PER_S: u64 = 4_000;
+/// Period of hellos to an agent that ended as planned. Packets are held until it reports, and only
+/// few agents are restarted at the same time.
+const STOPPED_HELLO_PERIOD_MS: u64 = 20;
 /// Age up to which a view counts as current. A route missing from an older view may have been added
 /// since.
 const MAX_CURRENT_VIEW_AGE_MS: u64 = 2_000;
@@ -101,6 +113,7 @@
     pub(super) flows: FlowDirectory,
     pub(super) gossip: ViewGossip,
     pub(super) early: EarlyPackets,
+    pub(super) held: HeldPackets,
     /// Flows for which another target is tried at the given time if none has accepted them, in the
     /// order of these times.
     pub(super) opening_queue: VecDeque<(MonoTime, FlowKey)>,
@@ -130,6 +143,7 @@
             agents: AgentTable::default(),
             flows: FlowDirectory::default(),
             early: EarlyPackets::default(),
+            held: HeldPackets::default(),
             opening_queue: VecDeque::new(),
             search_queue: VecDeque::new(),
             next_hello_at: FastMap::default(),
@@ -280,6 +294,7 @@
                 let update = self.gossip.on_targets(now, vm, part, &self.view);
                 self.on_view_update(now, update, out);
             }
+            Message::AgentStopped { incarnation } => self.on_agent_stopped(vm, *incarnation, out),
             // These messages are addressed to agents.
             Message::Forward(_)
             | Message::Hello(_)
@@ -317,6 +332,7 @@
             .set_other_entries(u64::try_from(other_entries).unwrap_or(u64::MAX));
         self.try_due_openings(now, out);
         self.run_due_searches(now, out);
+        self.held.expire(now);
         for (vm, age_ms) in self.agents.newly_silent(now) {
             let decision = FlowDecision::new(Outcome::AgentSilent)
                 .vm(vm)
@@ -343,6 +359,10 @@
         (agents.saturating_mul(REPORT_MS_PER_AGENT)).max(MIN_REPORT_PERIOD_MS)
     }
 
+    fn hello_period_ms(&self) -> u64 {
+        self.report_period_ms().max(MIN_HELLO_PERIOD_MS)
+    }
+
     pub(super) fn idle_timeout_ms(&self) -> u64 {
         match self.view.routes().idle_timeout_ms {
             0 => DEFAULT_IDLE_TIMEOUT_MS,
@@ -372,8 +392,20 @@
         out: &mut Vec<EntryAction>,
     ) {
         let period_ms = self.report_period_ms();
-        let is_newly_reachable = self.agents.record_report(now, vm, report, period_ms);
-        if is_newly_reachable {
+        let effect = self.agents.record_report(now, vm, report, period_ms);
+        match effect {
+            // The new incarnation doesn't know its target's state yet.
+            ReportEffect::Restarted => {
+                self.next_hello_at.remove(&vm);
+            }
+            ReportEffect::Heard => {
+                let next_hello_at = now.plus_ms(self.hello_period_ms());
+                self.next_hello_at.insert(vm, next_hello_at);
+            }
+            ReportEffect::None => {}
+        }
+        self.release_held(now, vm, &report, out);
+        if effect != ReportEffect::None {
             let decision = FlowDecision::new(Outcome::AgentHeard)
                 .vm(vm)
                 .version(report.started_at_ms);
@@ -394,14 +426,22 @@
     }
 
     pub(super) fn send_hellos(&mut self, now: MonoTime, out: &mut Vec<EntryAction>) {
-        let hello_period_ms = self.report_period_ms().max(MIN_HELLO_PERIOD_MS);
+        let hello_period_ms = self.hello_period_ms();
+        let targets = u64::try_from(self.view.newest_targets().count()).unwrap_or(u64::MAX);
+        let awaited_period_ms = targets.saturating_mul(1_000) / MAX_AWAITED_HELLOS_PER_S;
+        let awaited_period_ms = awaited_period_ms.max(MIN_AWAITED_HELLO_PERIOD_MS);
         let report_period_ms = u32::try_from(self.report_period_ms()).unwrap_or(u32::MAX);
         for record in self.view.newest_targets() {
             let next_at = self.next_hello_at.entry(record.vm).or_default();
             if now < *next_at {
                 continue;
             }
-            *next_at = now.plus_ms(hello_period_ms);
+            let period_ms = match reporting(now, &self.view, &self.agents, record) {
+                Reporting::Stopped => STOPPED_HELLO_PERIOD_MS,
+                Reporting::Awaited => awaited_period_ms,
+                Reporting::Usual => hello_period_ms,
+            };
+            *next_at = now.plus_ms(period_ms);
             let hello = Hello {
                 incarnation: self.incarnation,
                 report_period_ms,
@@ -423,6 +463,32 @@
     }
 }
 
+/// What an entry knows about the reports of an agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reporting {
+    /// The agent reports, or nothing indicates that it is about to.
+    Usual,
+    /// This entry hasn't got a report from the agent yet.
+    Awaited,
+    /// The agent ended as planned and is being restarted.
+    Stopped,
+}
+
+fn reporting(
+    now: MonoTime,
+    view: &FleetView,
+    agents: &AgentTable,
+    record: &TargetRecord,
+) -> Reporting {
+    match agents.get(record.vm) {
+        Some(agent) if agent.has_stopped() && agent.age_ms(now) < MAX_AGENT_ABSENCE_MS => {
+            Reporting::Stopped
+        }
+        None if view.listed_for_ms(now, &record.id) < MAX_AGENT_ABSENCE_MS => Reporting::Awaited,
+        _ => Reporting::Usual,
+    }
+}
+
 fn send((vm, message): (Ipv4Addr, Message)) -> EntryAction {
     EntryAction::Send { vm, message }
 }
--- a/crates/fes-passthrough/src/entry/established.rs
+++ b/crates/fes-passthrough/src/entry/established.rs
@@ -4,6 +4,7 @@
 
 use fes_protocol::MonoTime;
 
+use crate::AgentState;
 use crate::Attempt;
 use crate::EntryAction;
 use crate::EntryCore;
@@ -82,6 +83,9 @@
         record.is_closing |= segment.is_fin || segment.is_reset;
         record.acknowledged = segment.acknowledged;
         record.touch(now, idle_timeout_ms);
+        if segment.is_reset {
+            self.held.remove_flow(&flow);
+        }
         let requirements = record.requirements;
         let service = record.service;
         let forward = |mode, started_at_ms| Forward {
@@ -119,6 +123,11 @@
                 return;
             }
         };
+        let agent = self.agents.get(owner.vm);
+        if agent.is_some_and(AgentState::has_stopped) {
+            self.hold_packet(now, owner.vm, flow, packet, out);
+            return;
+        }
         out.push(EntryAction::Forward {
             vm: owner.vm,
             forward: forward(ForwardMode::Owner, owner.started_at_ms),
--- a/crates/fes-passthrough/src/entry/mod.rs
+++ b/crates/fes-passthrough/src/entry/mod.rs
@@ -1,6 +1,7 @@
 mod early_packets;
 mod entry_core;
 mod established;
+mod held_packets;
 mod opening;
 mod searching;
 mod status;
--- a/crates/fes-passthrough/src/entry/opening.rs
+++ b/crates/fes-passthrough/src/entry/opening.rs
@@ -327,9 +327,10 @@
         out.push(EntryAction::Record(
             self.decision(now, Outcome::HandedBack, flow).vm(vm),
         ));
-        if reason == ReturnReason::NotHeld {
-            self.on_not_held_by_owner(now, vm, flow);
-            return;
+        match reason {
+            ReturnReason::NotHeld => return self.on_not_held_by_owner(now, vm, flow),
+            ReturnReason::Stopping => return self.hold_packet(now, vm, flow, packet, out),
+            ReturnReason::NotAccepted | ReturnReason::Leaving | ReturnReason::WrongService => {}
         }
         self.agents
             .avoid_until(vm, now.plus_ms(AVOID_AFTER_RETURN_MS));
--- a/crates/fes-passthrough/src/entry/searching.rs
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -27,7 +27,7 @@
 
 /// Time without a report after which a listed target is assumed to have ended. Longer than the
 /// planned restart of an agent.
-const MAX_AGENT_ABSENCE_MS: u64 = 2_500;
+pub(super) const MAX_AGENT_ABSENCE_MS: u64 = 2_500;
 /// Time within which the agent of a newly listed target sends its first report. The report takes
 /// two trips between data centres; the rest allows for a restart of the agent.
 const FIRST_REPORT_TIMEOUT_MS: u64 = 1_000;
@@ -142,15 +142,23 @@
             return false;
         };
         let undecided = agents.iter().filter(|vm| !search.is_not_held_by(**vm));
-        let undecided: Vec<Ipv4Addr> = undecided.copied().collect();
-        for vm in &undecided {
+        let is_listed = |vm: &Ipv4Addr| self.view.target_on(*vm).is_some();
+        let (listed, unlisted): (Vec<Ipv4Addr>, Vec<Ipv4Addr>) =
+            undecided.copied().partition(is_listed);
+        for vm in &listed {
             search.record_asked(*vm);
         }
         let repeats = search.repeats();
         let packet = search.first_packet().filter(|_| may_send_packet);
         let packet = packet.map(Box::<[u8]>::from);
-        self.send_lookups(now, flow, &undecided, repeats, packet.as_deref(), out);
-        !undecided.is_empty()
+        // A target that isn't listed has usually ended. If it only lost its connection to the
+        // platform, it still holds its flows and its agent answers; the search doesn't wait for it.
+        for vm in unlisted {
+            let message = Message::Lookup { flow, entry: None };
+            out.push(EntryAction::Send { vm, message });
+        }
+        self.send_lookups(now, flow, &listed, repeats, packet.as_deref(), out);
+        !listed.is_empty()
     }
 
     /// Sends lookups directly if there are few agents, and through delegates otherwise.
@@ -212,12 +220,9 @@
         let FlowState::Searching(search) = &mut record.state else {
             return;
         };
-        if !is_conclusive
-            || !self
-                .agents
-                .reachable(now)
-                .all(|vm| search.is_not_held_by(vm))
-        {
+        let is_listed = |vm: &Ipv4Addr| self.view.target_on(*vm).is_some();
+        let mut listed_agents = self.agents.reachable(now).filter(is_listed);
+        if !is_conclusive || !listed_agents.all(|vm| search.is_not_held_by(vm)) {
             if search.retry_later(now) {
                 self.search_queue.push_back((search.next_round_at(), flow));
             }
--- a/crates/fes-passthrough/src/flow_decision.rs
+++ b/crates/fes-passthrough/src/flow_decision.rs
@@ -60,6 +60,14 @@
     AgentHeard,
     /// The reports of an agent have stopped.
     AgentSilent,
+    /// An agent ended as planned; packets for its target are held until it reports again.
+    AgentStopped,
+    /// A packet is held until the agent of its target has been restarted.
+    HeldForAgent,
+    /// A packet was dropped: the agent of its target is being restarted, and too many are held.
+    DroppedUnheld,
+    /// A held packet was forwarded after `age_ms`, since the agent reports again.
+    Released,
     /// The target fails the requests that it accepts; `load` is the share of failed requests in
     /// thousandths.
     TargetFailing,
@@ -102,6 +110,10 @@
             Self::HandedBack => "handed_back",
             Self::AgentHeard => "agent_heard",
             Self::AgentSilent => "agent_silent",
+            Self::AgentStopped => "agent_stopped",
+            Self::HeldForAgent => "held_for_agent",
+            Self::DroppedUnheld => "dropped_unheld",
+            Self::Released => "released",
             Self::TargetFailing => "target_failing",
             Self::TargetWorks => "target_works",
             Self::TargetSilent => "target_silent",
@@ -121,6 +133,7 @@
                 | Self::DroppedUnsure
                 | Self::KeptEarly
                 | Self::DroppedStale
+                | Self::DroppedUnheld
                 | Self::Failed
                 | Self::TimedOutWaiting
                 | Self::GivenUpWaiting
--- a/crates/fes-passthrough/src/flow_table.rs
+++ b/crates/fes-passthrough/src/flow_table.rs
@@ -18,6 +18,8 @@
 /// Time for which an idle flow is kept: the upper bound of the time after which an idle flow may be
 /// dropped.
 const IDLE_EXPIRY_MS: u64 = 62_000;
+/// Time within which a client acknowledges a packet unless one of the two was lost.
+const ACKNOWLEDGEMENT_TIMEOUT_MS: u64 = 100;
 /// Number of requests from which a flow counts as a stream.
 const STREAM_REQUESTS: u32 = 2;
 
@@ -47,6 +49,9 @@
     /// Latest acknowledgement number of the client: sequence number after the last byte that it
     /// got from the target.
     client_acknowledged: Option<u32>,
+    /// Sequence number after the last byte that the target sent, if the agent saw any, and when it
+    /// was sent.
+    last_response: Option<(u32, MonoTime)>,
     /// Whether the client's latest request was cancelled or timed out. No further packets of the
     /// flow are delivered, except resets.
     is_abandoned: bool,
@@ -70,6 +75,7 @@
             first_requirements: None,
             next_client_sequence: None,
             client_acknowledged: None,
+            last_response: None,
             is_abandoned: false,
             is_closing: false,
             expires_at: now.plus_ms(HALF_OPEN_EXPIRY_MS),
@@ -151,6 +157,9 @@
         if segment.is_ack {
             self.record_acknowledged(segment.acknowledged);
         }
+        if segment.payload_bytes > 0 {
+            self.last_response = Some((end_of_data(segment), now));
+        }
         let is_response = segment.payload_bytes > 0 || segment.is_reset || segment.is_fin;
         let is_request_end = self.is_running && is_response;
         if is_request_end {
@@ -171,6 +180,19 @@
         segment.payload_bytes == 0 && self.client_acknowledged == Some(segment.sequence)
     }
 
+    /// Returns whether the target sent a part of a response that the client hasn't acknowledged
+    /// and is likely to acknowledge soon.
+    #[must_use]
+    pub fn is_transferring(&self, now: MonoTime) -> bool {
+        let Some((end, sent_at)) = self.last_response else {
+            return false;
+        };
+        let is_behind =
+            |acknowledged: u32| end.wrapping_sub(acknowledged).wrapping_sub(1) < 1 << 31;
+        let is_unacknowledged = self.client_acknowledged.is_none_or(is_behind);
+        is_unacknowledged && now.ms_since(sent_at) < ACKNOWLEDGEMENT_TIMEOUT_MS
+    }
+
     /// Records that the client's request was cancelled or timed out.
     pub const fn abandon(&mut self) {
         self.is_abandoned = true;
@@ -273,6 +295,12 @@
         self.not_held.retain(|_, until| now < *until);
     }
 
+    /// Returns whether a response is being transferred on any flow.
+    #[must_use]
+    pub fn is_transferring(&self, now: MonoTime) -> bool {
+        self.flows.values().any(|flow| flow.is_transferring(now))
+    }
+
     /// Counts flows and running requests. Unanswered requests that started before `running_since`
     /// are not counted, since their answer may never arrive.
     #[must_use]
--- a/crates/fes-passthrough/src/lib.rs
+++ b/crates/fes-passthrough/src/lib.rs
@@ -32,6 +32,7 @@
 pub use agent::AgentCore;
 pub use agent_table::AgentState;
 pub use agent_table::AgentTable;
+pub use agent_table::ReportEffect;
 pub use catalogue::FlowRequirements;
 pub use catalogue::FlowUse;
 pub use catalogue::Route;
--- a/crates/fes-passthrough/src/message.rs
+++ b/crates/fes-passthrough/src/message.rs
@@ -106,6 +106,8 @@
     WrongService,
     /// The target doesn't hold the flow.
     NotHeld,
+    /// The agent is being restarted. The entry holds the packet until the next incarnation reports.
+    Stopping,
 }
 
 /// Summary of an entry's view, from which peers that can't read the platform detect that they are
@@ -238,4 +240,10 @@
     Routes(RoutesPart),
     /// Entry to entry: response to a digest, with targets.
     Targets(TargetsPart),
+    /// Agent to entry: the last message of a planned stop. The target goes on, so that the entry
+    /// holds its packets until the agent's next incarnation reports.
+    AgentStopped {
+        /// Incarnation of the agent's process that ends.
+        incarnation: u64,
+    },
 }
--- a/crates/fes-passthrough/src/request_queue.rs
+++ b/crates/fes-passthrough/src/request_queue.rs
@@ -104,6 +104,11 @@
         true
     }
 
+    /// Removes and returns all queued requests, in the order of their arrival.
+    pub fn take_all(&mut self) -> Vec<QueuedRequest> {
+        std::mem::take(&mut self.queued)
+    }
+
     /// Removes the queued request of a flow. Returns whether there was one.
     pub fn remove(&mut self, flow: &FlowKey) -> bool {
         let before = self.queued.len();
--- a/crates/fes-passthrough/tests/support/simulation.rs
+++ b/crates/fes-passthrough/tests/support/simulation.rs
@@ -178,6 +178,25 @@
         }
     }
 
+    /// Removes a target's record from the platform's list.
+    pub fn unlist_target(&mut self, index: usize) {
+        self.revision += 1;
+        let id = self.records[index].id.clone();
+        let (now, revision) = (self.now(), self.revision);
+        for entry in 0..self.entries.len() {
+            let mut out = Vec::new();
+            let change = ListChange::NoTarget {
+                id: id.clone(),
+                revision,
+            };
+            if let Some(core) = &mut self.entries[entry] {
+                core.on_change(now, change, &mut out);
+                core.view_mut().confirm(now, revision);
+            }
+            self.perform_entry(entry, out, None);
+        }
+    }
+
     /// Lists the record of a target's previous instance in addition to that of the current one.
     pub fn list_previous_instance(&mut self, index: usize) {
         let mut previous = self.records[index].clone();
@@ -494,6 +513,11 @@
                     };
                     self.send_to_process(to, vm(index), message, carried);
                 }
+                AgentAction::SendStored {
+                    to,
+                    message,
+                    packet,
+                } => self.send_to_process(to, vm(index), message, packet.to_vec()),
                 AgentAction::Record(decision) => {
                     *self.outcomes.entry(decision.outcome.name()).or_default() += 1
                 }
