Know the entries that read the platform by gossip and retry rarely in large fleets

Cause: an entry counted a reader only if it had got a digest from it within 1.5 s. With 59 entries and digests to 6 peers it gets one from each peer about every 4 s, so that some 10 entries read the platform, and their number grows with the fleet. All entries sent their digests to the same peers in the same order, so that confirmations took several rounds and views became outdated. While the platform doesn't respond, every entry tried four times a second.

Change: entries pass on who read the platform and when (message Readers); receivers and listed peers are selected at random; a later confirmation is passed on early, at least 150 ms after the previous digest. An entry that the platform refuses isn't counted as a reader. All entries together retry 50 times a second, each of them once a second at least. An entry that gets the list from peers stops its own attempts.

Test of 4 to 200 entries: three read.

--- a/crates/fes-passthrough-node/src/entry_daemon.rs
+++ b/crates/fes-passthrough-node/src/entry_daemon.rs
@@ -138,6 +138,7 @@
             let control = WatchControl {
                 is_passive: &|| node.is_passive(),
                 known_revision: &|| node.known_revision(),
+                retry_delay_ms: &|| node.core.borrow().read_retry_delay_ms(),
             };
             watch_list(&node.context, &control, |update| {
                 node.on_list_update(update)
@@ -205,13 +206,13 @@
         match update {
             ListUpdate::Listing { changes, revision } => {
                 core.on_listing(now, changes, revision, &mut actions);
-                core.view_mut().confirm(now, revision);
+                core.confirm_list(now, revision);
             }
             ListUpdate::Changes { changes, revision } => {
                 for change in changes {
                     core.on_change(now, change, &mut actions);
                 }
-                core.view_mut().confirm(now, revision);
+                core.confirm_list(now, revision);
             }
             ListUpdate::Outage => core.view_mut().record_outage(),
         }
--- a/crates/fes-passthrough-node/src/list_watcher.rs
+++ b/crates/fes-passthrough-node/src/list_watcher.rs
@@ -33,7 +33,6 @@
 /// Minimum interval between watches. All targets together write several times a second, so that
 /// each watch returns almost at once, and watching without a pause would be a busy loop.
 const WATCH_PERIOD_MS: u64 = 700;
-const RETRY_DELAY_MS: u64 = 250;
 /// Maximum number of concurrent attempts to read the list.
 const MAX_CONCURRENT_READS: usize = 6;
 const PASSIVE_CHECK_PERIOD_MS: u64 = 100;
@@ -67,6 +66,8 @@
     pub(crate) is_passive: &'a dyn Fn() -> bool,
     /// Revision up to which all changes are known, from this process or from its peers.
     pub(crate) known_revision: &'a dyn Fn() -> Option<u64>,
+    /// Time between two attempts while the platform doesn't respond, in milliseconds.
+    pub(crate) retry_delay_ms: &'a dyn Fn() -> u64,
 }
 
 /// Why a watch ended.
@@ -94,8 +95,9 @@
         let known = (control.known_revision)();
         let revision = match known.filter(|_| !needs_listing) {
             Some(revision) => revision,
-            None => match read_all_hedged(context).await {
-                Ok((changes, revision)) => {
+            None => match read_all_hedged(context, control).await {
+                Ok(None) => continue,
+                Ok(Some((changes, revision))) => {
                     log::info!(
                         target: log_target::PLATFORM,
                         "event=list_read revision={revision} entries={}",
@@ -133,7 +135,7 @@
                 needs_listing = true;
                 record_failure(context, &error, &mut is_connected);
                 on_update(ListUpdate::Outage);
-                sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+                sleep(Duration::from_millis((control.retry_delay_ms)())).await;
             }
         }
     }
@@ -148,8 +150,11 @@
 
 /// Reads the complete list. While the previous attempts have no reply, starts further ones on new
 /// connections, because a connection may have stopped responding, and the platform may have just
-/// recovered.
-async fn read_all_hedged(context: &NodeContext) -> Result<(Vec<ListChange>, u64)> {
+/// recovered. Returns none if other processes read the list for this one meanwhile.
+async fn read_all_hedged(
+    context: &NodeContext,
+    control: &WatchControl<'_>,
+) -> Result<Option<(Vec<ListChange>, u64)>> {
     let address = SocketAddr::V4(context.settings.platform_address);
     let attempt = || async move {
         let mut client = PlatformClient::anonymous(address);
@@ -160,12 +165,15 @@
         if attempts.len() < MAX_CONCURRENT_READS {
             attempts.push(attempt());
         }
-        let next_attempt_at = sleep(Duration::from_millis(RETRY_DELAY_MS));
+        let next_attempt_at = sleep(Duration::from_millis((control.retry_delay_ms)()));
         tokio::pin!(next_attempt_at);
         tokio::select! {
-            Some(Ok(list)) = attempts.next() => return Ok(list),
+            Some(Ok(list)) = attempts.next() => return Ok(Some(list)),
             () = &mut next_attempt_at => {}
         }
+        if (control.is_passive)() {
+            return Ok(None);
+        }
         if attempts.is_empty() {
             let detail = "all attempts to read the target list failed";
             return Err(Error::coded(ResultCode::PlatformUnreachable, detail));
--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -169,6 +169,19 @@
         self.gossip.is_reader(now, &self.view)
     }
 
+    /// Records that this entry read the platform, which confirmed the view up to `revision`.
+    pub fn confirm_list(&mut self, now: MonoTime, revision: u64) {
+        self.view.confirm(now, revision);
+        self.gossip.record_read(now);
+    }
+
+    /// Returns the time between two attempts to read a platform that doesn't respond, in
+    /// milliseconds.
+    #[must_use]
+    pub fn read_retry_delay_ms(&self) -> u64 {
+        self.gossip.read_retry_delay_ms()
+    }
+
     /// Replaces the seeds after a change of the settings.
     pub fn set_seeds(&mut self, seeds: &[Ipv4Addr]) {
         self.gossip.set_seeds(seeds);
@@ -290,6 +303,7 @@
                     self.on_change(now, change, out);
                 }
             }
+            Message::Readers(readers) => self.gossip.on_readers(now, readers),
             Message::Targets(part) => {
                 let update = self.gossip.on_targets(now, vm, part, &self.view);
                 self.on_view_update(now, update, out);
--- a/crates/fes-passthrough/src/message.rs
+++ b/crates/fes-passthrough/src/message.rs
@@ -128,6 +128,15 @@
     pub entries: Vec<Ipv4Addr>,
 }
 
+/// An entry that reads the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownReader {
+    /// VM of the entry.
+    pub vm: Ipv4Addr,
+    /// Time since it last read the platform, in milliseconds.
+    pub read_age_ms: u64,
+}
+
 /// Part of a configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoutesPart {
@@ -246,4 +255,6 @@
         /// Incarnation of the agent's process that ends.
         incarnation: u64,
     },
+    /// Entry to entry, with a digest: the entries that read the platform for all.
+    Readers(Vec<KnownReader>),
 }
--- a/crates/fes-passthrough/src/ranking.rs
+++ b/crates/fes-passthrough/src/ranking.rs
@@ -54,6 +54,12 @@
     mix(rank(flow, vm).wrapping_add(attempt))
 }
 
+/// Returns the rank of a VM in one of many random orders.
+#[must_use]
+pub fn random_rank(vm: Ipv4Addr, order: u64) -> u64 {
+    mix(mix(u64::from(u32::from(vm))) ^ mix(order))
+}
+
 /// Step of the SplitMix64 generator (Steele, Lea and Flood), used as a hash.
 const fn mix(value: u64) -> u64 {
     let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/crates/fes-passthrough/src/view_gossip.rs
+++ b/crates/fes-passthrough/src/view_gossip.rs
@@ -13,18 +13,28 @@
 use fes_protocol::UpstreamName;
 
 use crate::FleetView;
+use crate::KnownReader;
 use crate::ListChange;
 use crate::Message;
+use crate::ReaderTable;
 use crate::Route;
 use crate::RouteSet;
 use crate::RoutesPart;
 use crate::TargetRecord;
 use crate::TargetsPart;
 use crate::ViewDigest;
+use crate::random_rank;
+use crate::retry_delay_ms;
 
 /// Time between two digests. Together with the readers' polling period it stays well below the time
 /// within which a change must be in force.
 const DIGEST_PERIOD_MS: u64 = 400;
+/// Minimum time between two digests. An entry whose view was confirmed by a later read than its
+/// latest digest says passes that on before the next period, so that news take a few trips to
+/// reach all entries and not a few periods.
+const MIN_DIGEST_INTERVAL_MS: u64 = 150;
+/// Difference between two confirmations that is passed on early.
+const NEWS_MS: u64 = 250;
 /// Number of peers to which each digest is sent. Changes reach the other entries through them.
 const DIGEST_FANOUT: usize = 6;
 /// Number of entries listed in a digest.
@@ -33,12 +43,8 @@
 const PEER_TIMEOUT_MS: u64 = 1_500;
 /// Time since a peer's last digest after which the peer is removed, unless it is a seed.
 const PEER_EXPIRY_MS: u64 = 60_000;
-/// Number of entries that read the platform while they receive each other's digests.
-const READER_COUNT: usize = 3;
 /// Age of its view beyond which an entry reads the platform itself.
 const MAX_PEER_VIEW_AGE_MS: u64 = 1_300;
-/// Age of a reader's view beyond which other entries no longer count on it.
-const MAX_READER_VIEW_AGE_MS: u64 = 2_000;
 /// Routes and targets that fit into one message; each takes about 60 to 90 bytes.
 const ROUTES_PER_PART: usize = 16;
 const TARGETS_PER_PART: usize = 14;
@@ -47,8 +53,6 @@
 struct Peer {
     last_digest_at: Option<MonoTime>,
     is_seed: bool,
-    /// When the platform confirmed the peer's view, by the local clock.
-    confirmed_at: MonoTime,
 }
 
 /// Identifies a response of a peer. Parts of different responses must not be combined.
@@ -112,8 +116,14 @@
     own_vm: Ipv4Addr,
     incarnation: u64,
     peers: FastMap<Ipv4Addr, Peer>,
+    readers: ReaderTable,
     next_digest_at: MonoTime,
-    fanout_offset: usize,
+    /// Time before which no digest is sent, even with news.
+    no_digest_before: MonoTime,
+    /// When the view was confirmed, according to the latest digest.
+    sent_confirmed_at: MonoTime,
+    /// Number of digests sent, which selects their receivers.
+    digest_count: u64,
     /// Parts of responses with targets, by peer.
     target_parts: FastMap<Ipv4Addr, Reassembly>,
     /// Parts of responses with routes, by peer.
@@ -129,8 +139,11 @@
             own_vm,
             incarnation,
             peers: FastMap::default(),
+            readers: ReaderTable::default(),
             next_digest_at: MonoTime::ZERO,
-            fanout_offset: 0,
+            no_digest_before: MonoTime::ZERO,
+            sent_confirmed_at: MonoTime::ZERO,
+            digest_count: 0,
             target_parts: FastMap::default(),
             route_parts: FastMap::default(),
         };
@@ -156,27 +169,49 @@
         reachable.map(|(vm, _)| *vm)
     }
 
+    /// Records that this entry read the platform itself.
+    pub fn record_read(&mut self, now: MonoTime) {
+        self.readers.record(self.own_vm, now);
+    }
+
+    /// Handles a peer's message about the entries that read the platform.
+    pub fn on_readers(&mut self, now: MonoTime, readers: &[KnownReader]) {
+        for reader in readers.iter().filter(|reader| reader.vm != self.own_vm) {
+            self.readers
+                .record(reader.vm, before(now, reader.read_age_ms));
+        }
+    }
+
+    /// Returns the time between two attempts to read a platform that doesn't respond, in
+    /// milliseconds.
+    #[must_use]
+    pub fn read_retry_delay_ms(&self) -> u64 {
+        retry_delay_ms(self.peers.len())
+    }
+
     /// Returns whether this entry should read the platform itself, because its VM's address is
-    /// among the lowest of the entries with a current view, or because its own view is outdated.
+    /// among the lowest of the entries that do, or because its own view is outdated.
     #[must_use]
     pub fn is_reader(&self, now: MonoTime, view: &FleetView) -> bool {
         let is_current = view.has_routes()
             && view
                 .age_ms(now)
                 .is_some_and(|age_ms| age_ms < MAX_PEER_VIEW_AGE_MS);
-        let is_preferred_reader = |(vm, peer): &(&Ipv4Addr, &Peer)| {
-            let has_current_view = now.ms_since(peer.confirmed_at) < MAX_READER_VIEW_AGE_MS;
-            **vm < self.own_vm && is_reachable(peer, now) && has_current_view
-        };
-        !is_current || self.peers.iter().filter(is_preferred_reader).count() < READER_COUNT
+        !is_current || !self.readers.has_enough_before(now, self.own_vm)
     }
 
     /// Returns the digests to send, if they are due.
     pub fn on_tick(&mut self, now: MonoTime, view: &FleetView) -> Vec<(Ipv4Addr, Message)> {
-        if now < self.next_digest_at {
+        let age_ms = view.age_ms(now).unwrap_or(u64::MAX);
+        let confirmed_at = before(now, age_ms);
+        let is_news = confirmed_at >= self.sent_confirmed_at.plus_ms(NEWS_MS);
+        let is_due = now >= self.next_digest_at || (is_news && now >= self.no_digest_before);
+        if !is_due {
             return Vec::new();
         }
         self.next_digest_at = now.plus_ms(DIGEST_PERIOD_MS);
+        self.no_digest_before = now.plus_ms(MIN_DIGEST_INTERVAL_MS);
+        self.sent_confirmed_at = confirmed_at;
         self.peers.retain(|_, peer| {
             let last_digest_at = peer.last_digest_at.unwrap_or(now);
             peer.is_seed || now.ms_since(last_digest_at) < PEER_EXPIRY_MS
@@ -184,17 +219,26 @@
         let peers = &self.peers;
         self.target_parts.retain(|vm, _| peers.contains_key(vm));
         self.route_parts.retain(|vm, _| peers.contains_key(vm));
-        let mut receivers: Vec<Ipv4Addr> = self.peers.keys().copied().collect();
-        receivers.sort_unstable();
-        if receivers.len() > DIGEST_FANOUT {
-            self.fanout_offset = (self.fanout_offset + DIGEST_FANOUT) % receivers.len();
-            receivers.rotate_left(self.fanout_offset);
-            receivers.truncate(DIGEST_FANOUT);
-        }
-        let digest = self.digest(now, view, !view.has_routes());
-        let message = Message::Digest(digest);
-        let send = |vm| (vm, message.clone());
-        receivers.into_iter().map(send).collect()
+        self.digest_count = self.digest_count.wrapping_add(1);
+        let receivers = self.random_peers(self.peers.keys().copied(), DIGEST_FANOUT);
+        self.readers.expire(now);
+        let digest = Message::Digest(self.digest(now, view, !view.has_routes()));
+        let preferred = self.readers.preferred(now);
+        let readers = (!preferred.is_empty()).then_some(Message::Readers(preferred));
+        let messages: Vec<Message> = std::iter::once(digest).chain(readers).collect();
+        let send = |vm| messages.iter().map(move |message| (vm, message.clone()));
+        receivers.into_iter().flat_map(send).collect()
+    }
+
+    /// Selects peers at random, others for each digest, so that entries that start at the same time
+    /// don't all select the same ones.
+    fn random_peers(&self, peers: impl Iterator<Item = Ipv4Addr>, count: usize) -> Vec<Ipv4Addr> {
+        let own = u64::from(u32::from(self.own_vm));
+        let order = self.incarnation ^ own.rotate_left(32) ^ self.digest_count;
+        let mut peers: Vec<Ipv4Addr> = peers.collect();
+        peers.sort_unstable_by_key(|vm| (random_rank(*vm, order), *vm));
+        peers.truncate(count);
+        peers
     }
 
     /// Handles a peer's digest: requests changes that the peer has and this entry lacks, and
@@ -209,7 +253,6 @@
         let confirmed_at = before(now, digest.age_ms);
         if let Some(peer) = self.get_or_insert_peer(from) {
             peer.last_digest_at = Some(now);
-            peer.confirmed_at = confirmed_at;
         }
         for entry in &digest.entries {
             self.get_or_insert_peer(*entry);
@@ -307,7 +350,6 @@
         Some(self.peers.entry(vm).or_insert(Peer {
             last_digest_at: None,
             is_seed: false,
-            confirmed_at: MonoTime::ZERO,
         }))
     }
 
@@ -318,7 +360,7 @@
             routes_version: view.routes().version,
             age_ms: view.age_ms(now).unwrap_or(u64::MAX),
             wants_newer,
-            entries: self.reachable(now).take(MAX_ENTRIES_PER_DIGEST).collect(),
+            entries: self.random_peers(self.reachable(now), MAX_ENTRIES_PER_DIGEST),
         }
     }
 
