--- a/crates/fes-passthrough/tests/hostile_messages.rs
+++ b/crates/fes-passthrough/tests/hostile_messages.rs
@@ -14,6 +14,7 @@
 use fes_passthrough::Forward;
 use fes_passthrough::ForwardMode;
 use fes_passthrough::Hello;
+use fes_passthrough::KnownReader;
 use fes_passthrough::ListChange;
 use fes_passthrough::LoadReport;
 use fes_passthrough::Message;
@@ -298,6 +299,7 @@
         Just(ReturnReason::Leaving),
         Just(ReturnReason::WrongService),
         Just(ReturnReason::NotHeld),
+        Just(ReturnReason::Stopping),
     ];
     let agents = || vec(any_vm(), 0..4);
     prop_oneof![
@@ -333,6 +335,11 @@
             started_at_ms
         }),
         any_flow().prop_map(|flow| Message::NotHeld { flow }),
+        number().prop_map(|incarnation| Message::AgentStopped { incarnation }),
+        vec((any_vm(), number()), 0..4).prop_map(|readers| {
+            let reader = |(vm, read_age_ms)| KnownReader { vm, read_age_ms };
+            Message::Readers(readers.into_iter().map(reader).collect())
+        }),
     ]
     .boxed()
 }
--- a/crates/fes-passthrough/tests/outliers.rs
+++ b/crates/fes-passthrough/tests/outliers.rs
@@ -70,7 +70,7 @@
 }
 
 /// Guards against a target that draws most new flows because it fails fast and is therefore idle.
-/// Incident: enjambre-cr-grown, scale-2.
+/// See docs/decisions/further-customer.md.
 #[test]
 fn a_failing_target_draws_no_more_requests_than_a_healthy_one() {
     let mut simulation = simulation_with_failing_target();
