Ask the seeds for the view before a starting entry reads the platform

Change: an entry that starts asks one seed after the other for 40 ms; seeds themselves read at once. The reply to a first request names the readers.

--- a/crates/fes-passthrough-node/src/list_watcher.rs
+++ b/crates/fes-passthrough-node/src/list_watcher.rs
@@ -35,7 +35,7 @@
 const WATCH_PERIOD_MS: u64 = 700;
 /// Maximum number of concurrent attempts to read the list.
 const MAX_CONCURRENT_READS: usize = 6;
-const PASSIVE_CHECK_PERIOD_MS: u64 = 100;
+const PASSIVE_CHECK_PERIOD_MS: u64 = 20;
 /// Maximum number of pages per listing, in case the store returns pages without end.
 const MAX_PAGES: usize = 200;
 
--- a/crates/fes-passthrough/src/view_gossip.rs
+++ b/crates/fes-passthrough/src/view_gossip.rs
@@ -35,6 +35,11 @@
 const MIN_DIGEST_INTERVAL_MS: u64 = 150;
 /// Difference between two confirmations that is passed on early.
 const NEWS_MS: u64 = 250;
+/// Time for which an entry that starts asks the seeds for their view before it reads the platform.
+/// Seeds don't wait.
+const FIRST_VIEW_WAIT_MS: u64 = 40;
+/// Time between two requests for a first view, each to another seed.
+const FIRST_VIEW_REQUEST_PERIOD_MS: u64 = 20;
 /// Number of peers to which each digest is sent. Changes reach the other entries through them.
 const DIGEST_FANOUT: usize = 6;
 /// Number of entries listed in a digest.
@@ -117,6 +122,9 @@
     incarnation: u64,
     peers: FastMap<Ipv4Addr, Peer>,
     readers: ReaderTable,
+    is_seed: bool,
+    /// When the entry reads the platform if no seed has sent a view; set with the first tick.
+    first_read_at: Option<MonoTime>,
     next_digest_at: MonoTime,
     /// Time before which no digest is sent, even with news.
     no_digest_before: MonoTime,
@@ -140,6 +148,8 @@
             incarnation,
             peers: FastMap::default(),
             readers: ReaderTable::default(),
+            is_seed: false,
+            first_read_at: None,
             next_digest_at: MonoTime::ZERO,
             no_digest_before: MonoTime::ZERO,
             sent_confirmed_at: MonoTime::ZERO,
@@ -153,6 +163,7 @@
 
     /// Replaces the seeds after a change of the settings.
     pub fn set_seeds(&mut self, seeds: &[Ipv4Addr]) {
+        self.is_seed = seeds.contains(&self.own_vm);
         for peer in self.peers.values_mut() {
             peer.is_seed = false;
         }
@@ -193,6 +204,9 @@
     /// among the lowest of the entries that do, or because its own view is outdated.
     #[must_use]
     pub fn is_reader(&self, now: MonoTime, view: &FleetView) -> bool {
+        if self.awaits_first_view(now, view) {
+            return false;
+        }
         let is_current = view.has_routes()
             && view
                 .age_ms(now)
@@ -200,8 +214,32 @@
         !is_current || !self.readers.has_enough_before(now, self.own_vm)
     }
 
+    /// Returns whether this entry has just started and asks the seeds for their view.
+    fn awaits_first_view(&self, now: MonoTime, view: &FleetView) -> bool {
+        let may_ask = !self.is_seed && !self.peers.is_empty();
+        let is_waiting = self.first_read_at.is_none_or(|at| now < at);
+        may_ask && is_waiting && !view.has_routes()
+    }
+
+    /// Returns a request for the whole view to one peer.
+    fn request_first_view(&mut self, now: MonoTime, view: &FleetView) -> Vec<(Ipv4Addr, Message)> {
+        self.next_digest_at = now.plus_ms(FIRST_VIEW_REQUEST_PERIOD_MS);
+        self.digest_count = self.digest_count.wrapping_add(1);
+        let peer = self.random_peers(self.peers.keys().copied(), 1);
+        let request = Message::Digest(self.digest(now, view, true));
+        peer.into_iter().map(|vm| (vm, request.clone())).collect()
+    }
+
     /// Returns the digests to send, if they are due.
     pub fn on_tick(&mut self, now: MonoTime, view: &FleetView) -> Vec<(Ipv4Addr, Message)> {
+        self.first_read_at
+            .get_or_insert(now.plus_ms(FIRST_VIEW_WAIT_MS));
+        if self.awaits_first_view(now, view) {
+            return match now >= self.next_digest_at {
+                true => self.request_first_view(now, view),
+                false => Vec::new(),
+            };
+        }
         let age_ms = view.age_ms(now).unwrap_or(u64::MAX);
         let confirmed_at = before(now, age_ms);
         let is_news = confirmed_at >= self.sent_confirmed_at.plus_ms(NEWS_MS);
@@ -223,13 +261,17 @@
         let receivers = self.random_peers(self.peers.keys().copied(), DIGEST_FANOUT);
         self.readers.expire(now);
         let digest = Message::Digest(self.digest(now, view, !view.has_routes()));
-        let preferred = self.readers.preferred(now);
-        let readers = (!preferred.is_empty()).then_some(Message::Readers(preferred));
+        let readers = self.readers_message(now);
         let messages: Vec<Message> = std::iter::once(digest).chain(readers).collect();
         let send = |vm| messages.iter().map(move |message| (vm, message.clone()));
         receivers.into_iter().flat_map(send).collect()
     }
 
+    fn readers_message(&self, now: MonoTime) -> Option<Message> {
+        let preferred = self.readers.preferred(now);
+        (!preferred.is_empty()).then_some(Message::Readers(preferred))
+    }
+
     /// Selects peers at random, others for each digest, so that entries that start at the same time
     /// don't all select the same ones.
     fn random_peers(&self, peers: impl Iterator<Item = Ipv4Addr>, count: usize) -> Vec<Ipv4Addr> {
@@ -262,6 +304,9 @@
         }
         let mut messages = Vec::new();
         if digest.wants_newer {
+            let is_first_view = digest.routes_version == 0;
+            let readers = self.readers_message(now).filter(|_| is_first_view);
+            messages.extend(readers.map(|readers| (from, readers)));
             messages.extend(self.response(now, from, digest, view));
         }
         let is_ahead =
--- a/crates/fes-passthrough/tests/readers.rs
+++ b/crates/fes-passthrough/tests/readers.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::collections::VecDeque;
 use std::net::Ipv4Addr;
 
 use fes_passthrough::FleetView;
@@ -54,6 +55,15 @@
         }
     }
 
+    fn restart(&mut self, index: usize) {
+        let seeds = [entry_vm(0), entry_vm(1), entry_vm(2)];
+        let node = &mut self.nodes[index];
+        node.gossip = ViewGossip::new(node.vm, 2, &seeds);
+        node.view = FleetView::new();
+        node.next_read_at = self.now;
+        node.reads = 0;
+    }
+
     fn run(&mut self, for_ms: u64) {
         let end = self.now.plus_ms(for_ms);
         while self.now < end {
@@ -87,12 +97,12 @@
 
     fn gossip(&mut self) {
         let now = self.now;
-        let mut in_flight: Vec<(Ipv4Addr, Ipv4Addr, Message)> = Vec::new();
+        let mut in_flight: VecDeque<(Ipv4Addr, Ipv4Addr, Message)> = VecDeque::new();
         for node in &mut self.nodes {
             let sent = node.gossip.on_tick(now, &node.view);
             in_flight.extend(sent.into_iter().map(|(to, message)| (node.vm, to, message)));
         }
-        while let Some((from, to, message)) = in_flight.pop() {
+        while let Some((from, to, message)) = in_flight.pop_front() {
             let Some(node) = self.nodes.iter_mut().find(|node| node.vm == to) else {
                 continue;
             };
@@ -183,6 +193,27 @@
     assert!(fleet.oldest_view_ms() < 2_000);
 }
 
+/// Guards against an entry that reads the whole list at each of its starts although others know it,
+/// and against one that waits for seeds that don't answer.
+#[rstest]
+#[case::seeds_answer(0, 0)]
+#[case::seeds_have_no_view(3, 1)]
+fn an_entry_that_starts_asks_the_seeds_first(#[case] refused: usize, #[case] reads: usize) {
+    let mut fleet = Fleet::new(8, refused);
+    fleet.run(5_000);
+    if refused > 0 {
+        // The seeds know nothing either, as after a start of all processes.
+        (0..refused).for_each(|index| fleet.restart(index));
+    }
+    fleet.restart(7);
+
+    fleet.run(200);
+
+    let node = &fleet.nodes[7];
+    assert!(node.reads <= reads, "{} reads", node.reads);
+    assert_eq!(node.view.targets().count(), 1);
+}
+
 /// Guards against a rate of attempts at a platform that is down that grows with the fleet.
 #[rstest]
 #[case::small(4, 250)]
