Let a signal to a script of the review end its daemons and its folder

SIGTERM in mid-script, 3 tries: status 2, no daemon runs on, the temporary folder is gone. A first check counted processes that had ended and weren't reaped yet.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,14 @@
 # the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] || exit 2
-exec target/review/standin drain review/1/record.txt
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
+target/review/standin drain review/1/record.txt &
+script=$!
+trap 'kill -TERM $script 2>/dev/null' HUP INT TERM
+wait $script
+status=$?
+# A signal ends the first wait early; the script then ends its daemons and itself.
+while kill -0 $script 2>/dev/null; do wait $script; status=2; done
+rm -rf "$TMPDIR"
+exit $status
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -36,15 +36,15 @@
 const MAX_SCRIPT_MS: u64 = 100_000;
 
 fn main() -> ExitCode {
-    // Daemons end with this process, also when it ends here.
+    world::handle_signals();
     std::panic::set_hook(Box::new(|panic| {
         eprintln!("the case couldn't run: {panic}");
-        std::process::exit(2);
+        world::abort_script();
     }));
     std::thread::spawn(|| {
         sleep_ms(MAX_SCRIPT_MS);
         eprintln!("the case couldn't run: it took too long");
-        std::process::exit(2);
+        world::abort_script();
     });
     let mut arguments = std::env::args().skip(1);
     let case = arguments.next().unwrap_or_default();
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -12,7 +12,6 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::net::UdpSocket;
-use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -22,6 +21,7 @@
 use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicI32;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -48,15 +48,51 @@
 const FIN: u8 = 4;
 const HEAD: usize = 34;
 
+const SIGHUP: i32 = 1;
+const SIGINT: i32 = 2;
 pub const SIGTERM: i32 = 15;
 const SIGKILL: i32 = 9;
 
-/// Option of `prctl`: the signal that a process gets when its parent ends.
-const PR_SET_PDEATHSIG: i32 = 1;
+/// Process IDs of the daemons that run, or 0. More than any script starts.
+static PIDS: [AtomicI32; 64] = [const { AtomicI32::new(0) }; 64];
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
-    fn prctl(option: i32, value: u64) -> i32;
+    fn signal(signal: i32, handler: extern "C" fn(i32)) -> usize;
+    fn _exit(status: i32) -> !;
+}
+
+/// Ends all daemons and this process. Calls only functions that a signal handler may call.
+pub fn abort_script() -> ! {
+    for pid in &PIDS {
+        let pid = pid.load(Ordering::SeqCst);
+        if pid > 0 {
+            // SAFETY: the ID is that of a child that hasn't been waited for.
+            unsafe { kill(pid, SIGKILL) };
+        }
+    }
+    // SAFETY: ends the process without further code of it.
+    unsafe { _exit(2) }
+}
+
+extern "C" fn on_signal(_: i32) {
+    abort_script();
+}
+
+/// Lets the signals that stop a script end its daemons too.
+pub fn handle_signals() {
+    for number in [SIGHUP, SIGINT, SIGTERM] {
+        // SAFETY: the handler calls only functions that a signal handler may call.
+        unsafe { signal(number, on_signal) };
+    }
+}
+
+fn note_pid(from: i32, to: i32) {
+    for slot in &PIDS {
+        if slot.compare_exchange(from, to, Ordering::SeqCst, Ordering::SeqCst).is_ok() {
+            return;
+        }
+    }
 }
 
 pub fn sleep_ms(ms: u64) {
@@ -821,14 +857,9 @@
             }
         }
         command.stdin(Stdio::null()).stderr(log.try_clone().unwrap()).stdout(log);
-        // SAFETY: `prctl` is safe to call between fork and exec. The daemon ends with the script.
-        unsafe {
-            command.pre_exec(|| {
-                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
-                Ok(())
-            });
-        }
-        self.child = Some(command.spawn().expect("the daemon starts"));
+        let child = command.spawn().expect("the daemon starts");
+        note_pid(0, child.id() as i32);
+        self.child = Some(child);
     }
 
     pub fn signal(&self, signal: i32) {
@@ -842,17 +873,14 @@
     pub fn wait_for_end(&mut self, grace_ms: u64) {
         let until = Instant::now() + Duration::from_millis(grace_ms);
         let Some(mut child) = self.child.take() else { return };
-        loop {
-            if matches!(child.try_wait(), Ok(Some(_)) | Err(_)) {
-                return;
-            }
+        let pid = child.id() as i32;
+        while matches!(child.try_wait(), Ok(None)) {
             if Instant::now() >= until {
                 let _ = child.kill();
-                let _ = child.wait();
-                return;
             }
             sleep_ms(2);
         }
+        note_pid(pid, 0);
     }
 
     pub fn log(&self) -> String {
@@ -876,9 +904,10 @@
 impl Drop for Daemon {
     fn drop(&mut self) {
         if let Some(mut child) = self.child.take() {
-            // SAFETY: as above.
-            unsafe { kill(child.id() as i32, SIGKILL) };
+            let pid = child.id() as i32;
+            let _ = child.kill();
             let _ = child.wait();
+            note_pid(pid, 0);
         }
     }
 }
