Reset a flow only once every target that may hold it has answered

Cause: an entry that doesn't know a flow asks the agents. Listed targets whose agent couldn't be asked made the search inconclusive, but draining ones didn't count, because their agents were taken to have ended with them. A draining target keeps its flows, and its agent may be away for a planned restart. The same sum decided whether packets may be sent to targets on trial.

Change: one rule, possible_holders, names the targets that may hold a flow, in whatever state. A search ends when each of them has answered that it doesn't; an answer stays valid when its agent leaves afterwards, so that agents that leave one after the other don't keep searches open. To bound the wait for a target that really has ended, its agent probes it: a target that accepted a connection when it began to drain and refuses one when the agent is stopped has ended. The agent says so (TargetEnded), entries stop waiting for it, and reset its flows instead of holding their packets for 2.5 s. If that message is lost, the search ends when the target is unlisted; a draining target gets no grace for expired records, since it announced that it leaves.

Tests: an_entry_may_restart_while_an_agent_is_away::draining failed before (874 of 960 requests answered). Two tests ended an agent silently after its target was drained, which is what the fault is about; they now end target and agent as the daemon does, with the same bounds.

--- a/crates/fes-passthrough-node/src/agent_daemon.rs
+++ b/crates/fes-passthrough-node/src/agent_daemon.rs
@@ -1,6 +1,7 @@
 //! Agent daemon: delivers packets to the target on its VM and sends the packets of the target to
 //! clients.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -35,6 +36,7 @@
 use crate::settings_watch::watch_settings;
 use crate::signals::NodeSignals;
 use crate::signals::SignalRequest;
+use crate::target_probe::TargetProbe;
 use crate::timing::clock_event_text;
 use crate::timing::next_tick;
 use crate::udp;
@@ -53,6 +55,9 @@
     context: NodeContext,
     place: AgentPlace,
     core: RefCell<AgentCore>,
+    target_probe: TargetProbe,
+    /// Whether the target was listed as draining at the last tick.
+    was_draining: Cell<bool>,
     target_socket: UdpSocket,
     node_socket: UdpSocket,
     buffer: RefCell<Vec<u8>>,
@@ -85,6 +90,8 @@
     let node = Rc::new(AgentNode {
         place,
         core: RefCell::new(core),
+        target_probe: TargetProbe::new(place.target_address),
+        was_draining: Cell::new(false),
         target_socket,
         node_socket,
         buffer: RefCell::default(),
@@ -177,7 +184,7 @@
         self.perform(actions, datagram);
     }
 
-    async fn tick(&self) {
+    async fn tick(self: &Rc<Self>) {
         let mut clock_monitor = ClockMonitor::new();
         let mut due_at = self.context.now();
         let mut count: u32 = 0;
@@ -192,6 +199,17 @@
             count = count.wrapping_add(1);
             let is_slow_tick = count.is_multiple_of(TICKS_PER_SLOW_TICK);
             contain("tick", || self.on_tick(now, is_slow_tick));
+            self.observe_drain();
+        }
+    }
+
+    /// Probes the target when it begins to drain.
+    fn observe_drain(self: &Rc<Self>) {
+        let is_draining = self.core.borrow().is_target_draining();
+        let was_draining = self.was_draining.replace(is_draining);
+        if is_draining && !was_draining {
+            let node = Rc::clone(self);
+            actix_rt::spawn(async move { node.target_probe.observe().await });
         }
     }
 
@@ -317,6 +335,9 @@
             .borrow_mut()
             .begin_stop(started_at, end_by, &mut actions);
         self.perform(actions, &[]);
+        if self.target_probe.has_ended().await {
+            self.core.borrow_mut().record_target_ended();
+        }
         while !self.advance_stop() {
             sleep(Duration::from_millis(STOP_CHECK_MS)).await;
         }
--- a/crates/fes-passthrough-node/src/lib.rs
+++ b/crates/fes-passthrough-node/src/lib.rs
@@ -11,6 +11,7 @@
 mod settings_watch;
 mod signals;
 mod status_command;
+mod target_probe;
 mod timing;
 mod udp;
 
@@ -26,3 +27,4 @@
 pub use settings_watch::load_settings;
 pub use settings_watch::load_settings_at_start;
 pub use status_command::fetch_status;
+pub use target_probe::TargetProbe;
--- a/crates/fes-passthrough/src/agent/agent_core.rs
+++ b/crates/fes-passthrough/src/agent/agent_core.rs
@@ -92,6 +92,8 @@
     /// Number of requests that the target runs concurrently; 0 if unknown.
     pub(super) slots: u32,
     pub(super) is_draining: bool,
+    /// Whether the target's process is known to have ended.
+    pub(super) target_has_ended: bool,
     pub(super) stop_phase: StopPhase,
     pub(super) flows: FlowTable,
     pub(super) queue: RequestQueue,
@@ -124,6 +126,7 @@
             started_at_ms: 0,
             slots: 0,
             is_draining: false,
+            target_has_ended: false,
             stop_phase: StopPhase::Serving,
             flows: FlowTable::default(),
             queue: RequestQueue::default(),
@@ -142,6 +145,18 @@
         (counts.open, counts.streams, counts.running)
     }
 
+    /// Returns whether the target is listed as draining.
+    #[must_use]
+    pub const fn is_target_draining(&self) -> bool {
+        self.is_draining
+    }
+
+    /// Records that the target's process has ended. A stopping agent then ends at once and tells
+    /// the entries that the flows are lost.
+    pub const fn record_target_ended(&mut self) {
+        self.target_has_ended = true;
+    }
+
     /// Returns the number of entries that send hellos.
     #[must_use]
     pub fn entry_count(&self) -> usize {
--- a/crates/fes-passthrough/src/agent/stopping.rs
+++ b/crates/fes-passthrough/src/agent/stopping.rs
@@ -2,7 +2,8 @@
 //!
 //! The target goes on while its agent is restarted, and it is reachable through nothing else. So
 //! the agent ends at a moment when nothing is in progress, and tells the entries to hold the
-//! packets of the target's flows until its next incarnation reports.
+//! packets of the target's flows until its next incarnation reports. If the target has ended too,
+//! the agent says so, so that the entries don't wait for its answer to a lookup.
 
 use std::net::Ipv4Addr;
 
@@ -66,7 +67,8 @@
                 end_by,
             } => {
                 let is_noticed = now >= may_end_at;
-                if (is_noticed && self.is_idle(now)) || now >= end_by {
+                let is_done = (is_noticed && self.is_idle(now)) || self.target_has_ended;
+                if is_done || now >= end_by {
                     self.end(now, out);
                 } else if now >= suspend_at {
                     self.stop_phase = StopPhase::Suspended { end_by };
@@ -95,10 +97,14 @@
             exit_at: now.plus_ms(LAST_PACKETS_MS),
         };
         let incarnation = self.incarnation;
+        let message = match self.target_has_ended {
+            true => Message::TargetEnded { incarnation },
+            false => Message::AgentStopped { incarnation },
+        };
         let entries = self.entries.keys();
         out.extend(entries.map(|entry| AgentAction::Send {
             to: *entry,
-            message: Message::AgentStopped { incarnation },
+            message: message.clone(),
             with_packet: false,
         }));
     }
@@ -114,7 +120,7 @@
             for (_, packet) in queued.packets {
                 out.push(AgentAction::SendStored {
                     to: entry,
-                    message: returned(flow),
+                    message: self.returned(flow),
                     packet,
                 });
             }
@@ -145,12 +151,20 @@
     ) {
         out.push(AgentAction::Send {
             to: entry,
-            message: returned(flow),
+            message: self.returned(flow),
             with_packet: true,
         });
         self.record_returned(flow, out);
     }
 
+    const fn returned(&self, flow: FlowKey) -> Message {
+        let reason = match self.target_has_ended {
+            true => ReturnReason::NotHeld,
+            false => ReturnReason::Stopping,
+        };
+        Message::Returned { flow, reason }
+    }
+
     fn record_returned(&self, flow: FlowKey, out: &mut Vec<AgentAction>) {
         let decision = FlowDecision::new(Outcome::HandedBack)
             .flow(flow)
@@ -158,10 +172,3 @@
         out.push(AgentAction::Record(decision));
     }
 }
-
-const fn returned(flow: FlowKey) -> Message {
-    Message::Returned {
-        flow,
-        reason: ReturnReason::Stopping,
-    }
-}
--- a/crates/fes-passthrough/src/agent_table.rs
+++ b/crates/fes-passthrough/src/agent_table.rs
@@ -31,6 +31,17 @@
     is_stream: bool,
 }
 
+/// What an entry knows about the process that sent an agent's latest report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AgentProcess {
+    /// It hasn't announced its end.
+    Running,
+    /// It ended as planned and is being restarted, while its target goes on.
+    Restarting,
+    /// It ended with its target.
+    Ended,
+}
+
 /// State of one agent.
 #[derive(Debug, Clone)]
 pub struct AgentState {
@@ -38,8 +49,7 @@
     last_report_at: MonoTime,
     silent_at: MonoTime,
     is_reported_silent: bool,
-    /// Whether the reported incarnation has ended.
-    has_stopped: bool,
+    process: AgentProcess,
     recent_placements: VecDeque<RecentPlacement>,
     unanswered_openings: u32,
     avoid_until: MonoTime,
@@ -57,13 +67,13 @@
     /// Returns whether the agent's latest report is current.
     #[must_use]
     pub fn is_reachable(&self, now: MonoTime) -> bool {
-        now < self.silent_at && !self.has_stopped
+        now < self.silent_at && self.process == AgentProcess::Running
     }
 
-    /// Returns whether the agent's process ended as planned and hasn't reported since.
+    /// Returns what is known about the process that sent the latest report.
     #[must_use]
-    pub const fn has_stopped(&self) -> bool {
-        self.has_stopped
+    pub const fn process(&self) -> AgentProcess {
+        self.process
     }
 
     /// Returns the age of the latest report in milliseconds.
@@ -126,14 +136,19 @@
         TRIAL_INTERVAL_MS * (self.other_entries + 1)
     }
 
-    /// Records that the process of an agent ended as planned. Returns whether the agent is known
-    /// and no other incarnation has reported since.
-    pub fn record_stopped(&mut self, vm: Ipv4Addr, incarnation: u64) -> bool {
+    /// Records that the process of an agent ended as planned, with or without its target. Returns
+    /// whether that is new and no other incarnation has reported since.
+    pub fn record_stopped(
+        &mut self,
+        vm: Ipv4Addr,
+        incarnation: u64,
+        process: AgentProcess,
+    ) -> bool {
         let agent = self.agents.get_mut(&vm);
         let Some(agent) = agent.filter(|agent| agent.report.incarnation == incarnation) else {
             return false;
         };
-        !std::mem::replace(&mut agent.has_stopped, true)
+        std::mem::replace(&mut agent.process, process) != process
     }
 
     /// Records a report. Ignores a delayed one of an incarnation that has ended.
@@ -153,7 +168,7 @@
                 last_report_at: now,
                 silent_at,
                 is_reported_silent: false,
-                has_stopped: false,
+                process: AgentProcess::Running,
                 recent_placements: VecDeque::new(),
                 unanswered_openings: 0,
                 avoid_until: MonoTime::ZERO,
@@ -163,11 +178,11 @@
             return ReportEffect::Heard;
         };
         let is_restarted = agent.report.incarnation != report.incarnation;
-        if agent.has_stopped && !is_restarted {
+        if agent.process != AgentProcess::Running && !is_restarted {
             return ReportEffect::None;
         }
         let was_silent = agent.is_reported_silent;
-        agent.has_stopped = false;
+        agent.process = AgentProcess::Running;
         agent.report = report;
         agent.last_report_at = now;
         agent.silent_at = silent_at;
--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -14,6 +14,7 @@
 use super::held_packets::HeldPackets;
 use super::opening::first_sent_at;
 use super::searching::MAX_AGENT_ABSENCE_MS;
+use crate::AgentProcess;
 use crate::AgentTable;
 use crate::FleetView;
 use crate::FlowDecision;
@@ -308,7 +309,12 @@
                 let update = self.gossip.on_targets(now, vm, part, &self.view);
                 self.on_view_update(now, update, out);
             }
-            Message::AgentStopped { incarnation } => self.on_agent_stopped(vm, *incarnation, out),
+            Message::AgentStopped { incarnation } => {
+                self.on_agent_stopped(vm, *incarnation, AgentProcess::Restarting, out);
+            }
+            Message::TargetEnded { incarnation } => {
+                self.on_agent_stopped(vm, *incarnation, AgentProcess::Ended, out);
+            }
             // These messages are addressed to agents.
             Message::Forward(_)
             | Message::Hello(_)
@@ -495,7 +501,10 @@
     record: &TargetRecord,
 ) -> Reporting {
     match agents.get(record.vm) {
-        Some(agent) if agent.has_stopped() && agent.age_ms(now) < MAX_AGENT_ABSENCE_MS => {
+        Some(agent)
+            if agent.process() == AgentProcess::Restarting
+                && agent.age_ms(now) < MAX_AGENT_ABSENCE_MS =>
+        {
             Reporting::Stopped
         }
         None if view.listed_for_ms(now, &record.id) < MAX_AGENT_ABSENCE_MS => Reporting::Awaited,
--- a/crates/fes-passthrough/src/entry/established.rs
+++ b/crates/fes-passthrough/src/entry/established.rs
@@ -4,6 +4,7 @@
 
 use fes_protocol::MonoTime;
 
+use crate::AgentProcess;
 use crate::AgentState;
 use crate::Attempt;
 use crate::EntryAction;
@@ -123,15 +124,18 @@
                 return;
             }
         };
-        let agent = self.agents.get(owner.vm);
-        if agent.is_some_and(AgentState::has_stopped) {
-            self.hold_packet(now, owner.vm, flow, packet, out);
-            return;
+        match self.agents.get(owner.vm).map(AgentState::process) {
+            Some(AgentProcess::Restarting) => self.hold_packet(now, owner.vm, flow, packet, out),
+            // The flow may have been opened at a target that was listed there before.
+            Some(AgentProcess::Ended) => {
+                record.state = FlowState::Searching(Search::new(now, arrived_at, packet));
+                self.continue_search(now, flow, out);
+            }
+            Some(AgentProcess::Running) | None => out.push(EntryAction::Forward {
+                vm: owner.vm,
+                forward: forward(ForwardMode::Owner, owner.started_at_ms),
+            }),
         }
-        out.push(EntryAction::Forward {
-            vm: owner.vm,
-            forward: forward(ForwardMode::Owner, owner.started_at_ms),
-        });
     }
 
     /// Handles an agent's answer that its target doesn't hold the flow. If that target was recorded
--- a/crates/fes-passthrough/src/entry/held_packets.rs
+++ b/crates/fes-passthrough/src/entry/held_packets.rs
@@ -9,6 +9,7 @@
 use fes_protocol::FastMap;
 use fes_protocol::MonoTime;
 
+use crate::AgentProcess;
 use crate::EntryAction;
 use crate::EntryCore;
 use crate::FlowDecision;
@@ -104,14 +105,19 @@
         &mut self,
         vm: Ipv4Addr,
         incarnation: u64,
+        process: AgentProcess,
         out: &mut Vec<EntryAction>,
     ) {
-        if !self.agents.record_stopped(vm, incarnation) {
+        if !self.agents.record_stopped(vm, incarnation, process) {
             return;
         }
         // The next incarnation reports once it gets a hello.
         self.next_hello_at.remove(&vm);
-        let decision = FlowDecision::new(Outcome::AgentStopped).vm(vm);
+        let outcome = match process {
+            AgentProcess::Ended => Outcome::TargetEnded,
+            AgentProcess::Running | AgentProcess::Restarting => Outcome::AgentStopped,
+        };
+        let decision = FlowDecision::new(outcome).vm(vm);
         out.push(EntryAction::Record(decision));
     }
 
--- a/crates/fes-passthrough/src/entry/searching.rs
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -4,6 +4,7 @@
 
 use fes_protocol::MonoTime;
 
+use crate::AgentProcess;
 use crate::EntryAction;
 use crate::EntryCore;
 use crate::FlowDecision;
@@ -69,10 +70,11 @@
         };
         record.touch(now, self.idle_timeout_ms());
         self.flows.insert(flow, record);
-        let unreachable = self.unreachable_targets(now);
+        let is_unreachable = |target: &&TargetRecord| !self.can_be_asked(now, target);
+        let unreachable = self.possible_holders(now).filter(is_unreachable).count();
         let decision = self
             .decision(now, Outcome::SearchStarted, flow)
-            .load(unreachable);
+            .load(u64::try_from(unreachable).unwrap_or(u64::MAX));
         out.push(EntryAction::Record(decision));
         self.continue_search(now, flow, out);
     }
@@ -134,7 +136,7 @@
         agents: &[Ipv4Addr],
         out: &mut Vec<EntryAction>,
     ) -> bool {
-        let may_send_packet = self.is_probe_safe(now) && self.has_no_complete_agent(now);
+        let may_send_packet = self.has_no_complete_agent(now) && self.is_probe_safe(now, &flow);
         let Some(record) = self.flows.get_mut(&flow) else {
             return false;
         };
@@ -205,24 +207,21 @@
         reachable.min_by_key(|vm| (is_far(*vm), attempt_rank(flow, *vm, attempt)))
     }
 
-    /// Resets the flow if every target could be asked and none holds it, and otherwise schedules a
-    /// retry.
+    /// Resets the flow if no target holds it, and schedules a retry if some target may.
     pub(super) fn finish_search(
         &mut self,
         now: MonoTime,
         flow: FlowKey,
         out: &mut Vec<EntryAction>,
     ) {
-        let is_conclusive = self.is_view_current(now) && self.unreachable_targets(now) == 0;
+        let is_conclusive = self.is_view_current(now) && self.is_held_by_none(now, &flow);
         let Some(record) = self.flows.get_mut(&flow) else {
             return;
         };
         let FlowState::Searching(search) = &mut record.state else {
             return;
         };
-        let is_listed = |vm: &Ipv4Addr| self.view.target_on(*vm).is_some();
-        let mut listed_agents = self.agents.reachable(now).filter(is_listed);
-        if !is_conclusive || !listed_agents.all(|vm| search.is_not_held_by(vm)) {
+        if !is_conclusive {
             if search.retry_later(now) {
                 self.search_queue.push_back((search.next_round_at(), flow));
             }
@@ -235,25 +234,38 @@
         out.push(EntryAction::Record(decision));
     }
 
-    /// Returns the number of listed targets that a search would miss because their agent doesn't
-    /// report at the moment or is being restarted.
+    /// Returns the targets that may hold an open flow: all that are listed, of every service and in
+    /// every state, because a draining target keeps its flows and a flow stays at its target when
+    /// its route moves to another service.
     ///
-    /// Agents that have been silent for long or never reported are not counted, since their VM has
-    /// ended or is unreachable. Neither are the agents of draining targets, which are taken to have
-    /// stopped. Targets of all services are counted, because a flow stays at its target when its
-    /// route moves to another service.
-    pub(super) fn unreachable_targets(&self, now: MonoTime) -> u64 {
-        let is_unreachable = |target: &&TargetRecord| {
-            let has_left = target.state == TargetState::Draining;
-            let is_report_expected = match self.agents.get(target.vm) {
-                Some(agent) if agent.is_reachable(now) => agent.report().is_leaving,
-                Some(agent) => agent.age_ms(now) < MAX_AGENT_ABSENCE_MS,
-                None => self.view.listed_for_ms(now, &target.id) < FIRST_REPORT_TIMEOUT_MS,
-            };
-            is_report_expected && !has_left
+    /// Left out are targets that have ended according to their agent, and targets whose agent has
+    /// been silent for long or never reported, since their VM has ended or is unreachable.
+    fn possible_holders(&self, now: MonoTime) -> impl Iterator<Item = &TargetRecord> {
+        let may_answer = move |target: &&TargetRecord| match self.agents.get(target.vm) {
+            Some(agent) if agent.process() == AgentProcess::Ended => false,
+            Some(agent) => agent.is_reachable(now) || agent.age_ms(now) < MAX_AGENT_ABSENCE_MS,
+            None => self.view.listed_for_ms(now, &target.id) < FIRST_REPORT_TIMEOUT_MS,
         };
-        let unreachable = self.view.newest_targets().filter(is_unreachable);
-        u64::try_from(unreachable.count()).unwrap_or(u64::MAX)
+        self.view.newest_targets().filter(may_answer)
+    }
+
+    /// Returns whether the agent of a target is reachable and isn't about to be restarted.
+    fn can_be_asked(&self, now: MonoTime, target: &TargetRecord) -> bool {
+        let agent = self.agents.get(target.vm);
+        let agent = agent.filter(|agent| agent.is_reachable(now));
+        // The agent of a draining target reports that it leaves for as long as the target drains.
+        let is_draining = target.state == TargetState::Draining;
+        agent.is_some_and(|agent| is_draining || !agent.report().is_leaving)
+    }
+
+    /// Returns whether every target that may hold the flow has answered that it doesn't. Answers
+    /// stay valid, so that a search ends although agents leave one after the other.
+    fn is_held_by_none(&self, now: MonoTime, flow: &FlowKey) -> bool {
+        let Some(search) = self.flows.search(flow) else {
+            return false;
+        };
+        let mut holders = self.possible_holders(now);
+        holders.all(|target| search.is_not_held_by(target.vm))
     }
 
     /// Handles an agent's answer that it can't determine whether its target holds the flow.
@@ -314,8 +326,15 @@
     }
 
     /// Returns whether the flow's own target is certain to be among those that can be asked.
-    fn is_probe_safe(&self, now: MonoTime) -> bool {
-        self.is_view_current(now) && self.unreachable_targets(now) == 0
+    fn is_probe_safe(&self, now: MonoTime, flow: &FlowKey) -> bool {
+        let Some(search) = self.flows.search(flow) else {
+            return false;
+        };
+        let mut holders = self.possible_holders(now);
+        let is_covered = |target: &TargetRecord| {
+            search.is_not_held_by(target.vm) || self.can_be_asked(now, target)
+        };
+        self.is_view_current(now) && holders.all(is_covered)
     }
 
     /// Returns whether no agent knows all flows of its target because all were restarted. A lookup
@@ -334,7 +353,7 @@
         vms: &[Ipv4Addr],
         out: &mut Vec<EntryAction>,
     ) -> bool {
-        if !self.is_probe_safe(now) {
+        if !self.is_probe_safe(now, &flow) {
             return false;
         }
         let Some(record) = self.flows.get_mut(&flow) else {
--- a/crates/fes-passthrough/src/fleet_view.rs
+++ b/crates/fes-passthrough/src/fleet_view.rs
@@ -15,6 +15,7 @@
 use crate::RouteSet;
 use crate::ServiceTag;
 use crate::TargetRecord;
+use crate::TargetState;
 
 /// Time for which a target stays in use after its record left the list, because records may expire
 /// and be written again. Shorter than the time within which new flows to a target that left must
@@ -362,7 +363,12 @@
         let after_outage = self
             .outage_ended_at
             .map_or(MonoTime::ZERO, |at| at.plus_ms(OUTAGE_RECOVERY_MS));
-        let remove_at = now.plus_ms(UNLISTED_GRACE_MS).max(after_outage);
+        let grace_ms = match current.record.state {
+            TargetState::Ready => UNLISTED_GRACE_MS,
+            // The target has announced that it leaves, so that its record hasn't expired.
+            TargetState::Draining => 0,
+        };
+        let remove_at = now.plus_ms(grace_ms).max(after_outage);
         current.listing = Listing::Unlisted { remove_at };
         let until = now.plus_ms(TOMBSTONE_EXPIRY_MS);
         self.tombstones.insert(id.clone(), (revision, until));
--- a/crates/fes-passthrough/src/flow_decision.rs
+++ b/crates/fes-passthrough/src/flow_decision.rs
@@ -62,6 +62,8 @@
     AgentSilent,
     /// An agent ended as planned; packets for its target are held until it reports again.
     AgentStopped,
+    /// An agent ended with its target; the target's flows are lost.
+    TargetEnded,
     /// A packet is held until the agent of its target has been restarted.
     HeldForAgent,
     /// A packet was dropped: the agent of its target is being restarted, and too many are held.
@@ -111,6 +113,7 @@
             Self::AgentHeard => "agent_heard",
             Self::AgentSilent => "agent_silent",
             Self::AgentStopped => "agent_stopped",
+            Self::TargetEnded => "target_ended",
             Self::HeldForAgent => "held_for_agent",
             Self::DroppedUnheld => "dropped_unheld",
             Self::Released => "released",
--- a/crates/fes-passthrough/src/flow_directory.rs
+++ b/crates/fes-passthrough/src/flow_directory.rs
@@ -101,6 +101,15 @@
         self.flows.get_mut(flow)
     }
 
+    /// Returns the search for the target of a flow, if one is in progress.
+    #[must_use]
+    pub fn search(&self, flow: &FlowKey) -> Option<&Search> {
+        match &self.flows.get(flow)?.state {
+            FlowState::Searching(search) => Some(search),
+            FlowState::Opening(_) | FlowState::Owned(_) => None,
+        }
+    }
+
     /// Adds or replaces the record of a flow. A new flow is not recorded if the directory is full.
     pub fn insert(&mut self, flow: FlowKey, record: FlowRecord) {
         if self.flows.len() < MAX_FLOWS || self.flows.contains_key(&flow) {
--- a/crates/fes-passthrough/src/lib.rs
+++ b/crates/fes-passthrough/src/lib.rs
@@ -31,6 +31,7 @@
 
 pub use agent::AgentAction;
 pub use agent::AgentCore;
+pub use agent_table::AgentProcess;
 pub use agent_table::AgentState;
 pub use agent_table::AgentTable;
 pub use agent_table::ReportEffect;
--- a/crates/fes-passthrough/src/message.rs
+++ b/crates/fes-passthrough/src/message.rs
@@ -257,4 +257,10 @@
     },
     /// Entry to entry, with a digest: the entries that read the platform for all.
     Readers(Vec<KnownReader>),
+    /// Agent to entry: the last message of an agent whose target has ended, so that its flows are
+    /// lost.
+    TargetEnded {
+        /// Incarnation of the agent's process that ends.
+        incarnation: u64,
+    },
 }
--- a/crates/fes-passthrough/tests/agents_leaving_in_turn.rs
+++ b/crates/fes-passthrough/tests/agents_leaving_in_turn.rs
@@ -3,9 +3,7 @@
 
 mod support;
 
-use fes_passthrough::AgentAction;
 use fes_passthrough::TargetState;
-use fes_protocol::MonoTime;
 use rstest::rstest;
 
 use support::client::Client;
@@ -54,31 +52,11 @@
     if end != End::Unlisted {
         simulation.change_target(index, |record| record.state = TargetState::Draining);
     }
-    let now = MonoTime::from_ms(simulation.now_ms);
-    let end_by = now.plus_ms(1_500);
-    let mut out: Vec<AgentAction> = Vec::new();
-    if let Some(agent) = simulation.agents[index]
-        .as_mut()
-        .filter(|_| end == End::Planned)
-    {
-        agent.begin_stop(now, end_by, &mut out);
-        simulation.perform_agent(index, out, None);
-        finish_stop(simulation, index);
-    }
-    simulation.agents[index] = None;
-    simulation.targets[index].is_running = false;
-}
-
-fn finish_stop(simulation: &mut Simulation, index: usize) {
-    loop {
-        simulation.run_until(simulation.now_ms + 5);
-        let now = MonoTime::from_ms(simulation.now_ms);
-        let mut out: Vec<AgentAction> = Vec::new();
-        let agent = simulation.agents[index].as_mut();
-        let may_exit = agent.is_none_or(|agent| agent.advance_stop(now, &mut out));
-        simulation.perform_agent(index, out, None);
-        if may_exit {
-            return;
+    match end {
+        End::Planned => simulation.end_target(index),
+        End::Abrupt | End::Unlisted => {
+            simulation.agents[index] = None;
+            simulation.targets[index].is_running = false;
         }
     }
 }
--- a/crates/fes-passthrough/tests/flows.rs
+++ b/crates/fes-passthrough/tests/flows.rs
@@ -370,7 +370,7 @@
 }
 
 /// Guards against searches that wait for the answer of an agent that has ended in the meantime,
-/// after its target was drained. Incident: mafraq-gauge-grown, trouble-2.
+/// with its target, which was drained. Incident: mafraq-gauge-grown, trouble-2.
 #[test]
 fn a_search_goes_on_without_an_agent_that_ends_while_it_is_asked() {
     let mut simulation = simulation_with_streams(1, 6, 10, 3);
@@ -382,7 +382,31 @@
     simulation.change_target(5, |record| record.state = TargetState::Draining);
     simulation.start_entry(0);
     simulation.run_until(1_530);
+    simulation.end_target(5);
+
+    simulation.run_until(2_050);
+
+    let lost = simulation.count(Outcome::SearchLost);
+    assert!(lost >= usize::from(STREAMS), "{lost} searches ended");
+}
+
+/// Guards against searches that wait for an agent that ended with its drained target and whose last
+/// message was lost. They end once the target is unlisted, without the grace for expired records.
+#[test]
+fn a_search_ends_once_a_drained_target_is_unlisted() {
+    let mut simulation = simulation_with_streams(1, 6, 10, 3);
+    simulation.run_until(1_500);
+    for index in 0..6 {
+        simulation.crash_target(index);
+        simulation.start_agent(index, false);
+    }
+    simulation.change_target(5, |record| record.state = TargetState::Draining);
+    simulation.start_entry(0);
+    simulation.run_until(1_530);
+    simulation.targets[5].is_running = false;
     simulation.agents[5] = None;
+    simulation.run_until(1_900);
+    simulation.unlist_target(5);
 
     simulation.run_until(2_050);
 
@@ -390,6 +414,26 @@
     assert!(lost >= usize::from(STREAMS), "{lost} searches ended");
 }
 
+/// Guards against packets that are held for an agent although its target has ended with it: the
+/// client must open a new flow, which it does once it gets a reset.
+#[test]
+fn flows_of_a_target_that_ended_are_reset() {
+    let mut simulation = simulation_with_streams(1, 2, 10, 3);
+    simulation.run_until(1_500);
+    let flows = (0..STREAMS).map(|port| flow(1_000 + port, stream_address()));
+    let lost = flows
+        .filter(|flow| simulation.targets[1].has_open(flow))
+        .count();
+    simulation.change_target(1, |record| record.state = TargetState::Draining);
+    simulation.end_target(1);
+
+    simulation.run_until(2_000);
+
+    assert!(lost > 0);
+    assert_eq!(simulation.resets_while_open(), lost);
+    assert_eq!(simulation.count(Outcome::HeldForAgent), 0);
+}
+
 /// Guards against clients that wait while a search asks several rounds of agents that were all
 /// restarted and can't answer. Incident: mafraq-gauge-grown, trouble-1.
 #[test]
--- a/crates/fes-passthrough/tests/hostile_messages.rs
+++ b/crates/fes-passthrough/tests/hostile_messages.rs
@@ -336,6 +336,7 @@
         }),
         any_flow().prop_map(|flow| Message::NotHeld { flow }),
         number().prop_map(|incarnation| Message::AgentStopped { incarnation }),
+        number().prop_map(|incarnation| Message::TargetEnded { incarnation }),
         vec((any_vm(), number()), 0..4).prop_map(|readers| {
             let reader = |(vm, read_age_ms)| KnownReader { vm, read_age_ms };
             Message::Readers(readers.into_iter().map(reader).collect())
--- a/crates/fes-passthrough/tests/planned_stop.rs
+++ b/crates/fes-passthrough/tests/planned_stop.rs
@@ -4,6 +4,7 @@
 
 use fes_passthrough::AgentAction;
 use fes_passthrough::Outcome;
+use fes_passthrough::TargetState;
 use fes_protocol::MonoTime;
 use rstest::rstest;
 
@@ -238,12 +239,12 @@
     assert_eq!(simulation.broken_flows(), 0);
 }
 
-/// Guards against flows that a restarted entry can't find while the agent of their target is away.
-#[test]
-fn an_entry_may_restart_while_an_agent_is_away() {
+/// Plays streams while an agent is away and an entry, which then knows no flow, is restarted.
+fn run_streams_with_restarted_entry(state: TargetState) -> Simulation {
     let mut simulation = Simulation::new(2, TARGETS, SLOTS, WORK_MS, 7);
     add_streams(&mut simulation, 24, 40, 100);
     simulation.run_until(1_500);
+    simulation.change_target(0, |record| record.state = state);
     begin_stop(&mut simulation, 0);
     while !advance_stop(&mut simulation, 0) {
         simulation.run_until(simulation.now_ms + 5);
@@ -252,8 +253,17 @@
     simulation.start_entry(0);
     simulation.run_until(simulation.now_ms + 650);
     simulation.start_agent(0, false);
-
     simulation.run_until(20_000);
+    simulation
+}
+
+/// Guards against flows that a restarted entry can't find while the agent of their target is away.
+/// A draining target keeps its flows, so that its agent must be waited for as well.
+#[rstest]
+#[case::ready(TargetState::Ready)]
+#[case::draining(TargetState::Draining)]
+fn an_entry_may_restart_while_an_agent_is_away(#[case] state: TargetState) {
+    let simulation = run_streams_with_restarted_entry(state);
 
     assert_eq!(simulation.answered(), 24 * 40);
     assert_eq!(runs(&simulation), 24 * 40, "requests that ran");
--- a/crates/fes-passthrough/tests/support/simulation.rs
+++ b/crates/fes-passthrough/tests/support/simulation.rs
@@ -34,6 +34,8 @@
 
 const NETWORK_DELAY_MS: u64 = 2;
 const TICK_MS: u64 = 20;
+/// Upper limit of the time that a stopping agent takes.
+const MAX_STOP_MS: u64 = 1_500;
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Event {
@@ -219,6 +221,21 @@
         self.change_target(index, |record| record.started_at_ms = started_at_ms);
     }
 
+    /// Ends a target and its agent as planned: the agent is told to stop once the target has ended,
+    /// finds that out and exits.
+    pub fn end_target(&mut self, index: usize) {
+        self.targets[index].is_running = false;
+        let now = self.now();
+        let mut out = Vec::new();
+        if let Some(agent) = &mut self.agents[index] {
+            agent.begin_stop(now, now.plus_ms(MAX_STOP_MS), &mut out);
+            agent.record_target_ended();
+            agent.advance_stop(now, &mut out);
+        }
+        self.perform_agent(index, out, None);
+        self.agents[index] = None;
+    }
+
     pub fn add_client(&mut self, client: Client, at_ms: u64) -> usize {
         let index = self.clients.len();
         self.by_flow.insert(client.flow, index);
