Recognize a new flow of a used port without the former opening packet

Cause: an entry that found a flow by a search, and an agent that was restarted, know no opening number of the flow. Without it, every opening packet counted as a copy of the flow's own.

Change: ClientSequence holds the first sequence number that was seen. A copy of the opening packet lies closely before it; another flow begins at a random number. Entry and agent use the same rule. At the agent, the missing number also left the abandoned state of the former flow in force, so that the new flow's packets were dropped.

Tests: an_entry_places_a_new_flow_of_a_port::found_by_a_search and an_agent_delivers_a_new_flow_of_a_port::opened_before_a_restart failed before. Late copies still go to the flow's own target.

--- a/crates/fes-passthrough/src/entry/opening.rs
+++ b/crates/fes-passthrough/src/entry/opening.rs
@@ -5,6 +5,7 @@
 use fes_protocol::MonoTime;
 
 use crate::Attempt;
+use crate::ClientSequence;
 use crate::EntryAction;
 use crate::EntryCore;
 use crate::FlowDecision;
@@ -57,7 +58,7 @@
     ) {
         let flow = segment.flow;
         let earlier = self.flows.get_mut(&flow);
-        if earlier.is_none_or(|earlier| earlier.is_superseded_by(segment)) {
+        if earlier.is_none_or(|earlier| earlier.client_sequence.is_superseded_by(segment)) {
             self.place_first(now, first_sent_at, segment, route, packet, out);
             return;
         }
@@ -133,7 +134,7 @@
         };
         let mut record = FlowRecord {
             service,
-            opening_sequence: Some(segment.sequence),
+            client_sequence: ClientSequence::Opening(segment.sequence),
             requirements: route.requirements,
             state: FlowState::Opening(opening),
             expires_at: MonoTime::NEVER,
--- a/crates/fes-passthrough/src/entry/searching.rs
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -5,6 +5,7 @@
 use fes_protocol::MonoTime;
 
 use crate::AgentProcess;
+use crate::ClientSequence;
 use crate::EntryAction;
 use crate::EntryCore;
 use crate::FlowDecision;
@@ -61,7 +62,7 @@
         };
         let mut record = FlowRecord {
             service: first.service,
-            opening_sequence: None,
+            client_sequence: ClientSequence::Later(segment.sequence),
             requirements: route.requirements,
             state: FlowState::Searching(Search::new(now, arrived_at, packet)),
             expires_at: MonoTime::NEVER,
--- a/crates/fes-passthrough/src/flow_directory.rs
+++ b/crates/fes-passthrough/src/flow_directory.rs
@@ -5,10 +5,10 @@
 use fes_protocol::MonoTime;
 use fes_protocol::RandomStateMap;
 
+use crate::ClientSequence;
 use crate::FlowKey;
 use crate::FlowRequirements;
 use crate::Search;
-use crate::Segment;
 use crate::ServiceTag;
 
 /// Maximum number of targets to which an opening packet is sent.
@@ -74,8 +74,8 @@
 pub struct FlowRecord {
     /// Service of its target.
     pub service: ServiceTag,
-    /// Sequence number of its opening packet, if the entry saw it.
-    pub opening_sequence: Option<u32>,
+    /// Sequence number of the first packet of the client that the entry saw.
+    pub client_sequence: ClientSequence,
     /// Requirements of its requests.
     pub requirements: FlowRequirements,
     /// State.
@@ -144,14 +144,6 @@
 }
 
 impl FlowRecord {
-    /// Returns whether an opening packet belongs to a later flow, for which the client uses the same
-    /// port again. Retransmissions have the same sequence number.
-    #[must_use]
-    pub fn is_superseded_by(&self, opening: &Segment) -> bool {
-        self.opening_sequence
-            .is_some_and(|sequence| sequence != opening.sequence)
-    }
-
     /// Extends the record's expiry after a packet of the flow.
     pub fn touch(&mut self, now: MonoTime, idle_timeout_ms: u64) {
         let expiry_ms = match (&self.state, self.is_closing) {
--- a/crates/fes-passthrough/src/flow_table.rs
+++ b/crates/fes-passthrough/src/flow_table.rs
@@ -5,6 +5,7 @@
 use fes_protocol::MonoTime;
 use fes_protocol::RandomStateMap;
 
+use crate::ClientSequence;
 use crate::FlowKey;
 use crate::FlowRequirements;
 use crate::RequestEnd;
@@ -38,8 +39,8 @@
     pub is_running: bool,
     running_since: MonoTime,
     requests: u32,
-    /// Sequence number of the client's opening packet, if the agent saw it.
-    opening_sequence: Option<u32>,
+    /// Sequence number that the client used first, as far as the agent saw it.
+    client_sequence: Option<ClientSequence>,
     /// Requirements of the first request, and when the opening packet arrived. The times in the
     /// requirements count from then.
     first_requirements: Option<(FlowRequirements, MonoTime)>,
@@ -71,7 +72,7 @@
             is_running: false,
             running_since: MonoTime::ZERO,
             requests: 0,
-            opening_sequence: None,
+            client_sequence: None,
             first_requirements: None,
             next_client_sequence: None,
             client_acknowledged: None,
@@ -89,11 +90,11 @@
     }
 
     /// Returns whether an opening packet belongs to a later flow, for which the client uses the same
-    /// port again. Retransmissions have the same sequence number.
+    /// port again.
     #[must_use]
     pub fn is_superseded_by(&self, opening: &Segment) -> bool {
-        self.opening_sequence
-            .is_some_and(|sequence| sequence != opening.sequence)
+        self.client_sequence
+            .is_some_and(|sequence| sequence.is_superseded_by(opening))
     }
 
     /// Records an opening packet and the requirements of the first request, which come with it.
@@ -103,7 +104,7 @@
         opening: &Segment,
         requirements: FlowRequirements,
     ) {
-        self.opening_sequence = Some(opening.sequence);
+        self.client_sequence = Some(ClientSequence::Opening(opening.sequence));
         if self.first_requirements.is_none() {
             self.first_requirements = Some((requirements, now));
         }
@@ -135,6 +136,8 @@
             self.next_client_sequence = Some(segment.sequence);
         } else {
             self.is_established = true;
+            self.client_sequence
+                .get_or_insert(ClientSequence::Later(segment.sequence));
         }
         if segment.is_ack {
             self.client_acknowledged = Some(segment.acknowledged);
@@ -212,6 +215,8 @@
         if self.next_client_sequence.is_none_or(is_ahead) {
             self.next_client_sequence = Some(acknowledged);
         }
+        self.client_sequence
+            .get_or_insert(ClientSequence::Later(acknowledged));
     }
 
     fn is_new_data(&self, segment: &Segment) -> bool {
--- a/crates/fes-passthrough/src/lib.rs
+++ b/crates/fes-passthrough/src/lib.rs
@@ -8,6 +8,7 @@
 mod agent;
 mod agent_table;
 mod catalogue;
+mod client_sequence;
 mod codec;
 mod entry;
 mod failure_rate;
@@ -43,6 +44,7 @@
 pub use catalogue::TargetRecord;
 pub use catalogue::TargetState;
 pub use catalogue::WeightedService;
+pub use client_sequence::ClientSequence;
 pub use codec::MAX_MESSAGE_BYTES;
 pub use codec::decode_message;
 pub use codec::encode_message;
--- a/crates/fes-passthrough/tests/port_reuse.rs
+++ b/crates/fes-passthrough/tests/port_reuse.rs
@@ -16,6 +16,7 @@
 use fes_passthrough::Sender;
 use fes_passthrough::TargetState;
 use fes_protocol::MonoTime;
+use rstest::rstest;
 
 use support::client::Client;
 use support::fixtures::SERVICE;
@@ -64,8 +65,8 @@
 }
 
 /// Returns an agent whose target has one slot and runs as many requests as it may get.
-fn agent_with_busy_target() -> AgentCore {
-    let mut agent = AgentCore::new(MonoTime::ZERO, 1, SERVICE, true);
+fn agent_with_busy_target(is_first_start: bool) -> AgentCore {
+    let mut agent = AgentCore::new(MonoTime::ZERO, 1, SERVICE, is_first_start);
     let hello = hello(1);
     agent.on_message(MonoTime::ZERO, entry_vm(0), &hello, None, &mut Vec::new());
     for port in 1..=2 {
@@ -90,7 +91,7 @@
     let message = Message::Forward(Forward {
         mode,
         service: SERVICE,
-        started_at_ms: 0,
+        started_at_ms: 1_000,
         requirements: requirements(FlowUse::Stream, 200, 1_000),
     });
     let mut out = Vec::new();
@@ -111,18 +112,36 @@
     })
 }
 
+/// Opens the earlier flow of the port at an agent that has seen its opening packet, or that was
+/// restarted afterwards and learns of the flow by its next packet.
+fn open_earlier_flow(agent: &mut AgentCore, has_seen_opening: bool) {
+    if has_seen_opening {
+        forward(agent, 10, ForwardMode::Open, &opening_at(FIRST_SEQUENCE));
+        agent.on_target_packet(MonoTime::from_ms(11), &accepted(77), &mut Vec::new());
+    } else {
+        let acknowledgement = Segment {
+            payload_bytes: 0,
+            ..request_at(FIRST_SEQUENCE, 78)
+        };
+        forward(agent, 10, ForwardMode::Owner, &acknowledgement);
+        let answer = Segment {
+            is_syn: false,
+            acknowledged: FIRST_SEQUENCE + 1,
+            payload_bytes: 10,
+            ..accepted(78)
+        };
+        agent.on_target_packet(MonoTime::from_ms(11), &answer, &mut Vec::new());
+    }
+}
+
 /// Guards against a new flow whose packets are dropped because the request of the port's earlier
 /// flow was cancelled while it was queued.
-#[test]
-fn an_agent_delivers_a_new_flow_of_a_port() {
-    let mut agent = agent_with_busy_target();
-    forward(
-        &mut agent,
-        10,
-        ForwardMode::Open,
-        &opening_at(FIRST_SEQUENCE),
-    );
-    agent.on_target_packet(MonoTime::from_ms(11), &accepted(77), &mut Vec::new());
+#[rstest]
+#[case::opened_here(true)]
+#[case::opened_before_a_restart(false)]
+fn an_agent_delivers_a_new_flow_of_a_port(#[case] has_seen_opening: bool) {
+    let mut agent = agent_with_busy_target(has_seen_opening);
+    open_earlier_flow(&mut agent, has_seen_opening);
     forward(
         &mut agent,
         12,
@@ -153,17 +172,40 @@
     assert!(out.contains(&AgentAction::Deliver), "{out:?}");
 }
 
-/// Guards against a new flow that is sent to the target of the earlier one, which may be leaving.
-#[test]
-fn an_entry_places_a_new_flow_of_a_port() {
+/// How the entry learned of the earlier flow of the port.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Learned {
+    /// It placed the flow.
+    ByOpening,
+    /// It was restarted and searched for the flow's target.
+    BySearch,
+}
+
+/// Plays two requests on the earlier flow of the port. Returns the simulation and the index of the
+/// flow's target.
+fn play_earlier_flow(learned: Learned) -> (Simulation, usize) {
     let mut simulation = Simulation::new(1, 2, 2, 20, 1);
     simulation.run_until(500);
-    simulation.add_client(Client::new(reused_flow(), 1, 0), 500);
+    let client = simulation.add_client(Client::new(reused_flow(), 2, 300), 500);
     simulation.run_until(700);
-    let earlier = (0..2).find(|index| simulation.targets[*index].completed_requests > 0);
-    let earlier = earlier.expect("answered");
+    if learned == Learned::BySearch {
+        simulation.start_entry(0);
+    }
+    simulation.run_until(1_200);
+    assert!(simulation.clients[client].is_done());
+    let owner = (0..2).find(|index| simulation.targets[*index].completed_requests > 0);
+    (simulation, owner.expect("answered"))
+}
+
+/// Guards against a new flow that is sent to the target of the earlier one, which may be leaving or
+/// belong to a service that the route no longer leads to.
+#[rstest]
+#[case::placed_here(Learned::ByOpening)]
+#[case::found_by_a_search(Learned::BySearch)]
+fn an_entry_places_a_new_flow_of_a_port(#[case] learned: Learned) {
+    let (mut simulation, earlier) = play_earlier_flow(learned);
     simulation.change_target(earlier, |record| record.state = TargetState::Draining);
-    simulation.run_until(800);
+    simulation.run_until(1_300);
 
     let placed = place(&mut simulation, &opening_at(SECOND_SEQUENCE));
 
@@ -172,20 +214,17 @@
 
 /// Guards against a second target for a flow that is open, when a copy of its opening packet
 /// arrives late.
-#[test]
-fn an_entry_sends_a_late_copy_of_the_opening_packet_to_the_same_target() {
-    let mut simulation = Simulation::new(1, 2, 2, 20, 1);
-    simulation.run_until(500);
-    let client = simulation.add_client(Client::new(reused_flow(), 1, 0), 500);
-    simulation.run_until(700);
-    assert!(simulation.clients[client].is_done());
-    let owner = (0..2).find(|index| simulation.targets[*index].completed_requests > 0);
-
+#[rstest]
+#[case::placed_here(Learned::ByOpening)]
+#[case::found_by_a_search(Learned::BySearch)]
+fn an_entry_sends_a_late_copy_of_the_opening_packet_to_the_same_target(#[case] learned: Learned) {
+    let (mut simulation, owner) = play_earlier_flow(learned);
     let copy = Segment {
         acknowledged: 1,
         ..opening_at(CLIENT_SEQUENCE)
     };
+
     let placed = place(&mut simulation, &copy);
 
-    assert_eq!(placed, owner.map(vm));
+    assert_eq!(placed, Some(vm(owner)));
 }
