--- a/crates/fes-measure/src/capacity/pass_through.rs
+++ b/crates/fes-measure/src/capacity/pass_through.rs
@@ -184,6 +184,7 @@
         is_complete: true,
         is_silent: false,
         is_leaving: false,
+        run_time_us: 0,
     }
 }
 
--- a/crates/fes-passthrough/src/agent/heartbeats.rs
+++ b/crates/fes-passthrough/src/agent/heartbeats.rs
@@ -134,6 +134,7 @@
             is_complete: self.is_complete(now),
             is_silent: self.target_monitor.is_silent(now),
             is_leaving: self.is_leaving(),
+            run_time_us: 0,
         };
         for entry in entries {
             if let Some(state) = self.entries.get_mut(&entry) {
--- a/crates/fes-passthrough/src/catalogue.rs
+++ b/crates/fes-passthrough/src/catalogue.rs
@@ -83,6 +83,26 @@
     pub services: Vec<WeightedService>,
 }
 
+/// Limit of new flows of a service's targets while they warm up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceWarmUp {
+    /// Service.
+    pub service: ServiceTag,
+    /// Number of new flows that a target bears in 1,000 s while it warms up.
+    pub openings_per_1000_s: u32,
+}
+
+/// An operator's request to send no new flows to the targets of a data centre.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evacuation {
+    /// Data centre.
+    pub data_centre: DataCentreName,
+    /// Revision of the platform's list in which the request was written or removed.
+    pub revision: u64,
+    /// Whether the request is in force; false once it was removed.
+    pub is_in_force: bool,
+}
+
 /// A complete configuration.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RouteSet {
--- a/crates/fes-passthrough/src/codec.rs
+++ b/crates/fes-passthrough/src/codec.rs
@@ -7,11 +7,13 @@
 use fes_protocol::ResultCode;
 
 use crate::Message;
+use crate::message_extension::decode_extension;
+use crate::message_extension::encode_extension;
 
 /// Largest message that is decoded, in bytes, without the packet that follows it.
 pub const MAX_MESSAGE_BYTES: usize = 2_048;
 
-const CONFIG: Configuration<
+pub(crate) const CONFIG: Configuration<
     bincode::config::LittleEndian,
     bincode::config::Varint,
     Limit<MAX_MESSAGE_BYTES>,
@@ -25,9 +27,8 @@
 /// [`MAX_MESSAGE_BYTES`] is checked only when the message is decoded.
 pub fn encode_message(message: &Message, buffer: &mut Vec<u8>) -> Result<()> {
     let written = bincode::serde::encode_into_std_write(message, buffer, CONFIG);
-    written
-        .map(|_| ())
-        .map_err(|e| Error::coded(ResultCode::ControlTooLarge, e.to_string()))
+    written.map_err(|e| Error::coded(ResultCode::ControlTooLarge, e.to_string()))?;
+    encode_extension(message, buffer)
 }
 
 /// Decodes a datagram into its message and the packet that follows it, which is empty for most
@@ -38,7 +39,8 @@
 /// Returns [`ResultCode::ControlMalformed`] if the datagram doesn't begin with a valid message
 /// of at most [`MAX_MESSAGE_BYTES`].
 pub fn decode_message(datagram: &[u8]) -> Result<(Message, &[u8])> {
-    let (message, read_bytes) = bincode::serde::decode_from_slice(datagram, CONFIG)
+    let (mut message, read_bytes) = bincode::serde::decode_from_slice(datagram, CONFIG)
         .map_err(|e| Error::coded(ResultCode::ControlMalformed, e.to_string()))?;
-    Ok((message, &datagram[read_bytes..]))
+    let packet = decode_extension(&mut message, &datagram[read_bytes..])?;
+    Ok((message, packet))
 }
--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -473,6 +473,7 @@
                     slots: record.slots,
                     revision: record.revision,
                 }),
+                warm_up: None,
             };
             let message = Message::Hello(hello);
             out.push(EntryAction::Send {
--- a/crates/fes-passthrough/src/message.rs
+++ b/crates/fes-passthrough/src/message.rs
@@ -7,10 +7,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Evacuation;
 use crate::FlowKey;
 use crate::FlowRequirements;
 use crate::Route;
 use crate::ServiceTag;
+use crate::ServiceWarmUp;
 use crate::TargetRecord;
 use crate::TargetState;
 
@@ -65,6 +67,18 @@
     pub report_period_ms: u32,
     /// The receiving agent's target, if the entry knows it.
     pub target: Option<TargetHint>,
+    /// Limit of new flows while that target warms up, if there is one. Sent as an extension.
+    #[serde(skip)]
+    pub warm_up: Option<WarmUpHint>,
+}
+
+/// Limit of new flows of a target that is warming up, sent by an entry to the target's agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WarmUpHint {
+    /// Remaining warm-up time, in milliseconds.
+    pub remaining_ms: u32,
+    /// Maximum number of new flows in any second.
+    pub max_openings_per_s: u32,
 }
 
 /// Heartbeat of an agent, with the load figures that placement uses.
@@ -93,6 +107,10 @@
     /// Whether the agent accepts no new flows because its target is draining or the agent is
     /// stopping.
     pub is_leaving: bool,
+    /// Mean run time of the target's requests, in microseconds; 0 if none was measured. Sent as an
+    /// extension.
+    #[serde(skip)]
+    pub run_time_us: u32,
 }
 
 /// Reason why an agent returns a packet.
@@ -150,6 +168,9 @@
     pub count: u32,
     /// Routes of the part.
     pub routes: Vec<Route>,
+    /// Services whose targets warm up, the same in each part. Sent as an extension.
+    #[serde(skip)]
+    pub services: Vec<ServiceWarmUp>,
 }
 
 /// Part of the difference between two revisions of the list of targets.
@@ -171,6 +192,10 @@
     pub targets: Vec<TargetRecord>,
     /// Targets removed from the list since the base revision, with the revision of their removal.
     pub removed: Vec<(UpstreamName, u64)>,
+    /// All evacuations that the sender knows, the same in each part; absent if the sender doesn't
+    /// support evacuations. Sent as an extension.
+    #[serde(skip)]
+    pub evacuations: Option<Vec<Evacuation>>,
 }
 
 /// A message between two processes.
--- a/crates/fes-passthrough/src/view_gossip.rs
+++ b/crates/fes-passthrough/src/view_gossip.rs
@@ -478,6 +478,7 @@
             index,
             count,
             routes,
+            services: Vec::new(),
         })
 }
 
@@ -505,6 +506,7 @@
         count: to_u32(count),
         targets: changed[slice(index, changed.len())].to_vec(),
         removed: removed[slice(index, removed.len())].to_vec(),
+        evacuations: Some(Vec::new()),
     };
     (0..count).map(part).collect()
 }
--- a/crates/fes-passthrough/tests/agent.rs
+++ b/crates/fes-passthrough/tests/agent.rs
@@ -121,6 +121,7 @@
         incarnation: 2,
         report_period_ms: 100,
         target: None,
+        warm_up: None,
     });
     let mut out = Vec::new();
     agent.on_message(
--- a/crates/fes-passthrough/tests/codec.rs
+++ b/crates/fes-passthrough/tests/codec.rs
@@ -9,6 +9,7 @@
 use fes_passthrough::FlowUse;
 use fes_passthrough::Forward;
 use fes_passthrough::ForwardMode;
+use fes_passthrough::LoadReport;
 use fes_passthrough::Message;
 use fes_passthrough::ServiceTag;
 use fes_passthrough::decode_message;
@@ -16,6 +17,7 @@
 use proptest::prelude::any;
 use proptest::prelude::proptest;
 
+use support::fixtures::idle_report;
 use support::fixtures::requirements;
 
 proptest! {
@@ -48,6 +50,28 @@
         assert_eq!(carried, packet);
     }
 
+    /// Guards against new fields that are lost, and against reports of older versions, which lack
+    /// them, that are rejected.
+    #[test]
+    fn an_extension_is_optional(run_time_us: u32) {
+        let message = Message::Load(LoadReport { run_time_us, ..idle_report() });
+        let mut datagram = Vec::new();
+        encode_message(&message, &mut datagram).expect("fits");
+        let extension_bytes = match run_time_us {
+            0..=250 => 1,
+            251..=0xffff => 3,
+            _ => 5,
+        };
+        let old = &datagram[..datagram.len() - extension_bytes];
+
+        let (decoded, packet) = decode_message(&datagram).expect("decodes");
+        let (decoded_old, _) = decode_message(old).expect("decodes");
+
+        assert_eq!(decoded, message);
+        assert!(packet.is_empty());
+        assert_eq!(decoded_old, Message::Load(idle_report()));
+    }
+
     /// Guards against a truncated datagram that is accepted as a complete one.
     #[test]
     fn a_truncated_message_is_rejected(ip in any::<u32>(), port: u16, removed_bytes in 1_usize..6) {
--- a/crates/fes-passthrough/tests/hostile_messages.rs
+++ b/crates/fes-passthrough/tests/hostile_messages.rs
@@ -8,6 +8,7 @@
 
 use fes_passthrough::AgentCore;
 use fes_passthrough::EntryCore;
+use fes_passthrough::Evacuation;
 use fes_passthrough::FlowKey;
 use fes_passthrough::FlowRequirements;
 use fes_passthrough::FlowUse;
@@ -24,11 +25,13 @@
 use fes_passthrough::Segment;
 use fes_passthrough::Sender;
 use fes_passthrough::ServiceTag;
+use fes_passthrough::ServiceWarmUp;
 use fes_passthrough::TargetHint;
 use fes_passthrough::TargetRecord;
 use fes_passthrough::TargetState;
 use fes_passthrough::TargetsPart;
 use fes_passthrough::ViewDigest;
+use fes_passthrough::WarmUpHint;
 use fes_passthrough::WeightedService;
 use fes_passthrough::decode_message;
 use fes_passthrough::encode_message;
@@ -161,8 +164,14 @@
         small_number(),
         number(),
     );
-    (number(), small_number(), option::of(hint))
-        .prop_map(|(incarnation, period, hint)| {
+    let warm_up = (small_number(), small_number());
+    (
+        number(),
+        small_number(),
+        option::of(hint),
+        option::of(warm_up),
+    )
+        .prop_map(|(incarnation, period, hint, warm_up)| {
             Message::Hello(Hello {
                 incarnation,
                 report_period_ms: period,
@@ -176,6 +185,10 @@
                         revision,
                     },
                 ),
+                warm_up: warm_up.map(|(remaining_ms, max_openings_per_s)| WarmUpHint {
+                    remaining_ms,
+                    max_openings_per_s,
+                }),
             })
         })
         .boxed()
@@ -210,12 +223,22 @@
                     is_complete: flags.0,
                     is_silent: flags.1,
                     is_leaving: flags.2,
+                    run_time_us: failures,
                 })
             },
         )
         .boxed()
 }
 
+fn any_evacuation() -> impl Strategy<Value = Evacuation> {
+    let name = prop_oneof![Just("a"), Just("b"), Just("")];
+    (name, number(), any::<bool>()).prop_map(|(name, revision, is_in_force)| Evacuation {
+        data_centre: DataCentreName::from(name),
+        revision,
+        is_in_force,
+    })
+}
+
 fn any_view_message() -> BoxedStrategy<Message> {
     let digest = (
         number(),
@@ -243,16 +266,26 @@
         small_number(),
         small_number(),
         vec(any_route(), 0..3),
+        vec((any_service(), small_number()), 0..3),
     )
-        .prop_map(|(version, idle_timeout_ms, index, count, routes)| {
-            Message::Routes(RoutesPart {
-                version,
-                idle_timeout_ms,
-                index,
-                count,
-                routes,
-            })
-        });
+        .prop_map(
+            |(version, idle_timeout_ms, index, count, routes, services)| {
+                Message::Routes(RoutesPart {
+                    version,
+                    idle_timeout_ms,
+                    index,
+                    count,
+                    routes,
+                    services: services
+                        .into_iter()
+                        .map(|(service, openings_per_1000_s)| ServiceWarmUp {
+                            service,
+                            openings_per_1000_s,
+                        })
+                        .collect(),
+                })
+            },
+        );
     let position = (
         number(),
         number(),
@@ -266,12 +299,14 @@
         position,
         vec(any_record(), 0..3),
         vec((removed, number()), 0..2),
+        option::of(vec(any_evacuation(), 0..3)),
     )
         .prop_map(
             |(
                 (revision, after_revision, routes_version, age_ms, index, count),
                 targets,
                 removed,
+                evacuations,
             )| {
                 Message::Targets(TargetsPart {
                     revision,
@@ -282,6 +317,7 @@
                     count,
                     targets,
                     removed,
+                    evacuations,
                 })
             },
         );
--- a/crates/fes-passthrough/tests/support/fixtures.rs
+++ b/crates/fes-passthrough/tests/support/fixtures.rs
@@ -125,6 +125,7 @@
             slots,
             revision: 1,
         }),
+        warm_up: None,
     })
 }
 
@@ -142,5 +143,6 @@
         is_complete: true,
         is_silent: false,
         is_leaving: false,
+        run_time_us: 0,
     }
 }
