Say that a changed address of the platform needs a restart

Cause: the check named three of the fields that a running process doesn't apply. NodeSettings::needs_restart_for now asks whether anything but the seeds differs, so that a new field can't be forgotten.

Test: a_changed_address_of_the_platform_needs_a_restart.

--- a/crates/fes-passthrough-node/src/settings_watch.rs
+++ b/crates/fes-passthrough-node/src/settings_watch.rs
@@ -65,9 +65,7 @@
     match load_settings(context.settings_path.clone()) {
         Ok(settings) if settings == *current => None,
         Ok(settings) => {
-            let needs_restart = settings.node_address != current.node_address
-                || settings.client_address != current.client_address
-                || settings.place != current.place;
+            let needs_restart = current.needs_restart_for(&settings);
             log::info!(
                 target: log_target::FLOWS,
                 "event=settings_changed seeds={:?} needs_restart={needs_restart}",
--- a/crates/fes-passthrough-node/tests/settings.rs
+++ b/crates/fes-passthrough-node/tests/settings.rs
@@ -6,6 +6,7 @@
 use std::sync::mpsc::channel;
 use std::thread;
 
+use fes_adapter::parse_settings;
 use fes_adapter::stand_in::SettingsValues;
 use fes_adapter::stand_in::encode_settings;
 use fes_passthrough_node::load_settings;
@@ -59,3 +60,18 @@
 
     assert!(load_settings_at_start(Some(&path)).is_err());
 }
+
+/// Guards against a changed address of the platform that operators take to be in use, because no
+/// restart is asked for.
+#[test]
+fn a_changed_address_of_the_platform_needs_a_restart() {
+    let current = parse_settings(&settings_text()).expect("valid");
+    let mut moved = current.clone();
+    moved.platform_address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 5);
+    let mut other_seeds = current.clone();
+    other_seeds.seed_entries = vec![Ipv4Addr::LOCALHOST];
+    other_seeds.is_first_start = true;
+
+    assert!(current.needs_restart_for(&moved));
+    assert!(!current.needs_restart_for(&other_seeds));
+}
--- a/crates/fes-passthrough/src/node_settings.rs
+++ b/crates/fes-passthrough/src/node_settings.rs
@@ -33,6 +33,20 @@
     pub place: NodePlace,
 }
 
+impl NodeSettings {
+    /// Returns whether a process with these settings has to be restarted to apply `changed`. Only
+    /// the seeds are replaced while it runs, and the first start concerns no running process.
+    #[must_use]
+    pub fn needs_restart_for(&self, changed: &Self) -> bool {
+        let applied = Self {
+            seed_entries: changed.seed_entries.clone(),
+            is_first_start: changed.is_first_start,
+            ..self.clone()
+        };
+        applied != *changed
+    }
+}
+
 /// Role of a VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NodePlace {
