Send peers the whole list after a listing that may hide removals

A peer could keep a target that was gone, and place flows there.

Cause: after lost history, a listing doesn't name targets that were listed and removed since the last update. The view still claimed to know all removals, and sent a peer that knew such a target a difference without its removal.

Change: after a listing, only removals after its revision count as known, so that peers with an older view get the whole list.

Test: a_listing_may_hide_removals fails without the change.

--- a/crates/fes-passthrough/src/fleet_view.rs
+++ b/crates/fes-passthrough/src/fleet_view.rs
@@ -139,6 +139,8 @@
         for id in missing {
             events.extend(self.remove(now, &id, revision));
         }
+        // Other targets may have been listed and removed since the last update.
+        self.removals_known_after = self.removals_known_after.max(revision);
         events
     }
 
--- a/crates/fes-passthrough/tests/view.rs
+++ b/crates/fes-passthrough/tests/view.rs
@@ -145,3 +145,16 @@
     let current = view.target_on(vm(0)).expect("target");
     assert_eq!(current.service, OTHER_SERVICE);
 }
+
+/// Guards against a peer that keeps a target for ever: the difference that it gets after a listing
+/// must not lack removals of targets that this view never knew.
+#[test]
+fn a_listing_may_hide_removals() {
+    let mut view = view_with_targets(1);
+
+    view.apply_listing(START, vec![ListChange::Target(target(0, 10))], 200);
+    view.confirm(START, 200);
+
+    assert!(!view.knows_removals_after(160));
+    assert!(view.knows_removals_after(200));
+}
