Don't take a view of before the start for a current one

A restarted entry could reset flows of routes and targets that had been added since its peer's view was confirmed.

Cause: the age of a peer's view was cut at the start of the own process, so that in its first 2 s a view of any age counted as current.

Change: a confirmation that precedes the start of the process leaves the view unconfirmed. The entry then drops what it is unsure about, and reads the platform itself.

Test: a_view_of_before_the_start_is_not_confirmed fails without the change.

--- a/crates/fes-passthrough/src/fleet_view.rs
+++ b/crates/fes-passthrough/src/fleet_view.rs
@@ -154,15 +154,15 @@
         self.confirmed_at = Some(now);
     }
 
-    /// Records that a peer confirmed `revision` as the newest one at `confirmed_at`. Ignored if
-    /// this view has a newer revision.
-    pub fn confirm_by_peer(&mut self, confirmed_at: MonoTime, revision: u64) {
+    /// Records that a peer confirmed `revision` as the newest one at `confirmed_at`, or before this
+    /// process started if that is none. Ignored if this view has a newer revision.
+    pub fn confirm_by_peer(&mut self, confirmed_at: Option<MonoTime>, revision: u64) {
         if revision < self.revision {
             return;
         }
         self.is_in_outage = false;
         self.advance_revision(revision);
-        self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
+        self.confirmed_at = self.confirmed_at.max(confirmed_at);
     }
 
     fn advance_revision(&mut self, revision: u64) {
--- a/crates/fes-passthrough/src/view_gossip.rs
+++ b/crates/fes-passthrough/src/view_gossip.rs
@@ -111,8 +111,8 @@
     /// Changes to apply.
     pub changes: Vec<ListChange>,
     /// Revision of which all changes are then known, and when the platform confirmed it, by the
-    /// local clock.
-    pub confirmed: Option<(u64, MonoTime)>,
+    /// local clock. The time is none if that was before this process started.
+    pub confirmed: Option<(u64, Option<MonoTime>)>,
 }
 
 /// Gossip state of one entry.
@@ -292,7 +292,7 @@
         digest: &ViewDigest,
         view: &mut FleetView,
     ) -> Vec<(Ipv4Addr, Message)> {
-        let confirmed_at = before(now, digest.age_ms);
+        let confirmed_at = since_start(now, digest.age_ms);
         if let Some(peer) = self.get_or_insert_peer(from) {
             peer.last_digest_at = Some(now);
         }
@@ -360,7 +360,7 @@
         let is_confirmed = is_complete && view.routes().version >= part.routes_version;
         ViewUpdate {
             changes: listed.chain(removed).chain(unlisted).collect(),
-            confirmed: is_confirmed.then(|| (part.revision, before(now, part.age_ms))),
+            confirmed: is_confirmed.then(|| (part.revision, since_start(now, part.age_ms))),
         }
     }
 
@@ -458,6 +458,11 @@
     MonoTime::from_us(now.as_us().saturating_sub(age_ms.saturating_mul(1_000)))
 }
 
+/// Returns the point `age_ms` before `now`, or none if it precedes the start of the process.
+fn since_start(now: MonoTime, age_ms: u64) -> Option<MonoTime> {
+    (age_ms <= now.as_ms()).then(|| before(now, age_ms))
+}
+
 fn routes_parts(set: &RouteSet) -> impl Iterator<Item = RoutesPart> {
     let mut routes: Vec<Route> = set.routes.values().cloned().collect();
     routes.sort_unstable_by_key(|route| route.destination);
--- a/crates/fes-passthrough/tests/view.rs
+++ b/crates/fes-passthrough/tests/view.rs
@@ -6,7 +6,9 @@
 use fes_passthrough::FleetView;
 use fes_passthrough::ListChange;
 use fes_passthrough::TargetState;
+use fes_passthrough::ViewDigest;
 use fes_passthrough::ViewEvent;
+use fes_passthrough::ViewGossip;
 use fes_protocol::MonoTime;
 use fes_protocol::UpstreamName;
 use rstest::rstest;
@@ -158,3 +160,28 @@
     assert!(!view.knows_removals_after(160));
     assert!(view.knows_removals_after(200));
 }
+
+/// Guards against a restarted entry that takes a view of before its start for a current one. It
+/// would reset flows of routes and targets that were added since.
+#[test]
+fn a_view_of_before_the_start_is_not_confirmed() {
+    let mut restarted = FleetView::new();
+    let now = MonoTime::from_ms(500);
+    let mut gossip = ViewGossip::new(vm(1), 2, &[vm(0)]);
+    let digest = |age_ms| ViewDigest {
+        incarnation: 1,
+        revision: 20,
+        routes_version: 0,
+        age_ms,
+        wants_newer: false,
+        entries: Vec::new(),
+    };
+    restarted.confirm_by_peer(None, 20);
+
+    gossip.on_digest(now, vm(0), &digest(20_000), &mut restarted);
+    let age_of_old_ms = restarted.age_ms(now);
+    gossip.on_digest(now, vm(0), &digest(100), &mut restarted);
+
+    assert_eq!(age_of_old_ms, None);
+    assert_eq!(restarted.age_ms(now), Some(100));
+}
