Keep targets for as long after an outage as their records may take to return

After an outage of the platform, targets whose records had expired were dropped 0.8 s after the first listing in place of 2.2 s, and their flows reset.

Cause: the daemon applied the listing before it confirmed it, while the test did both in the other order. An entry that learned of the end of the outage from a peer never used the longer time.

Change: a listing ends the outage by itself, whatever the order. A peer's read ends it as well, if the own view is so old that no entry could read. An entry that only the platform refuses keeps the short time.

Tests: records_that_expired_in_an_outage_may_be_listed_again, now in the daemon's order, and a_peer_may_report_the_end_of_an_outage fail without the change.

--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -33,6 +33,7 @@
 use crate::ViewEvent;
 use crate::ViewGossip;
 use crate::ViewUpdate;
+use crate::view_gossip::since_start;
 
 /// Minimum period of an agent's reports.
 const MIN_REPORT_PERIOD_MS: u64 = 100;
@@ -306,6 +307,7 @@
             }
             Message::Readers(readers) => self.gossip.on_readers(now, readers),
             Message::Targets(part) => {
+                self.view.observe_peer_read(since_start(now, part.age_ms));
                 let update = self.gossip.on_targets(now, vm, part, &self.view);
                 self.on_view_update(now, update, out);
             }
--- a/crates/fes-passthrough/src/fleet_view.rs
+++ b/crates/fes-passthrough/src/fleet_view.rs
@@ -24,6 +24,9 @@
 /// Time from the end of an outage of the platform until its list is complete again. A target
 /// that is missing from the list before then is kept until then.
 const OUTAGE_RECOVERY_MS: u64 = 2_200;
+/// Age of a view from which the platform must have been unreachable for all entries. Otherwise a
+/// peer would have confirmed the view.
+const MIN_OUTAGE_MS: u64 = 1_500;
 /// Time for which removals are remembered, so that an older copy doesn't restore a removed record.
 const TOMBSTONE_EXPIRY_MS: u64 = 60_000;
 
@@ -122,6 +125,7 @@
         changes: Vec<ListChange>,
         revision: u64,
     ) -> Vec<ViewEvent> {
+        self.end_outage(now);
         let mut listed = Vec::with_capacity(changes.len());
         let mut events = Vec::new();
         for change in changes {
@@ -146,10 +150,7 @@
 
     /// Records that the platform confirmed the view up to `revision`.
     pub fn confirm(&mut self, now: MonoTime, revision: u64) {
-        if self.is_in_outage {
-            self.is_in_outage = false;
-            self.outage_ended_at = Some(now);
-        }
+        self.end_outage(now);
         self.advance_revision(self.revision.max(revision));
         self.confirmed_at = Some(now);
     }
@@ -160,11 +161,30 @@
         if revision < self.revision {
             return;
         }
-        self.is_in_outage = false;
+        self.observe_peer_read(confirmed_at);
         self.advance_revision(revision);
         self.confirmed_at = self.confirmed_at.max(confirmed_at);
     }
 
+    /// Records that a peer read the platform at `confirmed_at`. If this view is so old that no entry
+    /// could read the platform in the meantime, that read ends the outage.
+    pub fn observe_peer_read(&mut self, confirmed_at: Option<MonoTime>) {
+        let Some(read_at) = confirmed_at else {
+            return;
+        };
+        let previous = self.confirmed_at.unwrap_or(MonoTime::ZERO);
+        if read_at >= previous.plus_ms(MIN_OUTAGE_MS) {
+            self.end_outage(read_at);
+        }
+    }
+
+    const fn end_outage(&mut self, now: MonoTime) {
+        if self.is_in_outage {
+            self.is_in_outage = false;
+            self.outage_ended_at = Some(now);
+        }
+    }
+
     fn advance_revision(&mut self, revision: u64) {
         let is_first = self.revision == 0;
         if is_first {
--- a/crates/fes-passthrough/src/view_gossip.rs
+++ b/crates/fes-passthrough/src/view_gossip.rs
@@ -459,7 +459,7 @@
 }
 
 /// Returns the point `age_ms` before `now`, or none if it precedes the start of the process.
-fn since_start(now: MonoTime, age_ms: u64) -> Option<MonoTime> {
+pub(crate) fn since_start(now: MonoTime, age_ms: u64) -> Option<MonoTime> {
     (age_ms <= now.as_ms()).then(|| before(now, age_ms))
 }
 
--- a/crates/fes-passthrough/tests/view.rs
+++ b/crates/fes-passthrough/tests/view.rs
@@ -108,44 +108,29 @@
 ) {
     let mut view = view_with_targets(1);
     view.record_outage();
-    view.confirm(START, 40);
 
     view.apply_listing(START, Vec::new(), 40);
+    view.confirm(START, 40);
     view.expire(START.plus_ms(after_ms));
 
     assert_eq!(view.targets().count(), expected);
 }
 
-/// Guards against an undecodable record that affects other targets than its own.
-#[test]
-fn an_undecodable_record_removes_only_its_own_target() {
-    let mut view = view_with_targets(2);
-
-    let event = view.apply(START, removal(1, 30));
-    view.expire(START.plus_ms(5_000));
-
-    assert_eq!(
-        event,
-        Some(ViewEvent::TargetUnlisted(UpstreamName::from("t-1")))
-    );
-    assert!(view.target_on(vm(0)).is_some());
-    assert!(view.target_on(vm(1)).is_none());
-}
-
-/// Guards against packets to an address that a newer target of another service uses.
-#[test]
-fn an_address_belongs_to_the_target_that_started_last() {
+/// Guards against the same at an entry that learns of the end of the outage from a peer, and
+/// against targets that are kept for too long by an entry that only the platform refuses.
+#[rstest]
+#[case::outage_for_all(3_000, 1)]
+#[case::refused_entry(300, 0)]
+fn a_peer_may_report_the_end_of_an_outage(#[case] outage_ms: u64, #[case] expected: usize) {
     let mut view = view_with_targets(1);
-    let mut successor = target(7, 25);
-    successor.vm = vm(0);
-    successor.service = OTHER_SERVICE;
-    successor.started_at_ms = 9_000;
+    view.record_outage();
+    let end = START.plus_ms(outage_ms);
 
-    view.apply(START, ListChange::Target(successor));
-    view.apply(START, ListChange::Target(target(0, 26)));
+    view.observe_peer_read(Some(end));
+    view.apply(end, removal(0, 40));
+    view.expire(end.plus_ms(2_000));
 
-    let current = view.target_on(vm(0)).expect("target");
-    assert_eq!(current.service, OTHER_SERVICE);
+    assert_eq!(view.targets().count(), expected);
 }
 
 /// Guards against a peer that keeps a target for ever: the difference that it gets after a listing
@@ -185,3 +170,35 @@
     assert_eq!(age_of_old_ms, None);
     assert_eq!(restarted.age_ms(now), Some(100));
 }
+
+/// Guards against an undecodable record that affects other targets than its own.
+#[test]
+fn an_undecodable_record_removes_only_its_own_target() {
+    let mut view = view_with_targets(2);
+
+    let event = view.apply(START, removal(1, 30));
+    view.expire(START.plus_ms(5_000));
+
+    assert_eq!(
+        event,
+        Some(ViewEvent::TargetUnlisted(UpstreamName::from("t-1")))
+    );
+    assert!(view.target_on(vm(0)).is_some());
+    assert!(view.target_on(vm(1)).is_none());
+}
+
+/// Guards against packets to an address that a newer target of another service uses.
+#[test]
+fn an_address_belongs_to_the_target_that_started_last() {
+    let mut view = view_with_targets(1);
+    let mut successor = target(7, 25);
+    successor.vm = vm(0);
+    successor.service = OTHER_SERVICE;
+    successor.started_at_ms = 9_000;
+
+    view.apply(START, ListChange::Target(successor));
+    view.apply(START, ListChange::Target(target(0, 26)));
+
+    let current = view.target_on(vm(0)).expect("target");
+    assert_eq!(current.service, OTHER_SERVICE);
+}
