Place no new flows in evacuated data centres

Cause: requests of operators to evacuate a data centre are ignored, so that new flows reach its targets until the last of them is stopped.

Change: the view keeps the evacuations by data centre, ordered by revision and bounded in number and encoded size. Entries exchange them with the targets; a response without them doesn't confirm its revision. Placement skips evacuated data centres, an opening is refused at once if its service has targets only there, and agents are told that their target accepts no flows. Of two hints with the same revision an agent follows the one that accepts no flows, since a hint of an older entry doesn't include the evacuation. Searches still ask the agents of evacuated targets. Starts and ends are logged and counted, and the status and a gauge show the evacuations in force.

The splitting of a view into parts, and their reassembly, move to a module of their own (view_parts.rs).

--- a/crates/fes-passthrough/src/agent/agent_core.rs
+++ b/crates/fes-passthrough/src/agent/agent_core.rs
@@ -145,7 +145,7 @@
         (counts.open, counts.streams, counts.running)
     }
 
-    /// Returns whether the target is listed as draining.
+    /// Returns whether the target is listed as draining, or its data centre is being evacuated.
     #[must_use]
     pub const fn is_target_draining(&self) -> bool {
         self.is_draining
--- a/crates/fes-passthrough/src/agent/heartbeats.rs
+++ b/crates/fes-passthrough/src/agent/heartbeats.rs
@@ -82,7 +82,14 @@
         hint: &TargetHint,
         out: &mut Vec<AgentAction>,
     ) {
-        if hint.service != self.service || hint.revision <= self.target_revision {
+        let is_draining = hint.state == TargetState::Draining;
+        // Of two states with the same revision, the one that accepts no flows is newer: it includes
+        // an evacuation that the sender of the other one doesn't know, as one of an older version.
+        let is_newer = match hint.revision == self.target_revision {
+            true => is_draining && !self.is_draining,
+            false => hint.revision > self.target_revision,
+        };
+        if hint.service != self.service || !is_newer {
             return;
         }
         let is_older_instance = hint.started_at_ms < self.started_at_ms;
@@ -90,7 +97,6 @@
             return;
         }
         let is_new_instance = hint.started_at_ms > self.started_at_ms && self.started_at_ms != 0;
-        let is_draining = hint.state == TargetState::Draining;
         let is_change = is_new_instance || is_draining != self.is_draining;
         self.target_revision = hint.revision;
         self.target_id = Some(hint.id.clone());
--- a/crates/fes-passthrough/src/catalogue.rs
+++ b/crates/fes-passthrough/src/catalogue.rs
@@ -103,6 +103,19 @@
     pub is_in_force: bool,
 }
 
+/// Maximum length of the name of an evacuated data centre. Longer names would leave no room for
+/// others in messages.
+const MAX_EVACUATED_NAME_BYTES: usize = 64;
+
+impl Evacuation {
+    /// Returns whether the name of the data centre is neither empty nor too long.
+    #[must_use]
+    pub fn has_valid_name(&self) -> bool {
+        let length = self.data_centre.as_str().len();
+        (1..=MAX_EVACUATED_NAME_BYTES).contains(&length)
+    }
+}
+
 /// A complete configuration.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RouteSet {
--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -11,11 +11,13 @@
 use fes_protocol::MonoTime;
 
 use super::early_packets::EarlyPackets;
+use super::evacuation::target_hint;
 use super::held_packets::HeldPackets;
 use super::opening::first_sent_at;
 use super::searching::MAX_AGENT_ABSENCE_MS;
 use crate::AgentProcess;
 use crate::AgentTable;
+use crate::Evacuation;
 use crate::FleetView;
 use crate::FlowDecision;
 use crate::FlowDirectory;
@@ -28,7 +30,6 @@
 use crate::Outcome;
 use crate::ReportEffect;
 use crate::Segment;
-use crate::TargetHint;
 use crate::TargetRecord;
 use crate::ViewEvent;
 use crate::ViewGossip;
@@ -102,6 +103,8 @@
     },
     /// Log and count a decision.
     Record(FlowDecision),
+    /// Log and count that an evacuation began or ended.
+    RecordEvacuation(Evacuation),
 }
 
 /// Decision logic of an entry.
@@ -434,6 +437,9 @@
     }
 
     pub(super) fn on_view_event(&mut self, event: &ViewEvent, out: &mut Vec<EntryAction>) {
+        if let ViewEvent::EvacuationChanged(evacuation) = event {
+            self.on_evacuation_changed(evacuation, out);
+        }
         let ViewEvent::TargetChanged(record) = event else {
             return;
         };
@@ -465,14 +471,7 @@
             let hello = Hello {
                 incarnation: self.incarnation,
                 report_period_ms,
-                target: Some(TargetHint {
-                    id: record.id.clone(),
-                    service: record.service,
-                    started_at_ms: record.started_at_ms,
-                    state: record.state,
-                    slots: record.slots,
-                    revision: record.revision,
-                }),
+                target: Some(target_hint(&self.view, record)),
                 warm_up: None,
             };
             let message = Message::Hello(hello);
--- a/crates/fes-passthrough/src/entry/mod.rs
+++ b/crates/fes-passthrough/src/entry/mod.rs
@@ -1,6 +1,7 @@
 mod early_packets;
 mod entry_core;
 mod established;
+mod evacuation;
 mod held_packets;
 mod opening;
 mod searching;
@@ -10,3 +11,4 @@
 pub use entry_core::EntryCore;
 pub use status::AgentStatus;
 pub use status::EntryStatus;
+pub use status::EvacuationStatus;
--- a/crates/fes-passthrough/src/entry/opening.rs
+++ b/crates/fes-passthrough/src/entry/opening.rs
@@ -116,13 +116,15 @@
         out: &mut Vec<EntryAction>,
     ) {
         let flow_use = route.requirements.flow_use;
-        let placement = self.select_service(route).and_then(|service| {
+        let service = self.select_service(route);
+        let placement = service.and_then(|service| {
             let selected = self.select_target(now, service, &segment.flow, flow_use, &[])?;
             Some((service, selected))
         });
         let Some((service, selected)) = placement else {
             if self.is_view_current(now) {
-                self.reset(now, Outcome::RefusedNoTarget, segment, out);
+                let outcome = self.refusal_without_target(service);
+                self.reset(now, outcome, segment, out);
             }
             return;
         };
@@ -231,8 +233,9 @@
         if tried.len() >= MAX_ATTEMPTS {
             return;
         }
-        if let Some(selected) = self.select_target(now, service, &flow, flow_use, &tried) {
-            self.send_attempt(now, flow, selected, Outcome::PlacedAgain, out);
+        match self.select_target(now, service, &flow, flow_use, &tried) {
+            Some(selected) => self.send_attempt(now, flow, selected, Outcome::PlacedAgain, out),
+            None => self.refuse_if_evacuated(now, flow, out),
         }
     }
 
--- a/crates/fes-passthrough/src/entry/searching.rs
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -254,9 +254,11 @@
     fn can_be_asked(&self, now: MonoTime, target: &TargetRecord) -> bool {
         let agent = self.agents.get(target.vm);
         let agent = agent.filter(|agent| agent.is_reachable(now));
-        // The agent of a draining target reports that it leaves for as long as the target drains.
-        let is_draining = target.state == TargetState::Draining;
-        agent.is_some_and(|agent| is_draining || !agent.report().is_leaving)
+        // The agent of a draining or evacuated target reports that it leaves for as long as the
+        // target accepts no flows.
+        let accepts_no_flows =
+            target.state == TargetState::Draining || self.view.is_evacuated(target);
+        agent.is_some_and(|agent| accepts_no_flows || !agent.report().is_leaving)
     }
 
     /// Returns whether every target that may hold the flow has answered that it doesn't. Answers
--- a/crates/fes-passthrough/src/entry/status.rs
+++ b/crates/fes-passthrough/src/entry/status.rs
@@ -2,11 +2,13 @@
 
 use std::net::Ipv4Addr;
 
+use fes_protocol::DataCentreName;
 use fes_protocol::MonoTime;
 use fes_protocol::UpstreamName;
 use serde::Serialize;
 
 use crate::EntryCore;
+use crate::Evacuation;
 use crate::TargetState;
 
 /// Status of an entry.
@@ -25,10 +27,23 @@
     pub is_reader: bool,
     /// Targets that get no new flows because they are draining.
     pub leaving_targets: Vec<UpstreamName>,
+    /// Evacuations in force, ordered by data centre.
+    pub evacuations: Vec<EvacuationStatus>,
     /// Latest report of each agent, ordered by VM.
     pub agents: Vec<AgentStatus>,
 }
 
+/// An evacuation in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct EvacuationStatus {
+    /// Data centre.
+    pub data_centre: DataCentreName,
+    /// Revision of the platform's list in which it was last requested.
+    pub revision: u64,
+    /// Time since this entry learned of it, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// Latest report of an agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub struct AgentStatus {
@@ -87,7 +102,20 @@
             list_age_ms: self.view.age_ms(now),
             is_reader: self.is_reader(now),
             leaving_targets: leaving.map(|target| target.id.clone()).collect(),
+            evacuations: self.evacuation_statuses(now),
             agents,
         }
     }
+
+    fn evacuation_statuses(&self, now: MonoTime) -> Vec<EvacuationStatus> {
+        let evacuations = self.view.evacuations();
+        let status = |evacuation: &Evacuation| EvacuationStatus {
+            data_centre: evacuation.data_centre.clone(),
+            revision: evacuation.revision,
+            age_ms: evacuations.age_ms(now, &evacuation.data_centre),
+        };
+        let mut statuses: Vec<EvacuationStatus> = evacuations.in_force().map(status).collect();
+        statuses.sort_unstable_by(|a, b| a.data_centre.cmp(&b.data_centre));
+        statuses
+    }
 }
--- a/crates/fes-passthrough/src/fleet_view.rs
+++ b/crates/fes-passthrough/src/fleet_view.rs
@@ -6,11 +6,14 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 
+use fes_protocol::DataCentreName;
 use fes_protocol::FastMap;
 use fes_protocol::FastSet;
 use fes_protocol::MonoTime;
 use fes_protocol::UpstreamName;
 
+use crate::Evacuation;
+use crate::Evacuations;
 use crate::Route;
 use crate::RouteSet;
 use crate::ServiceTag;
@@ -41,6 +44,8 @@
     },
     /// A configuration was written.
     Routes(RouteSet),
+    /// The evacuation of a data centre was requested, or its request was removed.
+    Evacuation(Evacuation),
 }
 
 /// Effect of a change on the view.
@@ -59,6 +64,8 @@
         /// Version in force now.
         to: u64,
     },
+    /// The evacuation of a data centre began or ended.
+    EvacuationChanged(Evacuation),
 }
 
 #[derive(Debug, Clone)]
@@ -88,6 +95,7 @@
     by_service: FastMap<ServiceTag, FastSet<UpstreamName>>,
     /// Revision at which a record was removed, and when the tombstone expires.
     tombstones: FastMap<UpstreamName, (u64, MonoTime)>,
+    evacuations: Evacuations,
     routes: RouteSet,
     has_routes: bool,
     revision: u64,
@@ -111,11 +119,12 @@
             ListChange::Target(record) => self.apply_target(now, record),
             ListChange::NoTarget { id, revision } => self.remove(now, &id, revision),
             ListChange::Routes(routes) => self.apply_routes(routes),
+            ListChange::Evacuation(evacuation) => self.apply_evacuation(now, evacuation),
         }
     }
 
     /// Applies a full listing that was read at `revision`. Targets that it doesn't contain are
-    /// removed.
+    /// removed, and evacuations that it doesn't contain have ended.
     pub fn apply_listing(
         &mut self,
         now: MonoTime,
@@ -123,13 +132,21 @@
         revision: u64,
     ) -> Vec<ViewEvent> {
         let mut listed = Vec::with_capacity(changes.len());
+        let mut evacuated: FastSet<DataCentreName> = FastSet::default();
         let mut events = Vec::new();
         for change in changes {
-            if let ListChange::Target(record) = &change {
-                listed.push(record.id.clone());
+            match &change {
+                ListChange::Target(record) => listed.push(record.id.clone()),
+                ListChange::Evacuation(evacuation) => {
+                    evacuated.insert(evacuation.data_centre.clone());
+                }
+                ListChange::NoTarget { .. } | ListChange::Routes(_) => {}
             }
             events.extend(self.apply(now, change));
         }
+        for ended in self.evacuations.ended_by_list(&evacuated, revision) {
+            events.extend(self.apply_evacuation(now, ended));
+        }
         let missing: Vec<UpstreamName> = self
             .targets
             .iter()
@@ -225,6 +242,18 @@
         self.has_routes
     }
 
+    /// Returns the evacuations of data centres.
+    #[must_use]
+    pub const fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns whether the target's data centre is being evacuated.
+    #[must_use]
+    pub fn is_evacuated(&self, target: &TargetRecord) -> bool {
+        self.evacuations.is_evacuated(&target.data_centre)
+    }
+
     /// Returns the newest revision of which the view has all changes.
     #[must_use]
     pub const fn revision(&self) -> u64 {
@@ -392,6 +421,11 @@
         }
     }
 
+    fn apply_evacuation(&mut self, now: MonoTime, evacuation: Evacuation) -> Option<ViewEvent> {
+        let is_change = self.evacuations.apply(now, evacuation.clone());
+        is_change.then_some(ViewEvent::EvacuationChanged(evacuation))
+    }
+
     fn apply_routes(&mut self, routes: RouteSet) -> Option<ViewEvent> {
         if self.has_routes && routes.version <= self.routes.version {
             return None;
--- a/crates/fes-passthrough/src/flow_decision.rs
+++ b/crates/fes-passthrough/src/flow_decision.rs
@@ -17,6 +17,9 @@
     RefusedNoRoute,
     /// An opening packet was refused: no target is available.
     RefusedNoTarget,
+    /// An opening packet was refused: all targets of the service that accept flows are in evacuated
+    /// data centres.
+    RefusedEvacuated,
     /// An opening packet was refused: it was sent to the maximum number of targets, and all of them
     /// returned it.
     RefusedOverload,
@@ -80,8 +83,13 @@
     /// The target responds again.
     TargetAnswers,
     /// A target's listed state changed: it is new, was restarted or began to drain. At an entry,
-    /// `load` is the number of its slots; at its agent, it is 1 if the target is draining.
+    /// `load` is the number of its slots; at its agent, it is 1 if the target is draining or
+    /// evacuated.
     TargetChanged,
+    /// The evacuation of a data centre began.
+    EvacuationStarted,
+    /// The evacuation of a data centre ended.
+    EvacuationEnded,
 }
 
 impl Outcome {
@@ -93,6 +101,7 @@
             Self::PlacedAgain => "placed_again",
             Self::RefusedNoRoute => "refused_no_route",
             Self::RefusedNoTarget => "refused_no_target",
+            Self::RefusedEvacuated => "refused_evacuated",
             Self::RefusedOverload => "refused_overload",
             Self::DroppedUnsure => "dropped_unsure",
             Self::KeptEarly => "kept_early",
@@ -122,6 +131,8 @@
             Self::TargetSilent => "target_silent",
             Self::TargetAnswers => "target_answers",
             Self::TargetChanged => "target_changed",
+            Self::EvacuationStarted => "evacuation_started",
+            Self::EvacuationEnded => "evacuation_ended",
         }
     }
 
@@ -132,6 +143,7 @@
             self,
             Self::RefusedNoRoute
                 | Self::RefusedNoTarget
+                | Self::RefusedEvacuated
                 | Self::RefusedOverload
                 | Self::DroppedUnsure
                 | Self::KeptEarly
--- a/crates/fes-passthrough/src/message.rs
+++ b/crates/fes-passthrough/src/message.rs
@@ -50,11 +50,12 @@
     pub service: ServiceTag,
     /// Start time, in milliseconds since the epoch.
     pub started_at_ms: u64,
-    /// Readiness.
+    /// Readiness; draining as well if the data centre is being evacuated.
     pub state: TargetState,
     /// Number of requests that the target runs concurrently.
     pub slots: u32,
-    /// Revision of the platform's list from which this state was taken.
+    /// Revision of the platform's list from which this state was taken: that of the record or of
+    /// the evacuation, whichever is higher.
     pub revision: u64,
 }
 
@@ -104,8 +105,8 @@
     pub is_complete: bool,
     /// Whether the target is unresponsive or accepts no flows.
     pub is_silent: bool,
-    /// Whether the agent accepts no new flows because its target is draining or the agent is
-    /// stopping.
+    /// Whether the agent accepts no new flows because its target is draining or evacuated, or the
+    /// agent is stopping.
     pub is_leaving: bool,
     /// Mean run time of the target's requests, in microseconds; 0 if none was measured. Sent as an
     /// extension.
@@ -118,7 +119,7 @@
 pub enum ReturnReason {
     /// The target doesn't accept the flow.
     NotAccepted,
-    /// The target is draining or the agent is stopping.
+    /// The target is draining or evacuated, or the agent is stopping.
     Leaving,
     /// The agent's target belongs to another service.
     WrongService,
--- a/crates/fes-passthrough/src/placement.rs
+++ b/crates/fes-passthrough/src/placement.rs
@@ -79,7 +79,10 @@
     let accepts_flows = |record: &&TargetRecord| {
         let agent = context.agents.get(record.vm);
         let is_leaving = agent.is_some_and(|agent| agent.report().is_leaving);
-        record.state == TargetState::Ready && !is_leaving && !excluded.contains(&record.vm)
+        record.state == TargetState::Ready
+            && !context.view.is_evacuated(record)
+            && !is_leaving
+            && !excluded.contains(&record.vm)
     };
     let targets = context.view.targets_of(service).filter(accepts_flows);
     let candidates = preferred_targets(targets, flow, 0, CANDIDATES_PER_DATA_CENTRE);
--- a/crates/fes-passthrough/src/view_gossip.rs
+++ b/crates/fes-passthrough/src/view_gossip.rs
@@ -7,6 +7,7 @@
 
 use std::net::Ipv4Addr;
 
+use fes_protocol::DataCentreName;
 use fes_protocol::FastMap;
 use fes_protocol::FastSet;
 use fes_protocol::MonoTime;
@@ -17,7 +18,6 @@
 use crate::ListChange;
 use crate::Message;
 use crate::ReaderTable;
-use crate::Route;
 use crate::RouteSet;
 use crate::RoutesPart;
 use crate::TargetRecord;
@@ -25,6 +25,10 @@
 use crate::ViewDigest;
 use crate::random_rank;
 use crate::retry_delay_ms;
+use crate::view_parts::Reassembly;
+use crate::view_parts::ResponseKey;
+use crate::view_parts::routes_parts;
+use crate::view_parts::targets_parts;
 
 /// Time between two digests. Together with the readers' polling period it stays well below the time
 /// within which a change must be in force.
@@ -50,9 +54,6 @@
 const PEER_EXPIRY_MS: u64 = 60_000;
 /// Age of its view beyond which an entry reads the platform itself.
 const MAX_PEER_VIEW_AGE_MS: u64 = 1_300;
-/// Routes and targets that fit into one message; each takes about 60 to 90 bytes.
-const ROUTES_PER_PART: usize = 16;
-const TARGETS_PER_PART: usize = 14;
 
 #[derive(Debug, Clone, Copy)]
 struct Peer {
@@ -60,51 +61,6 @@
     is_seed: bool,
 }
 
-/// Identifies a response of a peer. Parts of different responses must not be combined.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-struct ResponseKey {
-    revision: u64,
-    after_revision: u64,
-    count: u32,
-}
-
-/// Parts received of the latest response of one peer.
-#[derive(Debug, Clone, Default)]
-struct Reassembly {
-    response: ResponseKey,
-    parts_received: Vec<bool>,
-    routes: Vec<Route>,
-    listed: FastSet<UpstreamName>,
-}
-
-impl Reassembly {
-    /// Records a part, and starts over if it belongs to a different response than the previous
-    /// parts. Returns whether the part is new.
-    fn record(&mut self, response: ResponseKey, index: u32) -> bool {
-        if self.response != response {
-            let count = usize::try_from(response.count).unwrap_or(usize::MAX);
-            *self = Self {
-                response,
-                parts_received: vec![false; count.min(MAX_PARTS)],
-                ..Self::default()
-            };
-        }
-        let index = usize::try_from(index).unwrap_or(usize::MAX);
-        let is_received = self.parts_received.get_mut(index);
-        is_received.is_some_and(|is_received| !std::mem::replace(is_received, true))
-    }
-
-    /// Responses without parts, or with more than [`MAX_PARTS`], are never complete.
-    fn is_complete(&self) -> bool {
-        let count = u32::try_from(self.parts_received.len()).unwrap_or(u32::MAX);
-        let is_valid = count > 0 && count == self.response.count;
-        is_valid && self.parts_received.iter().all(|is_received| *is_received)
-    }
-}
-
-/// Upper bound on the parts of one response, beyond the largest fleet that the design allows for.
-const MAX_PARTS: usize = 4_096;
-
 /// Changes to the receiver's view that result from a response.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ViewUpdate {
@@ -319,7 +275,7 @@
     }
 
     /// Handles a part of a peer's response with targets. The revision is confirmed only once the
-    /// configuration of that revision is known too.
+    /// configuration and the evacuations of that revision are known too.
     ///
     /// A response that is older than the view is ignored, since the view has all changes up to its
     /// own revision, and what it doesn't contain was removed. Targets that a complete list doesn't
@@ -349,6 +305,7 @@
         };
         let reassembly = self.target_parts.entry(from).or_default();
         reassembly.record(response, part.index);
+        reassembly.is_without_evacuations |= part.evacuations.is_none();
         let ids = part.targets.iter().map(|target| target.id.clone());
         reassembly.listed.extend(ids);
         let is_complete = reassembly.is_complete();
@@ -357,9 +314,16 @@
             true => unlisted_targets(view, &reassembly.listed, part.revision),
             false => Vec::new(),
         };
-        let is_confirmed = is_complete && view.routes().version >= part.routes_version;
+        let is_confirmed = is_complete
+            && !reassembly.is_without_evacuations
+            && view.routes().version >= part.routes_version;
+        let evacuations = evacuation_changes(view, part);
         ViewUpdate {
-            changes: listed.chain(removed).chain(unlisted).collect(),
+            changes: evacuations
+                .chain(listed)
+                .chain(removed)
+                .chain(unlisted)
+                .collect(),
             confirmed: is_confirmed.then(|| (part.revision, before(now, part.age_ms))),
         }
     }
@@ -433,6 +397,20 @@
     }
 }
 
+/// Returns the evacuations of a part, and the ends of those that the sender no longer knows. A part
+/// of a sender that doesn't support evacuations changes none.
+fn evacuation_changes(view: &FleetView, part: &TargetsPart) -> impl Iterator<Item = ListChange> {
+    let known = part.evacuations.as_deref().unwrap_or_default();
+    let names = known.iter().map(|evacuation| &evacuation.data_centre);
+    let names: FastSet<DataCentreName> = names.cloned().collect();
+    let ended = match part.evacuations {
+        Some(_) => view.evacuations().ended_by_list(&names, part.revision),
+        None => Vec::new(),
+    };
+    let changes = known.iter().cloned().chain(ended);
+    changes.map(ListChange::Evacuation)
+}
+
 /// Returns the removals of the targets that a complete list of a revision doesn't contain.
 fn unlisted_targets(
     view: &FleetView,
@@ -457,56 +435,3 @@
 const fn before(now: MonoTime, age_ms: u64) -> MonoTime {
     MonoTime::from_us(now.as_us().saturating_sub(age_ms.saturating_mul(1_000)))
 }
-
-fn routes_parts(set: &RouteSet) -> impl Iterator<Item = RoutesPart> {
-    let mut routes: Vec<Route> = set.routes.values().cloned().collect();
-    routes.sort_unstable_by_key(|route| route.destination);
-    let chunks: Vec<Vec<Route>> = match routes.is_empty() {
-        true => vec![Vec::new()],
-        false => routes
-            .chunks(ROUTES_PER_PART)
-            .map(<[Route]>::to_vec)
-            .collect(),
-    };
-    let count = u32::try_from(chunks.len()).unwrap_or(u32::MAX);
-    chunks
-        .into_iter()
-        .zip(0..)
-        .map(move |(routes, index)| RoutesPart {
-            version: set.version,
-            idle_timeout_ms: set.idle_timeout_ms,
-            index,
-            count,
-            routes,
-            services: Vec::new(),
-        })
-}
-
-/// Splits the changes after a revision into parts. There is always at least one part, so that a
-/// response without changes still confirms the revision.
-fn targets_parts(view: &FleetView, since_revision: u64, age_ms: u64) -> Vec<TargetsPart> {
-    let mut changed: Vec<_> = view.changed_after(since_revision).cloned().collect();
-    changed.sort_unstable_by(|a, b| a.id.cmp(&b.id));
-    let mut removed: Vec<_> = view.removed_after(since_revision).collect();
-    removed.sort_unstable();
-    let count = (changed.len().div_ceil(TARGETS_PER_PART))
-        .max(removed.len().div_ceil(TARGETS_PER_PART))
-        .max(1);
-    let slice = |index: usize, len: usize| {
-        let start = (index * TARGETS_PER_PART).min(len);
-        start..(start + TARGETS_PER_PART).min(len)
-    };
-    let to_u32 = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-    let part = |index: usize| TargetsPart {
-        revision: view.revision(),
-        after_revision: since_revision,
-        routes_version: view.routes().version,
-        age_ms,
-        index: to_u32(index),
-        count: to_u32(count),
-        targets: changed[slice(index, changed.len())].to_vec(),
-        removed: removed[slice(index, removed.len())].to_vec(),
-        evacuations: Some(Vec::new()),
-    };
-    (0..count).map(part).collect()
-}
--- /dev/null
+++ b/crates/fes-passthrough/src/view_parts.rs
@@ -0,0 +1,120 @@
+//! Splitting of a view into parts that fit into messages, and the reassembly of such parts.
+
+use fes_protocol::FastSet;
+use fes_protocol::UpstreamName;
+
+use crate::FleetView;
+use crate::Route;
+use crate::RouteSet;
+use crate::RoutesPart;
+use crate::TargetsPart;
+
+/// Routes and targets that fit into one message; each takes about 60 to 90 bytes.
+const ROUTES_PER_PART: usize = 16;
+const TARGETS_PER_PART: usize = 14;
+/// Upper bound on the parts of one response, beyond the largest fleet that the design allows for.
+const MAX_PARTS: usize = 4_096;
+
+/// Identifies a response of a peer. Parts of different responses must not be combined.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct ResponseKey {
+    pub(crate) revision: u64,
+    pub(crate) after_revision: u64,
+    pub(crate) count: u32,
+}
+
+/// Parts received of the latest response of one peer.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Reassembly {
+    response: ResponseKey,
+    parts_received: Vec<bool>,
+    pub(crate) routes: Vec<Route>,
+    pub(crate) listed: FastSet<UpstreamName>,
+    /// Whether a part had no evacuations, so that those of its revision remain unknown.
+    pub(crate) is_without_evacuations: bool,
+}
+
+impl Reassembly {
+    /// Records a part, and starts over if it belongs to a different response than the previous
+    /// parts. Returns whether the part is new.
+    pub(crate) fn record(&mut self, response: ResponseKey, index: u32) -> bool {
+        if self.response != response {
+            let count = usize::try_from(response.count).unwrap_or(usize::MAX);
+            *self = Self {
+                response,
+                parts_received: vec![false; count.min(MAX_PARTS)],
+                ..Self::default()
+            };
+        }
+        let index = usize::try_from(index).unwrap_or(usize::MAX);
+        let is_received = self.parts_received.get_mut(index);
+        is_received.is_some_and(|is_received| !std::mem::replace(is_received, true))
+    }
+
+    /// Responses without parts, or with more than [`MAX_PARTS`], are never complete.
+    pub(crate) fn is_complete(&self) -> bool {
+        let count = u32::try_from(self.parts_received.len()).unwrap_or(u32::MAX);
+        let is_valid = count > 0 && count == self.response.count;
+        is_valid && self.parts_received.iter().all(|is_received| *is_received)
+    }
+}
+
+/// Splits a configuration into parts.
+pub(crate) fn routes_parts(set: &RouteSet) -> impl Iterator<Item = RoutesPart> {
+    let mut routes: Vec<Route> = set.routes.values().cloned().collect();
+    routes.sort_unstable_by_key(|route| route.destination);
+    let chunks: Vec<Vec<Route>> = match routes.is_empty() {
+        true => vec![Vec::new()],
+        false => routes
+            .chunks(ROUTES_PER_PART)
+            .map(<[Route]>::to_vec)
+            .collect(),
+    };
+    let count = u32::try_from(chunks.len()).unwrap_or(u32::MAX);
+    chunks
+        .into_iter()
+        .zip(0..)
+        .map(move |(routes, index)| RoutesPart {
+            version: set.version,
+            idle_timeout_ms: set.idle_timeout_ms,
+            index,
+            count,
+            routes,
+            services: Vec::new(),
+        })
+}
+
+/// Splits the changes after a revision into parts. There is always at least one part, so that a
+/// response without changes still confirms the revision. Each part has all evacuations, so that a
+/// target never becomes known without an evacuation that is older than its record.
+pub(crate) fn targets_parts(
+    view: &FleetView,
+    since_revision: u64,
+    age_ms: u64,
+) -> Vec<TargetsPart> {
+    let mut changed: Vec<_> = view.changed_after(since_revision).cloned().collect();
+    changed.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+    let mut removed: Vec<_> = view.removed_after(since_revision).collect();
+    removed.sort_unstable();
+    let count = (changed.len().div_ceil(TARGETS_PER_PART))
+        .max(removed.len().div_ceil(TARGETS_PER_PART))
+        .max(1);
+    let slice = |index: usize, len: usize| {
+        let start = (index * TARGETS_PER_PART).min(len);
+        start..(start + TARGETS_PER_PART).min(len)
+    };
+    let evacuations = view.evacuations().to_vec();
+    let to_u32 = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+    let part = |index: usize| TargetsPart {
+        revision: view.revision(),
+        after_revision: since_revision,
+        routes_version: view.routes().version,
+        age_ms,
+        index: to_u32(index),
+        count: to_u32(count),
+        targets: changed[slice(index, changed.len())].to_vec(),
+        removed: removed[slice(index, removed.len())].to_vec(),
+        evacuations: Some(evacuations.clone()),
+    };
+    (0..count).map(part).collect()
+}
--- a/crates/fes-passthrough/tests/entry_status.rs
+++ b/crates/fes-passthrough/tests/entry_status.rs
@@ -28,3 +28,27 @@
     assert!(status.agents[1].is_leaving);
     assert!(status.is_reader);
 }
+
+/// Guards against an evacuation that operators can't see, and against an age that starts over when
+/// the request is written again.
+#[test]
+fn the_status_lists_evacuations_with_their_age() {
+    let mut simulation = Simulation::new(1, 2, 2, 20, 1);
+    simulation.run_until(500);
+    simulation.evacuate("x", true, &[0]);
+    simulation.evacuate("b", true, &[0]);
+    simulation.evacuate("c", true, &[0]);
+    simulation.run_until(1_200);
+    simulation.evacuate("b", true, &[0]);
+    simulation.evacuate("x", false, &[0]);
+
+    let entry = simulation.entries[0].as_ref().expect("the entry runs");
+    let status = entry.status(MonoTime::from_ms(1_500));
+
+    let evacuations: Vec<(&str, u64)> = status
+        .evacuations
+        .iter()
+        .map(|evacuation| (evacuation.data_centre.as_str(), evacuation.age_ms))
+        .collect();
+    assert_eq!(evacuations, [("b", 1_000), ("c", 1_000)]);
+}
--- a/crates/fes-passthrough/tests/support/simulation.rs
+++ b/crates/fes-passthrough/tests/support/simulation.rs
@@ -10,6 +10,7 @@
 use fes_passthrough::AgentCore;
 use fes_passthrough::EntryAction;
 use fes_passthrough::EntryCore;
+use fes_passthrough::Evacuation;
 use fes_passthrough::FlowKey;
 use fes_passthrough::Forward;
 use fes_passthrough::ListChange;
@@ -65,6 +66,10 @@
     pub misrouted: Vec<(FlowKey, u64)>,
     /// Packets that reached the target that holds their flow, with the time in milliseconds.
     pub delivered: Vec<(FlowKey, u64)>,
+    /// Opening packets that reached a target: its index and the time in milliseconds.
+    pub openings: Vec<(usize, u64)>,
+    /// Evacuations that the platform lists.
+    pub evacuations: Vec<Evacuation>,
     /// Number of messages that entries sent or received, apart from heartbeats and gossip.
     pub entry_messages: usize,
     packets: Vec<Segment>,
@@ -91,6 +96,8 @@
             outcomes: HashMap::new(),
             misrouted: Vec::new(),
             delivered: Vec::new(),
+            openings: Vec::new(),
+            evacuations: Vec::new(),
             entry_messages: 0,
             packets: Vec::new(),
             queue: BinaryHeap::new(),
@@ -148,6 +155,8 @@
             .map(ListChange::Target)
             .collect();
         changes.push(ListChange::Routes(routes(1, SERVICE)));
+        let evacuations = self.evacuations.iter().cloned();
+        changes.extend(evacuations.map(ListChange::Evacuation));
         let (now, revision) = (self.now(), self.revision);
         let mut out = Vec::new();
         if let Some(entry) = &mut self.entries[index] {
@@ -180,6 +189,38 @@
         }
     }
 
+    /// Writes or removes the request to evacuate a data centre. Only the entries in `readers` learn
+    /// of it from the platform.
+    pub fn evacuate(&mut self, data_centre: &str, is_in_force: bool, readers: &[usize]) {
+        self.revision += 1;
+        let evacuation = Evacuation {
+            data_centre: DataCentreName::from(data_centre),
+            revision: self.revision,
+            is_in_force,
+        };
+        self.evacuations
+            .retain(|other| other.data_centre != evacuation.data_centre);
+        self.evacuations
+            .extend(is_in_force.then(|| evacuation.clone()));
+        let (now, revision) = (self.now(), self.revision);
+        for entry in readers.iter().copied() {
+            let mut out = Vec::new();
+            if let Some(core) = &mut self.entries[entry] {
+                let change = ListChange::Evacuation(evacuation.clone());
+                core.on_change(now, change, &mut out);
+                core.view_mut().confirm(now, revision);
+            }
+            self.perform_entry(entry, out, None);
+        }
+    }
+
+    /// Ends all evacuations without a change that entries could watch, as when the platform has
+    /// lost its history.
+    pub fn lose_evacuations(&mut self) {
+        self.revision += 1;
+        self.evacuations.clear();
+    }
+
     /// Removes a target's record from the platform's list.
     pub fn unlist_target(&mut self, index: usize) {
         self.revision += 1;
@@ -435,7 +476,9 @@
         if !self.targets[index].is_running {
             return;
         }
-        if !segment.is_syn {
+        if segment.is_syn {
+            self.openings.push((index, self.now_ms));
+        } else {
             let holder = (0..self.targets.len()).find(|t| self.targets[*t].has_open(&segment.flow));
             match holder {
                 Some(holder) if holder == index => self.delivered.push((segment.flow, self.now_ms)),
@@ -498,6 +541,13 @@
                 EntryAction::Record(decision) => {
                     *self.outcomes.entry(decision.outcome.name()).or_default() += 1
                 }
+                EntryAction::RecordEvacuation(evacuation) => {
+                    let outcome = match evacuation.is_in_force {
+                        true => Outcome::EvacuationStarted,
+                        false => Outcome::EvacuationEnded,
+                    };
+                    *self.outcomes.entry(outcome.name()).or_default() += 1;
+                }
             }
         }
     }
--- a/crates/fes-telemetry/src/metrics.rs
+++ b/crates/fes-telemetry/src/metrics.rs
@@ -208,6 +208,8 @@
         "Failed reads and watches, by reason.";
     platform_age_ms: Gauge, "platform_age_milliseconds",
         "Age of the freshest platform contact known.";
+    evacuations_in_force: Gauge, "evacuations_in_force",
+        "Data centres that an operator has asked to evacuate.";
     control_bytes_sent: Counter, "control_bytes_sent_total",
         "Bytes of control messages sent.";
     control_bytes_received: Counter, "control_bytes_received_total",
