--- a/crates/fes-passthrough-node/src/agent_daemon.rs
+++ b/crates/fes-passthrough-node/src/agent_daemon.rs
@@ -56,7 +56,7 @@
     place: AgentPlace,
     core: RefCell<AgentCore>,
     target_probe: TargetProbe,
-    /// Whether the target was listed as draining at the last tick.
+    /// Whether the target was draining or evacuated at the last tick.
     was_draining: Cell<bool>,
     target_socket: UdpSocket,
     node_socket: UdpSocket,
@@ -203,7 +203,7 @@
         }
     }
 
-    /// Probes the target when it begins to drain.
+    /// Probes the target once when it begins to drain or is evacuated.
     fn observe_drain(self: &Rc<Self>) {
         let is_draining = self.core.borrow().is_target_draining();
         let was_draining = self.was_draining.replace(is_draining);
--- a/crates/fes-passthrough-node/src/decision_log.rs
+++ b/crates/fes-passthrough-node/src/decision_log.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fes_adapter::packet;
+use fes_passthrough::Evacuation;
 use fes_passthrough::FlowDecision;
 use fes_passthrough::Outcome;
 use fes_protocol::FastMap;
@@ -44,26 +45,51 @@
 
     /// Logs and counts a decision. `packet` is the packet that led to it, or empty.
     pub fn record(&self, now: MonoTime, decision: &FlowDecision, packet: &[u8]) {
+        self.observe_duration(decision);
+        if !self.count(now, decision.outcome) {
+            return;
+        }
+        let request = request_id_of(decision, packet).unwrap_or("-");
+        if decision.outcome.is_warning() {
+            log::warn!(target: log_target::FLOWS, "{decision} request={request}");
+        } else {
+            log::info!(target: log_target::FLOWS, "{decision} request={request}");
+        }
+    }
+
+    /// Logs and counts that an evacuation began or ended.
+    pub fn record_evacuation(&self, now: MonoTime, evacuation: &Evacuation) {
+        let outcome = match evacuation.is_in_force {
+            true => Outcome::EvacuationStarted,
+            false => Outcome::EvacuationEnded,
+        };
+        if self.count(now, outcome) {
+            log::info!(
+                target: log_target::FLOWS,
+                "outcome={} data_centre={} revision={}",
+                outcome.name(),
+                evacuation.data_centre.as_str().escape_default(),
+                evacuation.revision
+            );
+        }
+    }
+
+    /// Counts a decision. Returns whether it may be logged.
+    fn count(&self, now: MonoTime, outcome: Outcome) -> bool {
         let label = OutcomeLabel {
-            outcome: decision.outcome.name(),
+            outcome: outcome.name(),
         };
         self.metrics.flow_decisions.get_or_create(&label).inc();
-        self.observe_duration(decision);
         self.renew_budgets(now);
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(decision.outcome).or_default();
+        let budget = budgets.entry(outcome).or_default();
         if budget.used >= LINES_PER_SECOND {
             budget.suppressed += 1;
             self.metrics.log_lines_suppressed.inc();
-            return;
+            return false;
         }
         budget.used += 1;
-        let request = request_id_of(decision, packet).unwrap_or("-");
-        if decision.outcome.is_warning() {
-            log::warn!(target: log_target::FLOWS, "{decision} request={request}");
-        } else {
-            log::info!(target: log_target::FLOWS, "{decision} request={request}");
-        }
+        true
     }
 
     /// Adds the duration of a decision to its histogram, if it has one.
--- a/crates/fes-passthrough-node/src/entry_daemon.rs
+++ b/crates/fes-passthrough-node/src/entry_daemon.rs
@@ -275,6 +275,8 @@
         metrics.peers_alive.set(gauge(core.agent_count()));
         let age_ms = age_for_metrics(core.view().age_ms(now));
         metrics.platform_age_ms.set(age_ms);
+        let evacuations = core.view().evacuations().in_force().count();
+        metrics.evacuations_in_force.set(gauge(evacuations));
     }
 
     /// Reports the entry as ready once it knows the routes and has received a report from an agent.
@@ -321,6 +323,10 @@
                     let now = self.context.now();
                     self.context.decisions.record(now, &decision, packet);
                 }
+                EntryAction::RecordEvacuation(evacuation) => {
+                    let now = self.context.now();
+                    self.context.decisions.record_evacuation(now, &evacuation);
+                }
             }
         }
     }
--- a/crates/fes-passthrough-node/src/list_watcher.rs
+++ b/crates/fes-passthrough-node/src/list_watcher.rs
@@ -1,15 +1,14 @@
-//! Keeps track of the list of targets and routes in the platform's store: reads it once, then
-//! watches it for changes, and reads it again whenever changes may have been missed.
+//! Keeps track of the list of targets, routes and evacuations in the platform's store: reads it
+//! once, then watches it for changes, and reads it again whenever changes may have been missed.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use fes_adapter::RejectedItem;
-use fes_adapter::decode_routes;
-use fes_adapter::decode_target_page;
+use fes_adapter::decode_page;
 use fes_adapter::decode_watch;
+use fes_adapter::list_operator_items_path;
 use fes_adapter::list_targets_path;
-use fes_adapter::read_routes_path;
 use fes_adapter::watch_path;
 use fes_passthrough::ListChange;
 use fes_platform::PlatformClient;
@@ -192,17 +191,28 @@
 async fn read_all(
     context: &NodeContext,
     client: &mut PlatformClient,
+) -> Result<(Vec<ListChange>, u64)> {
+    // The pages are not a consistent snapshot. The watch starts at the revision of the first page
+    // and reports the changes since then.
+    let (mut changes, first_revision) = read_pages(context, client, list_targets_path).await?;
+    let (operator_changes, _) = read_pages(context, client, list_operator_items_path).await?;
+    changes.extend(operator_changes);
+    Ok((changes, first_revision))
+}
+
+/// Reads all pages of a prefix. Returns their changes and the revision of the first page.
+async fn read_pages(
+    context: &NodeContext,
+    client: &mut PlatformClient,
+    path: impl Fn(Option<&str>) -> String,
 ) -> Result<(Vec<ListChange>, u64)> {
     let mut changes = Vec::new();
     let mut after = None;
     let mut first_revision = None;
     for _ in 0..MAX_PAGES {
-        let path = list_targets_path(after.as_deref());
-        let body = read(context, client, &path, READ_TIMEOUT_MS).await?;
-        let page = decode_target_page(&body)?;
+        let body = read(context, client, &path(after.as_deref()), READ_TIMEOUT_MS).await?;
+        let page = decode_page(&body)?;
         log_rejected_items(&page.rejected);
-        // The pages are not a consistent snapshot. The watch starts at the revision of the first
-        // page and reports the changes since then.
         first_revision.get_or_insert(page.revision);
         changes.extend(page.changes);
         after = page.next_after;
@@ -210,25 +220,7 @@
             break;
         }
     }
-    let revision = first_revision.unwrap_or(0);
-    changes.extend(read_routes(context, client).await?);
-    Ok((changes, revision))
-}
-
-async fn read_routes(
-    context: &NodeContext,
-    client: &mut PlatformClient,
-) -> Result<Vec<ListChange>> {
-    context.metrics.platform_reads.inc();
-    let (status, body) = client.get(&read_routes_path(), READ_TIMEOUT_MS).await?;
-    // There is no configuration until the operator writes the first one.
-    if status == StatusCode::NOT_FOUND {
-        return Ok(Vec::new());
-    }
-    expect_ok(status)?;
-    let reply = decode_routes(&body)?;
-    log_rejected_items(&reply.rejected);
-    Ok(reply.changes)
+    Ok((changes, first_revision.unwrap_or(0)))
 }
 
 async fn read(
--- a/crates/fes-passthrough-node/src/target_probe.rs
+++ b/crates/fes-passthrough-node/src/target_probe.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use fes_telemetry::log_target;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -32,7 +33,12 @@
     /// Records whether the target, which has begun to drain, accepts connections.
     pub async fn observe(&self) {
         let result = self.connect().await;
-        self.has_accepted.set(result.is_some_and(|r| r.is_ok()));
+        let has_accepted = result.is_some_and(|r| r.is_ok());
+        self.has_accepted.set(has_accepted);
+        log::info!(
+            target: log_target::FLOWS,
+            "event=target_probe phase=drain has_accepted={has_accepted}"
+        );
     }
 
     /// Returns whether the target accepted connections before and refuses them now.
@@ -41,7 +47,9 @@
             return false;
         }
         let error = self.connect().await.and_then(Result::err);
-        error.is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+        let has_ended = error.is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused);
+        log::info!(target: log_target::FLOWS, "event=target_probe phase=stop has_ended={has_ended}");
+        has_ended
     }
 
     /// Connects to the target. Returns none if it doesn't react in time.
--- a/crates/fes-passthrough-node/tests/boundary.rs
+++ b/crates/fes-passthrough-node/tests/boundary.rs
@@ -14,6 +14,7 @@
     "kv-watch",
     "kv-key",
     "op/config",
+    "op/evacuate",
     "servers/",
     "BOUNCED",
     "FESCUESHIFT_SETTINGS",
--- a/crates/fes-passthrough-node/tests/decision_log.rs
+++ b/crates/fes-passthrough-node/tests/decision_log.rs
@@ -2,9 +2,11 @@
 
 use std::sync::Arc;
 
+use fes_passthrough::Evacuation;
 use fes_passthrough::FlowDecision;
 use fes_passthrough::Outcome;
 use fes_passthrough_node::DecisionLog;
+use fes_protocol::DataCentreName;
 use fes_protocol::MonoTime;
 use fes_telemetry::Metrics;
 
@@ -47,3 +49,28 @@
         "{accepted}"
     );
 }
+
+/// Guards against evacuations that aren't counted, and against a store that floods the log with
+/// them.
+#[test]
+fn evacuations_are_counted_within_the_budget() {
+    let metrics = Arc::new(Metrics::default());
+    let log = DecisionLog::new(Arc::clone(&metrics));
+
+    for index in 0..100 {
+        let evacuation = Evacuation {
+            data_centre: DataCentreName::from("a"),
+            revision: index,
+            is_in_force: index % 4 != 0,
+        };
+        log.record_evacuation(MonoTime::from_ms(10), &evacuation);
+    }
+
+    let text = metrics.encode();
+    assert!(
+        text.contains("outcome=\"evacuation_started\"} 75"),
+        "{text}"
+    );
+    assert!(text.contains("outcome=\"evacuation_ended\"} 25"), "{text}");
+    assert!(text.contains("log_lines_suppressed_total 15"), "{text}");
+}
