Decode and gossip the limits of new flows during warm-up

Cause: targets that start during traffic get more new flows than they bear. The rate that they bear is in the services of the configuration and in the bounds of the settings, which were ignored.

The services with a limit are spread over the parts of a configuration, so that any number of them fits. A configuration of the same version adds the limits if they are missing, because a peer of an older version doesn't send them.

Peers got the warm-up time as it was in the record, and counted it from its arrival, also when the record arrived again. An entry that starts took targets for cold that had been warm for long. The time that is left is sent now, and a record that arrives again doesn't extend it.

--- a/crates/fes-measure/src/capacity/pass_through.rs
+++ b/crates/fes-measure/src/capacity/pass_through.rs
@@ -148,6 +148,7 @@
         routes: (0..services)
             .map(|service| (address(service), route(service)))
             .collect(),
+        ..RouteSet::default()
     }
 }
 
--- a/crates/fes-passthrough/src/catalogue.rs
+++ b/crates/fes-passthrough/src/catalogue.rs
@@ -112,6 +112,8 @@
     pub idle_timeout_ms: u64,
     /// Routes by the address that clients connect to.
     pub routes: FastMap<SocketAddrV4, Route>,
+    /// Services whose targets get a limited number of new flows while they warm up.
+    pub warm_ups: FastMap<ServiceTag, ServiceWarmUp>,
 }
 
 /// Readiness that a target announces.
--- a/crates/fes-passthrough/src/fleet_view.rs
+++ b/crates/fes-passthrough/src/fleet_view.rs
@@ -252,6 +252,14 @@
             .is_some_and(|target| now < target.warm_up_ends_at)
     }
 
+    /// Returns the remaining warm-up time of a target, in milliseconds; 0 if it is warm or unknown.
+    #[must_use]
+    pub fn warm_up_remaining_ms(&self, now: MonoTime, id: &UpstreamName) -> u32 {
+        let target = self.targets.get(id);
+        let remaining_ms = target.map_or(0, |target| target.warm_up_ends_at.ms_since(now));
+        u32::try_from(remaining_ms).unwrap_or(u32::MAX)
+    }
+
     /// Returns the listed targets that were listed or changed after a revision. Updates of fields
     /// other than state, service, VM and start time don't count as changes.
     pub fn changed_after(&self, revision: u64) -> impl Iterator<Item = &TargetRecord> {
@@ -323,12 +331,18 @@
             Some(current) if !is_change && !is_relisted => current.changed_revision,
             _ => record.revision,
         };
+        let warm_up_ends_at = now.plus_ms(u64::from(record.warm_up_ms));
+        // A record that arrives again, from another peer, must not extend the warm-up.
+        let repeated = previous.filter(|current| current.record.revision == record.revision);
+        let warm_up_ends_at = repeated.map_or(warm_up_ends_at, |current| {
+            current.warm_up_ends_at.min(warm_up_ends_at)
+        });
         self.index(&record);
         let listed = ListedTarget {
             record: record.clone(),
             listing: Listing::Listed,
             listed_at,
-            warm_up_ends_at: now.plus_ms(u64::from(record.warm_up_ms)),
+            warm_up_ends_at,
             changed_revision,
         };
         self.tombstones.remove(&record.id);
@@ -394,6 +408,10 @@
 
     fn apply_routes(&mut self, routes: RouteSet) -> Option<ViewEvent> {
         if self.has_routes && routes.version <= self.routes.version {
+            // A peer of an older version sends the routes without the warm-up limits.
+            if routes.version == self.routes.version && self.routes.warm_ups.is_empty() {
+                self.routes.warm_ups = routes.warm_ups;
+            }
             return None;
         }
         let from = self.routes.version;
--- a/crates/fes-passthrough/src/lib.rs
+++ b/crates/fes-passthrough/src/lib.rs
@@ -26,10 +26,12 @@
 mod ranking;
 mod reader_table;
 mod request_queue;
+mod route_parts;
 mod run_time;
 mod segment;
 mod target_monitor;
 mod view_gossip;
+mod warm_up_limit;
 
 pub use agent::AgentAction;
 pub use agent::AgentCore;
@@ -111,3 +113,4 @@
 pub use target_monitor::TargetMonitor;
 pub use view_gossip::ViewGossip;
 pub use view_gossip::ViewUpdate;
+pub use warm_up_limit::WarmUpSettings;
--- a/crates/fes-passthrough/src/message.rs
+++ b/crates/fes-passthrough/src/message.rs
@@ -168,7 +168,8 @@
     pub count: u32,
     /// Routes of the part.
     pub routes: Vec<Route>,
-    /// Services whose targets warm up, the same in each part. Sent as an extension.
+    /// Services of the part whose targets get a limited number of new flows while they warm up. Sent
+    /// as an extension.
     #[serde(skip)]
     pub services: Vec<ServiceWarmUp>,
 }
--- a/crates/fes-passthrough/src/node_settings.rs
+++ b/crates/fes-passthrough/src/node_settings.rs
@@ -7,6 +7,7 @@
 use fes_protocol::VmName;
 
 use crate::ServiceTag;
+use crate::WarmUpSettings;
 
 /// Settings of an entry or an agent.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -29,6 +30,8 @@
     pub seed_entries: Vec<Ipv4Addr>,
     /// Time between the stop signal and the end of the process, in milliseconds.
     pub stop_grace_ms: u64,
+    /// Limit of new flows of targets that warm up. Only used by entries.
+    pub warm_up: WarmUpSettings,
     /// Role of the VM.
     pub place: NodePlace,
 }
--- a/crates/fes-passthrough/src/view_gossip.rs
+++ b/crates/fes-passthrough/src/view_gossip.rs
@@ -20,11 +20,13 @@
 use crate::Route;
 use crate::RouteSet;
 use crate::RoutesPart;
+use crate::ServiceWarmUp;
 use crate::TargetRecord;
 use crate::TargetsPart;
 use crate::ViewDigest;
 use crate::random_rank;
 use crate::retry_delay_ms;
+use crate::route_parts::routes_parts;
 
 /// Time between two digests. Together with the readers' polling period it stays well below the time
 /// within which a change must be in force.
@@ -50,8 +52,7 @@
 const PEER_EXPIRY_MS: u64 = 60_000;
 /// Age of its view beyond which an entry reads the platform itself.
 const MAX_PEER_VIEW_AGE_MS: u64 = 1_300;
-/// Routes and targets that fit into one message; each takes about 60 to 90 bytes.
-const ROUTES_PER_PART: usize = 16;
+/// Targets that fit into one message; each takes about 60 to 90 bytes.
 const TARGETS_PER_PART: usize = 14;
 
 #[derive(Debug, Clone, Copy)]
@@ -74,6 +75,7 @@
     response: ResponseKey,
     parts_received: Vec<bool>,
     routes: Vec<Route>,
+    services: Vec<ServiceWarmUp>,
     listed: FastSet<UpstreamName>,
 }
 
@@ -375,16 +377,23 @@
         let reassembly = self.route_parts.entry(from).or_default();
         if reassembly.record(response, part.index) {
             reassembly.routes.extend(part.routes.iter().cloned());
+            reassembly.services.extend(&part.services);
         }
         if !reassembly.is_complete() {
             return None;
         }
-        let routes = std::mem::take(reassembly).routes;
+        let Reassembly {
+            routes, services, ..
+        } = std::mem::take(reassembly);
         let by_destination = routes.into_iter().map(|route| (route.destination, route));
+        let by_service = services
+            .into_iter()
+            .map(|service| (service.service, service));
         Some(ListChange::Routes(RouteSet {
             version: part.version,
             idle_timeout_ms: part.idle_timeout_ms,
             routes: by_destination.collect(),
+            warm_ups: by_service.collect(),
         }))
     }
 
@@ -426,7 +435,10 @@
                 true => digest.revision,
                 false => 0,
             };
-            let parts = targets_parts(view, since_revision, age_ms);
+            let mut parts = targets_parts(view, since_revision, age_ms);
+            let targets = parts.iter_mut().flat_map(|part| &mut part.targets);
+            // The record holds the time that was left when it was written.
+            targets.for_each(|t| t.warm_up_ms = view.warm_up_remaining_ms(now, &t.id));
             messages.extend(parts.into_iter().map(Message::Targets));
         }
         messages.into_iter().map(|message| (to, message)).collect()
@@ -458,30 +470,6 @@
     MonoTime::from_us(now.as_us().saturating_sub(age_ms.saturating_mul(1_000)))
 }
 
-fn routes_parts(set: &RouteSet) -> impl Iterator<Item = RoutesPart> {
-    let mut routes: Vec<Route> = set.routes.values().cloned().collect();
-    routes.sort_unstable_by_key(|route| route.destination);
-    let chunks: Vec<Vec<Route>> = match routes.is_empty() {
-        true => vec![Vec::new()],
-        false => routes
-            .chunks(ROUTES_PER_PART)
-            .map(<[Route]>::to_vec)
-            .collect(),
-    };
-    let count = u32::try_from(chunks.len()).unwrap_or(u32::MAX);
-    chunks
-        .into_iter()
-        .zip(0..)
-        .map(move |(routes, index)| RoutesPart {
-            version: set.version,
-            idle_timeout_ms: set.idle_timeout_ms,
-            index,
-            count,
-            routes,
-            services: Vec::new(),
-        })
-}
-
 /// Splits the changes after a revision into parts. There is always at least one part, so that a
 /// response without changes still confirms the revision.
 fn targets_parts(view: &FleetView, since_revision: u64, age_ms: u64) -> Vec<TargetsPart> {
--- a/crates/fes-passthrough/tests/support/fixtures.rs
+++ b/crates/fes-passthrough/tests/support/fixtures.rs
@@ -69,6 +69,7 @@
         version,
         idle_timeout_ms: 15_000,
         routes: both.into_iter().map(|r| (r.destination, r)).collect(),
+        ..RouteSet::default()
     }
 }
 
--- a/crates/fes-soak/src/run.rs
+++ b/crates/fes-soak/src/run.rs
@@ -329,6 +329,7 @@
         version,
         idle_timeout_ms: IDLE_TIMEOUT_MS,
         routes: routes.into_iter().map(|r| (r.destination, r)).collect(),
+        ..RouteSet::default()
     };
     encode_routes(&set, SERVICE)
 }
