Limit the new flows of targets that warm up

Cause: a cold target got as many new flows as a warm one of the same cost, and nothing held the sum of all entries below what it bears.

Change: entries send the limit and the remaining time with their hellos. The agent counts the openings that it delivers in a sliding second and returns those above the limit before they reach the target. Repeated hints don't extend the warm-up, since messages take time. In the first second after a restart the agent delivers a part of the limit, because it doesn't know what its previous process delivered.

An entry prefers other targets to one that it sent its share, and targets without a limit once an opening was returned: the shares of many entries exceed a low limit together, as each is at least 1, and three cold targets in a row refused an opening beside warm ones. Refusal waited for the third target, so that a service with fewer left its clients to a timeout; with a limited target among those tried, it now comes as soon as no other target is left. Other services behave as before.

The outcome over_warm_up_limit counts and logs the returned openings, and the status of entries and agents shows the limits in force.

Tests: warm_up_load plays 1 to 20 entries with 1 to 6 cold targets at 50 and 200 openings a second and target, with a limit of 23: at most 23 in any second, at least 80 % of it used, no client left without an answer. The checks fail without the ranks, without the rank of repeated openings, and without the immediate refusal.

--- a/crates/fes-passthrough-node/src/agent_daemon.rs
+++ b/crates/fes-passthrough-node/src/agent_daemon.rs
@@ -117,12 +117,18 @@
             READINESS_PATH,
             move || {
                 let core = node.core.borrow();
-                let (flows, streams, running) = core.load(node.context.now());
+                let now = node.context.now();
+                let (flows, streams, running) = core.load(now);
+                let warm_up = core.warm_up_in_force(now);
                 json!({
                     "flows": flows,
                     "streams": streams,
                     "running": running,
                     "entries": core.entry_count(),
+                    "warm_up": warm_up.map(|limit| json!({
+                        "remaining_ms": limit.remaining_ms,
+                        "max_openings_per_s": limit.max_openings_per_s,
+                    })),
                 })
             },
         )
--- a/crates/fes-passthrough-node/src/entry_daemon.rs
+++ b/crates/fes-passthrough-node/src/entry_daemon.rs
@@ -71,12 +71,13 @@
     let settings = &context.settings;
     let client_socket = udp::bind(settings.client_address).await?;
     let node_socket = udp::bind(settings.node_address).await?;
-    let core = EntryCore::new(
+    let mut core = EntryCore::new(
         context.incarnation,
         *settings.node_address.ip(),
         settings.data_centre.clone(),
         &settings.seed_entries,
     );
+    core.set_warm_up_settings(settings.warm_up);
     log::info!(
         target: log_target::FLOWS,
         "event=start role=entry vm={} data_centre={} incarnation={} first={}",
@@ -97,7 +98,7 @@
     node.spawn_tasks();
     while signals.next().await == SignalRequest::Reload {
         if let Some(settings) = reload(&node.context, &node.context.settings) {
-            node.core.borrow_mut().set_seeds(&settings.seed_entries);
+            node.apply_settings(&settings);
         }
     }
     node.drain().await;
@@ -147,13 +148,17 @@
         });
         let node = Rc::clone(self);
         actix_rt::spawn(async move {
-            let apply = |settings: NodeSettings| {
-                node.core.borrow_mut().set_seeds(&settings.seed_entries);
-            };
+            let apply = |settings: NodeSettings| node.apply_settings(&settings);
             watch_settings(&node.context, apply).await;
         });
     }
 
+    fn apply_settings(&self, settings: &NodeSettings) {
+        let mut core = self.core.borrow_mut();
+        core.set_seeds(&settings.seed_entries);
+        core.set_warm_up_settings(settings.warm_up);
+    }
+
     /// Returns whether other entries read the platform and this one receives the list from them.
     fn is_passive(&self) -> bool {
         !self.core.borrow().is_reader(self.context.now())
--- a/crates/fes-passthrough/src/agent/agent_core.rs
+++ b/crates/fes-passthrough/src/agent/agent_core.rs
@@ -19,6 +19,7 @@
 use crate::Segment;
 use crate::ServiceTag;
 use crate::TargetMonitor;
+use crate::WarmUpBudget;
 
 /// Action for an agent to perform. "Current packet" means the packet of the event that caused the
 /// action.
@@ -101,6 +102,7 @@
     pub(super) pending_lookups: FastMap<FlowKey, PendingLookup>,
     pub(super) target_monitor: TargetMonitor,
     pub(super) failure_rate: FailureRate,
+    pub(super) warm_up: WarmUpBudget,
     pub(super) entries: FastMap<Ipv4Addr, EntryState>,
 }
 
@@ -134,6 +136,7 @@
             pending_lookups: FastMap::default(),
             target_monitor: TargetMonitor::default(),
             failure_rate: FailureRate::default(),
+            warm_up: WarmUpBudget::new(now, is_first_start),
             entries: FastMap::default(),
         }
     }
--- a/crates/fes-passthrough/src/agent/delivery.rs
+++ b/crates/fes-passthrough/src/agent/delivery.rs
@@ -190,6 +190,12 @@
             self.flows.remove(&segment.flow);
             self.queue.remove(&segment.flow);
         }
+        // A known flow's opening packet is a retransmission, which was counted before.
+        let is_known = self.flows.get_mut(&segment.flow).is_some();
+        if !is_known && !self.warm_up.try_count(now) {
+            self.return_over_limit(now, entry, segment.flow, out);
+            return;
+        }
         let is_stream = forward.requirements.flow_use == FlowUse::Stream;
         let new = AgentFlow::new(now, Some(entry), is_stream);
         let record = self.flows.get_or_insert(segment.flow, new);
--- a/crates/fes-passthrough/src/agent/heartbeats.rs
+++ b/crates/fes-passthrough/src/agent/heartbeats.rs
@@ -33,6 +33,7 @@
     ) {
         if let Some(target) = &hello.target {
             self.update_target(now, target, out);
+            self.update_warm_up(now, target, hello.warm_up);
         }
         let current = self.entries.get(&entry);
         let is_new = current.is_none_or(|state| state.incarnation != hello.incarnation);
--- a/crates/fes-passthrough/src/agent/mod.rs
+++ b/crates/fes-passthrough/src/agent/mod.rs
@@ -5,6 +5,7 @@
 mod request_results;
 mod stopping;
 mod target_packets;
+mod warm_up;
 
 pub use agent_core::AgentAction;
 pub use agent_core::AgentCore;
--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -33,6 +33,7 @@
 use crate::ViewEvent;
 use crate::ViewGossip;
 use crate::ViewUpdate;
+use crate::WarmUpShares;
 
 /// Minimum period of an agent's reports.
 const MIN_REPORT_PERIOD_MS: u64 = 100;
@@ -115,6 +116,7 @@
     pub(super) gossip: ViewGossip,
     pub(super) early: EarlyPackets,
     pub(super) held: HeldPackets,
+    pub(super) warm_up: WarmUpShares,
     /// Flows for which another target is tried at the given time if none has accepted them, in the
     /// order of these times.
     pub(super) opening_queue: VecDeque<(MonoTime, FlowKey)>,
@@ -145,6 +147,7 @@
             flows: FlowDirectory::default(),
             early: EarlyPackets::default(),
             held: HeldPackets::default(),
+            warm_up: WarmUpShares::default(),
             opening_queue: VecDeque::new(),
             search_queue: VecDeque::new(),
             next_hello_at: FastMap::default(),
@@ -348,8 +351,9 @@
         let digests = self.gossip.on_tick(now, &self.view);
         out.extend(digests.into_iter().map(send));
         let other_entries = self.gossip.reachable(now).count();
-        self.agents
-            .set_other_entries(u64::try_from(other_entries).unwrap_or(u64::MAX));
+        let other_entries = u64::try_from(other_entries).unwrap_or(u64::MAX);
+        self.agents.set_other_entries(other_entries);
+        self.warm_up.set_other_entries(other_entries);
         self.try_due_openings(now, out);
         self.run_due_searches(now, out);
         self.held.expire(now);
@@ -364,6 +368,7 @@
     /// Removes expired records. Called about once a second.
     pub fn on_slow_tick(&mut self, now: MonoTime) {
         self.flows.expire(now);
+        self.warm_up.expire(now);
         let oldest_us = now.as_us().saturating_sub(AGENT_EXPIRY_MS * 1_000);
         self.agents
             .remove_silent_since(MonoTime::from_us(oldest_us));
@@ -473,7 +478,7 @@
                     slots: record.slots,
                     revision: record.revision,
                 }),
-                warm_up: None,
+                warm_up: self.warm_up.hint(now, &self.view, record),
             };
             let message = Message::Hello(hello);
             out.push(EntryAction::Send {
--- a/crates/fes-passthrough/src/entry/mod.rs
+++ b/crates/fes-passthrough/src/entry/mod.rs
@@ -5,8 +5,10 @@
 mod opening;
 mod searching;
 mod status;
+mod warm_up;
 
 pub use entry_core::EntryAction;
 pub use entry_core::EntryCore;
 pub use status::AgentStatus;
 pub use status::EntryStatus;
+pub use warm_up::WarmUpStatus;
--- a/crates/fes-passthrough/src/entry/opening.rs
+++ b/crates/fes-passthrough/src/entry/opening.rs
@@ -177,6 +177,7 @@
         let context = PlacementContext {
             view: &self.view,
             agents: &self.agents,
+            warm_up: &self.warm_up,
             data_centre: &self.data_centre,
         };
         select_target(
@@ -267,6 +268,7 @@
         let packet = opening.packet.clone();
         let waited_ms = now.ms_since(opening.first_sent_at);
         self.agents.record_placed(now, selected.vm, is_stream);
+        self.warm_up.record_sent(now, &self.view, selected.vm);
         out.push(EntryAction::ForwardStored {
             vm: selected.vm,
             forward: Forward {
@@ -357,6 +359,7 @@
             .all(|a| a.initial_sequence.is_none())
         {
             self.try_next_target(now, flow, out);
+            self.refuse_if_limited(now, flow, out);
         }
     }
 
--- a/crates/fes-passthrough/src/entry/status.rs
+++ b/crates/fes-passthrough/src/entry/status.rs
@@ -8,6 +8,7 @@
 
 use crate::EntryCore;
 use crate::TargetState;
+use crate::WarmUpStatus;
 
 /// Status of an entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -25,6 +26,8 @@
     pub is_reader: bool,
     /// Targets that get no new flows because they are draining.
     pub leaving_targets: Vec<UpstreamName>,
+    /// Targets that get a limited number of new flows while they warm up, ordered by VM.
+    pub warming_up: Vec<WarmUpStatus>,
     /// Latest report of each agent, ordered by VM.
     pub agents: Vec<AgentStatus>,
 }
@@ -87,6 +90,7 @@
             list_age_ms: self.view.age_ms(now),
             is_reader: self.is_reader(now),
             leaving_targets: leaving.map(|target| target.id.clone()).collect(),
+            warming_up: self.warm_up_status(now),
             agents,
         }
     }
--- a/crates/fes-passthrough/src/flow_decision.rs
+++ b/crates/fes-passthrough/src/flow_decision.rs
@@ -17,8 +17,8 @@
     RefusedNoRoute,
     /// An opening packet was refused: no target is available.
     RefusedNoTarget,
-    /// An opening packet was refused: it was sent to the maximum number of targets, and all of them
-    /// returned it.
+    /// An opening packet was refused: all targets to which it was sent returned it, and either the
+    /// maximum number of targets was tried, or no other is available and one of them warms up.
     RefusedOverload,
     /// A packet was dropped: the routes aren't known yet or may be out of date.
     DroppedUnsure,
@@ -56,6 +56,9 @@
     GivenUpWaiting,
     /// A target or agent returned a packet.
     HandedBack,
+    /// An agent returned an opening packet, because its target is warming up and got the maximum
+    /// number of new flows in the last second; `load` is that number.
+    OverWarmUpLimit,
     /// An agent sent its first report, or reports again.
     AgentHeard,
     /// The reports of an agent have stopped.
@@ -110,6 +113,7 @@
             Self::TimedOutWaiting => "timed_out_waiting",
             Self::GivenUpWaiting => "given_up_waiting",
             Self::HandedBack => "handed_back",
+            Self::OverWarmUpLimit => "over_warm_up_limit",
             Self::AgentHeard => "agent_heard",
             Self::AgentSilent => "agent_silent",
             Self::AgentStopped => "agent_stopped",
--- a/crates/fes-passthrough/src/placement.rs
+++ b/crates/fes-passthrough/src/placement.rs
@@ -16,6 +16,8 @@
 use crate::ServiceTag;
 use crate::TargetRecord;
 use crate::TargetState;
+use crate::WarmUpRank;
+use crate::WarmUpShares;
 use crate::is_failing;
 use crate::outliers;
 use crate::preferred_targets;
@@ -55,6 +57,8 @@
     pub view: &'a FleetView,
     /// Reports of agents.
     pub agents: &'a AgentTable,
+    /// Openings sent to targets that warm up.
+    pub warm_up: &'a WarmUpShares,
     /// Data centre of the entry.
     pub data_centre: &'a DataCentreName,
 }
@@ -81,8 +85,22 @@
         let is_leaving = agent.is_some_and(|agent| agent.report().is_leaving);
         record.state == TargetState::Ready && !is_leaving && !excluded.contains(&record.vm)
     };
-    let targets = context.view.targets_of(service).filter(accepts_flows);
-    let candidates = preferred_targets(targets, flow, 0, CANDIDATES_PER_DATA_CENTRE);
+    let targets = || context.view.targets_of(service).filter(accepts_flows);
+    let is_repeated = !excluded.is_empty();
+    let rank =
+        |record: &TargetRecord| (context.warm_up).rank(now, context.view, record, is_repeated);
+    let mut candidates = preferred_targets(targets(), flow, 0, CANDIDATES_PER_DATA_CENTRE);
+    if candidates
+        .iter()
+        .any(|record| rank(record) > WarmUpRank::Usual)
+    {
+        // Targets beyond the first of the order may have to be preferred.
+        let lowest = targets().map(rank).min();
+        let preferred = targets().filter(|record| Some(rank(record)) == lowest);
+        let preferred = preferred_targets(preferred, flow, 0, CANDIDATES_PER_DATA_CENTRE);
+        candidates.retain(|record| Some(rank(record)) != lowest);
+        candidates.extend(preferred);
+    }
     let rotated = || {
         let offset = rotation.checked_rem(candidates.len()).unwrap_or(0);
         candidates[offset..].iter().chain(&candidates[..offset])
@@ -97,20 +115,23 @@
         false => FastSet::default(),
     };
     let is_outlier = |vm: Ipv4Addr| outliers.contains(&vm) && !may_try(now, context, vm, flow_use);
-    let reachable =
-        rotated().filter_map(|record| reported_candidate(now, context, record, flow_use));
-    let lowest_cost = reachable.min_by_key(|(is_avoided, selected)| {
+    let reachable = rotated().filter_map(|record| {
+        let (is_avoided, selected) = reported_candidate(now, context, record, flow_use)?;
+        Some((is_avoided, rank(record), selected))
+    });
+    let lowest_cost = reachable.min_by_key(|(is_avoided, rank, selected)| {
         let is_avoided = *is_avoided || is_outlier(selected.vm);
-        (is_avoided, selected.load)
+        (is_avoided, *rank, selected.load)
     });
-    if let Some((_, selected)) = lowest_cost {
+    if let Some((_, _, selected)) = lowest_cost {
         return Some(selected);
     }
     let is_any_reachable = context.agents.reachable(now).next().is_some();
     if is_any_reachable && !excluded.is_empty() {
         return None;
     }
-    rotated().next().map(|record| unreported_candidate(record))
+    let first = rotated().min_by_key(|record| rank(record));
+    first.map(|record| unreported_candidate(record))
 }
 
 /// Returns whether a flow may be placed on an outlier, to find out whether it still fails. Requests
--- a/crates/fes-passthrough/tests/support/simulation.rs
+++ b/crates/fes-passthrough/tests/support/simulation.rs
@@ -15,10 +15,12 @@
 use fes_passthrough::ListChange;
 use fes_passthrough::Message;
 use fes_passthrough::Outcome;
+use fes_passthrough::RouteSet;
 use fes_passthrough::Segment;
 use fes_passthrough::Sender;
 use fes_passthrough::TargetRecord;
 use fes_passthrough::TargetState;
+use fes_passthrough::WarmUpSettings;
 use fes_protocol::DataCentreName;
 use fes_protocol::MonoTime;
 use fes_protocol::UpstreamName;
@@ -59,6 +61,11 @@
     pub records: Vec<TargetRecord>,
     pub clients: Vec<Client>,
     pub loss_percent: u64,
+    /// Configuration and settings that entries get when they start.
+    pub routes: RouteSet,
+    pub warm_up: WarmUpSettings,
+    /// Opening packets that reached a target, with the time in milliseconds.
+    pub openings: Vec<(usize, FlowKey, u64)>,
     /// Number of decisions by outcome.
     pub outcomes: HashMap<&'static str, usize>,
     /// Packets of established flows that reached another target, with the time in milliseconds.
@@ -88,6 +95,9 @@
             records: Vec::new(),
             clients: Vec::new(),
             loss_percent: 0,
+            routes: routes(1, SERVICE),
+            warm_up: WarmUpSettings::default(),
+            openings: Vec::new(),
             outcomes: HashMap::new(),
             misrouted: Vec::new(),
             delivered: Vec::new(),
@@ -135,7 +145,8 @@
         self.incarnation += 1;
         let data_centre = DataCentreName::from("a");
         let seeds = [entry_vm(0), entry_vm(1)];
-        let entry = EntryCore::new(self.incarnation, entry_vm(index), data_centre, &seeds);
+        let mut entry = EntryCore::new(self.incarnation, entry_vm(index), data_centre, &seeds);
+        entry.set_warm_up_settings(self.warm_up);
         self.entries[index] = Some(entry);
     }
 
@@ -147,7 +158,7 @@
             .cloned()
             .map(ListChange::Target)
             .collect();
-        changes.push(ListChange::Routes(routes(1, SERVICE)));
+        changes.push(ListChange::Routes(self.routes.clone()));
         let (now, revision) = (self.now(), self.revision);
         let mut out = Vec::new();
         if let Some(entry) = &mut self.entries[index] {
@@ -435,7 +446,9 @@
         if !self.targets[index].is_running {
             return;
         }
-        if !segment.is_syn {
+        if segment.is_syn {
+            self.openings.push((index, segment.flow, self.now_ms));
+        } else {
             let holder = (0..self.targets.len()).find(|t| self.targets[*t].has_open(&segment.flow));
             match holder {
                 Some(holder) if holder == index => self.delivered.push((segment.flow, self.now_ms)),
