Test lost hints and hostile services of the warm-up limit

Cause: no test covered a restarted target whose hints are all lost, and the entry under hostile messages computed no limits.

Change: a_lost_hint_is_repeated loses them; the entry of hostile_messages has the largest settings.

--- a/crates/fes-passthrough/tests/hostile_messages.rs
+++ b/crates/fes-passthrough/tests/hostile_messages.rs
@@ -32,6 +32,7 @@
 use fes_passthrough::TargetsPart;
 use fes_passthrough::ViewDigest;
 use fes_passthrough::WarmUpHint;
+use fes_passthrough::WarmUpSettings;
 use fes_passthrough::WeightedService;
 use fes_passthrough::decode_message;
 use fes_passthrough::encode_message;
@@ -431,6 +432,10 @@
 
 fn started_entry() -> EntryCore {
     let mut entry = EntryCore::new(1, entry_vm(0), DataCentreName::from("a"), &[entry_vm(1)]);
+    entry.set_warm_up_settings(WarmUpSettings {
+        overage_per_mille: u32::MAX,
+        slack_per_mille: u32::MAX,
+    });
     let mut changes = vec![ListChange::Routes(routes(1, SERVICE))];
     changes.extend((0..3).map(|index| ListChange::Target(target(index, 1))));
     entry.on_listing(MonoTime::ZERO, changes, 1, &mut Vec::new());
--- a/crates/fes-passthrough/tests/warm_up_load.rs
+++ b/crates/fes-passthrough/tests/warm_up_load.rs
@@ -213,3 +213,25 @@
     assert_eq!(status.warming_up.len(), 1);
     assert_eq!(status.warming_up[0].max_openings_per_s, 23);
 }
+
+/// Guards against a hint that is sent only once. All messages about the restarted target are lost.
+#[test]
+fn a_lost_hint_is_repeated() {
+    let mut simulation = fleet((2, 1, 0), 500, OPENINGS_PER_1000_S);
+    add_clients(&mut simulation, 200);
+    simulation.run_until(FAULT_MS);
+    simulation.loss_percent = 100;
+    simulation.records[0].warm_up_ms = 60_000;
+    simulation.crash_target(0);
+    simulation.run_until(FAULT_MS + 40);
+    simulation.loss_percent = 0;
+
+    simulation.run_until(END_MS);
+
+    let warm = openings(&simulation, 0, START_MS, FAULT_MS);
+    assert!(most_in_a_second(&warm) > LIMIT);
+    // Hellos are sent five times a second.
+    let limited = openings(&simulation, 0, FAULT_MS + 300, END_MS);
+    assert!(!limited.is_empty());
+    assert!(most_in_a_second(&limited) <= LIMIT, "{limited:?}");
+}
