--- a/crates/fes-passthrough-node/src/agent_daemon.rs
+++ b/crates/fes-passthrough-node/src/agent_daemon.rs
@@ -48,6 +48,9 @@
 /// Upper limit of the drain time. Requests that run longer are left to the next incarnation of the
 /// agent, which learns their flows from the target.
 const MAX_DRAIN_MS: u64 = 1_500;
+/// Interval between two probes of a draining target while its agent stops. The platform may stop
+/// both at the same time, so that the first probe finds the target still running.
+const PROBE_PERIOD_MS: u64 = 50;
 /// Part of the stop grace period that is reserved for the exit of the process.
 const EXIT_MARGIN_MS: u64 = 700;
 
@@ -117,12 +120,18 @@
             READINESS_PATH,
             move || {
                 let core = node.core.borrow();
-                let (flows, streams, running) = core.load(node.context.now());
+                let now = node.context.now();
+                let (flows, streams, running) = core.load(now);
+                let warm_up = core.warm_up_in_force(now);
                 json!({
                     "flows": flows,
                     "streams": streams,
                     "running": running,
                     "entries": core.entry_count(),
+                    "warm_up": warm_up.map(|limit| json!({
+                        "remaining_ms": limit.remaining_ms,
+                        "max_openings_per_s": limit.max_openings_per_s,
+                    })),
                 })
             },
         )
@@ -335,10 +344,12 @@
             .borrow_mut()
             .begin_stop(started_at, end_by, &mut actions);
         self.perform(actions, &[]);
-        if self.target_probe.has_ended().await {
-            self.core.borrow_mut().record_target_ended();
-        }
+        let mut next_probe_at = started_at;
         while !self.advance_stop() {
+            if self.context.now() >= next_probe_at {
+                self.probe_target().await;
+                next_probe_at = self.context.now().plus_ms(PROBE_PERIOD_MS);
+            }
             sleep(Duration::from_millis(STOP_CHECK_MS)).await;
         }
         let now = self.context.now();
@@ -346,6 +357,13 @@
         self.log_end(now, started_at, running);
     }
 
+    /// Finds out whether the target has ended.
+    async fn probe_target(&self) {
+        if self.target_probe.has_ended().await {
+            self.core.borrow_mut().record_target_ended();
+        }
+    }
+
     /// Returns whether the process may exit.
     fn advance_stop(&self) -> bool {
         let mut actions = Vec::new();
--- a/crates/fes-passthrough-node/src/target_probe.rs
+++ b/crates/fes-passthrough-node/src/target_probe.rs
@@ -48,7 +48,9 @@
         }
         let error = self.connect().await.and_then(Result::err);
         let has_ended = error.is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused);
-        log::info!(target: log_target::FLOWS, "event=target_probe phase=stop has_ended={has_ended}");
+        if has_ended {
+            log::info!(target: log_target::FLOWS, "event=target_probe phase=stop has_ended=true");
+        }
         has_ended
     }
 
--- a/crates/fes-passthrough/src/entry/status.rs
+++ b/crates/fes-passthrough/src/entry/status.rs
@@ -10,6 +10,7 @@
 use crate::EntryCore;
 use crate::Evacuation;
 use crate::TargetState;
+use crate::WarmUpStatus;
 
 /// Status of an entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -29,6 +30,8 @@
     pub leaving_targets: Vec<UpstreamName>,
     /// Evacuations in force, ordered by data centre.
     pub evacuations: Vec<EvacuationStatus>,
+    /// Targets that get a limited number of new flows while they warm up, ordered by VM.
+    pub warming_up: Vec<WarmUpStatus>,
     /// Latest report of each agent, ordered by VM.
     pub agents: Vec<AgentStatus>,
 }
@@ -103,6 +106,7 @@
             is_reader: self.is_reader(now),
             leaving_targets: leaving.map(|target| target.id.clone()).collect(),
             evacuations: self.evacuation_statuses(now),
+            warming_up: self.warm_up_status(now),
             agents,
         }
     }
--- a/crates/fes-passthrough/src/view_gossip.rs
+++ b/crates/fes-passthrough/src/view_gossip.rs
@@ -339,16 +339,23 @@
         let reassembly = self.route_parts.entry(from).or_default();
         if reassembly.record(response, part.index) {
             reassembly.routes.extend(part.routes.iter().cloned());
+            reassembly.services.extend(&part.services);
         }
         if !reassembly.is_complete() {
             return None;
         }
-        let routes = std::mem::take(reassembly).routes;
+        let Reassembly {
+            routes, services, ..
+        } = std::mem::take(reassembly);
         let by_destination = routes.into_iter().map(|route| (route.destination, route));
+        let by_service = services
+            .into_iter()
+            .map(|service| (service.service, service));
         Some(ListChange::Routes(RouteSet {
             version: part.version,
             idle_timeout_ms: part.idle_timeout_ms,
             routes: by_destination.collect(),
+            warm_ups: by_service.collect(),
         }))
     }
 
@@ -390,7 +397,10 @@
                 true => digest.revision,
                 false => 0,
             };
-            let parts = targets_parts(view, since_revision, age_ms);
+            let mut parts = targets_parts(view, since_revision, age_ms);
+            let targets = parts.iter_mut().flat_map(|part| &mut part.targets);
+            // The record holds the time that was left when it was written.
+            targets.for_each(|t| t.warm_up_ms = view.warm_up_remaining_ms(now, &t.id));
             messages.extend(parts.into_iter().map(Message::Targets));
         }
         messages.into_iter().map(|message| (to, message)).collect()
--- a/crates/fes-passthrough/src/view_parts.rs
+++ b/crates/fes-passthrough/src/view_parts.rs
@@ -7,10 +7,13 @@
 use crate::Route;
 use crate::RouteSet;
 use crate::RoutesPart;
+use crate::ServiceWarmUp;
 use crate::TargetsPart;
 
-/// Routes and targets that fit into one message; each takes about 60 to 90 bytes.
+/// Routes, services and targets that fit into one message: a route or target takes about 60 to 90
+/// bytes, a service at most 14.
 const ROUTES_PER_PART: usize = 16;
+const SERVICES_PER_PART: usize = 32;
 const TARGETS_PER_PART: usize = 14;
 /// Upper bound on the parts of one response, beyond the largest fleet that the design allows for.
 const MAX_PARTS: usize = 4_096;
@@ -29,6 +32,7 @@
     response: ResponseKey,
     parts_received: Vec<bool>,
     pub(crate) routes: Vec<Route>,
+    pub(crate) services: Vec<ServiceWarmUp>,
     pub(crate) listed: FastSet<UpstreamName>,
     /// Whether a part had no evacuations, so that those of its revision remain unknown.
     pub(crate) is_without_evacuations: bool,
@@ -59,29 +63,25 @@
     }
 }
 
-/// Splits a configuration into parts.
+/// Returns the parts of a configuration, at least one.
 pub(crate) fn routes_parts(set: &RouteSet) -> impl Iterator<Item = RoutesPart> {
     let mut routes: Vec<Route> = set.routes.values().cloned().collect();
     routes.sort_unstable_by_key(|route| route.destination);
-    let chunks: Vec<Vec<Route>> = match routes.is_empty() {
-        true => vec![Vec::new()],
-        false => routes
-            .chunks(ROUTES_PER_PART)
-            .map(<[Route]>::to_vec)
-            .collect(),
-    };
-    let count = u32::try_from(chunks.len()).unwrap_or(u32::MAX);
-    chunks
-        .into_iter()
-        .zip(0..)
-        .map(move |(routes, index)| RoutesPart {
-            version: set.version,
-            idle_timeout_ms: set.idle_timeout_ms,
-            index,
-            count,
-            routes,
-            services: Vec::new(),
-        })
+    let mut services: Vec<ServiceWarmUp> = set.warm_ups.values().copied().collect();
+    services.sort_unstable_by_key(|service| service.service);
+    let count = (routes.len().div_ceil(ROUTES_PER_PART))
+        .max(services.len().div_ceil(SERVICES_PER_PART))
+        .max(1);
+    let (version, idle_timeout_ms) = (set.version, set.idle_timeout_ms);
+    let to_u32 = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+    (0..count).map(move |index| RoutesPart {
+        version,
+        idle_timeout_ms,
+        index: to_u32(index),
+        count: to_u32(count),
+        routes: chunk(&routes, ROUTES_PER_PART, index),
+        services: chunk(&services, SERVICES_PER_PART, index),
+    })
 }
 
 /// Splits the changes after a revision into parts. There is always at least one part, so that a
@@ -118,3 +118,8 @@
     };
     (0..count).map(part).collect()
 }
+
+fn chunk<T: Clone>(items: &[T], size: usize, index: usize) -> Vec<T> {
+    let chunk = items.chunks(size).nth(index);
+    chunk.map(<[T]>::to_vec).unwrap_or_default()
+}
--- a/crates/fes-passthrough/tests/evacuation.rs
+++ b/crates/fes-passthrough/tests/evacuation.rs
@@ -5,6 +5,7 @@
 
 use fes_passthrough::AgentAction;
 use fes_passthrough::AgentCore;
+use fes_passthrough::FlowKey;
 use fes_passthrough::FlowUse;
 use fes_passthrough::Forward;
 use fes_passthrough::ForwardMode;
@@ -61,8 +62,9 @@
 
 /// Returns the number of opening packets that reached data centre b during a time.
 fn openings_in_b(simulation: &Simulation, from_ms: u64, until_ms: u64) -> usize {
-    let is_counted =
-        |(target, at_ms): &&(usize, u64)| target % 3 == 1 && (from_ms..until_ms).contains(at_ms);
+    let is_counted = |(target, _, at_ms): &&(usize, FlowKey, u64)| {
+        target % 3 == 1 && (from_ms..until_ms).contains(at_ms)
+    };
     simulation.openings.iter().filter(is_counted).count()
 }
 
--- a/crates/fes-passthrough/tests/support/simulation.rs
+++ b/crates/fes-passthrough/tests/support/simulation.rs
@@ -16,10 +16,12 @@
 use fes_passthrough::ListChange;
 use fes_passthrough::Message;
 use fes_passthrough::Outcome;
+use fes_passthrough::RouteSet;
 use fes_passthrough::Segment;
 use fes_passthrough::Sender;
 use fes_passthrough::TargetRecord;
 use fes_passthrough::TargetState;
+use fes_passthrough::WarmUpSettings;
 use fes_protocol::DataCentreName;
 use fes_protocol::MonoTime;
 use fes_protocol::UpstreamName;
@@ -60,14 +62,17 @@
     pub records: Vec<TargetRecord>,
     pub clients: Vec<Client>,
     pub loss_percent: u64,
+    /// Configuration and settings that entries get when they start.
+    pub routes: RouteSet,
+    pub warm_up: WarmUpSettings,
+    /// Opening packets that reached a target, with the time in milliseconds.
+    pub openings: Vec<(usize, FlowKey, u64)>,
     /// Number of decisions by outcome.
     pub outcomes: HashMap<&'static str, usize>,
     /// Packets of established flows that reached another target, with the time in milliseconds.
     pub misrouted: Vec<(FlowKey, u64)>,
     /// Packets that reached the target that holds their flow, with the time in milliseconds.
     pub delivered: Vec<(FlowKey, u64)>,
-    /// Opening packets that reached a target: its index and the time in milliseconds.
-    pub openings: Vec<(usize, u64)>,
     /// Evacuations that the platform lists.
     pub evacuations: Vec<Evacuation>,
     /// Number of messages that entries sent or received, apart from heartbeats and gossip.
@@ -93,10 +98,12 @@
             records: Vec::new(),
             clients: Vec::new(),
             loss_percent: 0,
+            routes: routes(1, SERVICE),
+            warm_up: WarmUpSettings::default(),
+            openings: Vec::new(),
             outcomes: HashMap::new(),
             misrouted: Vec::new(),
             delivered: Vec::new(),
-            openings: Vec::new(),
             evacuations: Vec::new(),
             entry_messages: 0,
             packets: Vec::new(),
@@ -142,7 +149,8 @@
         self.incarnation += 1;
         let data_centre = DataCentreName::from("a");
         let seeds = [entry_vm(0), entry_vm(1)];
-        let entry = EntryCore::new(self.incarnation, entry_vm(index), data_centre, &seeds);
+        let mut entry = EntryCore::new(self.incarnation, entry_vm(index), data_centre, &seeds);
+        entry.set_warm_up_settings(self.warm_up);
         self.entries[index] = Some(entry);
     }
 
@@ -154,7 +162,7 @@
             .cloned()
             .map(ListChange::Target)
             .collect();
-        changes.push(ListChange::Routes(routes(1, SERVICE)));
+        changes.push(ListChange::Routes(self.routes.clone()));
         let evacuations = self.evacuations.iter().cloned();
         changes.extend(evacuations.map(ListChange::Evacuation));
         let (now, revision) = (self.now(), self.revision);
@@ -477,7 +485,7 @@
             return;
         }
         if segment.is_syn {
-            self.openings.push((index, self.now_ms));
+            self.openings.push((index, segment.flow, self.now_ms));
         } else {
             let holder = (0..self.targets.len()).find(|t| self.targets[*t].has_open(&segment.flow));
             match holder {
