Report the mean run time of a target's requests

Placement compares targets by requests per slot, because entries don't know how fast a target is. LoadReport::run_time_us was always 0.

The agent now reports a robust mean. Run times above twice the mean count as twice the mean, until three in a row confirm that the target has become slow; three below a quarter confirm that it has recovered. A measurement expires after 5 s. The estimate of the queue (RunTime) is unchanged. The status of an entry shows the value of each agent.

--- a/crates/fes-passthrough/src/agent/agent_core.rs
+++ b/crates/fes-passthrough/src/agent/agent_core.rs
@@ -15,6 +15,7 @@
 use crate::Forward;
 use crate::Message;
 use crate::Outcome;
+use crate::ReportedRunTime;
 use crate::RequestQueue;
 use crate::Segment;
 use crate::ServiceTag;
@@ -101,6 +102,7 @@
     pub(super) pending_lookups: FastMap<FlowKey, PendingLookup>,
     pub(super) target_monitor: TargetMonitor,
     pub(super) failure_rate: FailureRate,
+    pub(super) reported_run_time: ReportedRunTime,
     pub(super) entries: FastMap<Ipv4Addr, EntryState>,
 }
 
@@ -134,6 +136,7 @@
             pending_lookups: FastMap::default(),
             target_monitor: TargetMonitor::default(),
             failure_rate: FailureRate::default(),
+            reported_run_time: ReportedRunTime::default(),
             entries: FastMap::default(),
         }
     }
--- a/crates/fes-passthrough/src/agent/heartbeats.rs
+++ b/crates/fes-passthrough/src/agent/heartbeats.rs
@@ -12,6 +12,7 @@
 use crate::LoadReport;
 use crate::Message;
 use crate::Outcome;
+use crate::ReportedRunTime;
 use crate::TargetHint;
 use crate::TargetState;
 
@@ -100,6 +101,7 @@
         if is_new_instance {
             self.target_monitor.reset();
             self.failure_rate.reset();
+            self.reported_run_time = ReportedRunTime::default();
         }
         if is_change {
             let decision = FlowDecision::new(Outcome::TargetChanged)
@@ -134,7 +136,7 @@
             is_complete: self.is_complete(now),
             is_silent: self.target_monitor.is_silent(now),
             is_leaving: self.is_leaving(),
-            run_time_us: 0,
+            run_time_us: self.reported_run_time.mean_us(now),
         };
         for entry in entries {
             if let Some(state) = self.entries.get_mut(&entry) {
--- a/crates/fes-passthrough/src/agent/request_results.rs
+++ b/crates/fes-passthrough/src/agent/request_results.rs
@@ -23,6 +23,7 @@
             true => Outcome::Failed,
             false => {
                 self.queue.record_run(end.run_us);
+                self.reported_run_time.record(now, end.run_us);
                 Outcome::Answered
             }
         };
--- a/crates/fes-passthrough/src/entry/status.rs
+++ b/crates/fes-passthrough/src/entry/status.rs
@@ -50,6 +50,8 @@
     pub is_silent: bool,
     /// Share of the latest requests that failed at the target, in thousandths.
     pub failures_per_mille: u32,
+    /// Mean run time of the target's requests, in microseconds; 0 if none was measured.
+    pub run_time_us: u32,
     /// Whether the agent knows all flows of its target.
     pub is_complete: bool,
 }
@@ -75,6 +77,7 @@
                     is_leaving: report.is_leaving,
                     is_silent: report.is_silent,
                     failures_per_mille: report.failures_per_mille,
+                    run_time_us: report.run_time_us,
                     is_complete: report.is_complete,
                 }
             })
--- a/crates/fes-passthrough/tests/entry_status.rs
+++ b/crates/fes-passthrough/tests/entry_status.rs
@@ -5,9 +5,25 @@
 use fes_passthrough::TargetState;
 use fes_protocol::MonoTime;
 
+use support::client::Client;
+use support::fixtures::flow;
+use support::fixtures::once_address;
 use support::fixtures::vm;
 use support::simulation::Simulation;
 
+/// Guards against a status that doesn't show the run times by which targets are chosen.
+#[test]
+fn the_status_shows_run_times() {
+    let mut simulation = Simulation::new(1, 1, 2, 20, 1);
+    simulation.add_client(Client::new(flow(1, once_address()), 1, 0), 500);
+    simulation.run_until(1_000);
+
+    let entry = simulation.entries[0].as_ref().expect("the entry runs");
+    let status = entry.status(MonoTime::from_ms(1_000));
+
+    assert_eq!(status.agents[0].run_time_us, 20_000);
+}
+
 /// Guards against a status that doesn't show a leaving target or a silent agent.
 #[test]
 fn the_status_names_leaving_targets_and_old_reports() {
