Place flows by the relative run times of targets

Targets differ in speed by more than a factor of two, but got equal shares, so that slow ones were overloaded.

The cost of a target now includes its run time relative to the median of the candidates. A difference of up to an eighth is ignored, values are limited to between a third and eight times the median, and the weight of a report falls to 0 as it ages from one period to its timeout. A slow target that is idle gets single requests from time to time, so that its recovery is noticed. Without reports of run times, or with equal ones, the choice is the same as before. The mechanism "capacity-cost" can be switched off in builds with `ablation`.

The request's own run time counts half instead of fully.

--- a/crates/fes-passthrough/src/agent_table.rs
+++ b/crates/fes-passthrough/src/agent_table.rs
@@ -22,6 +22,12 @@
 const MAX_UNANSWERED_OPENINGS: u32 = 2;
 /// Interval at which all entries together place a flow on a failing target.
 const TRIAL_INTERVAL_MS: u64 = 500;
+/// Interval at which all entries together place a flow on an idle slow target. It is short, because
+/// the request is answered, if late, and several are needed to confirm that the target recovered.
+const SPEED_TRIAL_INTERVAL_MS: u64 = 250;
+/// Time after a measurement by any entry before an idle slow target is tried again. With many
+/// entries, of which each places few flows, the interval alone would let all of them try it.
+const MEASURED_FOR_MS: u64 = 500;
 /// Time for which a target is avoided before it is tried again.
 const AVOID_MS: u64 = 700;
 
@@ -55,6 +61,8 @@
     avoid_until: MonoTime,
     /// When a flow may be placed on a failing target again, to find out whether it still fails.
     trial_at: MonoTime,
+    /// When a flow may be placed on an idle slow target again, to find out whether it still is slow.
+    speed_trial_at: MonoTime,
 }
 
 impl AgentState {
@@ -82,6 +90,17 @@
         now.ms_since(self.last_report_at)
     }
 
+    /// Returns the weight of the latest report in thousandths. It is full for a report that is no
+    /// older than its period, and falls to 0 until the agent counts as silent.
+    #[must_use]
+    pub fn report_freshness_per_mille(&self, now: MonoTime) -> u64 {
+        let timeout_us = self.silent_at.us_since(self.last_report_at);
+        let full_weight_us = timeout_us / MAX_MISSED_REPORTS;
+        let remaining_us = self.silent_at.us_since(now);
+        let fading_us = (timeout_us - full_weight_us).max(1);
+        (remaining_us.saturating_mul(1_000) / fading_us).min(1_000)
+    }
+
     /// Returns whether the target is avoided because it didn't answer or accept opening packets.
     #[must_use]
     pub fn is_avoided(&self, now: MonoTime) -> bool {
@@ -94,6 +113,12 @@
         now >= self.trial_at
     }
 
+    /// Returns whether a flow may be placed on the target although it is idle because it is slow.
+    #[must_use]
+    pub fn is_speed_trial_due(&self, now: MonoTime) -> bool {
+        now >= self.speed_trial_at
+    }
+
     /// Returns the numbers of flows and of streams that were placed recently and that the latest
     /// report doesn't include yet.
     #[must_use]
@@ -173,6 +198,7 @@
                 unanswered_openings: 0,
                 avoid_until: MonoTime::ZERO,
                 trial_at: now.plus_ms(trial_interval_ms),
+                speed_trial_at: now,
             };
             self.agents.insert(vm, agent);
             return ReportEffect::Heard;
@@ -181,6 +207,11 @@
         if agent.process != AgentProcess::Running && !is_restarted {
             return ReportEffect::None;
         }
+        let is_measured = report.running > 0 || report.run_time_us != agent.report.run_time_us;
+        if is_measured {
+            let next_at = now.plus_ms(MEASURED_FOR_MS);
+            agent.speed_trial_at = agent.speed_trial_at.max(next_at);
+        }
         let was_silent = agent.is_reported_silent;
         agent.process = AgentProcess::Running;
         agent.report = report;
@@ -201,10 +232,12 @@
     /// Records that an opening packet was sent to the agent.
     pub fn record_placed(&mut self, now: MonoTime, vm: Ipv4Addr, is_stream: bool) {
         let trial_interval_ms = self.trial_interval_ms();
+        let speed_trial_interval_ms = SPEED_TRIAL_INTERVAL_MS * (self.other_entries + 1);
         let Some(agent) = self.agents.get_mut(&vm) else {
             return;
         };
         agent.trial_at = now.plus_ms(trial_interval_ms);
+        agent.speed_trial_at = now.plus_ms(speed_trial_interval_ms);
         agent
             .recent_placements
             .push_back(RecentPlacement { at: now, is_stream });
--- a/crates/fes-passthrough/src/entry/opening.rs
+++ b/crates/fes-passthrough/src/entry/opening.rs
@@ -282,7 +282,7 @@
             .vm(selected.vm)
             .age_ms(selected.report_age_ms)
             .version(self.view.revision())
-            .load(selected.load);
+            .load(u64::try_from(selected.load).unwrap_or(0));
         out.push(EntryAction::Record(decision));
     }
 
--- a/crates/fes-passthrough/src/mechanism.rs
+++ b/crates/fes-passthrough/src/mechanism.rs
@@ -25,13 +25,15 @@
     WarmUpCost,
     /// The cost of a target in another data centre is higher.
     RemoteCost,
+    /// The cost of a target includes its run time relative to the service's other targets.
+    CapacityCost,
     /// Another target is tried if none has accepted a flow.
     FurtherAttempts,
 }
 
 impl Mechanism {
     /// All mechanisms.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Outliers,
         Self::FailureCost,
         Self::OpeningAge,
@@ -39,6 +41,7 @@
         Self::AgentQueue,
         Self::WarmUpCost,
         Self::RemoteCost,
+        Self::CapacityCost,
         Self::FurtherAttempts,
     ];
 
@@ -53,6 +56,7 @@
             Self::AgentQueue => "agent-queue",
             Self::WarmUpCost => "warm-up-cost",
             Self::RemoteCost => "remote-cost",
+            Self::CapacityCost => "capacity-cost",
             Self::FurtherAttempts => "further-attempts",
         }
     }
--- a/crates/fes-passthrough/src/placement.rs
+++ b/crates/fes-passthrough/src/placement.rs
@@ -1,5 +1,5 @@
-//! Selects the target of a new flow: the least expected load relative to the target's slots,
-//! according to the agents' reports.
+//! Selects the target of a new flow: the least expected load relative to the target's slots and its
+//! speed, according to the agents' reports.
 
 use std::net::Ipv4Addr;
 
@@ -7,18 +7,21 @@
 use fes_protocol::FastSet;
 use fes_protocol::MonoTime;
 
+use crate::AgentState;
 use crate::AgentTable;
 use crate::CANDIDATES_PER_DATA_CENTRE;
 use crate::FleetView;
 use crate::FlowKey;
 use crate::FlowUse;
 use crate::Mechanism;
+use crate::RelativeRunTime;
 use crate::ServiceTag;
 use crate::TargetRecord;
 use crate::TargetState;
 use crate::is_failing;
 use crate::outliers;
 use crate::preferred_targets;
+use crate::typical_run_time_us;
 
 /// Additional cost of a target in another data centre, in thousandths of its slots: a request there
 /// takes two more trips between data centres, and its traffic is more expensive.
@@ -27,7 +30,7 @@
 const STREAM_COST_MILLISLOTS: u64 = 30;
 /// Weight of the current load when a stream is placed, in percent. It is less than 100 because a
 /// stream lasts longer than the current load.
-const STREAM_CURRENT_LOAD_PERCENT: u64 = 30;
+pub(crate) const STREAM_CURRENT_LOAD_PERCENT: u64 = 30;
 /// Cost of load on a target that is warming up, in percent of its cost on other targets.
 const WARM_UP_LOAD_PERCENT: u64 = 160;
 /// Additional cost of a target that is warming up, in thousandths of its slots.
@@ -43,7 +46,8 @@
     /// Start time of the target, in milliseconds since the epoch.
     pub started_at_ms: u64,
     /// Cost of the target: its expected load and the additional costs, in thousandths of its slots.
-    pub load: u64,
+    /// Negative for an idle target that is faster than the service's other targets.
+    pub load: i64,
     /// Age of the agent's report, in milliseconds; [`u64::MAX`] if there is none.
     pub report_age_ms: u64,
 }
@@ -97,8 +101,9 @@
         false => FastSet::default(),
     };
     let is_outlier = |vm: Ipv4Addr| outliers.contains(&vm) && !may_try(now, context, vm, flow_use);
-    let reachable =
-        rotated().filter_map(|record| reported_candidate(now, context, record, flow_use));
+    let typical_us = typical_us(now, context, &candidates);
+    let reachable = rotated()
+        .filter_map(|record| reported_candidate(now, context, record, flow_use, typical_us));
     let lowest_cost = reachable.min_by_key(|(is_avoided, selected)| {
         let is_avoided = *is_avoided || is_outlier(selected.vm);
         (is_avoided, selected.load)
@@ -120,6 +125,43 @@
     flow_use != FlowUse::NonRepeatable && agent.is_some_and(|agent| agent.is_trial_due(now))
 }
 
+/// Returns the run time of a typical candidate in microseconds, if any reports one.
+fn typical_us(
+    now: MonoTime,
+    context: PlacementContext<'_>,
+    candidates: &[&TargetRecord],
+) -> Option<u64> {
+    if !Mechanism::CapacityCost.is_enabled() {
+        return None;
+    }
+    let agents = candidates
+        .iter()
+        .filter_map(|record| context.agents.get(record.vm));
+    let current = agents.filter(|agent| agent.is_reachable(now));
+    typical_run_time_us(current.map(|agent| agent.report().run_time_us))
+}
+
+/// Returns the run time of the agent's target relative to typical ones.
+///
+/// A slow target that gets no requests would never be found to have recovered. If it is idle and a
+/// trial is due, it counts as a typical one for a flow with a single request.
+fn relative_run_time(
+    now: MonoTime,
+    agent: &AgentState,
+    requests: u64,
+    flow_use: FlowUse,
+    typical_us: Option<u64>,
+) -> RelativeRunTime {
+    let freshness_per_mille = agent.report_freshness_per_mille(now);
+    let relative =
+        RelativeRunTime::new(agent.report().run_time_us, typical_us, freshness_per_mille);
+    let may_try = requests == 0 && flow_use != FlowUse::Stream && agent.is_speed_trial_due(now);
+    match may_try && relative.is_slow() {
+        true => RelativeRunTime::TYPICAL,
+        false => relative,
+    }
+}
+
 /// Returns the target as a candidate if its agent has a current report, and whether it should be
 /// selected only if there are no others.
 fn reported_candidate(
@@ -127,6 +169,7 @@
     context: PlacementContext<'_>,
     record: &TargetRecord,
     flow_use: FlowUse,
+    typical_us: Option<u64>,
 ) -> Option<(bool, SelectedTarget)> {
     let agent = context.agents.get(record.vm)?;
     let report = agent.report();
@@ -137,9 +180,9 @@
     let slots = u64::from(record.slots.max(1));
     let requests = u64::from(report.running) + u64::from(report.waiting) + u64::from(placed);
     let current_load = requests * 1_000 / slots;
+    let streams = u64::from(report.streams) + u64::from(placed_streams);
     let mut load = match flow_use {
         FlowUse::Stream => {
-            let streams = u64::from(report.streams) + u64::from(placed_streams);
             streams * STREAM_COST_MILLISLOTS / slots
                 + current_load * STREAM_CURRENT_LOAD_PERCENT / 100
         }
@@ -148,6 +191,13 @@
     if Mechanism::WarmUpCost.is_enabled() && context.view.is_warming_up(now, &record.id) {
         load = load * WARM_UP_LOAD_PERCENT / 100 + WARM_UP_COST_PER_MILLE;
     }
+    let run_time = relative_run_time(now, agent, requests, flow_use, typical_us);
+    let speed_cost = match flow_use {
+        FlowUse::Stream => {
+            run_time.stream_cost(current_load, (streams + 1) * STREAM_COST_MILLISLOTS / slots)
+        }
+        FlowUse::Repeatable | FlowUse::NonRepeatable => run_time.request_cost(current_load),
+    };
     let is_remote = record.data_centre != *context.data_centre;
     if Mechanism::RemoteCost.is_enabled() && is_remote {
         load += CROSS_DATA_CENTRE_COST_PER_MILLE;
@@ -155,11 +205,12 @@
     if Mechanism::FailureCost.is_enabled() && !is_failing(report.failures_per_mille) {
         load += u64::from(report.failures_per_mille);
     }
+    let load = i64::try_from(load).unwrap_or(i64::MAX);
     let selected = SelectedTarget {
         vm: record.vm,
         service: record.service,
         started_at_ms: record.started_at_ms,
-        load,
+        load: load.saturating_add(speed_cost),
         report_age_ms: agent.age_ms(now),
     };
     Some((agent.is_avoided(now) || report.is_silent, selected))
--- a/crates/fes-passthrough/tests/support/simulation.rs
+++ b/crates/fes-passthrough/tests/support/simulation.rs
@@ -67,6 +67,8 @@
     pub delivered: Vec<(FlowKey, u64)>,
     /// Number of messages that entries sent or received, apart from heartbeats and gossip.
     pub entry_messages: usize,
+    /// Whether agents report run times, which those of older versions don't.
+    pub has_run_times: bool,
     packets: Vec<Segment>,
     queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
     events: Vec<Option<Event>>,
@@ -92,6 +94,7 @@
             misrouted: Vec::new(),
             delivered: Vec::new(),
             entry_messages: 0,
+            has_run_times: true,
             packets: Vec::new(),
             queue: BinaryHeap::new(),
             events: Vec::new(),
@@ -572,7 +575,18 @@
         }
     }
 
-    fn send_to_process(&mut self, to: Ipv4Addr, from: Ipv4Addr, message: Message, packet: Vec<u8>) {
+    fn send_to_process(
+        &mut self,
+        to: Ipv4Addr,
+        from: Ipv4Addr,
+        mut message: Message,
+        packet: Vec<u8>,
+    ) {
+        if let Message::Load(report) = &mut message
+            && !self.has_run_times
+        {
+            report.run_time_us = 0;
+        }
         if let Some(index) = (0..self.agents.len()).find(|i| vm(*i) == to) {
             self.send(Event::AgentMessage(index, from, message, packet));
         } else if let Some(index) = (0..self.entries.len()).find(|i| entry_vm(*i) == to) {
--- a/crates/fes-passthrough/tests/support/target.rs
+++ b/crates/fes-passthrough/tests/support/target.rs
@@ -8,6 +8,8 @@
 use fes_passthrough::Segment;
 use fes_passthrough::Sender;
 
+use super::fixtures::stream_address;
+
 const RESPONSE_BYTES: u16 = 100;
 
 #[derive(Debug, Clone)]
@@ -38,6 +40,11 @@
     pub started_at_ms: u64,
     pub slots: usize,
     pub work_ms: u64,
+    /// Whether requests run for half to one and a half of `work_ms`, and one in 33 seven times as
+    /// long.
+    pub has_varying_work: bool,
+    /// Work of a request of a stream, if it differs from that of other requests.
+    pub stream_work_ms: Option<u64>,
     /// Whether it resets the flow of each request instead of running it.
     pub resets_requests: bool,
     /// Whether it returns opening packets, as a target that has crashed.
@@ -46,7 +53,10 @@
     pub received_requests: usize,
     /// Number of completed requests.
     pub completed_requests: usize,
+    /// Total time for which slots were in use.
+    pub busy_ms: u64,
     running_requests: usize,
+    started_requests: u64,
     queue: VecDeque<FlowKey>,
     flows: HashMap<FlowKey, TargetFlow>,
 }
@@ -58,11 +68,15 @@
             started_at_ms: 1_000,
             slots,
             work_ms,
+            has_varying_work: false,
+            stream_work_ms: None,
             resets_requests: false,
             rejects_flows: false,
             received_requests: 0,
             completed_requests: 0,
+            busy_ms: 0,
             running_requests: 0,
+            started_requests: 0,
             queue: VecDeque::new(),
             flows: HashMap::new(),
         }
@@ -146,6 +160,21 @@
         actions
     }
 
+    fn next_work_ms(&mut self, flow: FlowKey) -> u64 {
+        let stream_work_ms = self.stream_work_ms;
+        let stream_work_ms = stream_work_ms.filter(|_| flow.destination == stream_address());
+        let work_ms = stream_work_ms.unwrap_or(self.work_ms);
+        if !self.has_varying_work {
+            return work_ms;
+        }
+        self.started_requests += 1;
+        let varied_ms = work_ms * (10 + self.started_requests * 7 % 21) / 20;
+        match self.started_requests.is_multiple_of(33) {
+            true => varied_ms * 7,
+            false => varied_ms,
+        }
+    }
+
     fn accept(&mut self, segment: &Segment, initial_sequence: u32) -> Segment {
         let flow_state = self.flows.entry(segment.flow).or_insert(TargetFlow {
             initial_sequence,
@@ -167,7 +196,8 @@
                 break;
             };
             self.running_requests += 1;
-            let work_ms = self.work_ms;
+            let work_ms = self.next_work_ms(flow);
+            self.busy_ms += work_ms;
             actions.push(TargetAction::Run { flow, work_ms });
         }
         actions
