--- a/crates/fes-passthrough/src/agent/agent_core.rs
+++ b/crates/fes-passthrough/src/agent/agent_core.rs
@@ -15,6 +15,7 @@
 use crate::Forward;
 use crate::Message;
 use crate::Outcome;
+use crate::ReportedRunTime;
 use crate::RequestQueue;
 use crate::Segment;
 use crate::ServiceTag;
@@ -103,6 +104,7 @@
     pub(super) target_monitor: TargetMonitor,
     pub(super) failure_rate: FailureRate,
     pub(super) warm_up: WarmUpBudget,
+    pub(super) reported_run_time: ReportedRunTime,
     pub(super) entries: FastMap<Ipv4Addr, EntryState>,
 }
 
@@ -137,6 +139,7 @@
             target_monitor: TargetMonitor::default(),
             failure_rate: FailureRate::default(),
             warm_up: WarmUpBudget::new(now, is_first_start),
+            reported_run_time: ReportedRunTime::default(),
             entries: FastMap::default(),
         }
     }
