Move the decoding of log lines to its own module

The timeline of a recovery reads the same lines as the explanation of a request. LogLine, field and timestamp move unchanged from explain_logs to log_line.

--- a/crates/fes-passthrough-node/src/explain_logs.rs
+++ b/crates/fes-passthrough-node/src/explain_logs.rs
@@ -3,18 +3,13 @@
 
 use std::fmt::Write;
 
+use crate::log_line::LogLine;
+use crate::log_line::field;
+use crate::log_line::timestamp;
+
 /// Maximum number of lines per flow. Later lines are taken to belong to later requests of the flow.
 const MAX_FLOW_LINES: usize = 200;
 
-/// A log line and its file.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LogLine<'a> {
-    /// Name of the file.
-    pub file: &'a str,
-    /// Text of the line.
-    pub text: &'a str,
-}
-
 /// Explanation of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Explanation<'a> {
@@ -102,17 +97,3 @@
         () => "These lines don't show that the request was sent to a target.",
     }
 }
-
-/// Returns the value of a field of a line.
-fn field<'a>(text: &'a str, name: &str) -> Option<&'a str> {
-    let mut words = text.split_ascii_whitespace();
-    words.find_map(|word| word.strip_prefix(name)?.strip_prefix('='))
-}
-
-/// Returns the timestamp of a line, or an empty text if it has none. A log collector may have put
-/// other words in front of it.
-fn timestamp(text: &str) -> &str {
-    let mut words = text.split_ascii_whitespace();
-    let is_time = |word: &&str| word.len() >= 20 && word.contains('T') && word.ends_with('Z');
-    words.find(is_time).unwrap_or_default()
-}
