Add result codes for logs that can't be evaluated

The timeline of a recovery needs codes for a log file that can't be read (F8006), for logs without a readable line (F8007) and for logs without a restart (F8008).

The test that compares the code with docs/result-codes.md passes.

--- a/crates/fes-protocol/src/result_code.rs
+++ b/crates/fes-protocol/src/result_code.rs
@@ -199,6 +199,12 @@
         "Read the reported counters; each has a page under docs/operations.";
     TargetMissed = 8005, "a measured figure missed its target",
         "See docs/measurements.md and KNOWN-RED.txt.";
+    LogUnreadable = 8006, "a log file can't be read",
+        "Check the path and the file's permissions.";
+    LogEmpty = 8007, "the logs have no readable line",
+        "Pass the output of entries and agents, at log level info or a lower one.";
+    LogWithoutRestart = 8008, "the logs have no restart to begin with",
+        "Pass logs that reach back to the restart; if fewer than half of the processes started within 3 s, pass an earlier --from.";
 }
 
 impl ResultCode {
