Print the phases of a recovery from collected logs

After the loss of all processes, an operator can't see from the logs which phase of the recovery took how long, since the lines of a phase are spread over all processes.

Lines count from the start of their own process on and durations come from one process, so that clocks may differ. Phases without lines are reported as such. jiff, which env_logger uses already, parses the timestamps.

--- a/crates/fes-passthrough-node/src/main.rs
+++ b/crates/fes-passthrough-node/src/main.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use clap::Arg;
+use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
@@ -18,7 +19,9 @@
 use fes_passthrough_node::render;
 use fes_passthrough_node::run_agent;
 use fes_passthrough_node::run_entry;
+use fes_passthrough_node::timeline_of_files;
 use fes_protocol::Error;
+use jiff::Timestamp;
 use log::LevelFilter;
 
 const SETTINGS: &str = "settings";
@@ -28,6 +31,9 @@
 const CHECK: &str = "check";
 const EXPLAIN: &str = "explain";
 const STATUS: &str = "status";
+const TIMELINE: &str = "timeline";
+const FROM: &str = "from";
+const JSON: &str = "json";
 const ADDRESS: &str = "address";
 const LOGS: &str = "logs";
 #[cfg(feature = "ablation")]
@@ -45,6 +51,9 @@
     if let Some(matches) = matches.subcommand_matches(STATUS) {
         return show_status(matches);
     }
+    if let Some(matches) = matches.subcommand_matches(TIMELINE) {
+        return show_timeline(matches);
+    }
     let path = matches.get_one::<PathBuf>(SETTINGS).cloned();
     let level = matches.get_one::<LevelFilter>(LOG_LEVEL).copied();
     let settings = match load_settings_at_start(path.as_deref()) {
@@ -134,6 +143,21 @@
     ExitCode::SUCCESS
 }
 
+fn show_timeline(matches: &ArgMatches) -> ExitCode {
+    let paths = matches.get_many::<PathBuf>(LOGS).into_iter().flatten();
+    let from = matches.get_one::<Timestamp>(FROM).copied();
+    match timeline_of_files(paths.map(PathBuf::as_path), from, matches.get_flag(JSON)) {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{error}; {}", error.help());
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn command() -> Command {
     let command = base_command();
     #[cfg(feature = "ablation")]
@@ -150,7 +174,7 @@
         .help("Mechanism to switch off")
         .value_name("MECHANISM")
         .value_parser(names)
-        .action(clap::ArgAction::Append)
+        .action(ArgAction::Append)
 }
 
 #[cfg(feature = "ablation")]
@@ -204,19 +228,44 @@
         .subcommand(
             Command::new(EXPLAIN)
                 .about("Finds a request in collected logs and explains how it ended")
-                .arg(
-                    Arg::new(LOGS)
-                        .long(LOGS)
-                        .help("Log files of the processes")
-                        .value_name("FILE")
-                        .num_args(1..)
-                        .required(true)
-                        .value_parser(value_parser!(PathBuf)),
-                )
+                .arg(logs_option())
                 .arg(Arg::new(REQUEST).help("ID of the request").required(true)),
         )
+        .subcommand(timeline_command())
         .after_help(
             "Drains on SIGTERM and reloads its settings on SIGHUP. Exit status: 0 after a\n\
              drain, 1 if the start failed, 2 on invalid settings or a usage error.",
         )
 }
+
+fn logs_option() -> Arg {
+    Arg::new(LOGS)
+        .long(LOGS)
+        .help("Log files of the processes")
+        .value_name("FILE")
+        .num_args(1..)
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+}
+
+fn timeline_command() -> Command {
+    Command::new(TIMELINE)
+        .about("Prints the phases of a recovery after all processes were lost, from collected logs")
+        .arg(logs_option())
+        .arg(
+            Arg::new(FROM)
+                .long(FROM)
+                .help(
+                    "Begin with the first start at or after this time; by default, with the last \
+                     restart of at least half of the processes within 3 s",
+                )
+                .value_name("TIME")
+                .value_parser(value_parser!(Timestamp)),
+        )
+        .arg(
+            Arg::new(JSON)
+                .long(JSON)
+                .help("Print JSON")
+                .action(ArgAction::SetTrue),
+        )
+}
