Wait for a stopped agent no longer than a planned restart takes

Cause: there the platform stops some agents before their targets, so that no probe shows that these have ended, and the list can't tell either while the platform is down. Since all agents were restarted, only packets sent to targets on trial find a flow, and they have to wait until the missing target can be ruled out: 2.5 s since its agent's last report, one departure after the other.

Change: after an announced end, the wait is 1.5 s, more than twice what a planned restart takes. Without an announcement it stays at 2.5 s.

Test: a_search_waits_for_a_stopped_agent_no_longer_than_for_a_restart.

--- a/crates/fes-passthrough/src/agent_table.rs
+++ b/crates/fes-passthrough/src/agent_table.rs
@@ -13,6 +13,12 @@
 /// Minimum time without a report before an agent counts as silent. With a shorter time, the loss of
 /// two datagrams in a row would make it count as silent.
 const MIN_REPORT_TIMEOUT_MS: u64 = 350;
+/// Time without a report after which an agent that hasn't announced its end is assumed to have ended.
+/// It is longer than the restart of a process that was killed.
+pub(crate) const MAX_AGENT_ABSENCE_MS: u64 = 2_500;
+/// Time from the announced end of an agent's process within which the next one reports. A process is
+/// started again within a second; one that takes longer has left with its VM.
+const MAX_RESTART_MS: u64 = 1_500;
 /// Time after which a newly placed flow is included in its agent's reports: the handshake takes two
 /// trips to the client.
 const HANDSHAKE_MS: u64 = 30;
@@ -56,6 +62,8 @@
     silent_at: MonoTime,
     is_reported_silent: bool,
     process: AgentProcess,
+    /// When the process announced its end.
+    stopped_at: MonoTime,
     recent_placements: VecDeque<RecentPlacement>,
     unanswered_openings: u32,
     avoid_until: MonoTime,
@@ -84,6 +92,17 @@
         self.process
     }
 
+    /// Returns whether the agent doesn't report at the moment but may do so again, because it is
+    /// being restarted or was heard a short time ago.
+    #[must_use]
+    pub fn may_return(&self, now: MonoTime) -> bool {
+        match self.process {
+            AgentProcess::Running => self.age_ms(now) < MAX_AGENT_ABSENCE_MS,
+            AgentProcess::Restarting => now < self.stopped_at.plus_ms(MAX_RESTART_MS),
+            AgentProcess::Ended => false,
+        }
+    }
+
     /// Returns the age of the latest report in milliseconds.
     #[must_use]
     pub const fn age_ms(&self, now: MonoTime) -> u64 {
@@ -165,6 +184,7 @@
     /// whether that is new and no other incarnation has reported since.
     pub fn record_stopped(
         &mut self,
+        now: MonoTime,
         vm: Ipv4Addr,
         incarnation: u64,
         process: AgentProcess,
@@ -173,6 +193,7 @@
         let Some(agent) = agent.filter(|agent| agent.report.incarnation == incarnation) else {
             return false;
         };
+        agent.stopped_at = now;
         std::mem::replace(&mut agent.process, process) != process
     }
 
@@ -194,6 +215,7 @@
                 silent_at,
                 is_reported_silent: false,
                 process: AgentProcess::Running,
+                stopped_at: MonoTime::ZERO,
                 recent_placements: VecDeque::new(),
                 unanswered_openings: 0,
                 avoid_until: MonoTime::ZERO,
--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -14,7 +14,6 @@
 use super::evacuation::target_hint;
 use super::held_packets::HeldPackets;
 use super::opening::first_sent_at;
-use super::searching::MAX_AGENT_ABSENCE_MS;
 use crate::AgentProcess;
 use crate::AgentTable;
 use crate::Evacuation;
@@ -35,6 +34,7 @@
 use crate::ViewGossip;
 use crate::ViewUpdate;
 use crate::WarmUpShares;
+use crate::agent_table::MAX_AGENT_ABSENCE_MS;
 use crate::view_gossip::since_start;
 
 /// Minimum period of an agent's reports.
@@ -318,10 +318,10 @@
                 self.on_view_update(now, update, out);
             }
             Message::AgentStopped { incarnation } => {
-                self.on_agent_stopped(vm, *incarnation, AgentProcess::Restarting, out);
+                self.on_agent_stopped(now, vm, *incarnation, AgentProcess::Restarting, out);
             }
             Message::TargetEnded { incarnation } => {
-                self.on_agent_stopped(vm, *incarnation, AgentProcess::Ended, out);
+                self.on_agent_stopped(now, vm, *incarnation, AgentProcess::Ended, out);
             }
             // These messages are addressed to agents.
             Message::Forward(_)
--- a/crates/fes-passthrough/src/entry/held_packets.rs
+++ b/crates/fes-passthrough/src/entry/held_packets.rs
@@ -103,12 +103,13 @@
     /// Handles an agent's last message before its process ends.
     pub(super) fn on_agent_stopped(
         &mut self,
+        now: MonoTime,
         vm: Ipv4Addr,
         incarnation: u64,
         process: AgentProcess,
         out: &mut Vec<EntryAction>,
     ) {
-        if !self.agents.record_stopped(vm, incarnation, process) {
+        if !self.agents.record_stopped(now, vm, incarnation, process) {
             return;
         }
         // The next incarnation reports once it gets a hello.
--- a/crates/fes-passthrough/src/entry/searching.rs
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -4,7 +4,6 @@
 
 use fes_protocol::MonoTime;
 
-use crate::AgentProcess;
 use crate::ClientSequence;
 use crate::EntryAction;
 use crate::EntryCore;
@@ -27,9 +26,6 @@
 use crate::attempt_rank;
 use crate::preferred_targets;
 
-/// Time without a report after which a listed target is assumed to have ended. Longer than the
-/// planned restart of an agent.
-pub(super) const MAX_AGENT_ABSENCE_MS: u64 = 2_500;
 /// Time within which the agent of a newly listed target sends its first report. The report takes
 /// two trips between data centres; the rest allows for a restart of the agent.
 const FIRST_REPORT_TIMEOUT_MS: u64 = 1_000;
@@ -243,8 +239,7 @@
     /// been silent for long or never reported, since their VM has ended or is unreachable.
     fn possible_holders(&self, now: MonoTime) -> impl Iterator<Item = &TargetRecord> {
         let may_answer = move |target: &&TargetRecord| match self.agents.get(target.vm) {
-            Some(agent) if agent.process() == AgentProcess::Ended => false,
-            Some(agent) => agent.is_reachable(now) || agent.age_ms(now) < MAX_AGENT_ABSENCE_MS,
+            Some(agent) => agent.is_reachable(now) || agent.may_return(now),
             None => self.view.listed_for_ms(now, &target.id) < FIRST_REPORT_TIMEOUT_MS,
         };
         self.view.newest_targets().filter(may_answer)
--- a/crates/fes-passthrough/tests/flows.rs
+++ b/crates/fes-passthrough/tests/flows.rs
@@ -414,6 +414,29 @@
     assert!(lost >= usize::from(STREAMS), "{lost} searches ended");
 }
 
+/// Guards against searches that wait longer than a planned restart takes for an agent that stopped
+/// and doesn't return, while the list can't tell that its target has left.
+#[test]
+fn a_search_waits_for_a_stopped_agent_no_longer_than_for_a_restart() {
+    let mut simulation = simulation_with_streams(1, 6, 10, 3);
+    simulation.run_until(1_500);
+    for index in 0..6 {
+        simulation.crash_target(index);
+        simulation.start_agent(index, false);
+    }
+    simulation.start_entry(0);
+    simulation.run_until(1_530);
+    simulation.stop_agent_for_good(5);
+    simulation.run_until(2_900);
+    let before = simulation.count(Outcome::SearchLost);
+
+    simulation.run_until(3_300);
+
+    let lost = simulation.count(Outcome::SearchLost);
+    assert_eq!(before, 0);
+    assert!(lost >= usize::from(STREAMS), "{lost} searches ended");
+}
+
 /// Guards against packets that are held for an agent although its target has ended with it: the
 /// client must open a new flow, which it does once it gets a reset.
 #[test]
--- a/crates/fes-passthrough/tests/support/simulation.rs
+++ b/crates/fes-passthrough/tests/support/simulation.rs
@@ -288,6 +288,19 @@
         self.agents[index] = None;
     }
 
+    /// Ends a target and its agent, which announces a restart but doesn't return.
+    pub fn stop_agent_for_good(&mut self, index: usize) {
+        self.targets[index].is_running = false;
+        let now = self.now();
+        let mut out = Vec::new();
+        if let Some(agent) = &mut self.agents[index] {
+            agent.begin_stop(now, now, &mut out);
+            agent.advance_stop(now, &mut out);
+        }
+        self.perform_agent(index, out, None);
+        self.agents[index] = None;
+    }
+
     pub fn add_client(&mut self, client: Client, at_ms: u64) -> usize {
         let index = self.clients.len();
         self.by_flow.insert(client.flow, index);
