Log and measure how long requests were queued

given_up_waiting and timed_out_waiting named no request and had age_ms=0 and load=0, so that an operator couldn't tell which request it was, how long it waited and how full the queue was.

The queue keeps when a request was queued. A request that leaves it is recorded by the new action RecordStored, with its waiting time and its first packet, from which the daemon reads the request ID; started of a queued request has both as well. The histogram flow_queue_wait_seconds has the waiting times by outcome, and the status of an agent the number of queued requests and the longest wait. No decision changes.

--- a/crates/fes-passthrough-node/src/agent_daemon.rs
+++ b/crates/fes-passthrough-node/src/agent_daemon.rs
@@ -127,6 +127,8 @@
                     "flows": flows,
                     "streams": streams,
                     "running": running,
+                    "waiting": core.queued_requests(),
+                    "longest_wait_ms": core.longest_wait_ms(now),
                     "entries": core.entry_count(),
                     "warm_up": warm_up.map(|limit| json!({
                         "remaining_ms": limit.remaining_ms,
@@ -273,6 +275,12 @@
                     let now = self.context.now();
                     self.context.decisions.record(now, &decision, packet);
                 }
+                AgentAction::RecordStored { decision, packet } => {
+                    let now = self.context.now();
+                    self.context
+                        .decisions
+                        .record_queued(now, &decision, &packet);
+                }
             }
         }
     }
--- a/crates/fes-passthrough-node/src/decision_log.rs
+++ b/crates/fes-passthrough-node/src/decision_log.rs
@@ -57,6 +57,20 @@
         }
     }
 
+    /// Logs and counts a decision on a request that leaves an agent's queue, and adds its waiting
+    /// time to the histogram. `packet` is the first packet of the request.
+    pub fn record_queued(&self, now: MonoTime, decision: &FlowDecision, packet: &[u8]) {
+        let label = OutcomeLabel {
+            outcome: decision.outcome.name(),
+        };
+        let waited_s = Duration::from_millis(decision.age_ms).as_secs_f64();
+        self.metrics
+            .flow_queue_wait
+            .get_or_create(&label)
+            .observe(waited_s);
+        self.record(now, decision, packet);
+    }
+
     /// Logs and counts that an evacuation began or ended.
     pub fn record_evacuation(&self, now: MonoTime, evacuation: &Evacuation) {
         let outcome = match evacuation.is_in_force {
--- a/crates/fes-passthrough-node/tests/decision_log.rs
+++ b/crates/fes-passthrough-node/tests/decision_log.rs
@@ -50,6 +50,26 @@
     );
 }
 
+/// Guards against waits that ended without a delivery and are left out, and against requests that
+/// weren't queued and are counted.
+#[test]
+fn waits_reach_the_histogram_by_outcome() {
+    let metrics = Arc::new(Metrics::default());
+    let log = DecisionLog::new(Arc::clone(&metrics));
+    let now = MonoTime::from_ms(10);
+
+    for outcome in [Outcome::Started, Outcome::GivenUpWaiting] {
+        log.record_queued(now, &FlowDecision::new(outcome).age_ms(500), &[]);
+    }
+    log.record(now, &FlowDecision::new(Outcome::Started), &[]);
+
+    let text = metrics.encode();
+    for outcome in ["started", "given_up_waiting"] {
+        let sample = format!("flow_queue_wait_seconds_count{{outcome=\"{outcome}\"}} 1\n");
+        assert!(text.contains(&sample), "{text}");
+    }
+}
+
 /// Guards against evacuations that aren't counted, and against a store that floods the log with
 /// them.
 #[test]
--- a/crates/fes-passthrough/src/agent/agent_core.rs
+++ b/crates/fes-passthrough/src/agent/agent_core.rs
@@ -55,6 +55,14 @@
     },
     /// Log and count a decision.
     Record(FlowDecision),
+    /// Log and count a decision on a request that leaves the queue. Its waiting time is in
+    /// `age_ms`.
+    RecordStored {
+        /// Decision.
+        decision: FlowDecision,
+        /// First packet of the request.
+        packet: Box<[u8]>,
+    },
 }
 
 /// Sender and header of a forwarded packet.
--- a/crates/fes-passthrough/src/agent/delivery.rs
+++ b/crates/fes-passthrough/src/agent/delivery.rs
@@ -5,6 +5,7 @@
 use fes_protocol::MonoTime;
 
 use super::agent_core::ForwardOrigin;
+use super::queued_requests::record_queued;
 use crate::AgentAction;
 use crate::AgentCore;
 use crate::AgentFlow;
@@ -81,11 +82,7 @@
     ) {
         let flow = segment.flow;
         let closes_flow = segment.is_fin || segment.is_reset;
-        if closes_flow && self.queue.remove(&flow) {
-            // The client closes the flow before its request was delivered, which cancels the
-            // request.
-            let decision = FlowDecision::new(Outcome::GivenUpWaiting).flow(flow);
-            out.push(AgentAction::Record(decision));
+        if closes_flow && self.give_up_queued(now, flow, out) {
             self.abandon(flow);
         } else if segment.payload_bytes > 0 && self.queue.append(segment, packet) {
             return;
@@ -100,10 +97,9 @@
         if record.begins_request(segment) && !has_slot && !self.queue.is_full() {
             let requirements = record.next_requirements(now, requirements);
             self.queue.push(now, requirements, *segment, packet);
-            let waiting = u64::try_from(self.queue.len()).unwrap_or(u64::MAX);
             let decision = FlowDecision::new(Outcome::HeldBack)
                 .flow(flow)
-                .load(waiting);
+                .load(self.queued_requests());
             out.push(AgentAction::Record(decision));
             return;
         }
@@ -111,14 +107,26 @@
         record.record_delivery(now, segment);
         out.push(AgentAction::Deliver);
         if begins {
-            self.record_started(now, flow, out);
+            out.push(AgentAction::Record(self.started(now).flow(flow)));
         }
     }
 
-    fn record_started(&self, now: MonoTime, flow: FlowKey, out: &mut Vec<AgentAction>) {
+    fn started(&self, now: MonoTime) -> FlowDecision {
         let running = u64::from(self.counts(now).running);
-        let decision = FlowDecision::new(Outcome::Started).flow(flow).load(running);
-        out.push(AgentAction::Record(decision.version(self.started_at_ms)));
+        FlowDecision::new(Outcome::Started)
+            .load(running)
+            .version(self.started_at_ms)
+    }
+
+    /// Removes the queued request of a flow that the client closes, which cancels the request.
+    /// Returns whether there was one.
+    fn give_up_queued(&mut self, now: MonoTime, flow: FlowKey, out: &mut Vec<AgentAction>) -> bool {
+        let decision = FlowDecision::new(Outcome::GivenUpWaiting).load(self.queued_requests());
+        let Some(queued) = self.queue.remove(&flow) else {
+            return false;
+        };
+        out.push(record_queued(now, decision, &queued));
+        true
     }
 
     /// Stops delivery of the flow's packets, so that the cancelled or expired request never runs.
@@ -152,18 +160,20 @@
             let Some(record) = self.flows.get_mut(&queued.flow) else {
                 continue;
             };
-            for (segment, packet) in queued.packets {
-                record.record_delivery(now, &segment);
-                out.push(AgentAction::DeliverStored { packet });
+            for (segment, _) in &queued.packets {
+                record.record_delivery(now, segment);
             }
-            self.record_started(now, queued.flow, out);
+            let record_started = record_queued(now, self.started(now), &queued);
+            let packets = queued.packets.into_iter();
+            out.extend(packets.map(|(_, packet)| AgentAction::DeliverStored { packet }));
+            out.push(record_started);
         }
     }
 
     pub(super) fn expire_queued(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
+        let decision = FlowDecision::new(Outcome::TimedOutWaiting).load(self.queued_requests());
         for queued in self.queue.expire(now) {
-            let decision = FlowDecision::new(Outcome::TimedOutWaiting).flow(queued.flow);
-            out.push(AgentAction::Record(decision));
+            out.push(record_queued(now, decision, &queued));
             self.abandon(queued.flow);
         }
     }
--- a/crates/fes-passthrough/src/agent/mod.rs
+++ b/crates/fes-passthrough/src/agent/mod.rs
@@ -2,6 +2,7 @@
 mod delivery;
 mod heartbeats;
 mod lookup;
+mod queued_requests;
 mod request_results;
 mod stopping;
 mod target_packets;
--- a/crates/fes-passthrough/src/flow_decision.rs
+++ b/crates/fes-passthrough/src/flow_decision.rs
@@ -43,7 +43,7 @@
     /// A target accepted a flow; at an entry, `age_ms` is the time since the flow was placed there.
     Accepted,
     /// A request was delivered to the target; `load` is the number of running requests, including
-    /// this one.
+    /// this one, and `age_ms` the time that it was queued, 0 if it wasn't.
     Started,
     /// The target answered a request; `age_ms` is the time that the request ran.
     Answered,
@@ -53,9 +53,11 @@
     /// A request was queued because all slots of the target are in use; `load` is the number of
     /// queued requests, including this one.
     HeldBack,
-    /// A queued request was dropped at its timeout, without having run.
+    /// A queued request was dropped at its timeout, without having run; `age_ms` is the time that
+    /// it was queued, and `load` the number of queued requests, including this one.
     TimedOutWaiting,
-    /// A client cancelled a queued request, which has not run.
+    /// A client cancelled a queued request, which has not run; `age_ms` is the time that it was
+    /// queued, and `load` the number of queued requests, including this one.
     GivenUpWaiting,
     /// A target or agent returned a packet.
     HandedBack,
--- a/crates/fes-passthrough/src/request_queue.rs
+++ b/crates/fes-passthrough/src/request_queue.rs
@@ -27,6 +27,7 @@
     /// Its packets in the order of their arrival, with their decoded headers.
     pub packets: Vec<(Segment, Box<[u8]>)>,
     flow_use: FlowUse,
+    queued_at: MonoTime,
     latency_goal_at: MonoTime,
     timeout_at: MonoTime,
 }
@@ -51,6 +52,14 @@
         self.queued.is_empty()
     }
 
+    /// Returns the longest time that a queued request has waited, in milliseconds; 0 if none is
+    /// queued.
+    #[must_use]
+    pub fn longest_wait_ms(&self, now: MonoTime) -> u64 {
+        let waits = self.queued.iter().map(|request| request.waited_ms(now));
+        waits.max().unwrap_or(0)
+    }
+
     /// Returns whether the queue accepts no further request.
     #[must_use]
     pub const fn is_full(&self) -> bool {
@@ -80,6 +89,7 @@
             flow: segment.flow,
             packets: vec![(segment, packet.into())],
             flow_use: requirements.flow_use,
+            queued_at: now,
             latency_goal_at: now.plus_ms(u64::from(requirements.latency_goal_ms)),
             timeout_at: now.plus_ms(u64::from(requirements.timeout_ms)),
         });
@@ -109,11 +119,13 @@
         std::mem::take(&mut self.queued)
     }
 
-    /// Removes the queued request of a flow. Returns whether there was one.
-    pub fn remove(&mut self, flow: &FlowKey) -> bool {
-        let before = self.queued.len();
-        self.queued.retain(|request| request.flow != *flow);
-        self.queued.len() < before
+    /// Removes and returns the queued request of a flow.
+    pub fn remove(&mut self, flow: &FlowKey) -> Option<QueuedRequest> {
+        let index = self
+            .queued
+            .iter()
+            .position(|request| request.flow == *flow)?;
+        Some(self.queued.remove(index))
     }
 
     /// Removes and returns requests that reached their timeout. They have not run.
@@ -146,6 +158,18 @@
 }
 
 impl QueuedRequest {
+    /// Returns the time since the request was queued, in milliseconds.
+    #[must_use]
+    pub const fn waited_ms(&self, now: MonoTime) -> u64 {
+        now.ms_since(self.queued_at)
+    }
+
+    /// Returns the packet that arrived first.
+    #[must_use]
+    pub fn first_packet(&self) -> &[u8] {
+        self.packets.first().map_or(&[], |(_, packet)| packet)
+    }
+
     /// Returns the sort key of a request that would end at `expected_end_at` if it were released
     /// now.
     ///
--- a/crates/fes-passthrough/tests/agent.rs
+++ b/crates/fes-passthrough/tests/agent.rs
@@ -4,6 +4,7 @@
 
 use fes_passthrough::AgentAction;
 use fes_passthrough::AgentCore;
+use fes_passthrough::FlowDecision;
 use fes_passthrough::FlowKey;
 use fes_passthrough::FlowRequirements;
 use fes_passthrough::FlowUse;
@@ -11,6 +12,7 @@
 use fes_passthrough::ForwardMode;
 use fes_passthrough::Hello;
 use fes_passthrough::Message;
+use fes_passthrough::Outcome;
 use fes_passthrough::Segment;
 use fes_passthrough::Sender;
 use fes_protocol::MonoTime;
@@ -115,6 +117,75 @@
     assert_eq!(released_port(&actions), Some(4));
 }
 
+/// Returns an agent with two running requests, and two that were queued at 20 and 30 ms.
+fn agent_with_queued_requests() -> AgentCore {
+    let mut agent = agent_with_one_slot();
+    let requirements = requirements(FlowUse::Stream, 200, 1_000);
+    for port in 1..=4 {
+        let flow = flow(port, stream_address());
+        open(&mut agent, 0, flow, requirements);
+        request(&mut agent, 10 * u64::from(port - 1), flow, requirements);
+    }
+    agent
+}
+
+fn close(agent: &mut AgentCore, now_ms: u64, flow: FlowKey) -> Vec<AgentAction> {
+    let segment = Segment {
+        is_fin: true,
+        ..client_segment(flow)
+    };
+    let requirements = requirements(FlowUse::Stream, 200, 1_000);
+    forward(agent, now_ms, ForwardMode::Owner, requirements, &segment)
+}
+
+/// Guards against records from which an operator can't tell which request waited, for how long and
+/// with how many others. The timeout of a first request counts from the opening packet.
+#[rstest]
+#[case::released(
+    |agent: &mut AgentCore| answer(agent, 60, flow(1, stream_address())),
+    FlowDecision::new(Outcome::Started).age_ms(40).load(2).version(1_000)
+)]
+#[case::given_up(
+    |agent: &mut AgentCore| close(agent, 70, flow(3, stream_address())),
+    FlowDecision::new(Outcome::GivenUpWaiting).age_ms(50).load(2)
+)]
+#[case::timed_out(
+    |agent: &mut AgentCore| {
+        let mut out = Vec::new();
+        agent.on_tick(MonoTime::from_ms(1_000), &mut out);
+        out
+    },
+    FlowDecision::new(Outcome::TimedOutWaiting).age_ms(980).load(2)
+)]
+fn the_end_of_a_wait_is_recorded_with_its_request(
+    #[case] end_wait: fn(&mut AgentCore) -> Vec<AgentAction>,
+    #[case] expected: FlowDecision,
+) {
+    let mut agent = agent_with_queued_requests();
+    let flow = flow(3, stream_address());
+
+    let actions = end_wait(&mut agent);
+
+    let expected = AgentAction::RecordStored {
+        decision: expected.flow(flow),
+        packet: flow.client.port().to_be_bytes().into(),
+    };
+    assert!(actions.contains(&expected), "{actions:?}");
+}
+
+/// Guards against a status that hides a long wait, or shows one that has ended.
+#[test]
+fn the_status_shows_the_queue() {
+    let mut agent = agent_with_queued_requests();
+    let longest_wait_ms = agent.longest_wait_ms(MonoTime::from_ms(50));
+
+    close(&mut agent, 60, flow(3, stream_address()));
+
+    assert_eq!(longest_wait_ms, 30);
+    assert_eq!(agent.longest_wait_ms(MonoTime::from_ms(70)), 40);
+    assert_eq!(agent.queued_requests(), 1);
+}
+
 /// Returns the share of failed requests that the agent reports to a new entry.
 fn reported_failures(agent: &mut AgentCore, now_ms: u64) -> u32 {
     let hello = Message::Hello(Hello {
--- a/crates/fes-passthrough/tests/support/simulation.rs
+++ b/crates/fes-passthrough/tests/support/simulation.rs
@@ -596,7 +596,7 @@
                     message,
                     packet,
                 } => self.send_to_process(to, vm(index), message, packet.to_vec()),
-                AgentAction::Record(decision) => {
+                AgentAction::Record(decision) | AgentAction::RecordStored { decision, .. } => {
                     *self.outcomes.entry(decision.outcome.name()).or_default() += 1
                 }
             }
--- a/crates/fes-telemetry/src/lib.rs
+++ b/crates/fes-telemetry/src/lib.rs
@@ -27,6 +27,7 @@
 pub use metrics::MetricSpec;
 pub use metrics::Metrics;
 pub use metrics::OutcomeCounter;
+pub use metrics::OutcomeHistogram;
 pub use metrics::OutcomeLabel;
 pub use metrics::set_counter;
 pub use queued_writer::LogFlusher;
--- a/crates/fes-telemetry/src/metrics.rs
+++ b/crates/fes-telemetry/src/metrics.rs
@@ -18,6 +18,8 @@
 pub type Gauge = prometheus_client::metrics::gauge::Gauge;
 /// A distribution of durations in seconds.
 pub type Histogram = prometheus_client::metrics::histogram::Histogram;
+/// A distribution of durations in seconds for each outcome of a decision.
+pub type OutcomeHistogram = Family<OutcomeLabel, Histogram>;
 
 const PREFIX: &str = "fescueshift";
 const FIRST_BUCKET_BOUND_S: f64 = 0.000_25;
@@ -58,6 +60,8 @@
     Gauge,
     /// A distribution of durations in seconds.
     Histogram,
+    /// A distribution of durations in seconds for each outcome, under the label `outcome`.
+    HistogramByOutcome,
 }
 
 /// Name, kind and help text of a metric.
@@ -116,6 +120,13 @@
     }
 }
 
+impl MetricType for OutcomeHistogram {
+    const KIND: MetricKind = MetricKind::HistogramByOutcome;
+    fn create() -> Self {
+        Self::new_with_constructor(<Histogram as MetricType>::create)
+    }
+}
+
 macro_rules! metrics {
     ($($field:ident: $kind:ty, $name:literal, $help:literal;)*) => {
         /// The metrics of a process. Entries and agents share one set; a metric that doesn't
@@ -170,6 +181,8 @@
         "Decisions on pass-through flows, by outcome.";
     flow_accept_duration: Histogram, "flow_accept_duration_seconds",
         "Time from placing a pass-through flow to its target's acceptance.";
+    flow_queue_wait: OutcomeHistogram, "flow_queue_wait_seconds",
+        "Time that requests on pass-through flows were queued at an agent, by outcome.";
     log_lines_suppressed: Counter, "log_lines_suppressed_total",
         "Decisions that were counted but not logged, since their kind had used its budget.";
     requests_received: Counter, "requests_received_total",
--- a/crates/fes-telemetry/tests/metrics.rs
+++ b/crates/fes-telemetry/tests/metrics.rs
@@ -13,6 +13,7 @@
         MetricKind::CounterByOutcome => "counter by `outcome`",
         MetricKind::Gauge => "gauge",
         MetricKind::Histogram => "histogram",
+        MetricKind::HistogramByOutcome => "histogram by `outcome`",
     };
     format!("| `{}` | {kind} | {} |", spec.name, spec.help)
 }
@@ -46,12 +47,16 @@
 
     let outcome = OutcomeLabel { outcome: "placed" };
     metrics.flow_decisions.get_or_create(&outcome).inc();
+    metrics.flow_queue_wait.get_or_create(&outcome).observe(0.0);
 
     let text = metrics.encode();
 
     for spec in Metrics::CATALOGUE {
         let sample = match spec.kind {
             MetricKind::Histogram => format!("\n{}_count 0\n", spec.name),
+            MetricKind::HistogramByOutcome => {
+                format!("\n{}_count{{outcome=\"placed\"}} 1\n", spec.name)
+            }
             MetricKind::CounterByOutcome => format!("\n{}{{outcome=\"placed\"}} 1\n", spec.name),
             MetricKind::CounterByCode => format!("\n{}{{code=\"F5006\"}} 1\n", spec.name),
             MetricKind::Counter | MetricKind::Gauge => format!("\n{} 0\n", spec.name),
