Explain how long a request was queued

The conclusion about a request that was given up or timed out in an agent's queue lacked the waiting time and the length of the queue, which the lines have now. Lines of older agents, with a load of 0, give the previous conclusion.

--- a/crates/fes-passthrough-node/src/explain_logs.rs
+++ b/crates/fes-passthrough-node/src/explain_logs.rs
@@ -23,7 +23,7 @@
     /// Log lines of the flow, ordered by timestamp.
     pub lines: Vec<LogLine<'a>>,
     /// One sentence about how the request ended.
-    pub conclusion: &'static str,
+    pub conclusion: String,
 }
 
 /// Explains the request with this ID from the log lines of all processes.
@@ -34,8 +34,10 @@
         return Explanation {
             flow: None,
             lines: Vec::new(),
-            conclusion: "No log line contains this request ID: the request reached no agent, or its \
-                         log lines are missing. Search the logs for the address of the client.",
+            conclusion:
+                "No log line contains this request ID: the request reached no agent, or its \
+                         log lines are missing. Search the logs for the address of the client."
+                    .to_owned(),
         };
     };
     let flow = field(first.text, "flow");
@@ -73,13 +75,14 @@
     text
 }
 
-fn conclusion(lines: &[LogLine<'_>]) -> &'static str {
-    let has = |outcome| {
+fn conclusion(lines: &[LogLine<'_>]) -> String {
+    let find = |outcome| {
         lines
             .iter()
-            .any(|line| field(line.text, "outcome") == Some(outcome))
+            .find(|line| field(line.text, "outcome") == Some(outcome))
     };
-    match () {
+    let has = |outcome| find(outcome).is_some();
+    let text = match () {
         () if has("answered") => "The target answered the request.",
         () if has("failed") => {
             "The target got the request and failed it: it closed the flow without a response, or \
@@ -100,9 +103,28 @@
              the agent ended."
         }
         () => "These lines don't show that the request was sent to a target.",
+    };
+    let has_reached_target = has("answered") || has("failed");
+    let dropped = find("given_up_waiting").or_else(|| find("timed_out_waiting"));
+    let wait = dropped
+        .filter(|_| !has_reached_target)
+        .and_then(wait_sentence);
+    match wait {
+        Some(wait) => format!("{text} {wait}"),
+        None => text.to_owned(),
     }
 }
 
+/// Returns a sentence on the time that the request of a line was queued. Agents of older versions
+/// don't log this time; their lines have a load of 0.
+fn wait_sentence(line: &LogLine<'_>) -> Option<String> {
+    let waited_ms = field(line.text, "age_ms")?;
+    let queued = field(line.text, "load").filter(|load| *load != "0")?;
+    Some(format!(
+        "It was queued for {waited_ms} ms; {queued} requests were queued at the end, including it."
+    ))
+}
+
 /// Returns the value of a field of a line.
 fn field<'a>(text: &'a str, name: &str) -> Option<&'a str> {
     let mut words = text.split_ascii_whitespace();
--- a/crates/fes-passthrough-node/tests/explain_logs.rs
+++ b/crates/fes-passthrough-node/tests/explain_logs.rs
@@ -43,6 +43,23 @@
     );
 }
 
+/// Guards against a conclusion that takes the zeros of older agents for a waiting time.
+#[rstest]
+#[case(
+    "age_ms=980 load=6",
+    "queued for 980 ms; 6 requests were queued at the end, including it."
+)]
+#[case("age_ms=0 load=0", "The request has not run.")]
+fn the_conclusion_has_the_waiting_time_if_known(#[case] figures: &str, #[case] expected: &str) {
+    let texts = [format!(
+        "outcome=given_up_waiting {FLOW} {figures} request=r1"
+    )];
+
+    let explanation = explain(&lines(&texts), "r1");
+
+    assert!(explanation.conclusion.ends_with(expected));
+}
+
 /// Guards against attributing the answer of a later request on the same flow to this request.
 #[test]
 fn later_requests_of_the_flow_are_ignored() {
