--- a/crates/fes-passthrough-node/tests/decision_log.rs
+++ b/crates/fes-passthrough-node/tests/decision_log.rs
@@ -50,6 +50,24 @@
     );
 }
 
+/// Guards against waits that don't reach their histogram, and against requests that weren't queued
+/// and are counted.
+#[test]
+fn waits_reach_the_histogram_by_outcome() {
+    let metrics = Arc::new(Metrics::default());
+    let log = DecisionLog::new(Arc::clone(&metrics));
+    let started = FlowDecision::new(Outcome::Started);
+
+    log.record_queued(MonoTime::ZERO, &started.age_ms(500), &[]);
+    log.record(MonoTime::ZERO, &started, &[]);
+
+    let text = metrics.encode();
+    let sample = "flow_queue_wait_seconds_sum{outcome=\"started\"} 0.5\n";
+    assert!(text.contains(sample), "{text}");
+    let sample = "flow_queue_wait_seconds_count{outcome=\"started\"} 1\n";
+    assert!(text.contains(sample), "{text}");
+}
+
 /// Guards against evacuations that aren't counted, and against a store that floods the log with
 /// them.
 #[test]
