Let the soak replace targets as planned and use ports again

Two faults were found by a review and not by the soak, which neither drained targets nor closed flows, and had one service only.

Change: targets are replaced as planned: an entry is restarted, the target drains, its agent is restarted, the target ends, its agent is told to stop, and a new target starts. Stand-in targets accept TCP connections while they run. A third kind of client opens one flow after the other from the same port with random sequence numbers and closes each; its route moves between two services. `--planned` leaves the random faults out. A daemon that is still stopping when its fault ends is started again after its exit; before, it stayed down.

Checks: a reset of a living target's flow is a violation also during disruptions of entries, the store and clients; only disruptions of the target, its agent or of what entries hear of agents excuse it. A new flow must reach a service that its route allows, up to 2 s after a change. A request that reached no target until its deadline, while its target had a free slot for a second, is a violation if nothing else can have kept it from the agent.

Soaks choose a free subnet, so that several tests of one process can run.

--- a/crates/fes-soak/src/clients.rs
+++ b/crates/fes-soak/src/clients.rs
@@ -1,5 +1,5 @@
 //! Test doubles of the clients, and of the routers that select an entry for each flow. Clients open
-//! flows and retransmit requests until a deadline.
+//! flows, retransmit requests until a deadline, and use ports again.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -28,6 +28,7 @@
 use crate::network::CLIENT_PORT;
 use crate::network::Network;
 use crate::network::READY_PORT;
+use crate::network::moving_destination;
 use crate::network::non_repeatable_destination;
 use crate::network::stream_destination;
 use crate::record::Record;
@@ -44,6 +45,15 @@
 /// A reset is accepted if its sequence number is at most this far from the expected one.
 const RESET_WINDOW_BYTES: u32 = 76_800;
 const MAX_PACKET_BYTES: usize = 2_048;
+/// Longest time between the end of a flow and the next one of the same port.
+const MAX_REUSE_PAUSE_MS: u64 = 150;
+/// Maximum number of requests of a flow whose port is used again. With the pauses, a flow may be
+/// open for longer than a change of its route takes.
+const MAX_REUSED_PORT_REQUESTS: usize = 40;
+/// Time between the deadline of a request and its judgement.
+const JUDGEMENT_DELAY_MS: u64 = 50;
+/// Timeouts of the client's FIN and its retransmission.
+const FIN_TIMEOUTS_MS: [u64; 2] = [100, 200];
 
 /// All clients, and the routers in front of the entries.
 pub struct Clients {
@@ -65,12 +75,39 @@
 
 /// Result of opening a flow.
 enum OpenOutcome {
-    /// A target accepted the flow. Contains the target's next sequence number.
-    Accepted(u32),
+    /// A target accepted the flow.
+    Accepted(OpenedFlow),
     /// The flow was reset.
     Refused,
 }
 
+/// Result of a request.
+enum RequestOutcome {
+    /// The response arrived.
+    Answered(Segment),
+    /// The flow was reset.
+    Reset,
+    /// The deadline passed.
+    TimedOut,
+}
+
+/// A client's view of a flow that a target has accepted.
+struct OpenedFlow {
+    key: FlowKey,
+    target_initial_sequence: u32,
+    /// Next sequence number of the client.
+    sequence: u32,
+    /// Next sequence number of the target.
+    acknowledged: u32,
+    opening_ms: u64,
+}
+
+impl OpenedFlow {
+    const fn segment(&self) -> Segment {
+        client_segment(self.key, self.sequence, self.acknowledged)
+    }
+}
+
 impl Clients {
     /// Starts the receiver of packets and the readiness probes.
     pub async fn start(
@@ -105,8 +142,8 @@
     /// over.
     pub async fn run_long_lived_flows(self: Rc<Self>, pause_ms: u64) {
         while !self.is_over.get() {
-            self.run_flow(stream_destination(), usize::MAX, pause_ms)
-                .await;
+            let flow = self.next_flow(stream_destination());
+            self.run_flow(flow, usize::MAX, pause_ms).await;
             sleep(Duration::from_millis(pause_ms)).await;
         }
     }
@@ -114,18 +151,35 @@
     /// Sends each request on a new flow, until the soak is over.
     pub async fn run_single_request_flows(self: Rc<Self>, pause_ms: u64) {
         while !self.is_over.get() {
-            self.run_flow(non_repeatable_destination(), 1, 0).await;
+            let flow = self.next_flow(non_repeatable_destination());
+            self.run_flow(flow, 1, 0).await;
+            sleep(Duration::from_millis(pause_ms)).await;
+        }
+    }
+
+    /// Opens one flow after the other from the same port, closing each, until the soak is over.
+    pub async fn run_flows_of_one_port(self: Rc<Self>, pause_ms: u64) {
+        let flow = self.next_flow(moving_destination());
+        while !self.is_over.get() {
+            let requests = rand::rng().random_range(1..=MAX_REUSED_PORT_REQUESTS);
+            self.run_flow(flow, requests, pause_ms).await;
+            let pause_ms = rand::rng().random_range(0..MAX_REUSE_PAUSE_MS);
             sleep(Duration::from_millis(pause_ms)).await;
         }
     }
 
-    async fn run_flow(&self, destination: SocketAddrV4, requests: usize, pause_ms: u64) {
-        let flow = self.next_flow(destination);
+    /// Opens a flow and sends requests. Only clients that use their port again close their flows;
+    /// the others disappear.
+    async fn run_flow(&self, flow: FlowKey, requests: usize, pause_ms: u64) {
         let (sender, mut packets) = mpsc::unbounded_channel();
         self.flow_senders.borrow_mut().insert(flow, sender);
-        if let Some(OpenOutcome::Accepted(sequence)) = self.open_flow(flow, &mut packets).await {
-            self.run_requests(flow, sequence, requests, pause_ms, &mut packets)
+        if let Some(OpenOutcome::Accepted(mut opened)) = self.open_flow(flow, &mut packets).await {
+            let is_open = self
+                .run_requests(&mut opened, requests, pause_ms, &mut packets)
                 .await;
+            if is_open && flow.destination == moving_destination() {
+                self.close_flow(&opened, &mut packets).await;
+            }
         }
         self.flow_senders.borrow_mut().remove(&flow);
     }
@@ -136,13 +190,19 @@
         flow: FlowKey,
         packets: &mut mpsc::UnboundedReceiver<Segment>,
     ) -> Option<OpenOutcome> {
+        let started = Instant::now();
+        let initial_sequence: u32 = rand::rng().random();
+        let sequence = initial_sequence.wrapping_add(1);
+        self.record
+            .borrow_mut()
+            .record_opening(flow, initial_sequence);
         for (retransmissions, wait_ms) in (0..).zip(SYN_TIMEOUTS_MS) {
             let syn = Segment {
                 is_syn: true,
                 is_ack: false,
                 // In a SYN, the field holds the number of earlier transmissions.
                 acknowledged: retransmissions,
-                ..client_segment(flow, 0, 0)
+                ..client_segment(flow, initial_sequence, 0)
             };
             self.send(flow, &encode_packet(&syn, &[]));
             let end = Instant::now() + Duration::from_millis(wait_ms);
@@ -150,54 +210,103 @@
                 if segment.is_reset {
                     return Some(OpenOutcome::Refused);
                 }
-                if segment.is_syn {
-                    return Some(OpenOutcome::Accepted(segment.sequence.wrapping_add(1)));
+                // A late SYN of a target may belong to the former flow of the port.
+                if segment.is_syn && segment.acknowledged == sequence {
+                    return Some(OpenOutcome::Accepted(OpenedFlow {
+                        key: flow,
+                        target_initial_sequence: segment.sequence,
+                        sequence,
+                        acknowledged: segment.sequence.wrapping_add(1),
+                        opening_ms: u64::try_from(started.elapsed().as_millis()).unwrap_or(0),
+                    }));
                 }
             }
         }
         None
     }
 
+    /// Sends requests on a flow. Returns whether the flow is still open.
     async fn run_requests(
         &self,
-        flow: FlowKey,
-        target_sequence: u32,
+        flow: &mut OpenedFlow,
         requests: usize,
         pause_ms: u64,
         packets: &mut mpsc::UnboundedReceiver<Segment>,
-    ) {
-        let mut sequence = 1;
-        let mut acknowledged = target_sequence;
-        self.send(
-            flow,
-            &encode_packet(&client_segment(flow, sequence, acknowledged), &[]),
-        );
-        for _ in 0..requests {
+    ) -> bool {
+        self.send(flow.key, &encode_packet(&flow.segment(), &[]));
+        for index in 0..requests {
             if self.is_over.get() {
-                return;
+                return true;
             }
             let request = self.next_request.replace(self.next_request.get() + 1);
             let payload = format!("GET / HTTP/1.1\r\nRequest-Id: {request}\r\n\r\n");
+            let payload_bytes = u16::try_from(payload.len()).unwrap_or(0);
             let segment = Segment {
-                payload_bytes: u16::try_from(payload.len()).unwrap_or(0),
-                ..client_segment(flow, sequence, acknowledged)
+                payload_bytes,
+                ..flow.segment()
             };
             let is_recovery_check = self.is_recovery_check.get();
             self.record.borrow_mut().recovery_sent += usize::from(is_recovery_check);
             let bytes = encode_packet(&segment, payload.as_bytes());
-            let Some(answer) = self.await_answer(flow, &bytes, acknowledged, packets).await else {
-                self.record.borrow_mut().failed += 1;
-                return;
-            };
-            self.record_answer(is_recovery_check);
-            sequence += u32::from(segment.payload_bytes);
-            acknowledged = acknowledged.wrapping_add(u32::from(answer.payload_bytes));
-            self.send(
-                flow,
-                &encode_packet(&client_segment(flow, sequence, acknowledged), &[]),
-            );
+            match self.await_answer(flow, &bytes, packets).await {
+                RequestOutcome::Answered(answer) => {
+                    self.record_answer(is_recovery_check);
+                    let answer_bytes = u32::from(answer.payload_bytes);
+                    flow.sequence = flow.sequence.wrapping_add(u32::from(payload_bytes));
+                    flow.acknowledged = flow.acknowledged.wrapping_add(answer_bytes);
+                }
+                RequestOutcome::Reset => {
+                    self.record.borrow_mut().failed += 1;
+                    return false;
+                }
+                RequestOutcome::TimedOut => {
+                    let timed_out_at = Instant::now();
+                    // If the machine didn't run the soak for a while, several timers are due. The
+                    // observations of the others must be recorded before the request is judged.
+                    sleep(Duration::from_millis(JUDGEMENT_DELAY_MS)).await;
+                    self.record_unanswered(timed_out_at, flow, request, index == 0);
+                    return true;
+                }
+            }
+            self.send(flow.key, &encode_packet(&flow.segment(), &[]));
             sleep(Duration::from_millis(pause_ms)).await;
         }
+        true
+    }
+
+    /// Closes a flow and waits until its target has closed it, for a limited time.
+    async fn close_flow(&self, flow: &OpenedFlow, packets: &mut mpsc::UnboundedReceiver<Segment>) {
+        let fin = Segment {
+            is_fin: true,
+            ..flow.segment()
+        };
+        for wait_ms in FIN_TIMEOUTS_MS {
+            self.send(flow.key, &encode_packet(&fin, &[]));
+            let end = Instant::now() + Duration::from_millis(wait_ms);
+            while let Ok(Some(segment)) = timeout(end - Instant::now(), packets.recv()).await {
+                if segment.is_fin || segment.is_reset {
+                    return;
+                }
+            }
+        }
+    }
+
+    fn record_unanswered(
+        &self,
+        timed_out_at: Instant,
+        flow: &OpenedFlow,
+        request: u64,
+        is_first: bool,
+    ) {
+        let opening_ms = if is_first { flow.opening_ms } else { 0 };
+        let mut record = self.record.borrow_mut();
+        record.failed += 1;
+        record.record_unanswered(
+            timed_out_at,
+            (flow.key, flow.target_initial_sequence),
+            request,
+            opening_ms,
+        );
     }
 
     fn record_answer(&self, is_recovery_check: bool) {
@@ -206,33 +315,31 @@
         record.recovery_answered += usize::from(is_recovery_check);
     }
 
-    /// Retransmits a request until its answer arrives. Returns `None` if the flow is reset or the
-    /// deadline passes.
+    /// Retransmits a request until its answer arrives, the flow is reset or the deadline passes.
     async fn await_answer(
         &self,
-        flow: FlowKey,
+        flow: &OpenedFlow,
         bytes: &[u8],
-        acknowledged: u32,
         packets: &mut mpsc::UnboundedReceiver<Segment>,
-    ) -> Option<Segment> {
+    ) -> RequestOutcome {
         let deadline = Instant::now() + Duration::from_millis(REQUEST_DEADLINE_MS);
         let mut retry_ms = INITIAL_RETRY_MS;
         while Instant::now() < deadline {
-            self.send(flow, bytes);
+            self.send(flow.key, bytes);
             let end = Instant::now() + Duration::from_millis(retry_ms);
             while let Ok(Some(segment)) = timeout(end - Instant::now(), packets.recv()).await {
-                let distance = segment.sequence.wrapping_sub(acknowledged);
+                let distance = segment.sequence.wrapping_sub(flow.acknowledged);
                 if segment.is_reset && distance.min(distance.wrapping_neg()) <= RESET_WINDOW_BYTES {
-                    self.record.borrow_mut().record_reset(flow);
-                    return None;
+                    self.record.borrow_mut().record_reset(flow.key);
+                    return RequestOutcome::Reset;
                 }
-                if segment.payload_bytes > 0 && segment.sequence == acknowledged {
-                    return Some(segment);
+                if segment.payload_bytes > 0 && segment.sequence == flow.acknowledged {
+                    return RequestOutcome::Answered(segment);
                 }
             }
             retry_ms = (retry_ms * 2).min(MAX_RETRY_MS);
         }
-        None
+        RequestOutcome::TimedOut
     }
 
     fn next_flow(&self, destination: SocketAddrV4) -> FlowKey {
@@ -311,7 +418,7 @@
     }
 }
 
-fn client_segment(flow: FlowKey, sequence: u32, acknowledged: u32) -> Segment {
+const fn client_segment(flow: FlowKey, sequence: u32, acknowledged: u32) -> Segment {
     Segment {
         flow,
         sender: Sender::Client,
--- a/crates/fes-soak/src/daemon.rs
+++ b/crates/fes-soak/src/daemon.rs
@@ -13,6 +13,8 @@
 use rustix::process::Pid;
 use rustix::process::Signal;
 use rustix::process::kill_process;
+use tokio::time::Duration;
+use tokio::time::Instant;
 
 use crate::network::CLIENT_PORT;
 use crate::network::DATA_CENTRE;
@@ -20,7 +22,6 @@
 use crate::network::NODE_PORT;
 use crate::network::Network;
 use crate::network::READY_PORT;
-use crate::network::SERVICE;
 use crate::network::TARGET_PORT;
 
 /// Number of seed entries in the settings.
@@ -56,6 +57,9 @@
     log_path: PathBuf,
     child: Option<Child>,
     is_exit_expected: bool,
+    /// Time between the exit of the process and its next start, if it is to be started again.
+    restart_gap: Option<Duration>,
+    exited_at: Option<Instant>,
 }
 
 impl Daemon {
@@ -64,32 +68,38 @@
         id: DaemonId,
         network: Network,
         entries: usize,
+        service: &str,
         program: &Path,
         directory: &Path,
     ) -> std::io::Result<Self> {
         let name = id.to_string();
         let settings_path = directory.join(format!("{name}.toml"));
-        std::fs::write(
-            &settings_path,
-            daemon_settings(&name, id, network, entries, true),
-        )?;
+        let settings =
+            |is_first_start| daemon_settings(&name, id, network, entries, service, is_first_start);
+        std::fs::write(&settings_path, settings(true))?;
         let mut daemon = Self {
             id,
             settings_path,
-            restart_settings: daemon_settings(&name, id, network, entries, false),
+            restart_settings: settings(false),
             has_started: false,
             program: program.into(),
             log_path: directory.join(format!("{name}.log")),
             child: None,
             is_exit_expected: false,
+            restart_gap: None,
+            exited_at: None,
         };
         daemon.spawn()?;
         Ok(daemon)
     }
 
-    /// Starts the process, unless it is running.
+    /// Starts the process, unless it is running. One that was told to stop is started again once
+    /// it has exited.
     pub fn spawn(&mut self) -> std::io::Result<()> {
         if self.is_running() {
+            if self.is_exit_expected {
+                self.restart_gap.get_or_insert(Duration::ZERO);
+            }
             return Ok(());
         }
         if self.has_started {
@@ -114,9 +124,32 @@
             .spawn()?;
         self.child = Some(child);
         self.is_exit_expected = false;
+        self.restart_gap = None;
+        self.exited_at = None;
         Ok(())
     }
 
+    /// Restarts the process as planned: it receives SIGTERM, and [`Self::is_restart_due`] is true
+    /// once it has exited and the gap has passed.
+    pub fn restart(&mut self, gap_ms: u64) {
+        if self.is_running() {
+            self.restart_gap = Some(Duration::from_millis(gap_ms));
+            self.signal(Signal::TERM);
+        }
+    }
+
+    /// Returns whether the process is to be started again now.
+    pub fn is_restart_due(&mut self) -> bool {
+        let Some(gap) = self.restart_gap else {
+            return false;
+        };
+        if self.is_running() {
+            return false;
+        }
+        let exited_at = *self.exited_at.get_or_insert_with(Instant::now);
+        exited_at.elapsed() >= gap
+    }
+
     /// Sends a signal to the process, if it is running.
     pub fn signal(&mut self, signal: Signal) {
         if !self.is_running() {
@@ -142,7 +175,8 @@
         (!self.is_exit_expected).then(|| format!("{} exited unexpectedly: {status}", self.id))
     }
 
-    fn is_running(&mut self) -> bool {
+    /// Returns whether the process is running.
+    pub fn is_running(&mut self) -> bool {
         let child = self.child.as_mut();
         child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
@@ -163,12 +197,13 @@
     id: DaemonId,
     network: Network,
     entries: usize,
+    service: &str,
     is_first_start: bool,
 ) -> String {
     let (vm, target) = match id {
         DaemonId::Entry(index) => (network.entry(index), None),
         DaemonId::Agent(index) => {
-            let target = (SERVICE.to_owned(), TARGET_PORT, FROM_TARGET_PORT);
+            let target = (service.to_owned(), TARGET_PORT, FROM_TARGET_PORT);
             (network.target(index), Some(target))
         }
     };
--- a/crates/fes-soak/src/main.rs
+++ b/crates/fes-soak/src/main.rs
@@ -4,9 +4,11 @@
 use std::process::ExitCode;
 
 use clap::Arg;
+use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
+use fes_soak::FaultKinds;
 use fes_soak::SoakOptions;
 use fes_soak::run;
 
@@ -31,8 +33,13 @@
 fn run_seed(matches: &ArgMatches, seed: u64) -> std::io::Result<bool> {
     let program = matches.get_one::<PathBuf>("program");
     let directory = tempfile::tempdir()?;
+    let fault_kinds = match matches.get_flag("planned") {
+        true => FaultKinds::Planned,
+        false => FaultKinds::All,
+    };
     let options = SoakOptions {
         seed,
+        fault_kinds,
         program: program.cloned().unwrap_or_default(),
         entries: usize::try_from(number(matches, "entries")).unwrap_or(1),
         targets: usize::try_from(number(matches, "targets")).unwrap_or(1),
@@ -71,18 +78,25 @@
                 .default_value("target/release/fescueshift-passthrough")
                 .value_parser(value_parser!(PathBuf)),
         )
+        .arg(
+            Arg::new("planned")
+                .long("planned")
+                .help("Only replace targets as planned, without random faults")
+                .action(ArgAction::SetTrue),
+        )
         .arg(option("seed", "1", "First seed"))
         .arg(option("count", "1", "Number of seeds"))
         .arg(option("entries", "3", "Number of entries"))
         .arg(option(
             "targets",
             "5",
-            "Number of targets, each with an agent",
+            "Number of targets of the first service, each with an agent",
         ))
         .arg(option(
             "clients",
             "10",
-            "Number of clients with a long-lived flow, and of clients with a flow per request",
+            "Number of clients with a long-lived flow, of clients with a flow per request, and of \
+             clients that use a port again",
         ))
         .arg(option(
             "faults-ms",
--- a/crates/fes-soak/src/network.rs
+++ b/crates/fes-soak/src/network.rs
@@ -17,8 +17,10 @@
 pub const FROM_TARGET_PORT: u16 = 8_162;
 pub const STORE_PORT: u16 = 8_169;
 
-/// Name of the only service.
+/// Name of the service to which the routes lead.
 pub const SERVICE: &str = "s";
+/// Name of the service to which the route of the clients that reuse ports leads at times.
+pub const OTHER_SERVICE: &str = "u";
 /// Name of the only data centre.
 pub const DATA_CENTRE: &str = "z";
 
@@ -81,3 +83,8 @@
 pub fn non_repeatable_destination() -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 80)
 }
+
+/// Destination address of the route that moves between services, for clients that reuse ports.
+pub fn moving_destination() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8_443)
+}
--- a/crates/fes-soak/src/plan.rs
+++ b/crates/fes-soak/src/plan.rs
@@ -6,6 +6,7 @@
 
 use crate::daemon::DaemonId;
 use crate::relay::LinkFault;
+use crate::replacement::plan_replacements;
 use crate::store::StoreMode;
 
 const MIN_GAP_MS: u64 = 150;
@@ -38,6 +39,39 @@
     Link(LinkFault),
     /// The operator writes new routes.
     UpdateRoutes,
+    /// The operator moves the route of the clients that reuse ports to the other service.
+    MoveRoute,
+    /// A daemon is restarted as planned: it receives SIGTERM and is started again this many
+    /// milliseconds after its exit.
+    Restart(DaemonId, u64),
+    /// A target drains.
+    Drain(usize),
+    /// A drained target ends.
+    EndTarget(usize),
+    /// The agent of a target that has ended receives SIGTERM.
+    StopAgentOfEndedTarget(usize),
+    /// A new target and its agent start in place of one that has ended.
+    ReplaceTarget(usize),
+}
+
+/// Kinds of the faults of a soak.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultKinds {
+    /// Planned replacements of targets only, which must not break any flow of another target.
+    Planned,
+    /// Random faults as well.
+    All,
+}
+
+/// Size of the fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FleetSize {
+    /// Number of entries.
+    pub entries: usize,
+    /// Number of targets of the first service.
+    pub targets: usize,
+    /// Number of targets of all services.
+    pub all_targets: usize,
 }
 
 /// A fault with its start and end.
@@ -51,9 +85,31 @@
     pub fault: Fault,
 }
 
-/// Generates the faults of a soak. All of them start before `faults_ms`.
-pub fn plan_faults(seed: u64, entries: usize, targets: usize, faults_ms: u64) -> Vec<PlannedFault> {
+/// Generates the faults of a soak, in order. All of them start before `faults_ms`.
+pub fn plan_faults(
+    seed: u64,
+    kinds: FaultKinds,
+    fleet: FleetSize,
+    faults_ms: u64,
+) -> Vec<PlannedFault> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut faults = match kinds {
+        FaultKinds::Planned => Vec::new(),
+        FaultKinds::All => plan_random_faults(&mut random, fleet, faults_ms),
+    };
+    // A stream of its own, so that the random faults of a seed don't depend on the replacements.
+    random.set_stream(1);
+    let (entries, targets) = (fleet.entries, fleet.all_targets);
+    faults.extend(plan_replacements(&mut random, entries, targets, faults_ms));
+    faults.sort_by_key(|planned| planned.start_ms);
+    faults
+}
+
+fn plan_random_faults(
+    random: &mut ChaCha8Rng,
+    fleet: FleetSize,
+    faults_ms: u64,
+) -> Vec<PlannedFault> {
     let mut faults = Vec::new();
     let mut start_ms = 500;
     while start_ms < faults_ms {
@@ -61,7 +117,7 @@
         faults.push(PlannedFault {
             start_ms,
             end_ms: start_ms + duration_ms,
-            fault: random_fault(&mut random, entries, targets),
+            fault: random_fault(random, fleet.entries, fleet.targets),
         });
         start_ms += random.random_range(MIN_GAP_MS..MAX_GAP_MS);
     }
--- a/crates/fes-soak/src/run.rs
+++ b/crates/fes-soak/src/run.rs
@@ -2,15 +2,12 @@
 
 use std::cell::RefCell;
 use std::fmt;
+use std::io::ErrorKind;
+use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::rc::Rc;
 
-use fes_adapter::stand_in::encode_routes;
 use fes_adapter::stand_in::routes_key;
-use fes_passthrough::FlowRequirements;
-use fes_passthrough::FlowUse;
-use fes_passthrough::Route;
-use fes_passthrough::RouteSet;
 use rustix::process::Signal;
 use tokio::time::Duration;
 use tokio::time::Instant;
@@ -20,20 +17,32 @@
 use crate::daemon::Daemon;
 use crate::daemon::DaemonId;
 use crate::network::Network;
+use crate::network::OTHER_SERVICE;
 use crate::network::SERVICE;
-use crate::network::non_repeatable_destination;
-use crate::network::stream_destination;
+use crate::network::moving_destination;
 use crate::plan::Fault;
+use crate::plan::FaultKinds;
+use crate::plan::FleetSize;
 use crate::plan::PlannedFault;
 use crate::plan::plan_faults;
 use crate::record::Record;
 use crate::relay::Relay;
+use crate::routes::encode_configuration;
+use crate::routes::routed_services;
 use crate::store::Store;
 use crate::store::StoreMode;
 use crate::targets::Target;
 
+/// Subnets that soaks may use.
+const FIRST_SUBNET: u8 = 20;
+const SUBNETS: u32 = 200;
 const STREAM_PAUSE_MS: u64 = 150;
 const SINGLE_REQUEST_PAUSE_MS: u64 = 50;
+const REUSED_PORT_PAUSE_MS: u64 = 100;
+/// Number of targets of the second service.
+const OTHER_TARGETS: usize = 2;
+/// A poll that is later than this shows that the machine didn't run the soak in time.
+const MAX_POLL_DELAY_MS: u64 = 150;
 const STARTUP_MS: u64 = 2_500;
 /// Time without faults at the end of a soak, in which the fleet recovers.
 const RECOVERY_MS: u64 = 8_000;
@@ -42,9 +51,6 @@
 const RECOVERY_CHECK_MS: u64 = 3_000;
 const POLL_INTERVAL_MS: u64 = 10;
 const INITIAL_ROUTES_VERSION: u64 = 100;
-const LATENCY_GOAL_MS: u32 = 200;
-const TIMEOUT_MS: u32 = 2_000;
-const IDLE_TIMEOUT_MS: u64 = 15_000;
 
 /// Parameters of a soak.
 #[derive(Debug, Clone)]
@@ -55,9 +61,12 @@
     pub program: PathBuf,
     /// Number of entries.
     pub entries: usize,
-    /// Number of targets, each with an agent.
+    /// Kinds of the faults.
+    pub fault_kinds: FaultKinds,
+    /// Number of targets of the first service, each with an agent.
     pub targets: usize,
-    /// Number of clients with a long-lived flow, and of clients that open a flow for each request.
+    /// Number of clients with a long-lived flow, of clients that open a flow for each request, and
+    /// of clients that open flows from the same port.
     pub clients: usize,
     /// Duration of fault injection, in milliseconds.
     pub faults_ms: u64,
@@ -78,6 +87,8 @@
     pub failed: usize,
     /// Number of open flows that were reset.
     pub resets: usize,
+    /// Number of flows for which a client used a port again.
+    pub reused_ports: usize,
     /// Number of requests that were sent during the recovery check.
     pub recovery_sent: usize,
     /// Number of those requests that were answered.
@@ -90,13 +101,14 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "seed {}: {} faults, {} requests answered, {} without an answer, {} flows reset, {} of {} \
-             requests answered in the recovery check, {} violations",
+            "seed {}: {} faults, {} requests answered, {} without an answer, {} flows reset, {} ports \
+             reused, {} of {} requests answered in the recovery check, {} violations",
             self.seed,
             self.faults,
             self.answered,
             self.failed,
             self.resets,
+            self.reused_ports,
             self.recovery_answered,
             self.recovery_sent,
             self.violations.len()
@@ -116,6 +128,8 @@
     relay: Rc<Relay>,
     record: Rc<RefCell<Record>>,
     routes_version: u64,
+    /// Service to which the moving route leads.
+    moving_service: &'static str,
 }
 
 /// Runs a soak on the current arbiter.
@@ -129,41 +143,47 @@
     for _ in 0..options.clients {
         actix_rt::spawn(Rc::clone(&soak.clients).run_long_lived_flows(STREAM_PAUSE_MS));
         actix_rt::spawn(Rc::clone(&soak.clients).run_single_request_flows(SINGLE_REQUEST_PAUSE_MS));
+        actix_rt::spawn(Rc::clone(&soak.clients).run_flows_of_one_port(REUSED_PORT_PAUSE_MS));
     }
-    let plan = plan_faults(
-        options.seed,
-        options.entries,
-        options.targets,
-        options.faults_ms,
-    );
+    let fleet = FleetSize {
+        entries: options.entries,
+        targets: options.targets,
+        all_targets: soak.targets.len(),
+    };
+    let plan = plan_faults(options.seed, options.fault_kinds, fleet, options.faults_ms);
     soak.run_plan(&plan, options.faults_ms).await?;
     Ok(soak.build_report(options.seed, plan.len()))
 }
 
 async fn start(options: &SoakOptions) -> std::io::Result<Soak> {
-    let network = Network {
-        subnet: u8::try_from(std::process::id() % 200).unwrap_or(0) + 20,
-    };
     let record = Rc::new(RefCell::new(Record::default()));
-    let store = Store::start(network.store()).await?;
-    store.put(routes_key(), routes(INITIAL_ROUTES_VERSION));
+    let (network, store) = start_store().await?;
+    let service_of = |target| match target < options.targets {
+        true => SERVICE,
+        false => OTHER_SERVICE,
+    };
     let mut targets = Vec::new();
-    for index in 0..options.targets {
-        let target = Target::start(index, network, Rc::clone(&store), Rc::clone(&record));
+    for index in 0..options.targets + OTHER_TARGETS {
+        let (store, record) = (Rc::clone(&store), Rc::clone(&record));
+        let target = Target::start(index, service_of(index), network, store, record);
         targets.push(target.await?);
     }
     let clients = Clients::start(network, options.entries, Rc::clone(&record)).await?;
     let ids = (0..options.entries)
         .map(DaemonId::Entry)
-        .chain((0..options.targets).map(DaemonId::Agent));
+        .chain((0..targets.len()).map(DaemonId::Agent));
     let relay = Relay::start(network, ids.clone()).await?;
     let mut daemons = Vec::new();
     for id in ids {
         let (program, directory) = (&options.program, &options.directory);
-        let daemon = Daemon::start(id, network, options.entries, program, directory)?;
+        let service = match id {
+            DaemonId::Entry(_) => SERVICE,
+            DaemonId::Agent(target) => service_of(target),
+        };
+        let daemon = Daemon::start(id, network, options.entries, service, program, directory)?;
         daemons.push((id, daemon));
     }
-    Ok(Soak {
+    let soak = Soak {
         daemons,
         store,
         targets,
@@ -171,7 +191,31 @@
         relay,
         record,
         routes_version: INITIAL_ROUTES_VERSION,
-    })
+        moving_service: SERVICE,
+    };
+    soak.write_routes();
+    for (destination, service) in routed_services(soak.moving_service) {
+        soak.record_route(destination, service);
+    }
+    Ok(soak)
+}
+
+/// Starts the store in a subnet that no other soak uses: only one can bind the store's address. Soaks
+/// may run in several processes, and as several tests of one.
+async fn start_store() -> std::io::Result<(Network, Rc<Store>)> {
+    let first = std::process::id() % SUBNETS;
+    let mut result = Err(ErrorKind::AddrInUse.into());
+    for offset in 0..SUBNETS {
+        let subnet = u8::try_from((first + offset) % SUBNETS).unwrap_or(0) + FIRST_SUBNET;
+        let network = Network { subnet };
+        result = Store::start(network.store())
+            .await
+            .map(|store| (network, store));
+        if result.is_ok() {
+            break;
+        }
+    }
+    result
 }
 
 impl Soak {
@@ -183,7 +227,7 @@
         loop {
             let now_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
             while let Some(planned) = plan.get(next).filter(|planned| planned.start_ms <= now_ms) {
-                self.inject(planned.fault);
+                self.inject(planned.fault)?;
                 active.push((planned.end_ms.min(faults_ms), planned.fault));
                 next += 1;
             }
@@ -195,17 +239,22 @@
             for (_, fault) in ended {
                 self.revert(fault)?;
             }
-            self.check_processes();
+            self.check_processes()?;
             self.clients.is_recovery_check.set(now_ms >= check_start_ms);
             if now_ms >= faults_ms + RECOVERY_MS {
                 self.clients.is_over.set(true);
                 return Ok(());
             }
+            let polled_at = Instant::now();
             sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
+            if polled_at.elapsed() > Duration::from_millis(MAX_POLL_DELAY_MS) {
+                let mut record = self.record.borrow_mut();
+                record.requests.record_stall(Instant::now());
+            }
         }
     }
 
-    fn inject(&mut self, fault: Fault) {
+    fn inject(&mut self, fault: Fault) -> std::io::Result<()> {
         self.record_disruption(fault);
         match fault {
             Fault::Kill(daemon) => self.signal(daemon, Signal::KILL),
@@ -222,11 +271,48 @@
             Fault::CrashTarget(target) => self.targets[target].crash(),
             Fault::ClientLoss(percent) => self.clients.loss_percent.set(percent),
             Fault::Link(fault) => self.relay.start_fault(fault),
-            Fault::UpdateRoutes => {
-                self.routes_version += 3;
-                self.store.put(routes_key(), routes(self.routes_version));
+            Fault::UpdateRoutes => self.update_routes(),
+            Fault::MoveRoute => {
+                self.moving_service = match self.moving_service == SERVICE {
+                    true => OTHER_SERVICE,
+                    false => SERVICE,
+                };
+                self.update_routes();
+                self.record_route(moving_destination(), self.moving_service);
+            }
+            Fault::Restart(daemon, gap_ms) => self.restart(daemon, gap_ms),
+            Fault::Drain(target) => self.targets[target].drain(),
+            Fault::EndTarget(target) => self.targets[target].end(),
+            Fault::StopAgentOfEndedTarget(target) => {
+                if self.targets[target].has_ended() {
+                    self.signal(DaemonId::Agent(target), Signal::TERM);
+                }
+            }
+            Fault::ReplaceTarget(target) => {
+                if self.targets[target].has_ended() {
+                    self.targets[target].replace()?;
+                    self.spawn_daemons(|id| id == DaemonId::Agent(target))?;
+                }
             }
         }
+        Ok(())
+    }
+
+    fn update_routes(&mut self) {
+        self.routes_version += 3;
+        self.write_routes();
+    }
+
+    fn write_routes(&self) {
+        let configuration = encode_configuration(self.routes_version, self.moving_service);
+        self.store.put(routes_key(), configuration);
+    }
+
+    fn record_route(&self, destination: SocketAddrV4, service: &'static str) {
+        let mut record = self.record.borrow_mut();
+        record
+            .routes
+            .record_route(Instant::now(), destination, service);
     }
 
     fn revert(&mut self, fault: Fault) -> std::io::Result<()> {
@@ -234,15 +320,35 @@
         match fault {
             Fault::Pause(daemon) => self.signal(daemon, Signal::CONT),
             Fault::Store(_) => self.store.mode.set(StoreMode::Available),
-            Fault::CrashTarget(target) => self.targets[target].restart(),
+            Fault::CrashTarget(target) => self.targets[target].restart()?,
             Fault::ClientLoss(_) => self.clients.loss_percent.set(0),
             Fault::Link(fault) => self.relay.end_fault(fault),
             Fault::Kill(_) | Fault::Terminate(_) | Fault::KillAll => {
-                for (_, daemon) in &mut self.daemons {
-                    daemon.spawn()?;
-                }
+                self.spawn_daemons(|_| true)?
+            }
+            Fault::Reload(_)
+            | Fault::DropHistory
+            | Fault::UpdateRoutes
+            | Fault::MoveRoute
+            | Fault::Restart(..)
+            | Fault::Drain(_)
+            | Fault::EndTarget(_)
+            | Fault::StopAgentOfEndedTarget(_)
+            | Fault::ReplaceTarget(_) => {}
+        }
+        Ok(())
+    }
+
+    /// Starts the selected daemons that aren't running, except the agents of ended targets.
+    fn spawn_daemons(&mut self, is_selected: impl Fn(DaemonId) -> bool) -> std::io::Result<()> {
+        for (id, daemon) in &mut self.daemons {
+            let is_needed = match *id {
+                DaemonId::Entry(_) => true,
+                DaemonId::Agent(target) => !self.targets[target].has_ended(),
+            };
+            if is_needed && is_selected(*id) {
+                daemon.spawn()?;
             }
-            Fault::Reload(_) | Fault::DropHistory | Fault::UpdateRoutes => {}
         }
         Ok(())
     }
@@ -254,22 +360,29 @@
             Fault::Kill(DaemonId::Agent(index)) | Fault::Pause(DaemonId::Agent(index)) => {
                 record.record_target_disruption(index);
             }
-            Fault::KillAll
-            | Fault::Kill(DaemonId::Entry(_))
+            // Agents may be absent for longer than entries wait for them.
+            Fault::KillAll => record.record_isolation(),
+            Fault::Kill(DaemonId::Entry(_))
             | Fault::Pause(DaemonId::Entry(_))
             | Fault::Store(_)
             | Fault::ClientLoss(_) => record.record_entry_disruption(),
             Fault::Link(fault) => match fault.daemon() {
                 DaemonId::Agent(index) => record.record_target_disruption(index),
-                DaemonId::Entry(_) => record.record_entry_disruption(),
+                DaemonId::Entry(_) => record.record_isolation(),
             },
-            // A target records its crash itself. The other faults must not break any flow: three
-            // are planned operations, and watches of the store start over without its history.
+            // A target records its crash or end itself. The other faults must not break any flow:
+            // they are planned operations, or watches of the store start over without its history.
             Fault::CrashTarget(_)
             | Fault::Terminate(_)
             | Fault::Reload(_)
             | Fault::DropHistory
-            | Fault::UpdateRoutes => {}
+            | Fault::UpdateRoutes
+            | Fault::MoveRoute
+            | Fault::Restart(..)
+            | Fault::Drain(_)
+            | Fault::EndTarget(_)
+            | Fault::StopAgentOfEndedTarget(_)
+            | Fault::ReplaceTarget(_) => {}
         }
     }
 
@@ -280,12 +393,27 @@
         }
     }
 
-    fn check_processes(&mut self) {
-        for (_, daemon) in &mut self.daemons {
+    fn restart(&mut self, id: DaemonId, gap_ms: u64) {
+        let daemon = self.daemons.iter_mut().find(|(other, _)| *other == id);
+        if let Some((_, daemon)) = daemon {
+            daemon.restart(gap_ms);
+        }
+    }
+
+    fn check_processes(&mut self) -> std::io::Result<()> {
+        for (id, daemon) in &mut self.daemons {
+            let mut record = self.record.borrow_mut();
             if let Some(text) = daemon.unexpected_exit() {
-                self.record.borrow_mut().violations.push(text);
+                record.violations.push(text);
+            }
+            if !daemon.is_running() {
+                record.requests.record_absence(Instant::now(), *id);
             }
         }
+        let due = self.daemons.iter_mut();
+        let due = due.filter_map(|(id, daemon)| daemon.is_restart_due().then_some(*id));
+        let due: Vec<DaemonId> = due.collect();
+        self.spawn_daemons(|id| due.contains(&id))
     }
 
     fn build_report(&self, seed: u64, faults: usize) -> Report {
@@ -304,31 +432,10 @@
             answered: record.answered,
             failed: record.failed,
             resets: record.resets,
+            reused_ports: record.reused_ports,
             recovery_sent: sent,
             recovery_answered: answered,
             violations,
         }
     }
 }
-
-fn routes(version: u64) -> String {
-    let route = |destination, flow_use| Route {
-        destination,
-        requirements: FlowRequirements {
-            flow_use,
-            latency_goal_ms: LATENCY_GOAL_MS,
-            timeout_ms: TIMEOUT_MS,
-        },
-        services: Vec::new(),
-    };
-    let routes = [
-        route(stream_destination(), FlowUse::Stream),
-        route(non_repeatable_destination(), FlowUse::NonRepeatable),
-    ];
-    let set = RouteSet {
-        version,
-        idle_timeout_ms: IDLE_TIMEOUT_MS,
-        routes: routes.into_iter().map(|r| (r.destination, r)).collect(),
-    };
-    encode_routes(&set, SERVICE)
-}
--- a/crates/fes-soak/src/targets.rs
+++ b/crates/fes-soak/src/targets.rs
@@ -24,17 +24,18 @@
 use rand::Rng;
 use tokio::net::UdpSocket;
 use tokio::time::Duration;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 use crate::daemon::DaemonId;
 use crate::network::DATA_CENTRE;
 use crate::network::FROM_TARGET_PORT;
 use crate::network::Network;
-use crate::network::SERVICE;
 use crate::network::TARGET_PORT;
 use crate::network::non_repeatable_destination;
 use crate::record::Record;
 use crate::store::Store;
+use crate::target_listener::TargetListener;
 
 const HEARTBEAT_INTERVAL_MS: u64 = 400;
 const MISSED_HEARTBEATS_UNTIL_EXPIRY: u32 = 3;
@@ -46,6 +47,7 @@
 
 struct Flow {
     initial_sequence: u32,
+    client_initial_sequence: u32,
     /// Whether the client has acknowledged the SYN of the target.
     is_open: bool,
     next_client_sequence: u32,
@@ -61,8 +63,16 @@
     record: Rc<RefCell<Record>>,
     flows: RefCell<HashMap<FlowKey, Flow>>,
     started_at_ms: Cell<u64>,
-    /// Whether the target is running.
-    pub is_up: Cell<bool>,
+    is_up: Cell<bool>,
+    is_draining: Cell<bool>,
+    has_ended: Cell<bool>,
+    /// Number of requests that run.
+    running: Cell<u32>,
+    /// Number of writes to the store.
+    writes: Cell<u64>,
+    service: &'static str,
+    store: Rc<Store>,
+    listener: TargetListener,
     socket: UdpSocket,
 }
 
@@ -70,6 +80,7 @@
     /// Starts a target, which keeps itself registered at the store.
     pub async fn start(
         index: usize,
+        service: &'static str,
         network: Network,
         store: Rc<Store>,
         record: Rc<RefCell<Record>>,
@@ -82,60 +93,135 @@
             flows: RefCell::default(),
             started_at_ms: Cell::new(INITIAL_START_MS),
             is_up: Cell::new(true),
+            is_draining: Cell::new(false),
+            has_ended: Cell::new(false),
+            running: Cell::new(0),
+            writes: Cell::new(0),
+            service,
+            store,
+            listener: TargetListener::new(address),
             socket: UdpSocket::bind(address).await?,
         });
+        target.listener.start()?;
         let receiver = Rc::clone(&target);
         actix_rt::spawn(async move { receiver.receive().await });
         let registration = Rc::clone(&target);
-        actix_rt::spawn(async move { registration.send_heartbeats(&store).await });
+        actix_rt::spawn(async move { registration.send_heartbeats().await });
         Ok(target)
     }
 
     /// Crashes the target, which loses all its flows.
     pub fn crash(&self) {
+        if self.is_up.get() {
+            self.stop();
+            self.record.borrow_mut().record_crash(self.index);
+        }
+    }
+
+    /// Restarts the target after a crash.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address of the target can't be bound.
+    pub fn restart(&self) -> std::io::Result<()> {
+        if self.is_up.get() || self.has_ended.get() {
+            return Ok(());
+        }
+        self.start_again()?;
+        self.record
+            .borrow_mut()
+            .record_target_disruption(self.index);
+        Ok(())
+    }
+
+    /// Reports that the target accepts no further flows.
+    pub fn drain(&self) {
+        if self.is_up.get() {
+            self.is_draining.set(true);
+            self.register();
+        }
+    }
+
+    /// Ends the target as planned, unless a crash and restart has interrupted its drain.
+    pub fn end(&self) {
+        if self.is_up.get() && self.is_draining.get() {
+            self.stop();
+            self.has_ended.set(true);
+            self.record.borrow_mut().record_end(self.index);
+        }
+    }
+
+    /// Returns whether the target has ended as planned and wasn't replaced yet.
+    pub const fn has_ended(&self) -> bool {
+        self.has_ended.get()
+    }
+
+    /// Starts a new target in place of one that has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address of the target can't be bound.
+    pub fn replace(&self) -> std::io::Result<()> {
+        self.has_ended.set(false);
+        self.start_again()
+    }
+
+    fn stop(&self) {
         self.is_up.set(false);
+        self.listener.stop();
+        self.running.set(0);
         self.flows.borrow_mut().clear();
-        self.record.borrow_mut().record_crash(self.index);
     }
 
-    /// Restarts the target.
-    pub fn restart(&self) {
+    fn start_again(&self) -> std::io::Result<()> {
+        self.listener.start()?;
         self.started_at_ms.set(self.started_at_ms.get() + 1_000);
+        self.is_draining.set(false);
         self.is_up.set(true);
-        self.record
-            .borrow_mut()
-            .record_target_disruption(self.index);
+        Ok(())
     }
 
-    async fn send_heartbeats(&self, store: &Store) {
-        let id = format!("t-{}", self.index);
-        let key = target_key(&id);
+    async fn send_heartbeats(&self) {
         let mut missed = 0;
-        let mut writes: u64 = 0;
         loop {
             if self.is_up.get() {
                 missed = 0;
-                writes += 1;
-                let record = self.registration(&id);
-                store.put(&key, encode_target(&record, SERVICE, TARGET_PORT, writes));
+                self.listener.close_connections();
+                self.register();
             } else {
                 missed += 1;
                 if missed == MISSED_HEARTBEATS_UNTIL_EXPIRY {
-                    store.remove(&key);
+                    self.store.remove(&target_key(&self.id()));
                 }
             }
             sleep(Duration::from_millis(HEARTBEAT_INTERVAL_MS)).await;
         }
     }
 
+    fn id(&self) -> String {
+        format!("t-{}", self.index)
+    }
+
+    fn register(&self) {
+        let id = self.id();
+        self.writes.set(self.writes.get() + 1);
+        let record = self.registration(&id);
+        let value = encode_target(&record, self.service, TARGET_PORT, self.writes.get());
+        self.store.put(&target_key(&id), value);
+    }
+
     fn registration(&self, id: &str) -> TargetRecord {
+        let state = match self.is_draining.get() {
+            true => TargetState::Draining,
+            false => TargetState::Ready,
+        };
         TargetRecord {
             id: UpstreamName::from(id),
-            service: ServiceTag::from(&ServiceName::from(SERVICE)),
+            service: ServiceTag::from(&ServiceName::from(self.service)),
             vm: self.network.alias(DaemonId::Agent(self.index)),
             data_centre: DataCentreName::from(DATA_CENTRE),
             slots: SLOTS,
-            state: TargetState::Ready,
+            state,
             started_at_ms: self.started_at_ms.get(),
             warm_up_ms: 0,
             revision: 0,
@@ -165,9 +251,7 @@
         if segment.is_syn {
             return self.accept_flow(&segment);
         }
-        self.record
-            .borrow_mut()
-            .record_arrival(segment.flow, self.index);
+        self.record_arrival(&segment, bytes);
         let mut flows = self.flows.borrow_mut();
         let Some(flow) = flows.get_mut(&segment.flow) else {
             return self.send(&mark_returned(bytes));
@@ -176,11 +260,29 @@
         if !flow.is_open && !acknowledges_syn {
             return self.send(&mark_returned(bytes));
         }
+        let acknowledged_bytes = segment
+            .acknowledged
+            .wrapping_sub(flow.initial_sequence)
+            .wrapping_sub(1);
+        if acknowledged_bytes > flow.sent_bytes {
+            // A late packet of the former flow of the port, for example its FIN.
+            return;
+        }
         if !flow.is_open {
             flow.is_open = true;
-            self.record
-                .borrow_mut()
-                .record_open(segment.flow, self.index);
+            let mut record = self.record.borrow_mut();
+            if record.is_latest(segment.flow, flow.client_initial_sequence) {
+                record.record_open(segment.flow, self.index);
+            }
+        }
+        if segment.is_fin {
+            let fin = Segment {
+                is_fin: true,
+                acknowledged: segment.sequence.wrapping_add(1),
+                ..target_segment(segment.flow, flow, 0)
+            };
+            flows.remove(&segment.flow);
+            return self.send(&encode_packet(&fin, &[]));
         }
         let end = segment
             .sequence
@@ -201,6 +303,15 @@
         self.start_request(segment, bytes);
     }
 
+    fn record_arrival(&self, segment: &Segment, bytes: &[u8]) {
+        let mut record = self.record.borrow_mut();
+        record.record_arrival(segment.flow, self.index);
+        let request = packet::request_id(bytes).and_then(|id| id.parse().ok());
+        if let Some(request) = request.filter(|_| segment.payload_bytes > 0) {
+            record.requests.record_delivery(request);
+        }
+    }
+
     fn start_request(self: &Rc<Self>, segment: Segment, bytes: &[u8]) {
         let request = packet::request_id(bytes).and_then(|id| id.parse().ok());
         let Some(request) = request else {
@@ -211,14 +322,26 @@
         }
         let target = Rc::clone(self);
         let incarnation = self.started_at_ms.get();
+        self.set_running(self.running.get() + 1);
         actix_rt::spawn(async move {
             sleep(Duration::from_millis(REQUEST_DURATION_MS)).await;
             if target.is_up.get() && target.started_at_ms.get() == incarnation {
+                target.set_running(target.running.get() - 1);
                 target.send_response(segment.flow, request);
             }
         });
     }
 
+    /// Changes the number of running requests. Their slots are in use at the moment of the change
+    /// if they were before or are afterwards.
+    fn set_running(&self, running: u32) {
+        let before = self.running.replace(running);
+        if before.max(running) >= SLOTS {
+            let mut record = self.record.borrow_mut();
+            record.requests.record_full(Instant::now(), self.index);
+        }
+    }
+
     fn send_response(&self, flow_key: FlowKey, request: u64) {
         let mut flows = self.flows.borrow_mut();
         let Some(flow) = flows.get_mut(&flow_key) else {
@@ -234,13 +357,25 @@
 
     fn accept_flow(&self, segment: &Segment) {
         let mut flows = self.flows.borrow_mut();
+        let former = flows.get(&segment.flow);
+        if former.is_some_and(|flow| flow.client_initial_sequence != segment.sequence) {
+            // The client has closed the former flow of its port.
+            flows.remove(&segment.flow);
+        }
         let flow = flows.entry(segment.flow).or_insert_with(|| Flow {
             initial_sequence: rand::rng().random(),
+            client_initial_sequence: segment.sequence,
             is_open: false,
             next_client_sequence: segment.sequence.wrapping_add(1),
             response: None,
             sent_bytes: 0,
         });
+        self.record.borrow_mut().record_accepted(
+            segment.flow,
+            segment.sequence,
+            flow.initial_sequence,
+            (self.index, self.service),
+        );
         let syn_ack = Segment {
             is_syn: true,
             sequence: flow.initial_sequence,
