Wait as long for an agent never heard as for one known to be restarted

Cause: a search waited 1 s for an agent that the entry had never heard, from the listing of its target, but 1.5 s or more for a known one. A restarted entry can't tell the two apart.

Change: one bound, MAX_RESTART_MS, for both.

Test: an_entry_may_restart_while_an_agent_is_away with 1,350 ms fails with the bound of 1 s.

--- a/crates/fes-passthrough/src/agent_table.rs
+++ b/crates/fes-passthrough/src/agent_table.rs
@@ -16,9 +16,10 @@
 /// Time without a report after which an agent that hasn't announced its end is assumed to have ended.
 /// It is longer than the restart of a process that was killed.
 pub(crate) const MAX_AGENT_ABSENCE_MS: u64 = 2_500;
-/// Time from the announced end of an agent's process within which the next one reports. A process is
-/// started again within a second; one that takes longer has left with its VM.
-const MAX_RESTART_MS: u64 = 1_500;
+/// Time within which an agent that is being restarted reports, from the announced end of its process
+/// or from the listing of its target at an entry that has never heard it. A process is started again
+/// within a second; one that takes longer has left with its VM.
+pub(crate) const MAX_RESTART_MS: u64 = 1_500;
 /// Time after which a newly placed flow is included in its agent's reports: the handshake takes two
 /// trips to the client.
 const HANDSHAKE_MS: u64 = 30;
--- a/crates/fes-passthrough/tests/planned_stop.rs
+++ b/crates/fes-passthrough/tests/planned_stop.rs
@@ -240,7 +240,7 @@
 }
 
 /// Plays streams while an agent is away and an entry, which then knows no flow, is restarted.
-fn run_streams_with_restarted_entry(state: TargetState) -> Simulation {
+fn run_streams_with_restarted_entry(state: TargetState, away_ms: u64) -> Simulation {
     let mut simulation = Simulation::new(2, TARGETS, SLOTS, WORK_MS, 7);
     add_streams(&mut simulation, 24, 40, 100);
     simulation.run_until(1_500);
@@ -251,19 +251,24 @@
     }
     simulation.agents[0] = None;
     simulation.start_entry(0);
-    simulation.run_until(simulation.now_ms + 650);
+    simulation.run_until(simulation.now_ms + away_ms);
     simulation.start_agent(0, false);
     simulation.run_until(20_000);
     simulation
 }
 
 /// Guards against flows that a restarted entry can't find while the agent of their target is away.
-/// A draining target keeps its flows, so that its agent must be waited for as well.
+/// A draining target keeps its flows, so that its agent must be waited for as well. A restarted
+/// entry has never heard the agent, which may be away for more than a second on a busy VM (found by
+/// the soak with seed 4010).
 #[rstest]
 #[case::ready(TargetState::Ready)]
 #[case::draining(TargetState::Draining)]
-fn an_entry_may_restart_while_an_agent_is_away(#[case] state: TargetState) {
-    let simulation = run_streams_with_restarted_entry(state);
+fn an_entry_may_restart_while_an_agent_is_away(
+    #[case] state: TargetState,
+    #[values(650, 1_350)] away_ms: u64,
+) {
+    let simulation = run_streams_with_restarted_entry(state, away_ms);
 
     assert_eq!(simulation.answered(), 24 * 40);
     assert_eq!(runs(&simulation), 24 * 40, "requests that ran");
