--- a/crates/fes-passthrough/src/agent_table.rs
+++ b/crates/fes-passthrough/src/agent_table.rs
@@ -13,13 +13,9 @@
 /// Minimum time without a report before an agent counts as silent. With a shorter time, the loss of
 /// two datagrams in a row would make it count as silent.
 const MIN_REPORT_TIMEOUT_MS: u64 = 350;
-/// Time without a report after which an agent that hasn't announced its end is assumed to have ended.
-/// It is longer than the restart of a process that was killed.
+/// Time after which an agent that doesn't report is assumed to have ended, from the announced end of
+/// its process or else from its latest report. It allows for the restart of a process on a busy VM.
 pub(crate) const MAX_AGENT_ABSENCE_MS: u64 = 2_500;
-/// Time within which an agent that is being restarted reports, from the announced end of its process
-/// or from the listing of its target at an entry that has never heard it. A process is started again
-/// within a second; one that takes longer has left with its VM.
-pub(crate) const MAX_RESTART_MS: u64 = 1_500;
 /// Time after which a newly placed flow is included in its agent's reports: the handshake takes two
 /// trips to the client.
 const HANDSHAKE_MS: u64 = 30;
@@ -99,7 +95,7 @@
     pub fn may_return(&self, now: MonoTime) -> bool {
         match self.process {
             AgentProcess::Running => self.age_ms(now) < MAX_AGENT_ABSENCE_MS,
-            AgentProcess::Restarting => now < self.stopped_at.plus_ms(MAX_RESTART_MS),
+            AgentProcess::Restarting => now < self.stopped_at.plus_ms(MAX_AGENT_ABSENCE_MS),
             AgentProcess::Ended => false,
         }
     }
--- a/crates/fes-passthrough/src/entry/searching.rs
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -23,10 +23,12 @@
 use crate::ServiceTag;
 use crate::TargetRecord;
 use crate::TargetState;
-use crate::agent_table::MAX_RESTART_MS;
 use crate::attempt_rank;
 use crate::preferred_targets;
 
+/// Time within which the agent of a newly listed target sends its first report. An entry that was
+/// restarted has never heard the agents, which may be being restarted as well.
+const FIRST_REPORT_TIMEOUT_MS: u64 = 1_500;
 /// Maximum number of agents that an entry asks directly. Sending packets is expensive for an entry
 /// that has a small share of a core, while the detour through a nearby agent takes 0.5 ms.
 const MAX_DIRECT_LOOKUPS: usize = 2;
@@ -238,7 +240,7 @@
     fn possible_holders(&self, now: MonoTime) -> impl Iterator<Item = &TargetRecord> {
         let may_answer = move |target: &&TargetRecord| match self.agents.get(target.vm) {
             Some(agent) => agent.is_reachable(now) || agent.may_return(now),
-            None => self.view.listed_for_ms(now, &target.id) < MAX_RESTART_MS,
+            None => self.view.listed_for_ms(now, &target.id) < FIRST_REPORT_TIMEOUT_MS,
         };
         self.view.newest_targets().filter(may_answer)
     }
