Move hellos and simulated interventions into their own modules

Change: entry/hellos.rs holds the periods of hellos and reports and the sending of hellos; tests/support/interventions.rs holds the changes of the platform's list and the stops of targets and agents.

--- a/crates/fes-passthrough/src/entry/mod.rs
+++ b/crates/fes-passthrough/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod established;
 mod evacuation;
 mod held_packets;
+mod hellos;
 mod opening;
 mod searching;
 mod status;
--- a/crates/fes-passthrough/tests/support/mod.rs
+++ b/crates/fes-passthrough/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod client;
 pub mod fixtures;
+pub mod interventions;
 pub mod script;
 pub mod simulation;
 pub mod target;
--- a/crates/fes-passthrough/tests/support/simulation.rs
+++ b/crates/fes-passthrough/tests/support/simulation.rs
@@ -1,5 +1,4 @@
-//! Event loop of the simulation: runs entries and agents, transports packets with delay and loss,
-//! and injects faults.
+//! Event loop of the simulation: runs entries and agents, and transports packets with delay and loss.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -20,11 +19,9 @@
 use fes_passthrough::Segment;
 use fes_passthrough::Sender;
 use fes_passthrough::TargetRecord;
-use fes_passthrough::TargetState;
 use fes_passthrough::WarmUpSettings;
 use fes_protocol::DataCentreName;
 use fes_protocol::MonoTime;
-use fes_protocol::UpstreamName;
 
 use super::client::Client;
 use super::fixtures::SERVICE;
@@ -37,8 +34,6 @@
 
 const NETWORK_DELAY_MS: u64 = 2;
 const TICK_MS: u64 = 20;
-/// Upper limit of the time that a stopping agent takes.
-const MAX_STOP_MS: u64 = 1_500;
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Event {
@@ -84,10 +79,10 @@
     events: Vec<Option<Event>>,
     by_flow: HashMap<FlowKey, usize>,
     random: u64,
-    revision: u64,
+    pub(super) revision: u64,
     incarnation: u64,
     /// Number of slots that is reported to agents, if it differs from the real one.
-    reported_slots: Option<u32>,
+    pub(super) reported_slots: Option<u32>,
 }
 
 impl Simulation {
@@ -134,14 +129,6 @@
         simulation
     }
 
-    /// Reports a number of slots to agents that differs from their target's real one.
-    pub fn override_reported_slots(&mut self, slots: u32) {
-        self.reported_slots = Some(slots);
-        for index in 0..self.records.len() {
-            self.change_target(index, |record| record.slots = slots);
-        }
-    }
-
     pub fn start_entry(&mut self, index: usize) {
         self.start_entry_without_list(index);
         self.send_listing(index);
@@ -183,124 +170,6 @@
         self.agents[index] = Some(agent);
     }
 
-    /// Changes a target's record at the platform and applies the change to all entries.
-    pub fn change_target(&mut self, index: usize, change: impl FnOnce(&mut TargetRecord)) {
-        self.revision += 1;
-        change(&mut self.records[index]);
-        self.records[index].revision = self.revision;
-        let record = self.records[index].clone();
-        let (now, revision) = (self.now(), self.revision);
-        for entry in 0..self.entries.len() {
-            let mut out = Vec::new();
-            if let Some(core) = &mut self.entries[entry] {
-                core.on_change(now, ListChange::Target(record.clone()), &mut out);
-                core.view_mut().confirm(now, revision);
-            }
-            self.perform_entry(entry, out, None);
-        }
-    }
-
-    /// Writes or removes the request to evacuate a data centre. Only the entries in `readers` learn
-    /// of it from the platform.
-    pub fn evacuate(&mut self, data_centre: &str, is_in_force: bool, readers: &[usize]) {
-        self.revision += 1;
-        let evacuation = Evacuation {
-            data_centre: DataCentreName::from(data_centre),
-            revision: self.revision,
-            is_in_force,
-        };
-        self.evacuations
-            .retain(|other| other.data_centre != evacuation.data_centre);
-        self.evacuations
-            .extend(is_in_force.then(|| evacuation.clone()));
-        let (now, revision) = (self.now(), self.revision);
-        for entry in readers.iter().copied() {
-            let mut out = Vec::new();
-            if let Some(core) = &mut self.entries[entry] {
-                let change = ListChange::Evacuation(evacuation.clone());
-                core.on_change(now, change, &mut out);
-                core.view_mut().confirm(now, revision);
-            }
-            self.perform_entry(entry, out, None);
-        }
-    }
-
-    /// Ends all evacuations without a change that entries could watch, as when the platform has
-    /// lost its history.
-    pub fn lose_evacuations(&mut self) {
-        self.revision += 1;
-        self.evacuations.clear();
-    }
-
-    /// Removes a target's record from the platform's list.
-    pub fn unlist_target(&mut self, index: usize) {
-        self.revision += 1;
-        let id = self.records[index].id.clone();
-        let (now, revision) = (self.now(), self.revision);
-        for entry in 0..self.entries.len() {
-            let mut out = Vec::new();
-            let change = ListChange::NoTarget {
-                id: id.clone(),
-                revision,
-            };
-            if let Some(core) = &mut self.entries[entry] {
-                core.on_change(now, change, &mut out);
-                core.view_mut().confirm(now, revision);
-            }
-            self.perform_entry(entry, out, None);
-        }
-    }
-
-    /// Lists the record of a target's previous instance in addition to that of the current one.
-    pub fn list_previous_instance(&mut self, index: usize) {
-        let mut previous = self.records[index].clone();
-        previous.id = UpstreamName::from(format!("former-{index}"));
-        previous.started_at_ms -= 1;
-        previous.state = TargetState::Ready;
-        let now = self.now();
-        for entry in 0..self.entries.len() {
-            let mut out = Vec::new();
-            if let Some(core) = &mut self.entries[entry] {
-                core.on_change(now, ListChange::Target(previous.clone()), &mut out);
-            }
-            self.perform_entry(entry, out, None);
-        }
-    }
-
-    pub fn crash_target(&mut self, index: usize) {
-        self.targets[index].crash_and_restart();
-        let started_at_ms = self.targets[index].started_at_ms;
-        self.change_target(index, |record| record.started_at_ms = started_at_ms);
-    }
-
-    /// Ends a target and its agent as planned: the agent is told to stop once the target has ended,
-    /// finds that out and exits.
-    pub fn end_target(&mut self, index: usize) {
-        self.targets[index].is_running = false;
-        let now = self.now();
-        let mut out = Vec::new();
-        if let Some(agent) = &mut self.agents[index] {
-            agent.begin_stop(now, now.plus_ms(MAX_STOP_MS), &mut out);
-            agent.record_target_ended();
-            agent.advance_stop(now, &mut out);
-        }
-        self.perform_agent(index, out, None);
-        self.agents[index] = None;
-    }
-
-    /// Ends a target and its agent, which announces a restart but doesn't return.
-    pub fn stop_agent_for_good(&mut self, index: usize) {
-        self.targets[index].is_running = false;
-        let now = self.now();
-        let mut out = Vec::new();
-        if let Some(agent) = &mut self.agents[index] {
-            agent.begin_stop(now, now, &mut out);
-            agent.advance_stop(now, &mut out);
-        }
-        self.perform_agent(index, out, None);
-        self.agents[index] = None;
-    }
-
     pub fn add_client(&mut self, client: Client, at_ms: u64) -> usize {
         let index = self.clients.len();
         self.by_flow.insert(client.flow, index);
@@ -354,7 +223,7 @@
         self.by_flow.keys().filter(|flow| is_broken(flow)).count()
     }
 
-    fn now(&self) -> MonoTime {
+    pub(super) fn now(&self) -> MonoTime {
         MonoTime::from_ms(self.now_ms)
     }
 
@@ -532,7 +401,12 @@
         }
     }
 
-    fn perform_entry(&mut self, index: usize, actions: Vec<EntryAction>, packet: Option<Vec<u8>>) {
+    pub(super) fn perform_entry(
+        &mut self,
+        index: usize,
+        actions: Vec<EntryAction>,
+        packet: Option<Vec<u8>>,
+    ) {
         let from = entry_vm(index);
         let packet = packet.unwrap_or_default();
         for action in actions {
