Write shared rules once and reword what needed explaining

Change: FleetView::accepts_flows, Opening::is_returned_by_all and Outcome::of_evacuation replace the copies; select_candidates and failing_outliers are split off select_target; comments and private names are reworded. Behaviour is unchanged.

--- a/crates/fes-passthrough-node/src/decision_log.rs
+++ b/crates/fes-passthrough-node/src/decision_log.rs
@@ -73,10 +73,7 @@
 
     /// Logs and counts that an evacuation began or ended.
     pub fn record_evacuation(&self, now: MonoTime, evacuation: &Evacuation) {
-        let outcome = match evacuation.is_in_force {
-            true => Outcome::EvacuationStarted,
-            false => Outcome::EvacuationEnded,
-        };
+        let outcome = Outcome::of_evacuation(evacuation);
         if self.count(now, outcome) {
             log::info!(
                 target: log_target::FLOWS,
--- a/crates/fes-passthrough/src/agent/delivery.rs
+++ b/crates/fes-passthrough/src/agent/delivery.rs
@@ -107,11 +107,11 @@
         record.record_delivery(now, segment);
         out.push(AgentAction::Deliver);
         if begins {
-            out.push(AgentAction::Record(self.started(now).flow(flow)));
+            out.push(AgentAction::Record(self.started_decision(now).flow(flow)));
         }
     }
 
-    fn started(&self, now: MonoTime) -> FlowDecision {
+    fn started_decision(&self, now: MonoTime) -> FlowDecision {
         let running = u64::from(self.counts(now).running);
         FlowDecision::new(Outcome::Started)
             .load(running)
@@ -163,7 +163,7 @@
             for (segment, _) in &queued.packets {
                 record.record_delivery(now, segment);
             }
-            let record_started = record_queued(now, self.started(now), &queued);
+            let record_started = record_queued(now, self.started_decision(now), &queued);
             let packets = queued.packets.into_iter();
             out.extend(packets.map(|(_, packet)| AgentAction::DeliverStored { packet }));
             out.push(record_started);
--- a/crates/fes-passthrough/src/agent_table.rs
+++ b/crates/fes-passthrough/src/agent_table.rs
@@ -18,7 +18,7 @@
 pub(crate) const MAX_AGENT_ABSENCE_MS: u64 = 2_500;
 /// Time within which an agent that is being restarted reports, from the announced end of its process
 /// or from the listing of its target at an entry that has never heard it. A process is started again
-/// within a second; one that takes longer has left with its VM.
+/// within a second; one that takes longer is assumed to have ended with its VM.
 pub(crate) const MAX_RESTART_MS: u64 = 1_500;
 /// Time after which a newly placed flow is included in its agent's reports: the handshake takes two
 /// trips to the client.
@@ -34,7 +34,7 @@
 const SPEED_TRIAL_INTERVAL_MS: u64 = 250;
 /// Time after a measurement by any entry before an idle slow target is tried again. With many
 /// entries, of which each places few flows, the interval alone would let all of them try it.
-const MEASURED_FOR_MS: u64 = 500;
+const MIN_MEASUREMENT_AGE_MS: u64 = 500;
 /// Time for which a target is avoided before it is tried again.
 const AVOID_MS: u64 = 700;
 
@@ -232,7 +232,7 @@
         }
         let is_measured = report.running > 0 || report.run_time_us != agent.report.run_time_us;
         if is_measured {
-            let next_at = now.plus_ms(MEASURED_FOR_MS);
+            let next_at = now.plus_ms(MIN_MEASUREMENT_AGE_MS);
             agent.speed_trial_at = agent.speed_trial_at.max(next_at);
         }
         let was_silent = agent.is_reported_silent;
--- a/crates/fes-passthrough/src/entry/evacuation.rs
+++ b/crates/fes-passthrough/src/entry/evacuation.rs
@@ -19,9 +19,9 @@
 /// Returns the hint for the agent of a target. A target in an evacuated data centre accepts no
 /// flows, like a draining one.
 pub(super) fn target_hint(view: &FleetView, record: &TargetRecord) -> TargetHint {
-    let state = match view.is_evacuated(record) {
-        true => TargetState::Draining,
-        false => record.state,
+    let state = match view.accepts_flows(record) {
+        true => TargetState::Ready,
+        false => TargetState::Draining,
     };
     let evacuation_revision = view.evacuations().revision_of(&record.data_centre);
     TargetHint {
@@ -35,7 +35,8 @@
 }
 
 impl EntryCore {
-    /// Sends a hello to each agent of the data centre with the next tick.
+    /// Records that an evacuation began or ended. Each agent of the data centre gets a hello with the
+    /// next tick.
     pub(super) fn on_evacuation_changed(
         &mut self,
         evacuation: &Evacuation,
@@ -73,9 +74,8 @@
         let FlowState::Opening(opening) = &record.state else {
             return;
         };
-        let is_returned_by_all = opening.attempts.iter().all(|attempt| attempt.is_returned);
-        let is_certain = is_returned_by_all && self.is_view_current(now);
-        if !is_certain || !self.is_service_evacuated(service) {
+        let may_refuse = opening.is_returned_by_all() && self.is_view_current(now);
+        if !may_refuse || !self.is_service_evacuated(service) {
             return;
         }
         self.flows.remove(&flow);
--- a/crates/fes-passthrough/src/entry/hellos.rs
+++ b/crates/fes-passthrough/src/entry/hellos.rs
@@ -25,9 +25,9 @@
 const MIN_AWAITED_HELLO_PERIOD_MS: u64 = 40;
 /// Limit of such hellos, which a small entry can send beside the traffic.
 const MAX_AWAITED_HELLOS_PER_S: u64 = 4_000;
-/// Period of hellos to an agent that ended as planned. Packets are held until it reports, and only
+/// Period of hellos to an agent that is being restarted as planned. Packets are held until it reports, and only
 /// few agents are restarted at the same time.
-const STOPPED_HELLO_PERIOD_MS: u64 = 20;
+const RESTART_HELLO_PERIOD_MS: u64 = 20;
 impl EntryCore {
     /// Returns the period of the agents' reports, in milliseconds.
     #[must_use]
@@ -40,6 +40,7 @@
         self.report_period_ms().max(MIN_HELLO_PERIOD_MS)
     }
 
+    /// Sends a hello to each agent that is due for one.
     pub(super) fn send_hellos(&mut self, now: MonoTime, out: &mut Vec<EntryAction>) {
         let hello_period_ms = self.hello_period_ms();
         let targets = u64::try_from(self.view.newest_targets().count()).unwrap_or(u64::MAX);
@@ -52,7 +53,7 @@
                 continue;
             }
             let period_ms = match reporting(now, &self.view, &self.agents, record) {
-                Reporting::Stopped => STOPPED_HELLO_PERIOD_MS,
+                Reporting::Restarting => RESTART_HELLO_PERIOD_MS,
                 Reporting::Awaited => awaited_period_ms,
                 Reporting::Usual => hello_period_ms,
             };
@@ -80,7 +81,7 @@
     /// This entry hasn't got a report from the agent yet.
     Awaited,
     /// The agent ended as planned and is being restarted.
-    Stopped,
+    Restarting,
 }
 
 fn reporting(
@@ -94,7 +95,7 @@
             if agent.process() == AgentProcess::Restarting
                 && agent.age_ms(now) < MAX_AGENT_ABSENCE_MS =>
         {
-            Reporting::Stopped
+            Reporting::Restarting
         }
         None if view.listed_for_ms(now, &record.id) < MAX_AGENT_ABSENCE_MS => Reporting::Awaited,
         _ => Reporting::Usual,
--- a/crates/fes-passthrough/src/entry/opening.rs
+++ b/crates/fes-passthrough/src/entry/opening.rs
@@ -353,7 +353,7 @@
             attempt.is_returned |= attempt.vm == vm;
         }
         let is_last = opening.attempts.len() >= MAX_ATTEMPTS;
-        let is_refused = is_last && opening.attempts.iter().all(|a| a.is_returned);
+        let is_refused = is_last && opening.is_returned_by_all();
         if is_refused {
             self.refuse_returned(now, flow, out);
         } else if opening
--- a/crates/fes-passthrough/src/entry/searching.rs
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -22,7 +22,6 @@
 use crate::Segment;
 use crate::ServiceTag;
 use crate::TargetRecord;
-use crate::TargetState;
 use crate::agent_table::MAX_RESTART_MS;
 use crate::attempt_rank;
 use crate::preferred_targets;
@@ -249,9 +248,8 @@
         let agent = agent.filter(|agent| agent.is_reachable(now));
         // The agent of a draining or evacuated target reports that it leaves for as long as the
         // target accepts no flows.
-        let accepts_no_flows =
-            target.state == TargetState::Draining || self.view.is_evacuated(target);
-        agent.is_some_and(|agent| accepts_no_flows || !agent.report().is_leaving)
+        let accepts_flows = self.view.accepts_flows(target);
+        agent.is_some_and(|agent| !accepts_flows || !agent.report().is_leaving)
     }
 
     /// Returns whether every target that may hold the flow has answered that it doesn't. Answers
--- a/crates/fes-passthrough/src/entry/warm_up.rs
+++ b/crates/fes-passthrough/src/entry/warm_up.rs
@@ -35,8 +35,8 @@
     }
 
     /// Refuses a flow whose opening packet was returned by all targets, if one of them is limited
-    /// because it warms up. Without that, the opening is tried again when the client retransmits
-    /// it; but a target that warms up can't be expected to accept it then.
+    /// because it warms up. Otherwise, the opening would be tried again when the client retransmits
+    /// it, but a target that warms up is unlikely to accept it then.
     pub(super) fn refuse_if_limited(
         &mut self,
         now: MonoTime,
@@ -49,12 +49,11 @@
         let FlowState::Opening(opening) = &record.state else {
             return;
         };
-        let is_returned_by_all = opening.attempts.iter().all(|a| a.is_returned);
         let is_limited = opening.attempts.iter().any(|attempt| {
             let target = self.view.target_on(attempt.vm);
             target.is_some_and(|target| self.warm_up.hint(now, &self.view, target).is_some())
         });
-        if is_returned_by_all && is_limited {
+        if opening.is_returned_by_all() && is_limited {
             self.refuse_returned(now, flow, out);
         }
     }
--- a/crates/fes-passthrough/src/fleet_view.rs
+++ b/crates/fes-passthrough/src/fleet_view.rs
@@ -276,6 +276,12 @@
         self.evacuations.is_evacuated(&target.data_centre)
     }
 
+    /// Returns whether the target may get new flows: it is neither draining nor evacuated.
+    #[must_use]
+    pub fn accepts_flows(&self, target: &TargetRecord) -> bool {
+        target.state == TargetState::Ready && !self.is_evacuated(target)
+    }
+
     /// Returns the newest revision of which the view has all changes.
     #[must_use]
     pub const fn revision(&self) -> u64 {
--- a/crates/fes-passthrough/src/flow_decision.rs
+++ b/crates/fes-passthrough/src/flow_decision.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::net::Ipv4Addr;
 
+use crate::Evacuation;
 use crate::FlowKey;
 
 /// Outcome of a decision.
@@ -98,6 +99,15 @@
 }
 
 impl Outcome {
+    /// Returns the outcome of a change of an evacuation.
+    #[must_use]
+    pub const fn of_evacuation(evacuation: &Evacuation) -> Self {
+        match evacuation.is_in_force {
+            true => Self::EvacuationStarted,
+            false => Self::EvacuationEnded,
+        }
+    }
+
     /// Returns the name used in logs and as a metric label.
     #[must_use]
     pub const fn name(self) -> &'static str {
--- a/crates/fes-passthrough/src/flow_directory.rs
+++ b/crates/fes-passthrough/src/flow_directory.rs
@@ -49,6 +49,14 @@
     pub try_next_at: MonoTime,
 }
 
+impl Opening {
+    /// Returns whether every target to which the opening packet was sent has returned it.
+    #[must_use]
+    pub fn is_returned_by_all(&self) -> bool {
+        self.attempts.iter().all(|attempt| attempt.is_returned)
+    }
+}
+
 /// Target that holds a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Owner {
@@ -74,7 +82,7 @@
 pub struct FlowRecord {
     /// Service of its target.
     pub service: ServiceTag,
-    /// Sequence number of the first packet of the client that the entry saw.
+    /// Sequence number that the client used first, as far as the entry saw it.
     pub client_sequence: ClientSequence,
     /// Requirements of its requests.
     pub requirements: FlowRequirements,
--- a/crates/fes-passthrough/src/placement.rs
+++ b/crates/fes-passthrough/src/placement.rs
@@ -17,7 +17,6 @@
 use crate::RelativeRunTime;
 use crate::ServiceTag;
 use crate::TargetRecord;
-use crate::TargetState;
 use crate::WarmUpRank;
 use crate::WarmUpShares;
 use crate::is_failing;
@@ -87,40 +86,18 @@
     let accepts_flows = |record: &&TargetRecord| {
         let agent = context.agents.get(record.vm);
         let is_leaving = agent.is_some_and(|agent| agent.report().is_leaving);
-        record.state == TargetState::Ready
-            && !context.view.is_evacuated(record)
-            && !is_leaving
-            && !excluded.contains(&record.vm)
+        context.view.accepts_flows(record) && !is_leaving && !excluded.contains(&record.vm)
     };
     let targets = || context.view.targets_of(service).filter(accepts_flows);
     let is_repeated = !excluded.is_empty();
     let rank =
         |record: &TargetRecord| (context.warm_up).rank(now, context.view, record, is_repeated);
-    let mut candidates = preferred_targets(targets(), flow, 0, CANDIDATES_PER_DATA_CENTRE);
-    if candidates
-        .iter()
-        .any(|record| rank(record) > WarmUpRank::Usual)
-    {
-        // Targets beyond the first of the order may have to be preferred.
-        let lowest = targets().map(rank).min();
-        let preferred = targets().filter(|record| Some(rank(record)) == lowest);
-        let preferred = preferred_targets(preferred, flow, 0, CANDIDATES_PER_DATA_CENTRE);
-        candidates.retain(|record| Some(rank(record)) != lowest);
-        candidates.extend(preferred);
-    }
+    let candidates = select_candidates(targets, flow, rank);
     let rotated = || {
         let offset = rotation.checked_rem(candidates.len()).unwrap_or(0);
         candidates[offset..].iter().chain(&candidates[..offset])
     };
-    let is_any_failing = Mechanism::Outliers.is_enabled()
-        && candidates.iter().any(|record| {
-            let agent = context.agents.get(record.vm);
-            agent.is_some_and(|agent| is_failing(agent.report().failures_per_mille))
-        });
-    let outliers = match is_any_failing {
-        true => outliers(now, context.agents, context.view.targets_of(service)),
-        false => FastSet::default(),
-    };
+    let outliers = failing_outliers(now, context, service, &candidates);
     let is_outlier = |vm: Ipv4Addr| outliers.contains(&vm) && !may_try(now, context, vm, flow_use);
     let typical_us = typical_us(now, context, &candidates);
     let reachable = rotated().filter_map(|record| {
@@ -143,6 +120,43 @@
     first.map(|record| unreported_candidate(record))
 }
 
+/// Returns the first targets in the flow's preference order. If some of them should be avoided while
+/// they warm up, the first of the targets with the lowest rank are included as well.
+fn select_candidates<'a, T: Iterator<Item = &'a TargetRecord>>(
+    targets: impl Fn() -> T,
+    flow: &FlowKey,
+    rank: impl Fn(&TargetRecord) -> WarmUpRank,
+) -> Vec<&'a TargetRecord> {
+    let mut candidates = preferred_targets(targets(), flow, 0, CANDIDATES_PER_DATA_CENTRE);
+    let is_usual = |record: &&TargetRecord| rank(record) == WarmUpRank::Usual;
+    if candidates.iter().all(is_usual) {
+        return candidates;
+    }
+    let lowest = targets().map(&rank).min();
+    let preferred = targets().filter(|record| Some(rank(record)) == lowest);
+    let preferred = preferred_targets(preferred, flow, 0, CANDIDATES_PER_DATA_CENTRE);
+    candidates.retain(|record| Some(rank(record)) != lowest);
+    candidates.extend(preferred);
+    candidates
+}
+
+/// Returns the outliers of a service if a candidate is failing.
+fn failing_outliers(
+    now: MonoTime,
+    context: PlacementContext<'_>,
+    service: ServiceTag,
+    candidates: &[&TargetRecord],
+) -> FastSet<Ipv4Addr> {
+    let is_candidate_failing = |record: &&TargetRecord| {
+        let agent = context.agents.get(record.vm);
+        agent.is_some_and(|agent| is_failing(agent.report().failures_per_mille))
+    };
+    match Mechanism::Outliers.is_enabled() && candidates.iter().any(is_candidate_failing) {
+        true => outliers(now, context.agents, context.view.targets_of(service)),
+        false => FastSet::default(),
+    }
+}
+
 /// Returns whether a flow may be placed on an outlier, to find out whether it still fails. Requests
 /// that must not be repeated aren't used for that, since their clients can't retry.
 fn may_try(now: MonoTime, context: PlacementContext<'_>, vm: Ipv4Addr, flow_use: FlowUse) -> bool {
--- a/crates/fes-passthrough/src/relative_speed.rs
+++ b/crates/fes-passthrough/src/relative_speed.rs
@@ -1,10 +1,10 @@
 //! Speed of a service's targets relative to each other, by the mean run times that their agents
 //! report.
 //!
-//! A request is answered after a time that is proportional to the mean run time. Without it, a
-//! target that runs at half the speed of the others gets as many requests as they do: at a load that
-//! they bear, it is overloaded and its requests are late. Entries of older agents, and targets of
-//! equal speed, are placed by requests per slot as before.
+//! A request is answered after a time that is proportional to the target's mean run time. If only
+//! requests per slot counted, a target at half the speed of the others would get as many requests
+//! as they do, and would be overloaded at a load that they can serve. Targets of equal speed, and
+//! those whose agents report no run times, are compared by requests per slot alone.
 
 use crate::placement::STREAM_CURRENT_LOAD_PERCENT;
 
@@ -16,12 +16,11 @@
 /// likely doesn't do their work, and must not draw many times the requests of the others.
 const MIN_PER_MILLE: u64 = 333;
 /// Upper limit of the relative run time. It allows for targets that become several times slower, and
-/// keeps the cost of absurd values in range.
+/// keeps the cost of implausible values in range.
 const MAX_PER_MILLE: u64 = 8_000;
 const TYPICAL_PER_MILLE: u64 = 1_000;
 /// Weight of the new request's own run time, in thousandths of a slot. With its full run time, a slow
-/// target would get nothing on a quiet day, and the others would get more than the allowed multiple
-/// of the mean load.
+/// target would get almost no requests at low load, and the others would get too many.
 const OWN_REQUEST_MILLISLOTS: u64 = 500;
 
 /// Returns the median of the reported run times in microseconds, without those that are 0, which
--- a/crates/fes-passthrough/src/reported_run_time.rs
+++ b/crates/fes-passthrough/src/reported_run_time.rs
@@ -16,11 +16,12 @@
 /// Multiple of the mean from which a run time is unusually long. Longer ones count with this value
 /// until several in a row confirm that the target has become slow.
 const LONG_FACTOR: u64 = 2;
-/// Fraction of the mean below which a run time is unusually short. It is a smaller one, because a
-/// service's routes differ, and short requests may follow each other by chance.
+/// Divisor of the mean for the limit below which a run time is unusually short. It exceeds
+/// [`LONG_FACTOR`], because the routes of a service differ, and short requests may follow each other
+/// by chance.
 const SHORT_DIVISOR: u64 = 4;
-/// Number of unusual run times in a row after which only they count. One request in 33 is unusually
-/// long without any change, but three in a row are rare.
+/// Number of unusual run times in a row after which only they count. Single requests may be unusual
+/// without any change of the target, while several in a row are unlikely to be.
 const CONFIRMING_MEASUREMENTS: u64 = 3;
 /// Time without a measurement after which none is reported. The target then counts as a typical
 /// one, so that it gets requests again and is measured.
--- a/crates/fes-passthrough/src/warm_up_shares.rs
+++ b/crates/fes-passthrough/src/warm_up_shares.rs
@@ -20,7 +20,7 @@
 pub enum WarmUpRank {
     /// The target has no limit, or its share isn't used up.
     Usual,
-    /// The target has a limit, and another target has returned the opening.
+    /// The target has a limit, and the opening was sent to another target before.
     Limited,
     /// The target was sent this entry's share of its limit in the last second.
     UsedUp,
@@ -63,8 +63,8 @@
         })
     }
 
-    /// Returns the rank of a target for an opening. A repeated opening, which another target has
-    /// returned, prefers targets without a limit: the targets that it is sent to are few.
+    /// Returns the rank of a target for an opening. A repeated opening, which was sent to another
+    /// target before, prefers targets without a limit, because it is sent to few targets in all.
     #[must_use]
     pub fn rank(
         &self,
--- a/crates/fes-passthrough/tests/support/simulation.rs
+++ b/crates/fes-passthrough/tests/support/simulation.rs
@@ -440,10 +440,7 @@
                     *self.outcomes.entry(decision.outcome.name()).or_default() += 1
                 }
                 EntryAction::RecordEvacuation(evacuation) => {
-                    let outcome = match evacuation.is_in_force {
-                        true => Outcome::EvacuationStarted,
-                        false => Outcome::EvacuationEnded,
-                    };
+                    let outcome = Outcome::of_evacuation(&evacuation);
                     *self.outcomes.entry(outcome.name()).or_default() += 1;
                 }
             }
--- a/crates/fes-soak/src/record.rs
+++ b/crates/fes-soak/src/record.rs
@@ -79,8 +79,8 @@
         self.entries_disrupted_at = Some(Instant::now());
     }
 
-    /// Records a disruption that keeps entries from hearing the agents. An entry assumes that a
-    /// target has ended if it hasn't heard its agent for 2.5 s.
+    /// Records a disruption that keeps the agents' reports from entries. An entry assumes that a
+    /// target has ended if it got no report of its agent for 2.5 s.
     pub fn record_isolation(&mut self) {
         self.isolated_at = Some(Instant::now());
         self.record_entry_disruption();
@@ -226,8 +226,9 @@
         }
     }
 
-    /// Records that a client received a reset of an open flow. It is a violation if the target lives
-    /// and its agent can be heard, whatever happens to entries, the store or clients.
+    /// Records that a client received a reset of an open flow. It is a violation if the target runs
+    /// and entries can receive its agent's reports, even if entries, the store or clients are
+    /// disrupted.
     pub fn record_reset(&mut self, flow: FlowKey) {
         self.resets += 1;
         let Some(open_flow) = self.open_flows.get(&flow).copied() else {
--- a/crates/fes-soak/src/replacement.rs
+++ b/crates/fes-soak/src/replacement.rs
@@ -21,11 +21,11 @@
 /// Limits of the time between the exit of a daemon and its start. Entries wait 2.5 s for an agent.
 const MIN_RESTART_GAP_MS: u64 = 300;
 const MAX_RESTART_GAP_MS: u64 = 900;
-/// Time between the stop signals of an entry and the agent, of which the entry's comes up to
-/// [`ENTRY_LEAD_MS`] earlier. Routers move flows up to 1 s after an entry was told to stop, so many
-/// flows move while the agent is absent.
-const ENTRY_LEAD_MS: u64 = 900;
-const MAX_ENTRY_DELAY_MS: u64 = 1_000;
+/// Longest time from the stop signal of an entry to that of the agent. Routers move flows up to 1 s
+/// after an entry was told to stop, so many flows move while the agent is absent.
+const MAX_ENTRY_LEAD_MS: u64 = 900;
+/// Length of the range from which the time of the entry's stop signal is chosen.
+const ENTRY_STOP_RANGE_MS: u64 = 1_000;
 
 /// Plans replacements from the start of the load until `faults_ms`, as many as end in time.
 pub fn plan_replacements(
@@ -58,7 +58,7 @@
     let replace_ms = stop_ms + random.random_range(100..800);
     let move_ms = start_ms + random.random_range(0..DRAIN_MS);
     let agent_ms = drain_ms + random.random_range(0..MAX_AGENT_RESTART_MS);
-    let entry_ms = agent_ms - ENTRY_LEAD_MS + random.random_range(0..MAX_ENTRY_DELAY_MS);
+    let entry_ms = agent_ms - MAX_ENTRY_LEAD_MS + random.random_range(0..ENTRY_STOP_RANGE_MS);
     let restart = |random: &mut ChaCha8Rng, daemon| {
         let gap_ms = random.random_range(MIN_RESTART_GAP_MS..MAX_RESTART_GAP_MS);
         Fault::Restart(daemon, gap_ms)
