Split the simulation's actions off and state what soak checks mean

The soak's has_waited_in_vain and was_hindered needed an explanation, and the comment on needs_restart_for said that only the seeds are replaced at run time, while entries apply the warm-up limit as well.

The names say what is checked; the checks and their cases are the same. The comment only says what is compared.

--- a/crates/fes-passthrough/src/node_settings.rs
+++ b/crates/fes-passthrough/src/node_settings.rs
@@ -37,8 +37,8 @@
 }
 
 impl NodeSettings {
-    /// Returns whether a process with these settings has to be restarted to apply `changed`. Only
-    /// the seeds are replaced while it runs, and the first start concerns no running process.
+    /// Returns whether `changed` differs in more than the seeds, which are replaced while a process
+    /// runs, and the first start, which concerns no running process.
     #[must_use]
     pub fn needs_restart_for(&self, changed: &Self) -> bool {
         let applied = Self {
--- a/crates/fes-passthrough/tests/support/mod.rs
+++ b/crates/fes-passthrough/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test binary uses a part of it")]
 
+pub mod actions;
 pub mod client;
 pub mod fixtures;
 pub mod interventions;
--- a/crates/fes-passthrough/tests/support/simulation.rs
+++ b/crates/fes-passthrough/tests/support/simulation.rs
@@ -5,19 +5,15 @@
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 
-use fes_passthrough::AgentAction;
 use fes_passthrough::AgentCore;
-use fes_passthrough::EntryAction;
 use fes_passthrough::EntryCore;
 use fes_passthrough::Evacuation;
 use fes_passthrough::FlowKey;
-use fes_passthrough::Forward;
 use fes_passthrough::ListChange;
 use fes_passthrough::Message;
 use fes_passthrough::Outcome;
 use fes_passthrough::RouteSet;
 use fes_passthrough::Segment;
-use fes_passthrough::Sender;
 use fes_passthrough::TargetRecord;
 use fes_passthrough::WarmUpSettings;
 use fes_protocol::DataCentreName;
@@ -28,15 +24,13 @@
 use super::fixtures::entry_vm;
 use super::fixtures::routes;
 use super::fixtures::target;
-use super::fixtures::vm;
 use super::target::Target;
-use super::target::TargetAction;
 
 const NETWORK_DELAY_MS: u64 = 2;
 const TICK_MS: u64 = 20;
 
 #[derive(Debug, Clone, PartialEq, Eq)]
-enum Event {
+pub(super) enum Event {
     ClientTimer(usize),
     ToEntry(usize, Segment),
     EntryMessage(usize, Ipv4Addr, Message, Vec<u8>),
@@ -234,7 +228,7 @@
         self.random
     }
 
-    fn schedule(&mut self, at_ms: u64, event: Event) {
+    pub(super) fn schedule(&mut self, at_ms: u64, event: Event) {
         let index = self.events.len();
         self.events.push(Some(event));
         let order = u64::try_from(index).expect("few events");
@@ -242,7 +236,7 @@
     }
 
     /// Sends over the network, with delay and possible loss.
-    fn send(&mut self, event: Event) {
+    pub(super) fn send(&mut self, event: Event) {
         if self.next_random() % 100 >= self.loss_percent {
             self.schedule(self.now_ms + NETWORK_DELAY_MS, event);
         }
@@ -261,7 +255,7 @@
         (self.packets.len() - 1).to_be_bytes().to_vec()
     }
 
-    fn segment_of(&self, packet: &[u8]) -> Option<Segment> {
+    pub(super) fn segment_of(&self, packet: &[u8]) -> Option<Segment> {
         let index = usize::from_be_bytes(packet.try_into().ok()?);
         self.packets.get(index).copied()
     }
@@ -383,172 +377,4 @@
         let actions = self.targets[index].on_packet(&segment, random);
         self.perform_target(index, actions);
     }
-
-    fn perform_target(&mut self, index: usize, actions: Vec<TargetAction>) {
-        for action in actions {
-            match action {
-                TargetAction::Send(segment) => {
-                    self.schedule(self.now_ms, Event::FromTarget(index, segment))
-                }
-                TargetAction::Run { flow, work_ms } => {
-                    let started_at_ms = self.targets[index].started_at_ms;
-                    self.schedule(
-                        self.now_ms + work_ms,
-                        Event::RequestEnd(index, started_at_ms, flow),
-                    );
-                }
-            }
-        }
-    }
-
-    pub(super) fn perform_entry(
-        &mut self,
-        index: usize,
-        actions: Vec<EntryAction>,
-        packet: Option<Vec<u8>>,
-    ) {
-        let from = entry_vm(index);
-        let packet = packet.unwrap_or_default();
-        for action in actions {
-            match action {
-                EntryAction::Forward { vm, forward } => {
-                    self.send_to_agent(vm, from, forward, packet.clone());
-                }
-                EntryAction::ForwardStored {
-                    vm,
-                    forward,
-                    packet,
-                } => {
-                    self.send_to_agent(vm, from, forward, packet.to_vec());
-                }
-                EntryAction::Send { vm, message } => {
-                    self.count_entry_message(&message);
-                    self.send_to_process(vm, from, message, Vec::new());
-                }
-                EntryAction::SendStored {
-                    vm,
-                    message,
-                    packet,
-                } => {
-                    self.count_entry_message(&message);
-                    self.send_to_process(vm, from, message, packet.to_vec());
-                }
-                EntryAction::ResetClient { flow, sequence } => {
-                    self.send(Event::ToClient(reset(flow, sequence)));
-                }
-                EntryAction::Record(decision) => {
-                    *self.outcomes.entry(decision.outcome.name()).or_default() += 1
-                }
-                EntryAction::RecordEvacuation(evacuation) => {
-                    let outcome = Outcome::of_evacuation(&evacuation);
-                    *self.outcomes.entry(outcome.name()).or_default() += 1;
-                }
-            }
-        }
-    }
-
-    pub fn perform_agent(
-        &mut self,
-        index: usize,
-        actions: Vec<AgentAction>,
-        packet: Option<Vec<u8>>,
-    ) {
-        let packet = packet.unwrap_or_default();
-        for action in actions {
-            match action {
-                AgentAction::Deliver => self.deliver(index, &packet),
-                AgentAction::DeliverStored { packet } => self.deliver(index, &packet),
-                AgentAction::SendToClient => {
-                    if let Some(segment) = self.segment_of(&packet) {
-                        self.send(Event::ToClient(segment));
-                    }
-                }
-                AgentAction::Send {
-                    to,
-                    message,
-                    with_packet,
-                } => {
-                    let carried = if with_packet {
-                        packet.clone()
-                    } else {
-                        Vec::new()
-                    };
-                    self.send_to_process(to, vm(index), message, carried);
-                }
-                AgentAction::SendStored {
-                    to,
-                    message,
-                    packet,
-                } => self.send_to_process(to, vm(index), message, packet.to_vec()),
-                AgentAction::Record(decision) | AgentAction::RecordStored { decision, .. } => {
-                    *self.outcomes.entry(decision.outcome.name()).or_default() += 1
-                }
-            }
-        }
-    }
-
-    fn deliver(&mut self, index: usize, packet: &[u8]) {
-        if let Some(segment) = self.segment_of(packet) {
-            self.schedule(self.now_ms, Event::ToTarget(index, segment));
-        }
-    }
-
-    fn count_entry_message(&mut self, message: &Message) {
-        let is_background = matches!(
-            message,
-            Message::Hello(_)
-                | Message::Load(_)
-                | Message::Digest(_)
-                | Message::Routes(_)
-                | Message::Targets(_)
-        );
-        self.entry_messages += usize::from(!is_background);
-    }
-
-    fn send_to_agent(&mut self, to: Ipv4Addr, from: Ipv4Addr, forward: Forward, packet: Vec<u8>) {
-        self.entry_messages += 1;
-        if let Some(index) = (0..self.agents.len()).find(|i| vm(*i) == to) {
-            self.send(Event::AgentMessage(
-                index,
-                from,
-                Message::Forward(forward),
-                packet,
-            ));
-        }
-    }
-
-    fn send_to_process(
-        &mut self,
-        to: Ipv4Addr,
-        from: Ipv4Addr,
-        mut message: Message,
-        packet: Vec<u8>,
-    ) {
-        if let Message::Load(report) = &mut message
-            && !self.has_run_times
-        {
-            report.run_time_us = 0;
-        }
-        if let Some(index) = (0..self.agents.len()).find(|i| vm(*i) == to) {
-            self.send(Event::AgentMessage(index, from, message, packet));
-        } else if let Some(index) = (0..self.entries.len()).find(|i| entry_vm(*i) == to) {
-            self.send(Event::EntryMessage(index, from, message, packet));
-        }
-    }
-}
-
-fn reset(flow: FlowKey, sequence: u32) -> Segment {
-    Segment {
-        flow,
-        sender: Sender::Target,
-        is_syn: false,
-        is_ack: false,
-        is_fin: false,
-        is_reset: true,
-        is_failure: false,
-        is_returned: false,
-        sequence,
-        acknowledged: 0,
-        payload_bytes: 0,
-    }
 }
--- a/crates/fes-soak/src/record.rs
+++ b/crates/fes-soak/src/record.rs
@@ -175,7 +175,9 @@
             opening_ms,
         };
         let is_alive = accepted.incarnation == self.incarnation(target);
-        let has_waited = self.requests.has_waited_in_vain(timed_out_at, unanswered);
+        let has_waited = self
+            .requests
+            .has_waited_despite_free_slot(timed_out_at, unanswered);
         if is_alive && !self.is_disrupted(target) && has_waited {
             self.violations.push(format!(
                 "request {request} of flow {flow} reached no target until its deadline, while \
--- a/crates/fes-soak/src/request_record.rs
+++ b/crates/fes-soak/src/request_record.rs
@@ -15,7 +15,7 @@
 
 /// Time for which a slot of the target must have been free.
 const FREE_SLOT_MS: u64 = 1_000;
-/// For this long after a process was absent, requests may not have reached the agent. Clients
+/// Time after the absence of a process within which requests may not have reached the agent. Clients
 /// retransmit a request for the last time 1,400 ms after the first transmission, 600 ms before its
 /// deadline.
 const ABSENCE_GRACE_MS: u64 = 2_500;
@@ -74,17 +74,21 @@
 
     /// Returns whether a request that timed out at `now` reached no target, although nothing kept it
     /// from its agent and the target had a free slot for the whole second before.
-    pub fn has_waited_in_vain(&self, now: Instant, unanswered: UnansweredRequest) -> bool {
+    pub fn has_waited_despite_free_slot(
+        &self,
+        now: Instant,
+        unanswered: UnansweredRequest,
+    ) -> bool {
         let is_within = |at: Option<&Instant>, limit_ms| {
             at.is_some_and(|at| now - *at < Duration::from_millis(limit_ms))
         };
         let target = unanswered.target;
         let free_ms = FREE_SLOT_MS + unanswered.opening_ms;
-        let was_hindered = unanswered.opening_ms > MAX_OPENING_MS
+        let may_be_delayed = unanswered.opening_ms > MAX_OPENING_MS
             || is_within(self.entries_absent_at.as_ref(), ABSENCE_GRACE_MS)
             || is_within(self.agents_absent_at.get(&target), ABSENCE_GRACE_MS)
             || is_within(self.stalled_at.as_ref(), ABSENCE_GRACE_MS);
         let was_full = is_within(self.full_at.get(&target), free_ms);
-        !self.delivered.contains(&unanswered.request) && !was_hindered && !was_full
+        !self.delivered.contains(&unanswered.request) && !may_be_delayed && !was_full
     }
 }
--- a/crates/fes-soak/tests/request_record.rs
+++ b/crates/fes-soak/tests/request_record.rs
@@ -13,7 +13,7 @@
     opening_ms: 0,
 };
 
-/// Guards against a soak that doesn't detect a request that waits in vain, or that reports one that
+/// Guards against a soak that doesn't detect a request that waits despite a free slot, or that reports one that
 /// something else kept from running. Each case is an observation this long before the deadline.
 #[rstest]
 #[case::nothing(|_: &mut RequestRecord, _| {}, 500, true)]
@@ -45,7 +45,7 @@
     let mut record = RequestRecord::default();
     observe(&mut record, start);
 
-    let has_waited = record.has_waited_in_vain(deadline, UNANSWERED);
+    let has_waited = record.has_waited_despite_free_slot(deadline, UNANSWERED);
 
     assert_eq!(has_waited, is_expected);
 }
@@ -65,7 +65,7 @@
         ..UNANSWERED
     };
 
-    let has_waited = record.has_waited_in_vain(Instant::now(), unanswered);
+    let has_waited = record.has_waited_despite_free_slot(Instant::now(), unanswered);
 
     assert_eq!(has_waited, is_expected);
 }
