--- a/crates/fes-passthrough-node/src/explain_logs.rs
+++ b/crates/fes-passthrough-node/src/explain_logs.rs
@@ -10,6 +10,10 @@
 /// Maximum number of lines per flow. Later lines are taken to belong to later requests of the flow.
 const MAX_FLOW_LINES: usize = 200;
 
+/// Conclusion for a request that no log line names.
+const NOT_FOUND: &str = "No log line contains this request ID: the request reached no agent, or its \
+                         log lines are missing. Search the logs for the address of the client.";
+
 /// Explanation of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Explanation<'a> {
@@ -29,10 +33,7 @@
         return Explanation {
             flow: None,
             lines: Vec::new(),
-            conclusion:
-                "No log line contains this request ID: the request reached no agent, or its \
-                         log lines are missing. Search the logs for the address of the client."
-                    .to_owned(),
+            conclusion: NOT_FOUND.to_owned(),
         };
     };
     let flow = field(first.text, "flow");
--- a/crates/fes-passthrough/src/catalogue.rs
+++ b/crates/fes-passthrough/src/catalogue.rs
@@ -88,7 +88,7 @@
 pub struct ServiceWarmUp {
     /// Service.
     pub service: ServiceTag,
-    /// Number of new flows that a target bears in 1,000 s while it warms up.
+    /// Number of new flows that a target can take in 1,000 s while it warms up.
     pub openings_per_1000_s: u32,
 }
 
