--- a/crates/fes-passthrough/src/agent_table.rs
+++ b/crates/fes-passthrough/src/agent_table.rs
@@ -30,7 +30,7 @@
 const SPEED_TRIAL_INTERVAL_MS: u64 = 250;
 /// Time after a measurement by any entry before an idle slow target is tried again. With many
 /// entries, of which each places few flows, the interval alone would let all of them try it.
-const MEASURED_FOR_MS: u64 = 500;
+const MIN_MEASUREMENT_AGE_MS: u64 = 500;
 /// Time for which a target is avoided before it is tried again.
 const AVOID_MS: u64 = 700;
 
@@ -228,7 +228,7 @@
         }
         let is_measured = report.running > 0 || report.run_time_us != agent.report.run_time_us;
         if is_measured {
-            let next_at = now.plus_ms(MEASURED_FOR_MS);
+            let next_at = now.plus_ms(MIN_MEASUREMENT_AGE_MS);
             agent.speed_trial_at = agent.speed_trial_at.max(next_at);
         }
         let was_silent = agent.is_reported_silent;
--- a/crates/fes-passthrough/tests/support/mod.rs
+++ b/crates/fes-passthrough/tests/support/mod.rs
@@ -3,8 +3,10 @@
 
 #![allow(dead_code, reason = "each test binary uses a part of it")]
 
+pub mod actions;
 pub mod client;
 pub mod fixtures;
+pub mod interventions;
 pub mod script;
 pub mod simulation;
 pub mod target;
--- a/crates/fes-passthrough/tests/support/simulation.rs
+++ b/crates/fes-passthrough/tests/support/simulation.rs
@@ -1,47 +1,36 @@
-//! Event loop of the simulation: runs entries and agents, transports packets with delay and loss,
-//! and injects faults.
+//! Event loop of the simulation: runs entries and agents, and transports packets with delay and loss.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 
-use fes_passthrough::AgentAction;
 use fes_passthrough::AgentCore;
-use fes_passthrough::EntryAction;
 use fes_passthrough::EntryCore;
 use fes_passthrough::Evacuation;
 use fes_passthrough::FlowKey;
-use fes_passthrough::Forward;
 use fes_passthrough::ListChange;
 use fes_passthrough::Message;
 use fes_passthrough::Outcome;
 use fes_passthrough::RouteSet;
 use fes_passthrough::Segment;
-use fes_passthrough::Sender;
 use fes_passthrough::TargetRecord;
-use fes_passthrough::TargetState;
 use fes_passthrough::WarmUpSettings;
 use fes_protocol::DataCentreName;
 use fes_protocol::MonoTime;
-use fes_protocol::UpstreamName;
 
 use super::client::Client;
 use super::fixtures::SERVICE;
 use super::fixtures::entry_vm;
 use super::fixtures::routes;
 use super::fixtures::target;
-use super::fixtures::vm;
 use super::target::Target;
-use super::target::TargetAction;
 
 const NETWORK_DELAY_MS: u64 = 2;
 const TICK_MS: u64 = 20;
-/// Upper limit of the time that a stopping agent takes.
-const MAX_STOP_MS: u64 = 1_500;
 
 #[derive(Debug, Clone, PartialEq, Eq)]
-enum Event {
+pub(super) enum Event {
     ClientTimer(usize),
     ToEntry(usize, Segment),
     EntryMessage(usize, Ipv4Addr, Message, Vec<u8>),
@@ -84,10 +73,10 @@
     events: Vec<Option<Event>>,
     by_flow: HashMap<FlowKey, usize>,
     random: u64,
-    revision: u64,
+    pub(super) revision: u64,
     incarnation: u64,
     /// Number of slots that is reported to agents, if it differs from the real one.
-    reported_slots: Option<u32>,
+    pub(super) reported_slots: Option<u32>,
 }
 
 impl Simulation {
@@ -134,14 +123,6 @@
         simulation
     }
 
-    /// Reports a number of slots to agents that differs from their target's real one.
-    pub fn override_reported_slots(&mut self, slots: u32) {
-        self.reported_slots = Some(slots);
-        for index in 0..self.records.len() {
-            self.change_target(index, |record| record.slots = slots);
-        }
-    }
-
     pub fn start_entry(&mut self, index: usize) {
         self.start_entry_without_list(index);
         self.send_listing(index);
@@ -183,124 +164,6 @@
         self.agents[index] = Some(agent);
     }
 
-    /// Changes a target's record at the platform and applies the change to all entries.
-    pub fn change_target(&mut self, index: usize, change: impl FnOnce(&mut TargetRecord)) {
-        self.revision += 1;
-        change(&mut self.records[index]);
-        self.records[index].revision = self.revision;
-        let record = self.records[index].clone();
-        let (now, revision) = (self.now(), self.revision);
-        for entry in 0..self.entries.len() {
-            let mut out = Vec::new();
-            if let Some(core) = &mut self.entries[entry] {
-                core.on_change(now, ListChange::Target(record.clone()), &mut out);
-                core.view_mut().confirm(now, revision);
-            }
-            self.perform_entry(entry, out, None);
-        }
-    }
-
-    /// Writes or removes the request to evacuate a data centre. Only the entries in `readers` learn
-    /// of it from the platform.
-    pub fn evacuate(&mut self, data_centre: &str, is_in_force: bool, readers: &[usize]) {
-        self.revision += 1;
-        let evacuation = Evacuation {
-            data_centre: DataCentreName::from(data_centre),
-            revision: self.revision,
-            is_in_force,
-        };
-        self.evacuations
-            .retain(|other| other.data_centre != evacuation.data_centre);
-        self.evacuations
-            .extend(is_in_force.then(|| evacuation.clone()));
-        let (now, revision) = (self.now(), self.revision);
-        for entry in readers.iter().copied() {
-            let mut out = Vec::new();
-            if let Some(core) = &mut self.entries[entry] {
-                let change = ListChange::Evacuation(evacuation.clone());
-                core.on_change(now, change, &mut out);
-                core.view_mut().confirm(now, revision);
-            }
-            self.perform_entry(entry, out, None);
-        }
-    }
-
-    /// Ends all evacuations without a change that entries could watch, as when the platform has
-    /// lost its history.
-    pub fn lose_evacuations(&mut self) {
-        self.revision += 1;
-        self.evacuations.clear();
-    }
-
-    /// Removes a target's record from the platform's list.
-    pub fn unlist_target(&mut self, index: usize) {
-        self.revision += 1;
-        let id = self.records[index].id.clone();
-        let (now, revision) = (self.now(), self.revision);
-        for entry in 0..self.entries.len() {
-            let mut out = Vec::new();
-            let change = ListChange::NoTarget {
-                id: id.clone(),
-                revision,
-            };
-            if let Some(core) = &mut self.entries[entry] {
-                core.on_change(now, change, &mut out);
-                core.view_mut().confirm(now, revision);
-            }
-            self.perform_entry(entry, out, None);
-        }
-    }
-
-    /// Lists the record of a target's previous instance in addition to that of the current one.
-    pub fn list_previous_instance(&mut self, index: usize) {
-        let mut previous = self.records[index].clone();
-        previous.id = UpstreamName::from(format!("former-{index}"));
-        previous.started_at_ms -= 1;
-        previous.state = TargetState::Ready;
-        let now = self.now();
-        for entry in 0..self.entries.len() {
-            let mut out = Vec::new();
-            if let Some(core) = &mut self.entries[entry] {
-                core.on_change(now, ListChange::Target(previous.clone()), &mut out);
-            }
-            self.perform_entry(entry, out, None);
-        }
-    }
-
-    pub fn crash_target(&mut self, index: usize) {
-        self.targets[index].crash_and_restart();
-        let started_at_ms = self.targets[index].started_at_ms;
-        self.change_target(index, |record| record.started_at_ms = started_at_ms);
-    }
-
-    /// Ends a target and its agent as planned: the agent is told to stop once the target has ended,
-    /// finds that out and exits.
-    pub fn end_target(&mut self, index: usize) {
-        self.targets[index].is_running = false;
-        let now = self.now();
-        let mut out = Vec::new();
-        if let Some(agent) = &mut self.agents[index] {
-            agent.begin_stop(now, now.plus_ms(MAX_STOP_MS), &mut out);
-            agent.record_target_ended();
-            agent.advance_stop(now, &mut out);
-        }
-        self.perform_agent(index, out, None);
-        self.agents[index] = None;
-    }
-
-    /// Ends a target and its agent, which announces a restart but doesn't return.
-    pub fn stop_agent_for_good(&mut self, index: usize) {
-        self.targets[index].is_running = false;
-        let now = self.now();
-        let mut out = Vec::new();
-        if let Some(agent) = &mut self.agents[index] {
-            agent.begin_stop(now, now, &mut out);
-            agent.advance_stop(now, &mut out);
-        }
-        self.perform_agent(index, out, None);
-        self.agents[index] = None;
-    }
-
     pub fn add_client(&mut self, client: Client, at_ms: u64) -> usize {
         let index = self.clients.len();
         self.by_flow.insert(client.flow, index);
@@ -354,7 +217,7 @@
         self.by_flow.keys().filter(|flow| is_broken(flow)).count()
     }
 
-    fn now(&self) -> MonoTime {
+    pub(super) fn now(&self) -> MonoTime {
         MonoTime::from_ms(self.now_ms)
     }
 
@@ -365,7 +228,7 @@
         self.random
     }
 
-    fn schedule(&mut self, at_ms: u64, event: Event) {
+    pub(super) fn schedule(&mut self, at_ms: u64, event: Event) {
         let index = self.events.len();
         self.events.push(Some(event));
         let order = u64::try_from(index).expect("few events");
@@ -373,7 +236,7 @@
     }
 
     /// Sends over the network, with delay and possible loss.
-    fn send(&mut self, event: Event) {
+    pub(super) fn send(&mut self, event: Event) {
         if self.next_random() % 100 >= self.loss_percent {
             self.schedule(self.now_ms + NETWORK_DELAY_MS, event);
         }
@@ -392,7 +255,7 @@
         (self.packets.len() - 1).to_be_bytes().to_vec()
     }
 
-    fn segment_of(&self, packet: &[u8]) -> Option<Segment> {
+    pub(super) fn segment_of(&self, packet: &[u8]) -> Option<Segment> {
         let index = usize::from_be_bytes(packet.try_into().ok()?);
         self.packets.get(index).copied()
     }
@@ -514,170 +377,4 @@
         let actions = self.targets[index].on_packet(&segment, random);
         self.perform_target(index, actions);
     }
-
-    fn perform_target(&mut self, index: usize, actions: Vec<TargetAction>) {
-        for action in actions {
-            match action {
-                TargetAction::Send(segment) => {
-                    self.schedule(self.now_ms, Event::FromTarget(index, segment))
-                }
-                TargetAction::Run { flow, work_ms } => {
-                    let started_at_ms = self.targets[index].started_at_ms;
-                    self.schedule(
-                        self.now_ms + work_ms,
-                        Event::RequestEnd(index, started_at_ms, flow),
-                    );
-                }
-            }
-        }
-    }
-
-    fn perform_entry(&mut self, index: usize, actions: Vec<EntryAction>, packet: Option<Vec<u8>>) {
-        let from = entry_vm(index);
-        let packet = packet.unwrap_or_default();
-        for action in actions {
-            match action {
-                EntryAction::Forward { vm, forward } => {
-                    self.send_to_agent(vm, from, forward, packet.clone());
-                }
-                EntryAction::ForwardStored {
-                    vm,
-                    forward,
-                    packet,
-                } => {
-                    self.send_to_agent(vm, from, forward, packet.to_vec());
-                }
-                EntryAction::Send { vm, message } => {
-                    self.count_entry_message(&message);
-                    self.send_to_process(vm, from, message, Vec::new());
-                }
-                EntryAction::SendStored {
-                    vm,
-                    message,
-                    packet,
-                } => {
-                    self.count_entry_message(&message);
-                    self.send_to_process(vm, from, message, packet.to_vec());
-                }
-                EntryAction::ResetClient { flow, sequence } => {
-                    self.send(Event::ToClient(reset(flow, sequence)));
-                }
-                EntryAction::Record(decision) => {
-                    *self.outcomes.entry(decision.outcome.name()).or_default() += 1
-                }
-                EntryAction::RecordEvacuation(evacuation) => {
-                    let outcome = match evacuation.is_in_force {
-                        true => Outcome::EvacuationStarted,
-                        false => Outcome::EvacuationEnded,
-                    };
-                    *self.outcomes.entry(outcome.name()).or_default() += 1;
-                }
-            }
-        }
-    }
-
-    pub fn perform_agent(
-        &mut self,
-        index: usize,
-        actions: Vec<AgentAction>,
-        packet: Option<Vec<u8>>,
-    ) {
-        let packet = packet.unwrap_or_default();
-        for action in actions {
-            match action {
-                AgentAction::Deliver => self.deliver(index, &packet),
-                AgentAction::DeliverStored { packet } => self.deliver(index, &packet),
-                AgentAction::SendToClient => {
-                    if let Some(segment) = self.segment_of(&packet) {
-                        self.send(Event::ToClient(segment));
-                    }
-                }
-                AgentAction::Send {
-                    to,
-                    message,
-                    with_packet,
-                } => {
-                    let carried = if with_packet {
-                        packet.clone()
-                    } else {
-                        Vec::new()
-                    };
-                    self.send_to_process(to, vm(index), message, carried);
-                }
-                AgentAction::SendStored {
-                    to,
-                    message,
-                    packet,
-                } => self.send_to_process(to, vm(index), message, packet.to_vec()),
-                AgentAction::Record(decision) | AgentAction::RecordStored { decision, .. } => {
-                    *self.outcomes.entry(decision.outcome.name()).or_default() += 1
-                }
-            }
-        }
-    }
-
-    fn deliver(&mut self, index: usize, packet: &[u8]) {
-        if let Some(segment) = self.segment_of(packet) {
-            self.schedule(self.now_ms, Event::ToTarget(index, segment));
-        }
-    }
-
-    fn count_entry_message(&mut self, message: &Message) {
-        let is_background = matches!(
-            message,
-            Message::Hello(_)
-                | Message::Load(_)
-                | Message::Digest(_)
-                | Message::Routes(_)
-                | Message::Targets(_)
-        );
-        self.entry_messages += usize::from(!is_background);
-    }
-
-    fn send_to_agent(&mut self, to: Ipv4Addr, from: Ipv4Addr, forward: Forward, packet: Vec<u8>) {
-        self.entry_messages += 1;
-        if let Some(index) = (0..self.agents.len()).find(|i| vm(*i) == to) {
-            self.send(Event::AgentMessage(
-                index,
-                from,
-                Message::Forward(forward),
-                packet,
-            ));
-        }
-    }
-
-    fn send_to_process(
-        &mut self,
-        to: Ipv4Addr,
-        from: Ipv4Addr,
-        mut message: Message,
-        packet: Vec<u8>,
-    ) {
-        if let Message::Load(report) = &mut message
-            && !self.has_run_times
-        {
-            report.run_time_us = 0;
-        }
-        if let Some(index) = (0..self.agents.len()).find(|i| vm(*i) == to) {
-            self.send(Event::AgentMessage(index, from, message, packet));
-        } else if let Some(index) = (0..self.entries.len()).find(|i| entry_vm(*i) == to) {
-            self.send(Event::EntryMessage(index, from, message, packet));
-        }
-    }
-}
-
-fn reset(flow: FlowKey, sequence: u32) -> Segment {
-    Segment {
-        flow,
-        sender: Sender::Target,
-        is_syn: false,
-        is_ack: false,
-        is_fin: false,
-        is_reset: true,
-        is_failure: false,
-        is_returned: false,
-        sequence,
-        acknowledged: 0,
-        payload_bytes: 0,
-    }
 }
--- a/crates/fes-soak/src/record.rs
+++ b/crates/fes-soak/src/record.rs
@@ -79,8 +79,8 @@
         self.entries_disrupted_at = Some(Instant::now());
     }
 
-    /// Records a disruption that keeps entries from hearing the agents. An entry assumes that a
-    /// target has ended if it hasn't heard its agent for 2.5 s.
+    /// Records a disruption that keeps the agents' reports from entries. An entry assumes that a
+    /// target has ended if it got no report of its agent for 2.5 s.
     pub fn record_isolation(&mut self) {
         self.isolated_at = Some(Instant::now());
         self.record_entry_disruption();
@@ -175,7 +175,9 @@
             opening_ms,
         };
         let is_alive = accepted.incarnation == self.incarnation(target);
-        let has_waited = self.requests.has_waited_in_vain(timed_out_at, unanswered);
+        let has_waited = self
+            .requests
+            .has_waited_despite_free_slot(timed_out_at, unanswered);
         if is_alive && !self.is_disrupted(target) && has_waited {
             self.violations.push(format!(
                 "request {request} of flow {flow} reached no target until its deadline, while \
@@ -226,8 +228,9 @@
         }
     }
 
-    /// Records that a client received a reset of an open flow. It is a violation if the target lives
-    /// and its agent can be heard, whatever happens to entries, the store or clients.
+    /// Records that a client received a reset of an open flow. It is a violation if the target runs
+    /// and entries can receive its agent's reports, even if entries, the store or clients are
+    /// disrupted.
     pub fn record_reset(&mut self, flow: FlowKey) {
         self.resets += 1;
         let Some(open_flow) = self.open_flows.get(&flow).copied() else {
