Log openings that are dropped without a target, and reload of the warm-up limit

Two faults that the read-through found: an opening without a target was dropped without a log line if the view wasn't current, and a changed warm-up limit was logged as needing a restart, although entries apply it at once.

--- a/crates/fes-passthrough-node/tests/settings.rs
+++ b/crates/fes-passthrough-node/tests/settings.rs
@@ -71,6 +71,7 @@
     let mut other_seeds = current.clone();
     other_seeds.seed_entries = vec![Ipv4Addr::LOCALHOST];
     other_seeds.is_first_start = true;
+    other_seeds.warm_up.overage_per_mille += 1;
 
     assert!(current.needs_restart_for(&moved));
     assert!(!current.needs_restart_for(&other_seeds));
--- a/crates/fes-passthrough/src/entry/opening.rs
+++ b/crates/fes-passthrough/src/entry/opening.rs
@@ -125,6 +125,9 @@
             if self.is_view_current(now) {
                 let outcome = self.refusal_without_target(service);
                 self.reset(now, outcome, segment, out);
+            } else {
+                let decision = self.decision(now, Outcome::DroppedUnsure, segment.flow);
+                out.push(EntryAction::Record(decision));
             }
             return;
         };
--- a/crates/fes-passthrough/src/node_settings.rs
+++ b/crates/fes-passthrough/src/node_settings.rs
@@ -37,12 +37,13 @@
 }
 
 impl NodeSettings {
-    /// Returns whether `changed` differs in more than the seeds, which are replaced while a process
-    /// runs, and the first start, which concerns no running process.
+    /// Returns whether `changed` differs in more than the seeds and the warm-up limit, which a running
+    /// process applies, and the first start, which concerns none.
     #[must_use]
     pub fn needs_restart_for(&self, changed: &Self) -> bool {
         let applied = Self {
             seed_entries: changed.seed_entries.clone(),
+            warm_up: changed.warm_up,
             is_first_start: changed.is_first_start,
             ..self.clone()
         };
