Don't wait for drained targets never heard after a loss of all processes

Cause: targets had drained and ended while no entry ran and the platform could not unlist them. Restarted entries waited 1.5 s for their agents, and so did every flow, since after a restart of all agents flows are found only by packets on trial, which need each possible holder.

Change: if no reachable agent knows all flows of its target, a draining target whose agent never reported is left out of searches. While some agents weren't restarted, as in planned work, it is waited for as before.

Test: searches_after_a_loss_of_all_processes_wait_for_no_drained_target.

--- a/crates/fes-passthrough/src/entry/searching.rs
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -22,6 +22,7 @@
 use crate::Segment;
 use crate::ServiceTag;
 use crate::TargetRecord;
+use crate::TargetState;
 use crate::attempt_rank;
 use crate::preferred_targets;
 
@@ -235,10 +236,14 @@
     /// its route moves to another service.
     ///
     /// Left out are targets that have ended according to their agent, and targets whose agent has
-    /// been silent for long or never reported, since their VM has ended or is unreachable.
+    /// been silent for long or never reported, since their VM has ended or is unreachable. After a
+    /// loss of all processes, a draining target whose agent never reported is left out as well: it
+    /// has most likely ended meanwhile, and all flows would wait for it.
     fn possible_holders(&self, now: MonoTime) -> impl Iterator<Item = &TargetRecord> {
+        let are_all_restarted = self.has_no_complete_agent(now);
         let may_answer = move |target: &&TargetRecord| match self.agents.get(target.vm) {
             Some(agent) => agent.is_reachable(now) || agent.may_return(now),
+            None if are_all_restarted && target.state == TargetState::Draining => false,
             None => self.view.listed_for_ms(now, &target.id) < FIRST_REPORT_TIMEOUT_MS,
         };
         self.view.newest_targets().filter(may_answer)
--- a/crates/fes-passthrough/tests/flows.rs
+++ b/crates/fes-passthrough/tests/flows.rs
@@ -414,6 +414,27 @@
     assert!(lost >= usize::from(STREAMS), "{lost} searches ended");
 }
 
+/// Guards against flows that all wait, after a loss of all processes, for the agent of a target that
+/// drained and ended meanwhile, while the platform was down and could not unlist it.
+#[test]
+fn searches_after_a_loss_of_all_processes_wait_for_no_drained_target() {
+    let mut simulation = simulation_with_streams(1, 6, 10, 3);
+    simulation.run_until(1_500);
+    for index in 0..6 {
+        simulation.crash_target(index);
+        simulation.start_agent(index, false);
+    }
+    simulation.change_target(5, |record| record.state = TargetState::Draining);
+    simulation.targets[5].is_running = false;
+    simulation.agents[5] = None;
+    simulation.start_entry(0);
+
+    simulation.run_until(2_050);
+
+    let lost = simulation.count(Outcome::SearchLost);
+    assert!(lost >= usize::from(STREAMS), "{lost} searches ended");
+}
+
 /// Guards against searches that wait without a bound for an agent that stopped and doesn't return,
 /// while the list can't tell that its target has left. A restart takes up to 2.3 s on a busy VM.
 #[test]
