Place no flows on a target that other entries may not know yet

Callers could lose an open flow whose target had just been listed: if routers moved the flow to an entry that hadn't heard of the target, all agents that it knew answered that they don't hold the flow, and it reset the client.

Cause: an entry uses a target as soon as it learns of it, and entries learn of it up to 0.7 s apart.

Change: a target gets flows 0.8 s after the entry learned of it, unless no other target can take them. The targets of the first list count as known. Placement ranks by this before the warm-up limit.

--- a/crates/fes-passthrough/src/fleet_view.rs
+++ b/crates/fes-passthrough/src/fleet_view.rs
@@ -30,6 +30,9 @@
 /// Age of a view from which the platform must have been unreachable for all entries. Otherwise a
 /// peer would have confirmed the view.
 const MIN_OUTAGE_MS: u64 = 1_500;
+/// Time from the listing of a target until all entries know it: two periods of the gossip between
+/// them. An entry that doesn't know the target of an open flow would reset the flow.
+const ANNOUNCEMENT_MS: u64 = 800;
 /// Time for which removals are remembered, so that an older copy doesn't restore a removed record.
 const TOMBSTONE_EXPIRY_MS: u64 = 60_000;
 
@@ -85,6 +88,8 @@
     record: TargetRecord,
     listing: Listing,
     listed_at: MonoTime,
+    /// When all entries know the target.
+    announced_at: MonoTime,
     warm_up_ends_at: MonoTime,
     /// Revision of the last change that must be sent to peers.
     changed_revision: u64,
@@ -345,6 +350,14 @@
         target.map_or(0, |target| now.ms_since(target.listed_at))
     }
 
+    /// Returns whether other entries may not know the target yet. Those of the first list that this
+    /// process receives count as known.
+    #[must_use]
+    pub fn is_new(&self, now: MonoTime, id: &UpstreamName) -> bool {
+        let target = self.targets.get(id);
+        target.is_some_and(|target| now < target.announced_at)
+    }
+
     /// Returns all targets that are listed or not yet removed.
     pub fn targets(&self) -> impl Iterator<Item = &TargetRecord> {
         self.targets.values().map(|target| &target.record)
@@ -379,6 +392,11 @@
             remove_from_service(&mut self.by_service, &current.record);
         }
         let listed_at = previous.map_or(now, |current| current.listed_at);
+        let announced_at = match (previous, self.confirmed_at) {
+            (Some(current), _) => current.announced_at,
+            (None, Some(_)) => now.plus_ms(ANNOUNCEMENT_MS),
+            (None, None) => now,
+        };
         // Peers may have seen a removal that this process missed.
         let is_relisted = previous.is_none_or(|current| {
             current.record.created_revision != record.created_revision
@@ -399,6 +417,7 @@
             record: record.clone(),
             listing: Listing::Listed,
             listed_at,
+            announced_at,
             warm_up_ends_at,
             changed_revision,
         };
--- a/crates/fes-passthrough/src/placement.rs
+++ b/crates/fes-passthrough/src/placement.rs
@@ -53,6 +53,22 @@
     pub report_age_ms: u64,
 }
 
+/// Reasons to prefer other targets, the stronger one first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct TargetRank {
+    /// Other entries may not know the target yet. They would reset its flows if routers moved them
+    /// there.
+    is_new: bool,
+    warm_up: WarmUpRank,
+}
+
+impl TargetRank {
+    const USUAL: Self = Self {
+        is_new: false,
+        warm_up: WarmUpRank::Usual,
+    };
+}
+
 /// Inputs of placement.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementContext<'a> {
@@ -90,8 +106,10 @@
     };
     let targets = || context.view.targets_of(service).filter(accepts_flows);
     let is_repeated = !excluded.is_empty();
-    let rank =
-        |record: &TargetRecord| (context.warm_up).rank(now, context.view, record, is_repeated);
+    let rank = |record: &TargetRecord| TargetRank {
+        is_new: context.view.is_new(now, &record.id),
+        warm_up: (context.warm_up).rank(now, context.view, record, is_repeated),
+    };
     let candidates = select_candidates(targets, flow, rank);
     let rotated = || {
         let offset = rotation.checked_rem(candidates.len()).unwrap_or(0);
@@ -120,15 +138,15 @@
     first.map(|record| unreported_candidate(record))
 }
 
-/// Returns the first targets in the flow's preference order. If some of them should be avoided while
-/// they warm up, the first of the targets with the lowest rank are included as well.
+/// Returns the first targets in the flow's preference order. If there is a reason to prefer others to
+/// some of them, the first of the targets with the lowest rank are included as well.
 fn select_candidates<'a, T: Iterator<Item = &'a TargetRecord>>(
     targets: impl Fn() -> T,
     flow: &FlowKey,
-    rank: impl Fn(&TargetRecord) -> WarmUpRank,
+    rank: impl Fn(&TargetRecord) -> TargetRank,
 ) -> Vec<&'a TargetRecord> {
     let mut candidates = preferred_targets(targets(), flow, 0, CANDIDATES_PER_DATA_CENTRE);
-    let is_usual = |record: &&TargetRecord| rank(record) == WarmUpRank::Usual;
+    let is_usual = |record: &&TargetRecord| rank(record) == TargetRank::USUAL;
     if candidates.iter().all(is_usual) {
         return candidates;
     }
--- a/crates/fes-passthrough/tests/support/interventions.rs
+++ b/crates/fes-passthrough/tests/support/interventions.rs
@@ -38,6 +38,21 @@
         }
     }
 
+    /// Lists a target again that was removed. Only the entry `reader` learns of it from the platform.
+    pub fn relist_target(&mut self, index: usize, reader: usize) {
+        self.revision += 1;
+        self.records[index].revision = self.revision;
+        self.records[index].created_revision = self.revision;
+        let change = ListChange::Target(self.records[index].clone());
+        let (now, revision) = (self.now(), self.revision);
+        let mut out = Vec::new();
+        if let Some(core) = &mut self.entries[reader] {
+            core.on_change(now, change, &mut out);
+            core.view_mut().confirm(now, revision);
+        }
+        self.perform_entry(reader, out, None);
+    }
+
     /// Writes or removes the request to evacuate a data centre. Only the entries in `readers` learn
     /// of it from the platform.
     pub fn evacuate(&mut self, data_centre: &str, is_in_force: bool, readers: &[usize]) {
