Let the agent of a draining target see the target's end before it exits

The platform tells the agent of a VM that it takes away to stop while the target still accepts connections. After 170 ms the agent found nothing in progress and announced a restart, so that every search waited 2.5 s for it, and one such agent was always away. The one agent that was busy for 276 ms saw its target end and said so.

Change: the agent of a draining or evacuated target goes on serving for 600 ms after the signal, not 150 ms, and ends at once if the target ends meanwhile.

Test: lost_flows_are_reset_while_agents_leave_in_turn::before_target.

--- a/crates/fes-passthrough/src/agent/stopping.rs
+++ b/crates/fes-passthrough/src/agent/stopping.rs
@@ -19,9 +19,12 @@
 
 /// Time for entries to learn that the agent accepts no new flows.
 const LEAVE_NOTICE_MS: u64 = 150;
-/// Time after the notice from which no further request is started, if the target was never idle
+/// Time after the agent may end from which no further request is started, if the target was never idle
 /// until then.
 const MAX_WAIT_FOR_IDLE_MS: u64 = 300;
+/// Time for which the agent of a draining target goes on, to see whether the target ends. The platform
+/// stops the agent of a VM that it takes away at about the time at which the target ends.
+const TARGET_END_WAIT_MS: u64 = 600;
 /// Time for which packets that were sent before the agent's last message are returned. Longer than
 /// a trip between data centres.
 const LAST_PACKETS_MS: u64 = 20;
@@ -47,7 +50,11 @@
     /// Stops accepting new flows and reports that to all entries immediately. Requests that still
     /// run at `end_by` are left to the next incarnation of the agent.
     pub fn begin_stop(&mut self, now: MonoTime, end_by: MonoTime, out: &mut Vec<AgentAction>) {
-        let may_end_at = now.plus_ms(LEAVE_NOTICE_MS);
+        let wait_ms = match self.is_draining {
+            true => TARGET_END_WAIT_MS,
+            false => LEAVE_NOTICE_MS,
+        };
+        let may_end_at = now.plus_ms(wait_ms);
         self.stop_phase = StopPhase::Leaving {
             may_end_at,
             suspend_at: may_end_at.plus_ms(MAX_WAIT_FOR_IDLE_MS),
--- a/crates/fes-passthrough/tests/agents_leaving_in_turn.rs
+++ b/crates/fes-passthrough/tests/agents_leaving_in_turn.rs
@@ -15,6 +15,11 @@
 const STREAMS: u16 = 120;
 const LEAVE_INTERVAL_MS: u64 = 500;
 const LEAVING_AGENTS: usize = 8;
+/// Time until the agent of a draining target has heard of that.
+const DRAIN_NOTICE_MS: u64 = 1_000;
+/// Time from the signal to an agent until its target ends.
+const TARGET_END_DELAY_MS: u64 = 300;
+const STOP_CHECK_MS: u64 = 20;
 
 /// Time without hellos after which an agent has forgotten the entries.
 const FORGOTTEN_AFTER_MS: u64 = 3_500;
@@ -24,6 +29,8 @@
 enum End {
     Planned,
     Abrupt,
+    /// As planned, but the agent is told to stop shortly before the target ends.
+    BeforeTarget,
     /// Without notice, long after the target was removed from the list.
     Unlisted,
 }
@@ -54,6 +61,7 @@
     }
     match end {
         End::Planned => simulation.end_target(index),
+        End::BeforeTarget => stop_before_target(simulation, index),
         End::Abrupt | End::Unlisted => {
             simulation.agents[index] = None;
             simulation.targets[index].is_running = false;
@@ -61,6 +69,25 @@
     }
 }
 
+/// Tells an agent to stop while its target still runs. The target ends a moment later, which the
+/// agent finds out if it hasn't exited by then.
+fn stop_before_target(simulation: &mut Simulation, index: usize) {
+    simulation.run_until(simulation.now_ms + DRAIN_NOTICE_MS);
+    simulation.begin_stop(index);
+    let target_ends_ms = simulation.now_ms + TARGET_END_DELAY_MS;
+    while !simulation.advance_stop(index) {
+        let next_ms = simulation.now_ms + STOP_CHECK_MS;
+        simulation.run_until(next_ms);
+        if simulation.now_ms >= target_ends_ms {
+            simulation.targets[index].is_running = false;
+            simulation.record_target_ended(index);
+        }
+    }
+    simulation.agents[index] = None;
+    simulation.run_until(simulation.now_ms.max(target_ends_ms));
+    simulation.targets[index].is_running = false;
+}
+
 /// Returns the times that clients waited for the reset of their lost flow, in milliseconds.
 fn waits_for_reset_ms(end: End) -> Vec<u64> {
     let mut simulation = fleet_after_power_loss();
@@ -72,7 +99,8 @@
     let from_ms = simulation.now_ms;
     for (position, index) in (0..LEAVING_AGENTS).enumerate() {
         let position = u64::try_from(position).expect("few agents");
-        simulation.run_until(from_ms + position * LEAVE_INTERVAL_MS);
+        let leave_ms = from_ms + position * LEAVE_INTERVAL_MS;
+        simulation.run_until(simulation.now_ms.max(leave_ms));
         leave(&mut simulation, index, end);
     }
     simulation.run_until(from_ms + 8_000);
@@ -92,6 +120,7 @@
 /// waited for their deadline although every process was running.
 #[rstest]
 #[case::planned(End::Planned)]
+#[case::before_target(End::BeforeTarget)]
 #[case::unlisted(End::Unlisted)]
 fn lost_flows_are_reset_while_agents_leave_in_turn(#[case] end: End) {
     let waits_ms = waits_for_reset_ms(end);
--- a/crates/fes-passthrough/tests/support/interventions.rs
+++ b/crates/fes-passthrough/tests/support/interventions.rs
@@ -126,6 +126,33 @@
         self.change_target(index, |record| record.started_at_ms = started_at_ms);
     }
 
+    /// Tells an agent to stop, as a planned restart or the removal of its VM does.
+    pub fn begin_stop(&mut self, index: usize) {
+        let now = self.now();
+        let mut out = Vec::new();
+        if let Some(agent) = &mut self.agents[index] {
+            agent.begin_stop(now, now.plus_ms(MAX_STOP_MS), &mut out);
+        }
+        self.perform_agent(index, out, None);
+    }
+
+    /// Continues the stop of an agent. Returns whether its process may exit.
+    pub fn advance_stop(&mut self, index: usize) -> bool {
+        let now = self.now();
+        let mut out = Vec::new();
+        let agent = self.agents[index].as_mut();
+        let may_exit = agent.is_none_or(|agent| agent.advance_stop(now, &mut out));
+        self.perform_agent(index, out, None);
+        may_exit
+    }
+
+    /// Lets an agent find out that its target has ended.
+    pub fn record_target_ended(&mut self, index: usize) {
+        if let Some(agent) = &mut self.agents[index] {
+            agent.record_target_ended();
+        }
+    }
+
     /// Ends a target and its agent as planned: the agent is told to stop once the target has ended,
     /// finds that out and exits.
     pub fn end_target(&mut self, index: usize) {
