Keep the agent of a draining target until the target has ended

Callers whose flows had to be searched waited for their deadline for seconds after all processes had been killed while the platform was down and targets were replaced.

Each agent announced a restart, and every search waited 2.5 s for it; one left every second. An agent that was started after its target had ended could not say so either, because it had never seen the target accept a connection.

A target that refuses connections and leaves packets unanswered has ended, too.

--- a/crates/fes-passthrough-node/src/agent_daemon.rs
+++ b/crates/fes-passthrough-node/src/agent_daemon.rs
@@ -45,12 +45,12 @@
 const TICKS_PER_SLOW_TICK: u32 = 40;
 /// Interval at which a stopping agent looks for a moment at which nothing is in progress.
 const STOP_CHECK_MS: u64 = 4;
-/// Upper limit of the drain time. Requests that run longer are left to the next incarnation of the
+/// Upper limit of the drain time beside a target that goes on. Requests that run longer are left to the next incarnation of the
 /// agent, which learns their flows from the target.
 const MAX_DRAIN_MS: u64 = 1_500;
-/// Interval between two probes of a draining target while its agent stops. The platform may stop
-/// both at the same time, so that the first probe finds the target still running.
-const PROBE_PERIOD_MS: u64 = 50;
+/// Interval between two probes of a draining target while its agent stops. The target may end later
+/// than the agent is told to stop.
+const PROBE_PERIOD_MS: u64 = 100;
 /// Part of the stop grace period that is reserved for the exit of the process.
 const EXIT_MARGIN_MS: u64 = 700;
 
@@ -344,9 +344,7 @@
             .health
             .set(Lifecycle::Draining, "the process was told to stop");
         log::info!(target: log_target::FLOWS, "event=stop phase=drain");
-        let grace_ms = self.context.settings.stop_grace_ms;
-        let limit_ms = grace_ms.saturating_sub(EXIT_MARGIN_MS).min(MAX_DRAIN_MS);
-        let end_by = started_at.plus_ms(limit_ms);
+        let end_by = started_at.plus_ms(self.drain_limit_ms());
         let mut actions = Vec::new();
         self.core
             .borrow_mut()
@@ -365,9 +363,25 @@
         self.log_end(now, started_at, running);
     }
 
-    /// Finds out whether the target has ended.
+    /// Returns the upper limit of the drain time. The agent of a draining target uses the whole grace
+    /// period, to see the target end.
+    fn drain_limit_ms(&self) -> u64 {
+        let grace_ms = self.context.settings.stop_grace_ms;
+        let usable_ms = grace_ms.saturating_sub(EXIT_MARGIN_MS);
+        match self.core.borrow().is_target_draining() {
+            true => usable_ms,
+            false => usable_ms.min(MAX_DRAIN_MS),
+        }
+    }
+
+    /// Finds out whether the target has ended. If it was never seen to accept a connection, it must
+    /// also have left packets unanswered.
     async fn probe_target(&self) {
-        if self.target_probe.has_ended().await {
+        let is_unresponsive = self
+            .core
+            .borrow()
+            .is_target_unresponsive(self.context.now());
+        if self.target_probe.has_ended(is_unresponsive).await {
             self.core.borrow_mut().record_target_ended();
         }
     }
--- a/crates/fes-passthrough/src/agent/agent_core.rs
+++ b/crates/fes-passthrough/src/agent/agent_core.rs
@@ -165,6 +165,13 @@
         self.is_draining
     }
 
+    /// Returns whether the target leaves packets unanswered that it would answer or return at once if
+    /// it ran.
+    #[must_use]
+    pub fn is_target_unresponsive(&self, now: MonoTime) -> bool {
+        self.target_monitor.is_unresponsive(now)
+    }
+
     /// Records that the target's process has ended. A stopping agent then ends at once and tells
     /// the entries that the flows are lost.
     pub const fn record_target_ended(&mut self) {
--- a/crates/fes-passthrough/src/agent/stopping.rs
+++ b/crates/fes-passthrough/src/agent/stopping.rs
@@ -19,12 +19,9 @@
 
 /// Time for entries to learn that the agent accepts no new flows.
 const LEAVE_NOTICE_MS: u64 = 150;
-/// Time after the agent may end from which no further request is started, if the target was never idle
-/// until then.
+/// Time after the agent may end from which no further request is started, if the target was never
+/// idle until then.
 const MAX_WAIT_FOR_IDLE_MS: u64 = 300;
-/// Time for which the agent of a draining target goes on, to see whether the target ends. The platform
-/// stops the agent of a VM that it takes away at about the time at which the target ends.
-const TARGET_END_WAIT_MS: u64 = 600;
 /// Time for which packets that were sent before the agent's last message are returned. Longer than
 /// a trip between data centres.
 const LAST_PACKETS_MS: u64 = 20;
@@ -49,9 +46,14 @@
 impl AgentCore {
     /// Stops accepting new flows and reports that to all entries immediately. Requests that still
     /// run at `end_by` are left to the next incarnation of the agent.
+    ///
+    /// The agent of a draining target serves its flows for as long as it may: the target is about to
+    /// end, and the agent can then tell the entries that it has.
     pub fn begin_stop(&mut self, now: MonoTime, end_by: MonoTime, out: &mut Vec<AgentAction>) {
         let wait_ms = match self.is_draining {
-            true => TARGET_END_WAIT_MS,
+            true => end_by
+                .ms_since(now)
+                .saturating_sub(2 * MAX_WAIT_FOR_IDLE_MS),
             false => LEAVE_NOTICE_MS,
         };
         let may_end_at = now.plus_ms(wait_ms);
