Release queued requests by the priority of their routes

Under overload, requests of every route got the same share: at 1.8 times the capacity, 51 % of those that operators had given the higher of two priorities were answered within their latency goal, and 55 % of the others.

Cause: nothing read `priority` of the routes. An extension of a message could also not be made longer: the bytes of the previous version, which are shorter, were rejected.

--- a/crates/fes-measure/src/capacity/pass_through.rs
+++ b/crates/fes-measure/src/capacity/pass_through.rs
@@ -10,6 +10,7 @@
 use fes_passthrough::ListChange;
 use fes_passthrough::LoadReport;
 use fes_passthrough::Message;
+use fes_passthrough::Priority;
 use fes_passthrough::Route;
 use fes_passthrough::RouteSet;
 use fes_passthrough::Segment;
@@ -136,6 +137,7 @@
             flow_use: FlowUse::NonRepeatable,
             latency_goal_ms: 200,
             timeout_ms: 2_000,
+            priority: Priority::default(),
         },
         services: vec![WeightedService {
             service: tag(service),
@@ -186,6 +188,7 @@
         is_silent: false,
         is_leaving: false,
         run_time_us: 0,
+        supports_priority: false,
     }
 }
 
--- a/crates/fes-passthrough-node/src/agent_daemon.rs
+++ b/crates/fes-passthrough-node/src/agent_daemon.rs
@@ -17,6 +17,7 @@
 use fes_passthrough::AgentCore;
 use fes_passthrough::AgentPlace;
 use fes_passthrough::Message;
+use fes_passthrough::Priority;
 use fes_passthrough::decode_message;
 use fes_passthrough::encode_message;
 use fes_protocol::Error;
@@ -26,6 +27,7 @@
 use fes_protocol::ResultCode;
 use fes_telemetry::StatusServer;
 use fes_telemetry::log_target;
+use serde_json::Value;
 use serde_json::json;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -128,6 +130,7 @@
                     "streams": streams,
                     "running": running,
                     "waiting": core.queued_requests(),
+                    "waiting_by_priority": waiting_by_priority(&core),
                     "longest_wait_ms": core.longest_wait_ms(now),
                     "entries": core.entry_count(),
                     "warm_up": warm_up.map(|limit| json!({
@@ -275,11 +278,14 @@
                     let now = self.context.now();
                     self.context.decisions.record(now, &decision, packet);
                 }
-                AgentAction::RecordStored { decision, packet } => {
+                AgentAction::RecordStored {
+                    decision,
+                    priority,
+                    packet,
+                } => {
                     let now = self.context.now();
-                    self.context
-                        .decisions
-                        .record_queued(now, &decision, &packet);
+                    let decisions = &self.context.decisions;
+                    decisions.record_queued(now, &decision, priority, &packet);
                 }
             }
         }
@@ -389,3 +395,12 @@
         );
     }
 }
+
+/// Returns the numbers of queued requests by priority, as they appear in the status.
+fn waiting_by_priority(core: &AgentCore) -> Value {
+    let counts = core.queued_by_priority();
+    let by_name = counts
+        .iter()
+        .map(|(Priority(priority), count)| (priority.to_string(), *count));
+    by_name.collect()
+}
--- a/crates/fes-passthrough-node/src/decision_log.rs
+++ b/crates/fes-passthrough-node/src/decision_log.rs
@@ -8,10 +8,12 @@
 use fes_passthrough::Evacuation;
 use fes_passthrough::FlowDecision;
 use fes_passthrough::Outcome;
+use fes_passthrough::Priority;
 use fes_protocol::FastMap;
 use fes_protocol::MonoTime;
 use fes_telemetry::Metrics;
 use fes_telemetry::OutcomeLabel;
+use fes_telemetry::QueueLabel;
 use fes_telemetry::log_target;
 
 /// Maximum number of lines per outcome and second. Suppressed decisions are still counted.
@@ -59,9 +61,16 @@
 
     /// Logs and counts a decision on a request that leaves an agent's queue, and adds its waiting
     /// time to the histogram. `packet` is the first packet of the request.
-    pub fn record_queued(&self, now: MonoTime, decision: &FlowDecision, packet: &[u8]) {
-        let label = OutcomeLabel {
+    pub fn record_queued(
+        &self,
+        now: MonoTime,
+        decision: &FlowDecision,
+        Priority(priority): Priority,
+        packet: &[u8],
+    ) {
+        let label = QueueLabel {
             outcome: decision.outcome.name(),
+            priority: priority.into(),
         };
         let waited_s = Duration::from_millis(decision.age_ms).as_secs_f64();
         self.metrics
--- a/crates/fes-passthrough-node/src/entry_daemon.rs
+++ b/crates/fes-passthrough-node/src/entry_daemon.rs
@@ -338,7 +338,9 @@
 
     fn forward(&self, vm: Ipv4Addr, forward: Forward, packet: &[u8]) {
         self.context.metrics.datagrams_forwarded.inc();
-        self.send(vm, &Message::Forward(forward), packet);
+        let now = self.context.now();
+        let message = self.core.borrow().forward_message(now, vm, forward);
+        self.send(vm, &message, packet);
     }
 
     fn send(&self, vm: Ipv4Addr, message: &Message, packet: &[u8]) {
--- a/crates/fes-passthrough-node/tests/decision_log.rs
+++ b/crates/fes-passthrough-node/tests/decision_log.rs
@@ -5,6 +5,7 @@
 use fes_passthrough::Evacuation;
 use fes_passthrough::FlowDecision;
 use fes_passthrough::Outcome;
+use fes_passthrough::Priority;
 use fes_passthrough_node::DecisionLog;
 use fes_protocol::DataCentreName;
 use fes_protocol::MonoTime;
@@ -53,18 +54,18 @@
 /// Guards against waits that don't reach their histogram, and against requests that weren't queued
 /// and are counted.
 #[test]
-fn waits_reach_the_histogram_by_outcome() {
+fn waits_reach_the_histogram_by_outcome_and_priority() {
     let metrics = Arc::new(Metrics::default());
     let log = DecisionLog::new(Arc::clone(&metrics));
     let started = FlowDecision::new(Outcome::Started);
 
-    log.record_queued(MonoTime::ZERO, &started.age_ms(500), &[]);
+    log.record_queued(MonoTime::ZERO, &started.age_ms(500), Priority(2), &[]);
     log.record(MonoTime::ZERO, &started, &[]);
 
     let text = metrics.encode();
-    let sample = "flow_queue_wait_seconds_sum{outcome=\"started\"} 0.5\n";
+    let sample = "flow_queue_wait_seconds_sum{outcome=\"started\",priority=\"2\"} 0.5\n";
     assert!(text.contains(sample), "{text}");
-    let sample = "flow_queue_wait_seconds_count{outcome=\"started\"} 1\n";
+    let sample = "flow_queue_wait_seconds_count{outcome=\"started\",priority=\"2\"} 1\n";
     assert!(text.contains(sample), "{text}");
 }
 
--- a/crates/fes-passthrough/src/agent/agent_core.rs
+++ b/crates/fes-passthrough/src/agent/agent_core.rs
@@ -15,6 +15,7 @@
 use crate::Forward;
 use crate::Message;
 use crate::Outcome;
+use crate::Priority;
 use crate::ReportedRunTime;
 use crate::RequestQueue;
 use crate::Segment;
@@ -60,6 +61,8 @@
     RecordStored {
         /// Decision.
         decision: FlowDecision,
+        /// Priority of the request.
+        priority: Priority,
         /// First packet of the request.
         packet: Box<[u8]>,
     },
@@ -195,18 +198,22 @@
     ) {
         if matches!(
             message,
-            Message::Forward(_) | Message::Lookup { entry: None, .. }
+            Message::Forward(_)
+                | Message::ForwardWithPriority { .. }
+                | Message::Lookup { entry: None, .. }
         ) {
             self.report_to_unknown_entry(now, from_vm, out);
         }
         match (message, packet) {
             (Message::Forward(forward), Some((segment, packet))) => {
-                let from = ForwardOrigin {
-                    entry: from_vm,
-                    forward: *forward,
-                };
+                let from = self.origin(from_vm, *forward, None, segment);
                 self.on_forward(now, from, segment, packet, out);
             }
+            (Message::ForwardWithPriority { forward, priority }, Some((segment, packet))) => {
+                let from = self.origin(from_vm, *forward, Some(*priority), segment);
+                self.on_forward(now, from, segment, packet, out);
+                self.record_priority(segment, *priority);
+            }
             (
                 Message::Lookup {
                     flow,
--- a/crates/fes-passthrough/src/agent/heartbeats.rs
+++ b/crates/fes-passthrough/src/agent/heartbeats.rs
@@ -144,6 +144,7 @@
             is_silent: self.target_monitor.is_silent(now),
             is_leaving: self.is_leaving(),
             run_time_us: self.reported_run_time.mean_us(now),
+            supports_priority: true,
         };
         for entry in entries {
             if let Some(state) = self.entries.get_mut(&entry) {
--- a/crates/fes-passthrough/src/catalogue.rs
+++ b/crates/fes-passthrough/src/catalogue.rs
@@ -39,6 +39,22 @@
     NonRepeatable,
 }
 
+/// Priority of requests under overload; 0 is the highest. Higher priorities come first in the order
+/// of this type.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Priority(pub u8);
+
+impl Priority {
+    /// Priority of requests for which none is known.
+    pub const LOWEST: Self = Self(u8::MAX);
+}
+
+impl Default for Priority {
+    fn default() -> Self {
+        Self::LOWEST
+    }
+}
+
 /// Requirements of the requests of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FlowRequirements {
@@ -48,6 +64,10 @@
     pub latency_goal_ms: u32,
     /// Time after which the client no longer waits for the response, in milliseconds.
     pub timeout_ms: u32,
+    /// Priority. It isn't part of the encoded requirements, which processes of earlier versions
+    /// read; messages carry it in an extension or in a field of their own.
+    #[serde(skip)]
+    pub priority: Priority,
 }
 
 impl FlowRequirements {
@@ -129,6 +149,24 @@
     pub warm_ups: FastMap<ServiceTag, ServiceWarmUp>,
 }
 
+impl RouteSet {
+    /// Adds what the same version of the configuration, received from another process, has in
+    /// addition. A peer of an older version sends routes without warm-up limits or priorities.
+    pub fn complete_from(&mut self, other: Self) {
+        if self.warm_ups.is_empty() {
+            self.warm_ups = other.warm_ups;
+        }
+        for (destination, route) in &mut self.routes {
+            let other_route = other.routes.get(destination);
+            if let Some(other_route) = other_route
+                && route.requirements.priority == Priority::LOWEST
+            {
+                route.requirements.priority = other_route.requirements.priority;
+            }
+        }
+    }
+}
+
 /// Readiness that a target announces.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TargetState {
--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -249,7 +249,22 @@
             let sent_at = first_sent_at(arrived_at, segment);
             self.on_opening(now, sent_at, segment, &route, packet, out);
         } else {
-            self.on_established_packet(now, arrived_at, segment, packet, out);
+            // A changed priority also applies to the next requests of open flows.
+            let priority = route.requirements.priority;
+            self.on_established_packet(now, arrived_at, segment, priority, packet, out);
+        }
+    }
+
+    /// Returns the message that forwards a packet to the agent on `vm`: with the priority, unless
+    /// the agent may be of an earlier version, which would drop it.
+    #[must_use]
+    pub fn forward_message(&self, now: MonoTime, vm: Ipv4Addr, forward: Forward) -> Message {
+        let priority = forward.requirements.priority;
+        match self.agents.get(vm) {
+            Some(agent) if agent.is_reachable(now) && agent.report().supports_priority => {
+                Message::ForwardWithPriority { forward, priority }
+            }
+            _ => Message::Forward(forward),
         }
     }
 
@@ -306,6 +321,7 @@
             }
             // These messages are addressed to agents.
             Message::Forward(_)
+            | Message::ForwardWithPriority { .. }
             | Message::Hello(_)
             | Message::Lookup { .. }
             | Message::DelegateLookup { .. } => {}
--- a/crates/fes-passthrough/src/entry/established.rs
+++ b/crates/fes-passthrough/src/entry/established.rs
@@ -16,6 +16,7 @@
 use crate::Opening;
 use crate::Outcome;
 use crate::Owner;
+use crate::Priority;
 use crate::Search;
 use crate::Segment;
 
@@ -72,6 +73,7 @@
         now: MonoTime,
         arrived_at: MonoTime,
         segment: &Segment,
+        priority: Priority,
         packet: &[u8],
         out: &mut Vec<EntryAction>,
     ) {
@@ -87,6 +89,7 @@
         if segment.is_reset {
             self.held.remove_flow(&flow);
         }
+        record.requirements.priority = priority;
         let requirements = record.requirements;
         let service = record.service;
         let forward = |mode, started_at_ms| Forward {
--- a/crates/fes-passthrough/src/entry/status.rs
+++ b/crates/fes-passthrough/src/entry/status.rs
@@ -72,6 +72,8 @@
     pub run_time_us: u32,
     /// Whether the agent knows all flows of its target.
     pub is_complete: bool,
+    /// Whether the agent is sent the priorities of requests.
+    pub supports_priority: bool,
 }
 
 impl EntryCore {
@@ -97,6 +99,7 @@
                     failures_per_mille: report.failures_per_mille,
                     run_time_us: report.run_time_us,
                     is_complete: report.is_complete,
+                    supports_priority: report.supports_priority,
                 }
             })
             .collect();
--- a/crates/fes-passthrough/src/fleet_view.rs
+++ b/crates/fes-passthrough/src/fleet_view.rs
@@ -489,9 +489,8 @@
 
     fn apply_routes(&mut self, routes: RouteSet) -> Option<ViewEvent> {
         if self.has_routes && routes.version <= self.routes.version {
-            // A peer of an older version sends the routes without the warm-up limits.
-            if routes.version == self.routes.version && self.routes.warm_ups.is_empty() {
-                self.routes.warm_ups = routes.warm_ups;
+            if routes.version == self.routes.version {
+                self.routes.complete_from(routes);
             }
             return None;
         }
--- a/crates/fes-passthrough/src/flow_table.rs
+++ b/crates/fes-passthrough/src/flow_table.rs
@@ -8,6 +8,7 @@
 use crate::ClientSequence;
 use crate::FlowKey;
 use crate::FlowRequirements;
+use crate::Priority;
 use crate::RequestEnd;
 use crate::Segment;
 
@@ -37,6 +38,8 @@
     pub is_stream: bool,
     /// Whether a request was delivered to the target and no byte of its response was seen yet.
     pub is_running: bool,
+    /// Priority that the latest packet with one carried.
+    pub priority: Priority,
     running_since: MonoTime,
     requests: u32,
     /// Sequence number that the client used first, as far as the agent saw it.
@@ -70,6 +73,7 @@
             is_established: false,
             is_stream,
             is_running: false,
+            priority: Priority::LOWEST,
             running_since: MonoTime::ZERO,
             requests: 0,
             client_sequence: None,
@@ -111,7 +115,8 @@
     }
 
     /// Returns the remaining requirements of the flow's next request. The times of the first
-    /// request count from the opening packet; for later requests, `requirements` is returned.
+    /// request count from the opening packet, and its priority is that of `requirements`; for later
+    /// requests, `requirements` is returned.
     #[must_use]
     pub fn next_requirements(
         &self,
@@ -120,7 +125,11 @@
     ) -> FlowRequirements {
         match self.first_requirements {
             Some((first, opened_at)) if self.requests == 0 => {
-                first.after_ms(now.ms_since(opened_at))
+                let remaining = first.after_ms(now.ms_since(opened_at));
+                FlowRequirements {
+                    priority: requirements.priority,
+                    ..remaining
+                }
             }
             _ => requirements,
         }
--- a/crates/fes-passthrough/src/message.rs
+++ b/crates/fes-passthrough/src/message.rs
@@ -10,6 +10,7 @@
 use crate::Evacuation;
 use crate::FlowKey;
 use crate::FlowRequirements;
+use crate::Priority;
 use crate::Route;
 use crate::ServiceTag;
 use crate::ServiceWarmUp;
@@ -37,7 +38,7 @@
     pub service: ServiceTag,
     /// Start time of the intended target, in milliseconds since the epoch; 0 if unknown.
     pub started_at_ms: u64,
-    /// Requirements of the flow's requests.
+    /// Requirements of the flow's requests, encoded without the priority.
     pub requirements: FlowRequirements,
 }
 
@@ -112,6 +113,9 @@
     /// extension.
     #[serde(skip)]
     pub run_time_us: u32,
+    /// Whether the agent understands [`Message::ForwardWithPriority`]. Sent as an extension.
+    #[serde(skip)]
+    pub supports_priority: bool,
 }
 
 /// Reason why an agent returns a packet.
@@ -167,7 +171,7 @@
     pub index: u32,
     /// Number of parts.
     pub count: u32,
-    /// Routes of the part.
+    /// Routes of the part. Their priorities are sent as an extension.
     pub routes: Vec<Route>,
     /// Services of the part whose targets get a limited number of new flows while they warm up. Sent
     /// as an extension.
@@ -290,4 +294,12 @@
         /// Incarnation of the agent's process that ends.
         incarnation: u64,
     },
+    /// Entry to agent, followed by the packet; sent only to agents that announced support, because
+    /// others drop it.
+    ForwardWithPriority {
+        /// Header, as without a priority.
+        forward: Forward,
+        /// Priority of the flow's requests.
+        priority: Priority,
+    },
 }
--- a/crates/fes-passthrough/src/message_extension.rs
+++ b/crates/fes-passthrough/src/message_extension.rs
@@ -1,59 +1,32 @@
 //! Fields that were added to messages after their first version. They follow the message in its
 //! datagram, where processes of older versions ignore them; without them, the defaults apply.
 //!
+//! An extension is the sequence of its fields. New fields are appended, so that a process of any
+//! version decodes the fields that it knows and that were sent.
+//!
 //! Only messages that carry no packet have an extension.
 
 use fes_protocol::Error;
 use fes_protocol::Result;
 use fes_protocol::ResultCode;
-use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::Evacuation;
 use crate::Message;
-use crate::ServiceWarmUp;
-use crate::WarmUpHint;
+use crate::Priority;
+use crate::Route;
 use crate::codec::CONFIG;
 
-#[derive(Debug, Serialize, Deserialize)]
-struct LoadExtension {
-    run_time_us: u32,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct HelloExtension {
-    warm_up: Option<WarmUpHint>,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct TargetsExtension {
-    evacuations: Option<Vec<Evacuation>>,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct RoutesExtension {
-    services: Vec<ServiceWarmUp>,
-}
-
 /// Appends the extension of a message to `buffer`, if the message has one.
 pub(crate) fn encode_extension(message: &Message, buffer: &mut Vec<u8>) -> Result<()> {
     match message {
-        Message::Load(report) => {
-            let run_time_us = report.run_time_us;
-            encode(&LoadExtension { run_time_us }, buffer)
-        }
-        Message::Hello(hello) => {
-            let warm_up = hello.warm_up;
-            encode(&HelloExtension { warm_up }, buffer)
-        }
-        Message::Targets(part) => {
-            let evacuations = part.evacuations.clone();
-            encode(&TargetsExtension { evacuations }, buffer)
-        }
+        Message::Load(report) => encode(&(report.run_time_us, report.supports_priority), buffer),
+        Message::Hello(hello) => encode(&hello.warm_up, buffer),
+        Message::Targets(part) => encode(&part.evacuations, buffer),
         Message::Routes(part) => {
-            let services = part.services.clone();
-            encode(&RoutesExtension { services }, buffer)
+            let priority = |route: &Route| route.requirements.priority;
+            let priorities: Vec<Priority> = part.routes.iter().map(priority).collect();
+            encode(&(&part.services, priorities), buffer)
         }
         _ => Ok(()),
     }
@@ -64,22 +37,20 @@
     if rest.is_empty() {
         return Ok(rest);
     }
+    let mut fields = Fields { rest };
     match message {
         Message::Load(report) => {
-            let extension: LoadExtension = decode(rest)?;
-            report.run_time_us = extension.run_time_us;
-        }
-        Message::Hello(hello) => {
-            let extension: HelloExtension = decode(rest)?;
-            hello.warm_up = extension.warm_up;
-        }
-        Message::Targets(part) => {
-            let extension: TargetsExtension = decode(rest)?;
-            part.evacuations = extension.evacuations;
+            report.run_time_us = fields.next()?;
+            report.supports_priority = fields.next()?;
         }
+        Message::Hello(hello) => hello.warm_up = fields.next()?,
+        Message::Targets(part) => part.evacuations = fields.next()?,
         Message::Routes(part) => {
-            let extension: RoutesExtension = decode(rest)?;
-            part.services = extension.services;
+            part.services = fields.next()?;
+            let priorities: Vec<Priority> = fields.next()?;
+            for (route, priority) in part.routes.iter_mut().zip(priorities) {
+                route.requirements.priority = priority;
+            }
         }
         _ => return Ok(rest),
     }
@@ -93,10 +64,21 @@
         .map_err(|e| Error::coded(ResultCode::ControlTooLarge, e.to_string()))
 }
 
-/// Decodes an extension, which a later version may have made longer.
-fn decode<T: DeserializeOwned>(rest: &[u8]) -> Result<T> {
-    let decoded = bincode::serde::decode_from_slice(rest, CONFIG);
-    decoded
-        .map(|(extension, _)| extension)
-        .map_err(|e| Error::coded(ResultCode::ControlMalformed, e.to_string()))
+/// Fields of an extension that are not decoded yet.
+struct Fields<'a> {
+    rest: &'a [u8],
+}
+
+impl Fields<'_> {
+    /// Decodes the next field. Returns the default if the sender's version doesn't have the field.
+    fn next<T: DeserializeOwned + Default>(&mut self) -> Result<T> {
+        if self.rest.is_empty() {
+            return Ok(T::default());
+        }
+        let decoded = bincode::serde::decode_from_slice(self.rest, CONFIG);
+        let (field, read_bytes) =
+            decoded.map_err(|e| Error::coded(ResultCode::ControlMalformed, e.to_string()))?;
+        self.rest = &self.rest[read_bytes..];
+        Ok(field)
+    }
 }
--- a/crates/fes-passthrough/src/request_queue.rs
+++ b/crates/fes-passthrough/src/request_queue.rs
@@ -3,14 +3,18 @@
 //! When, for some seconds, more requests arrive than the target can run, a FIFO queue makes every
 //! request late. This queue first releases requests that can still be answered within their latency
 //! goal, then those that can be answered before their timeout. Others are released only when no
-//! such request is queued.
+//! such request is queued. [`ReleaseOrder`] has the whole order.
+
+use std::collections::BTreeMap;
 
 use fes_protocol::MonoTime;
 
 use crate::FlowKey;
 use crate::FlowRequirements;
-use crate::FlowUse;
 use crate::Mechanism;
+use crate::Priority;
+use crate::ReleaseCandidate;
+use crate::ReleaseOrder;
 use crate::RunTime;
 use crate::Segment;
 
@@ -26,16 +30,15 @@
     pub flow: FlowKey,
     /// Its packets in the order of their arrival, with their decoded headers.
     pub packets: Vec<(Segment, Box<[u8]>)>,
-    flow_use: FlowUse,
     queued_at: MonoTime,
-    latency_goal_at: MonoTime,
-    timeout_at: MonoTime,
+    candidate: ReleaseCandidate,
 }
 
 /// Queue of requests for the slots of one target.
 #[derive(Debug, Default)]
 pub struct RequestQueue {
     queued: Vec<QueuedRequest>,
+    order: ReleaseOrder,
     run_time: RunTime,
 }
 
@@ -60,6 +63,16 @@
         waits.max().unwrap_or(0)
     }
 
+    /// Returns the number of queued requests of each priority that has any.
+    #[must_use]
+    pub fn len_by_priority(&self) -> BTreeMap<Priority, usize> {
+        let mut counts = BTreeMap::new();
+        for request in &self.queued {
+            *counts.entry(request.priority()).or_default() += 1;
+        }
+        counts
+    }
+
     /// Returns whether the queue accepts no further request.
     #[must_use]
     pub const fn is_full(&self) -> bool {
@@ -85,13 +98,19 @@
         segment: Segment,
         packet: &[u8],
     ) {
+        if self.queued.is_empty() {
+            self.order = ReleaseOrder::default();
+        }
         self.queued.push(QueuedRequest {
             flow: segment.flow,
             packets: vec![(segment, packet.into())],
-            flow_use: requirements.flow_use,
             queued_at: now,
-            latency_goal_at: now.plus_ms(u64::from(requirements.latency_goal_ms)),
-            timeout_at: now.plus_ms(u64::from(requirements.timeout_ms)),
+            candidate: ReleaseCandidate {
+                priority: requirements.priority,
+                flow_use: requirements.flow_use,
+                latency_goal_at: now.plus_ms(u64::from(requirements.latency_goal_ms)),
+                timeout_at: now.plus_ms(u64::from(requirements.timeout_ms)),
+            },
         });
     }
 
@@ -132,7 +151,7 @@
     pub fn expire(&mut self, now: MonoTime) -> Vec<QueuedRequest> {
         let (expired, queued) = std::mem::take(&mut self.queued)
             .into_iter()
-            .partition(|request| now >= request.timeout_at);
+            .partition(|request| now >= request.candidate.timeout_at);
         self.queued = queued;
         expired
     }
@@ -143,20 +162,12 @@
             return Some(self.queued.remove(0));
         }
         let expected_end_at = now.plus_us(self.run_time.expected_us());
-        let ranked = self.queued.iter().enumerate();
-        let (index, _) = ranked.min_by_key(|(_, request)| request.rank(expected_end_at))?;
+        let candidates = self.queued.iter().map(|request| request.candidate);
+        let index = self.order.select(expected_end_at, candidates)?;
         Some(self.queued.remove(index))
     }
 }
 
-/// What a request can still achieve, in the order in which requests are released.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Prospect {
-    MeetsGoal,
-    MeetsTimeout,
-    MissesTimeout,
-}
-
 impl QueuedRequest {
     /// Returns the time since the request was queued, in milliseconds.
     #[must_use]
@@ -170,20 +181,9 @@
         self.packets.first().map_or(&[], |(_, packet)| packet)
     }
 
-    /// Returns the sort key of a request that would end at `expected_end_at` if it were released
-    /// now.
-    ///
-    /// Among requests with the same prospect, those that must not be repeated come first, because
-    /// a failure costs their clients most: they must not retry. The rest of the order is by
-    /// deadline.
-    fn rank(&self, expected_end_at: MonoTime) -> (Prospect, bool, MonoTime) {
-        let is_repeatable = self.flow_use != FlowUse::NonRepeatable;
-        if expected_end_at <= self.latency_goal_at {
-            (Prospect::MeetsGoal, is_repeatable, self.latency_goal_at)
-        } else if expected_end_at <= self.timeout_at {
-            (Prospect::MeetsTimeout, is_repeatable, self.timeout_at)
-        } else {
-            (Prospect::MissesTimeout, is_repeatable, self.timeout_at)
-        }
+    /// Returns the priority, which is that of the route when the request was queued.
+    #[must_use]
+    pub const fn priority(&self) -> Priority {
+        self.candidate.priority
     }
 }
--- a/crates/fes-passthrough/tests/agent.rs
+++ b/crates/fes-passthrough/tests/agent.rs
@@ -13,6 +13,7 @@
 use fes_passthrough::Hello;
 use fes_passthrough::Message;
 use fes_passthrough::Outcome;
+use fes_passthrough::Priority;
 use fes_passthrough::Segment;
 use fes_passthrough::Sender;
 use fes_protocol::MonoTime;
@@ -168,6 +169,7 @@
 
     let expected = AgentAction::RecordStored {
         decision: expected.flow(flow),
+        priority: Priority::LOWEST,
         packet: flow.client.port().to_be_bytes().into(),
     };
     assert!(actions.contains(&expected), "{actions:?}");
--- a/crates/fes-passthrough/tests/codec.rs
+++ b/crates/fes-passthrough/tests/codec.rs
@@ -11,6 +11,7 @@
 use fes_passthrough::ForwardMode;
 use fes_passthrough::LoadReport;
 use fes_passthrough::Message;
+use fes_passthrough::Priority;
 use fes_passthrough::ServiceTag;
 use fes_passthrough::decode_message;
 use fes_passthrough::encode_message;
@@ -51,10 +52,11 @@
     }
 
     /// Guards against new fields that are lost, and against reports of older versions, which lack
-    /// them, that are rejected.
+    /// all or the last of them, that are rejected.
     #[test]
     fn an_extension_is_optional(run_time_us: u32) {
-        let message = Message::Load(LoadReport { run_time_us, ..idle_report() });
+        let without_last = LoadReport { run_time_us, ..idle_report() };
+        let message = Message::Load(LoadReport { supports_priority: true, ..without_last });
         let mut datagram = Vec::new();
         encode_message(&message, &mut datagram).expect("fits");
         let extension_bytes = match run_time_us {
@@ -62,16 +64,45 @@
             251..=0xffff => 3,
             _ => 5,
         };
-        let old = &datagram[..datagram.len() - extension_bytes];
+        let previous = &datagram[..datagram.len() - 1];
+        let old = &previous[..previous.len() - extension_bytes];
 
         let (decoded, packet) = decode_message(&datagram).expect("decodes");
+        let (decoded_previous, _) = decode_message(previous).expect("decodes");
         let (decoded_old, _) = decode_message(old).expect("decodes");
 
         assert_eq!(decoded, message);
         assert!(packet.is_empty());
+        assert_eq!(decoded_previous, Message::Load(without_last));
         assert_eq!(decoded_old, Message::Load(idle_report()));
     }
 
+    /// Guards against a priority or packet that is lost, and against a priority that changes the
+    /// layout of the message that earlier versions read.
+    #[test]
+    fn a_priority_precedes_the_packet(priority: u8, packet: Vec<u8>) {
+        let forward = Forward {
+            mode: ForwardMode::Owner,
+            service: ServiceTag(7),
+            started_at_ms: 1,
+            requirements: requirements(FlowUse::NonRepeatable, 200, 1_000),
+        };
+        let priority = Priority(priority);
+        let message = Message::ForwardWithPriority { forward, priority };
+        let mut datagram = Vec::new();
+        encode_message(&message, &mut datagram).expect("fits");
+        datagram.extend_from_slice(&packet);
+        let mut with_priority = forward;
+        with_priority.requirements.priority = priority;
+        let mut previous = Vec::new();
+        encode_message(&Message::Forward(with_priority), &mut previous).expect("fits");
+
+        let decoded = decode_message(&datagram).expect("decodes");
+
+        assert_eq!(decoded, (message, packet.as_slice()));
+        assert_eq!(previous, [0, 1, 7, 1, 2, 200, 251, 232, 3]);
+    }
+
     /// Guards against a truncated datagram that is accepted as a complete one.
     #[test]
     fn a_truncated_message_is_rejected(ip in any::<u32>(), port: u16, removed_bytes in 1_usize..6) {
--- a/crates/fes-passthrough/tests/entry_status.rs
+++ b/crates/fes-passthrough/tests/entry_status.rs
@@ -11,9 +11,10 @@
 use support::fixtures::vm;
 use support::simulation::Simulation;
 
-/// Guards against a status that doesn't show the run times by which targets are chosen.
+/// Guards against a status that doesn't show the run times by which targets are chosen, or whether an
+/// agent is sent priorities.
 #[test]
-fn the_status_shows_run_times() {
+fn the_status_shows_run_times_and_support_of_priorities() {
     let mut simulation = Simulation::new(1, 1, 2, 20, 1);
     simulation.add_client(Client::new(flow(1, once_address()), 1, 0), 500);
     simulation.run_until(1_000);
@@ -22,6 +23,7 @@
     let status = entry.status(MonoTime::from_ms(1_000));
 
     assert_eq!(status.agents[0].run_time_us, 20_000);
+    assert!(status.agents[0].supports_priority);
 }
 
 /// Guards against a status that doesn't show a leaving target or a silent agent.
--- a/crates/fes-passthrough/tests/support/actions.rs
+++ b/crates/fes-passthrough/tests/support/actions.rs
@@ -10,6 +10,7 @@
 use fes_passthrough::Outcome;
 use fes_passthrough::Segment;
 use fes_passthrough::Sender;
+use fes_protocol::MonoTime;
 
 use super::fixtures::entry_vm;
 use super::fixtures::vm;
@@ -46,14 +47,16 @@
         for action in actions {
             match action {
                 EntryAction::Forward { vm, forward } => {
-                    self.send_to_agent(vm, from, forward, packet.clone());
+                    let message = self.forward_message(index, vm, forward);
+                    self.send_to_agent(vm, from, message, packet.clone());
                 }
                 EntryAction::ForwardStored {
                     vm,
                     forward,
                     packet,
                 } => {
-                    self.send_to_agent(vm, from, forward, packet.to_vec());
+                    let message = self.forward_message(index, vm, forward);
+                    self.send_to_agent(vm, from, message, packet.to_vec());
                 }
                 EntryAction::Send { vm, message } => {
                     self.count_entry_message(&message);
@@ -139,15 +142,16 @@
         self.entry_messages += usize::from(!is_background);
     }
 
-    fn send_to_agent(&mut self, to: Ipv4Addr, from: Ipv4Addr, forward: Forward, packet: Vec<u8>) {
+    fn forward_message(&self, index: usize, vm: Ipv4Addr, forward: Forward) -> Message {
+        let now = MonoTime::from_ms(self.now_ms);
+        let entry = self.entries[index].as_ref().expect("a running entry");
+        entry.forward_message(now, vm, forward)
+    }
+
+    fn send_to_agent(&mut self, to: Ipv4Addr, from: Ipv4Addr, message: Message, packet: Vec<u8>) {
         self.entry_messages += 1;
         if let Some(index) = (0..self.agents.len()).find(|i| vm(*i) == to) {
-            self.send(Event::AgentMessage(
-                index,
-                from,
-                Message::Forward(forward),
-                packet,
-            ));
+            self.send(Event::AgentMessage(index, from, message, packet));
         }
     }
 
--- a/crates/fes-passthrough/tests/support/arbitrary.rs
+++ b/crates/fes-passthrough/tests/support/arbitrary.rs
@@ -13,6 +13,7 @@
 use fes_passthrough::KnownReader;
 use fes_passthrough::LoadReport;
 use fes_passthrough::Message;
+use fes_passthrough::Priority;
 use fes_passthrough::ReturnReason;
 use fes_passthrough::Route;
 use fes_passthrough::RoutesPart;
@@ -90,6 +91,7 @@
             flow_use,
             latency_goal_ms: goal,
             timeout_ms: timeout,
+            priority: Priority(timeout as u8),
         }
     })
 }
@@ -210,6 +212,7 @@
                     is_silent: flags.1,
                     is_leaving: flags.2,
                     run_time_us: failures,
+                    supports_priority: flags.0,
                 })
             },
         )
@@ -326,12 +329,19 @@
     let agents = || vec(any_vm(), 0..4);
     prop_oneof![
         (mode, any_service(), number(), any_requirements()).prop_map(
-            |(mode, service, started_at_ms, requirements)| Message::Forward(Forward {
-                mode,
-                service,
-                started_at_ms,
-                requirements,
-            })
+            |(mode, service, started_at_ms, requirements)| {
+                let forward = Forward {
+                    mode,
+                    service,
+                    started_at_ms,
+                    requirements,
+                };
+                let priority = requirements.priority;
+                match priority.0 % 2 {
+                    0 => Message::Forward(forward),
+                    _ => Message::ForwardWithPriority { forward, priority },
+                }
+            }
         ),
         (any_flow(), small_number(), number()).prop_map(|(flow, sequence, started_at_ms)| {
             Message::Opened {
--- a/crates/fes-passthrough/tests/support/fixtures.rs
+++ b/crates/fes-passthrough/tests/support/fixtures.rs
@@ -9,6 +9,7 @@
 use fes_passthrough::Hello;
 use fes_passthrough::LoadReport;
 use fes_passthrough::Message;
+use fes_passthrough::Priority;
 use fes_passthrough::Route;
 use fes_passthrough::RouteSet;
 use fes_passthrough::Segment;
@@ -52,6 +53,7 @@
         flow_use,
         latency_goal_ms,
         timeout_ms,
+        priority: Priority::LOWEST,
     }
 }
 
@@ -145,5 +147,6 @@
         is_silent: false,
         is_leaving: false,
         run_time_us: 0,
+        supports_priority: false,
     }
 }
--- a/crates/fes-passthrough/tests/warm_up_gossip.rs
+++ b/crates/fes-passthrough/tests/warm_up_gossip.rs
@@ -1,11 +1,14 @@
-//! Gossip of the services with a warm-up limit, and of the remaining warm-up time.
+//! Gossip of the priorities of routes, of the services with a warm-up limit, and of the remaining
+//! warm-up time.
 
 mod support;
 
 use fes_passthrough::FleetView;
 use fes_passthrough::ListChange;
 use fes_passthrough::Message;
+use fes_passthrough::Priority;
 use fes_passthrough::RouteSet;
+use fes_passthrough::RoutesPart;
 use fes_passthrough::ServiceTag;
 use fes_passthrough::ServiceWarmUp;
 use fes_passthrough::TargetRecord;
@@ -28,6 +31,9 @@
 /// Returns a configuration with more limited services than fit into one message.
 fn limited_services() -> RouteSet {
     let mut set = routes(3, SERVICE);
+    for route in set.routes.values_mut() {
+        route.requirements.priority = Priority(1);
+    }
     for index in 0..300_u32 {
         // Tags are hashes, which take nine bytes.
         let service = ServiceTag(u64::MAX - u64::from(index));
@@ -79,7 +85,18 @@
         match &mut message {
             Message::Routes(part) => {
                 if !has_extension {
-                    part.services.clear();
+                    // The previous version ends before the priorities: their number and a byte for
+                    // each. Older versions have no services either.
+                    let previous = &datagram[..datagram.len() - 1 - part.routes.len()];
+                    let (previous, _) = decode_message(previous).expect("decodes");
+                    let Message::Routes(previous) = previous else {
+                        panic!("routes: {previous:?}");
+                    };
+                    assert_eq!(previous.services, part.services);
+                    *part = RoutesPart {
+                        services: Vec::new(),
+                        ..previous
+                    };
                 }
                 let change = gossip.on_routes(entry_vm(0), part);
                 change.map(|change| view.apply(now, change));
@@ -94,8 +111,8 @@
     }
 }
 
-/// Guards against services that are lost or don't fit into a datagram, and against limits that an
-/// entry never learns because a peer of an older version sent it the routes.
+/// Guards against services that are lost or don't fit into a datagram, and against limits and
+/// priorities that an entry never learns because a peer of an older version sent it the routes.
 #[test]
 fn services_are_learnt_also_after_a_peer_without_them() {
     let datagrams = response();
--- a/crates/fes-soak/src/routes.rs
+++ b/crates/fes-soak/src/routes.rs
@@ -5,6 +5,7 @@
 use fes_adapter::stand_in::encode_routes;
 use fes_passthrough::FlowRequirements;
 use fes_passthrough::FlowUse;
+use fes_passthrough::Priority;
 use fes_passthrough::Route;
 use fes_passthrough::RouteSet;
 use serde_json::Value;
@@ -47,6 +48,7 @@
             flow_use,
             latency_goal_ms: LATENCY_GOAL_MS,
             timeout_ms: TIMEOUT_MS,
+            priority: Priority::default(),
         },
         services: Vec::new(),
     };
--- a/crates/fes-telemetry/src/metrics.rs
+++ b/crates/fes-telemetry/src/metrics.rs
@@ -18,8 +18,8 @@
 pub type Gauge = prometheus_client::metrics::gauge::Gauge;
 /// A distribution of durations in seconds.
 pub type Histogram = prometheus_client::metrics::histogram::Histogram;
-/// A distribution of durations in seconds for each outcome of a decision.
-pub type OutcomeHistogram = Family<OutcomeLabel, Histogram>;
+/// A distribution of durations in seconds for each outcome and priority of queued requests.
+pub type QueueHistogram = Family<QueueLabel, Histogram>;
 
 const PREFIX: &str = "fescueshift";
 const FIRST_BUCKET_BOUND_S: f64 = 0.000_25;
@@ -47,6 +47,15 @@
     pub outcome: &'static str,
 }
 
+/// Label of requests that left a queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct QueueLabel {
+    /// Name of the outcome.
+    pub outcome: &'static str,
+    /// Priority; 0 is the highest.
+    pub priority: u32,
+}
+
 /// Kind of a metric.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MetricKind {
@@ -61,7 +70,7 @@
     /// A distribution of durations in seconds.
     Histogram,
     /// A distribution of durations in seconds for each outcome, under the label `outcome`.
-    HistogramByOutcome,
+    HistogramByOutcomeAndPriority,
 }
 
 /// Name, kind and help text of a metric.
@@ -120,8 +129,8 @@
     }
 }
 
-impl MetricType for OutcomeHistogram {
-    const KIND: MetricKind = MetricKind::HistogramByOutcome;
+impl MetricType for QueueHistogram {
+    const KIND: MetricKind = MetricKind::HistogramByOutcomeAndPriority;
     fn create() -> Self {
         Self::new_with_constructor(<Histogram as MetricType>::create)
     }
@@ -181,8 +190,8 @@
         "Decisions on pass-through flows, by outcome.";
     flow_accept_duration: Histogram, "flow_accept_duration_seconds",
         "Time from placing a pass-through flow to its target's acceptance.";
-    flow_queue_wait: OutcomeHistogram, "flow_queue_wait_seconds",
-        "Time that requests on pass-through flows were queued at an agent, by outcome.";
+    flow_queue_wait: QueueHistogram, "flow_queue_wait_seconds",
+        "Time that requests on pass-through flows were queued at an agent.";
     log_lines_suppressed: Counter, "log_lines_suppressed_total",
         "Decisions that were counted but not logged, since their kind had used its budget.";
     requests_received: Counter, "requests_received_total",
--- a/crates/fes-telemetry/tests/metrics.rs
+++ b/crates/fes-telemetry/tests/metrics.rs
@@ -5,6 +5,7 @@
 use fes_telemetry::MetricSpec;
 use fes_telemetry::Metrics;
 use fes_telemetry::OutcomeLabel;
+use fes_telemetry::QueueLabel;
 
 fn table_row(spec: &MetricSpec) -> String {
     let kind = match spec.kind {
@@ -13,7 +14,7 @@
         MetricKind::CounterByOutcome => "counter by `outcome`",
         MetricKind::Gauge => "gauge",
         MetricKind::Histogram => "histogram",
-        MetricKind::HistogramByOutcome => "histogram by `outcome`",
+        MetricKind::HistogramByOutcomeAndPriority => "histogram by `outcome` and `priority`",
     };
     format!("| `{}` | {kind} | {} |", spec.name, spec.help)
 }
@@ -47,15 +48,20 @@
 
     let outcome = OutcomeLabel { outcome: "placed" };
     metrics.flow_decisions.get_or_create(&outcome).inc();
-    metrics.flow_queue_wait.get_or_create(&outcome).observe(0.0);
+    let queue = QueueLabel {
+        outcome: "placed",
+        priority: 3,
+    };
+    metrics.flow_queue_wait.get_or_create(&queue).observe(0.0);
 
     let text = metrics.encode();
 
     for spec in Metrics::CATALOGUE {
         let sample = match spec.kind {
             MetricKind::Histogram => format!("\n{}_count 0\n", spec.name),
-            MetricKind::HistogramByOutcome => {
-                format!("\n{}_count{{outcome=\"placed\"}} 1\n", spec.name)
+            MetricKind::HistogramByOutcomeAndPriority => {
+                let labels = "outcome=\"placed\",priority=\"3\"";
+                format!("\n{}_count{{{labels}}} 1\n", spec.name)
             }
             MetricKind::CounterByOutcome => format!("\n{}{{outcome=\"placed\"}} 1\n", spec.name),
             MetricKind::CounterByCode => format!("\n{}{{code=\"F5006\"}} 1\n", spec.name),
