Queue the first requests of flows after a restart of their agent

Cause: a restarted agent has no record of its target's flows. It took the first data of each flow for a retransmission and delivered it at once, past its queue, so that it exceeded the target's own short queue. The same happened with packets that arrived before the first hello told the number of slots, and with packets with which entries search for flows after a loss of all processes.

Change: - Data of a flow without a record counts as the start of a request: it uses a slot or is queued. An answer of the target, a packet that the target returns, or an acknowledgement of a response that passed the former incarnation frees the slot; otherwise it is left out after the longest expected run time. - If the target's first packet shows that it has received the queued data, the packets are delivered as retransmissions, so that they can't time out in the queue and the flow isn't abandoned. - Run times of such requests aren't recorded, since their start is unknown. - Until the first hello, for 1 s at most, one slot is assumed. - A packet with data that probes the target uses a slot until the target reacts, and is queued if none is free. - A suspended agent returns data of unknown flows as it does for known ones.

Tests: the simulated target can reject requests beyond its slots and its queue. In planned_stop.rs, 4 targets with 4 slots and a queue of 12 get 1.5 times the load that they can run, 70 % of it on long flows.

--- a/crates/fes-passthrough/src/agent/agent_core.rs
+++ b/crates/fes-passthrough/src/agent/agent_core.rs
@@ -86,6 +86,9 @@
     pub(super) asked_by: Ipv4Addr,
     /// VM of the entry that is notified if the target holds the flow.
     pub(super) entry: Ipv4Addr,
+    /// When a packet with data was delivered, which may start a request; `None` if it is queued or
+    /// has no data.
+    pub(super) request_sent_at: Option<MonoTime>,
     pub(super) expires_at: MonoTime,
 }
 
@@ -99,8 +102,11 @@
     pub(super) target_id: Option<UpstreamName>,
     pub(super) target_revision: u64,
     pub(super) started_at_ms: u64,
-    /// Number of requests that the target runs concurrently; 0 if unknown.
+    /// Number of requests that the target runs concurrently; 0 if there is no limit, or if no hello
+    /// has told it yet.
     pub(super) slots: u32,
+    /// Until when few slots are assumed if no hello has told their number.
+    pub(super) slots_expected_by: MonoTime,
     pub(super) is_draining: bool,
     /// Whether the target's process is known to have ended.
     pub(super) target_has_ended: bool,
@@ -119,6 +125,9 @@
 /// Age beyond which flows may be dropped. An agent that has run for this long knows all flows of
 /// its target.
 const MAX_FLOW_LIFETIME_MS: u64 = 60_000;
+/// Time within which an entry that forwards packets sends a hello. In a large fleet, an entry sends
+/// one about every 0.6 s. An agent whose target is no longer listed gets none.
+const FIRST_HELLO_TIMEOUT_MS: u64 = 1_000;
 
 impl AgentCore {
     /// Creates an agent for a target of a service. With `is_first_start`, the target can't hold
@@ -137,6 +146,7 @@
             target_revision: 0,
             started_at_ms: 0,
             slots: 0,
+            slots_expected_by: now.plus_ms(FIRST_HELLO_TIMEOUT_MS),
             is_draining: false,
             target_has_ended: false,
             stop_phase: StopPhase::Serving,
@@ -215,8 +225,7 @@
                 packet,
             ) => {
                 let result_entry = result_entry.unwrap_or(from_vm);
-                let segment = packet.map(|(segment, _)| segment);
-                self.on_lookup(now, from_vm, result_entry, *flow, segment, out);
+                self.on_lookup(now, from_vm, result_entry, *flow, packet, out);
             }
             (Message::DelegateLookup { flow, agents }, packet) => {
                 self.on_delegate_lookup(now, from_vm, *flow, agents, packet.is_some(), out);
--- a/crates/fes-passthrough/src/agent/delivery.rs
+++ b/crates/fes-passthrough/src/agent/delivery.rs
@@ -23,6 +23,10 @@
 
 /// Number of requests that may be delivered to the target beyond its slots.
 const MAX_REQUESTS_BEYOND_SLOTS: u32 = 1;
+/// Number of slots that every target has. It is assumed for a moment after the agent's start, while
+/// no hello has told the number: without a limit, all packets that arrive before the hello would
+/// pass the queue.
+const ASSUMED_SLOTS: u32 = 1;
 
 impl AgentCore {
     pub(super) fn on_forward(
@@ -38,11 +42,10 @@
             return;
         }
         let flow = segment.flow;
+        if self.flows.get_mut(&flow).is_none() && !self.admit_unknown_flow(now, from, flow, out) {
+            return;
+        }
         let Some(record) = self.flows.get_mut(&flow) else {
-            match self.has_ended() {
-                true => self.return_to_hold(from.entry, flow, out),
-                false => self.on_unknown_flow(now, from.entry, from.forward, segment, out),
-            }
             return;
         };
         let begins_request = record.begins_request(segment);
@@ -111,7 +114,7 @@
         }
     }
 
-    fn started_decision(&self, now: MonoTime) -> FlowDecision {
+    pub(super) fn started_decision(&self, now: MonoTime) -> FlowDecision {
         let running = u64::from(self.counts(now).running);
         FlowDecision::new(Outcome::Started)
             .load(running)
@@ -140,15 +143,22 @@
         let running_since_us = now
             .as_us()
             .saturating_sub(self.queue.run_time().longest_us());
-        self.flows.counts(MonoTime::from_us(running_since_us))
+        let running_since = MonoTime::from_us(running_since_us);
+        let mut counts = self.flows.counts(running_since);
+        let probing = self.probing_requests(running_since);
+        counts.running = counts.running.saturating_add(probing);
+        counts
     }
 
     /// Returns whether another request may be delivered to the target. One more than it can run
     /// concurrently is allowed, so that no slot is idle between two requests.
     pub(super) fn has_slot(&self, now: MonoTime) -> bool {
-        let is_unlimited = self.slots == 0 || !Mechanism::AgentQueue.is_enabled();
-        is_unlimited
-            || self.counts(now).running < self.slots.saturating_add(MAX_REQUESTS_BEYOND_SLOTS)
+        let slots = match self.slots {
+            0 if self.target_id.is_none() && now < self.slots_expected_by => ASSUMED_SLOTS,
+            slots => slots,
+        };
+        let is_unlimited = slots == 0 || !Mechanism::AgentQueue.is_enabled();
+        is_unlimited || self.counts(now).running < slots.saturating_add(MAX_REQUESTS_BEYOND_SLOTS)
     }
 
     /// Delivers queued requests to the target while it has free slots.
@@ -158,6 +168,7 @@
                 return;
             };
             let Some(record) = self.flows.get_mut(&queued.flow) else {
+                self.release_probe(now, queued, out);
                 continue;
             };
             for (segment, _) in &queued.packets {
@@ -173,6 +184,9 @@
     pub(super) fn expire_queued(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
         let decision = FlowDecision::new(Outcome::TimedOutWaiting).load(self.queued_requests());
         for queued in self.queue.expire(now) {
+            if self.give_up_probe(queued.flow, out) {
+                continue;
+            }
             out.push(record_queued(now, decision, &queued));
             self.abandon(queued.flow);
         }
@@ -217,16 +231,21 @@
         out.push(AgentAction::Deliver);
     }
 
-    /// Handles a packet of a flow for which this agent has no record.
-    pub(super) fn on_unknown_flow(
+    /// Handles the first packet of a flow for which this agent has no record. Inserts a record and
+    /// returns true if the packet is to be treated like those of known flows: its data then counts as
+    /// the start of a request. Otherwise answers the entry if necessary.
+    fn admit_unknown_flow(
         &mut self,
         now: MonoTime,
-        entry: Ipv4Addr,
-        forward: Forward,
-        segment: &Segment,
+        from: ForwardOrigin,
+        flow: FlowKey,
         out: &mut Vec<AgentAction>,
-    ) {
-        let flow = segment.flow;
+    ) -> bool {
+        let ForwardOrigin { entry, forward } = from;
+        if self.has_ended() {
+            self.return_to_hold(entry, flow, out);
+            return false;
+        }
         // Start times come from the platform's list, which may be outdated after a restart. If they
         // differ, the target may still hold the flow, and the entry has to search for it.
         let is_same_instance =
@@ -238,20 +257,19 @@
             forward.mode == ForwardMode::Owner && (is_same_instance || is_instance_unknown);
         if self.is_complete(now) || self.flows.is_not_held(&flow) {
             self.send_not_held(entry, forward, flow, out);
-            return;
+            return false;
         }
         if is_owner_confirmed {
             let is_stream = forward.requirements.flow_use == FlowUse::Stream;
             let new = AgentFlow::new(now, Some(entry), is_stream);
-            let record = self.flows.get_or_insert(flow, new);
-            record.record_delivery(now, segment);
-            out.push(AgentAction::Deliver);
-            return;
+            self.flows.get_or_insert(flow, new);
+            return true;
         }
         // In modes other than `Owner` the packet isn't answered: whether the target holds the flow
         // is undetermined, and the target must not be probed.
         if forward.mode == ForwardMode::Owner {
             self.send_not_held(entry, forward, flow, out);
         }
+        false
     }
 }
--- a/crates/fes-passthrough/src/agent/heartbeats.rs
+++ b/crates/fes-passthrough/src/agent/heartbeats.rs
@@ -117,6 +117,7 @@
             out.push(AgentAction::Record(decision));
             self.report_to_all(now, out);
         }
+        self.release(now, out);
     }
 
     pub(super) fn report_to_all(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
--- a/crates/fes-passthrough/src/agent/request_results.rs
+++ b/crates/fes-passthrough/src/agent/request_results.rs
@@ -22,8 +22,10 @@
         let outcome = match end.is_failed {
             true => Outcome::Failed,
             false => {
-                self.queue.record_run(end.run_us);
-                self.reported_run_time.record(now, end.run_us);
+                if end.is_start_seen {
+                    self.queue.record_run(end.run_us);
+                    self.reported_run_time.record(now, end.run_us);
+                }
                 Outcome::Answered
             }
         };
--- a/crates/fes-passthrough/src/agent/target_packets.rs
+++ b/crates/fes-passthrough/src/agent/target_packets.rs
@@ -45,6 +45,12 @@
         let flow = segment.flow;
         let new = AgentFlow::new(now, None, false);
         let record = self.flows.get_or_insert(flow, new);
+        let was_progress_unknown = record.is_progress_unknown();
+        let probe = self.probes.get_mut(&flow);
+        let probed_at = probe.and_then(|probe| probe.request_sent_at.take());
+        if let Some(probed_at) = probed_at {
+            record.record_unseen_start(probed_at);
+        }
         let end = record.record_answer(now, segment);
         out.push(AgentAction::SendToClient);
         if segment.is_syn {
@@ -54,6 +60,12 @@
             return;
         }
         record.is_established = true;
+        if probed_at.is_some() {
+            out.push(AgentAction::Record(self.started_decision(now).flow(flow)));
+        }
+        if was_progress_unknown {
+            self.deliver_repeated(now, segment, out);
+        }
         if let Some(end) = end {
             self.on_request_end(now, flow, end, out);
         }
@@ -78,6 +90,7 @@
         }
         let probe = self.probes.remove(&flow);
         let record = self.flows.remove(&flow);
+        self.queue.remove(&flow);
         self.flows.record_not_held(now, flow);
         let asked_by = probe.map(|probe| probe.asked_by);
         if let Some(entry) = asked_by.or(record.and_then(|record| record.entry)) {
@@ -87,6 +100,29 @@
                 with_packet: false,
             });
         }
+        self.release(now, out);
+    }
+
+    /// Delivers the queued packets of a flow if the target's first packet shows that it has received
+    /// their data before: an earlier incarnation of the agent delivered them. If they timed out in
+    /// the queue, the flow would be abandoned although its request was answered.
+    fn deliver_repeated(&mut self, now: MonoTime, answer: &Segment, out: &mut Vec<AgentAction>) {
+        let flow = answer.flow;
+        let (Some(record), Some(queued)) = (self.flows.get_mut(&flow), self.queue.get(&flow))
+        else {
+            return;
+        };
+        let mut packets = queued.packets.iter();
+        if packets.any(|(segment, _)| record.is_new_data(segment)) {
+            return;
+        }
+        let is_response = answer.payload_bytes > 0 || answer.is_reset || answer.is_fin;
+        if !is_response {
+            record.record_unseen_start(now);
+        }
+        let queued = self.queue.remove(&flow).into_iter();
+        let packets = queued.flat_map(|queued| queued.packets);
+        out.extend(packets.map(|(_, packet)| AgentAction::DeliverStored { packet }));
     }
 
     pub(super) fn return_packet(
--- a/crates/fes-passthrough/src/failure_rate.rs
+++ b/crates/fes-passthrough/src/failure_rate.rs
@@ -10,6 +10,9 @@
 pub struct RequestEnd {
     /// Time from the delivery of the request to its end, in microseconds.
     pub run_us: u64,
+    /// Whether the request is known to have started when it was delivered. Otherwise it may have
+    /// been a retransmission, and `run_us` is too short.
+    pub is_start_seen: bool,
     /// Whether the target reported a failure of its own, or closed the flow without a response.
     pub is_failed: bool,
 }
--- a/crates/fes-passthrough/src/flow_table.rs
+++ b/crates/fes-passthrough/src/flow_table.rs
@@ -38,6 +38,10 @@
     /// Whether a request was delivered to the target and no byte of its response was seen yet.
     pub is_running: bool,
     running_since: MonoTime,
+    /// Whether the running request is known to have started when it was delivered. Otherwise its
+    /// packet may be a retransmission, as the first one after a restart of the agent, and its run
+    /// time is unknown.
+    is_start_seen: bool,
     requests: u32,
     /// Sequence number that the client used first, as far as the agent saw it.
     client_sequence: Option<ClientSequence>,
@@ -71,6 +75,7 @@
             is_stream,
             is_running: false,
             running_since: MonoTime::ZERO,
+            is_start_seen: false,
             requests: 0,
             client_sequence: None,
             first_requirements: None,
@@ -86,7 +91,23 @@
     /// Returns whether a packet of the client starts a request.
     #[must_use]
     pub fn begins_request(&self, segment: &Segment) -> bool {
-        !self.is_running && self.is_new_data(segment)
+        let is_running = self.is_running && !self.acknowledges_response(segment);
+        !is_running && self.is_new_data(segment)
+    }
+
+    /// Returns whether the agent can't tell yet which data the target has received.
+    #[must_use]
+    pub const fn is_progress_unknown(&self) -> bool {
+        self.next_client_sequence.is_none()
+    }
+
+    /// Records that the target runs a request whose start the agent didn't see, unless one runs.
+    pub fn record_unseen_start(&mut self, now: MonoTime) {
+        if !self.is_running {
+            self.is_running = true;
+            self.running_since = now;
+            self.is_start_seen = false;
+        }
     }
 
     /// Returns whether an opening packet belongs to a later flow, for which the client uses the same
@@ -129,9 +150,15 @@
     /// Records a client's packet that is delivered to the target.
     pub fn record_delivery(&mut self, now: MonoTime, segment: &Segment) {
         self.is_closing |= segment.is_fin || segment.is_reset;
-        if segment.is_reset {
+        if segment.is_reset || self.acknowledges_response(segment) {
             self.is_running = false;
         }
+        let is_new_data = self.is_new_data(segment);
+        if is_new_data && !self.is_running {
+            self.is_running = true;
+            self.running_since = now;
+            self.is_start_seen = !self.is_progress_unknown();
+        }
         if segment.is_syn {
             self.next_client_sequence = Some(segment.sequence);
         } else {
@@ -143,14 +170,9 @@
             self.client_acknowledged = Some(segment.acknowledged);
         }
         self.extend_expiry(now);
-        let is_new_data = self.is_new_data(segment);
-        if segment.payload_bytes > 0 && (is_new_data || self.next_client_sequence.is_none()) {
+        if segment.payload_bytes > 0 && (is_new_data || self.is_progress_unknown()) {
             self.next_client_sequence = Some(end_of_data(segment));
         }
-        if is_new_data && !self.is_running {
-            self.is_running = true;
-            self.running_since = now;
-        }
     }
 
     /// Records a packet of the target. Returns how the request ended if the packet ends one.
@@ -173,6 +195,7 @@
         let is_failed = segment.is_failure || self.closes_without_response(segment);
         is_request_end.then(|| RequestEnd {
             run_us: now.us_since(self.running_since),
+            is_start_seen: self.is_start_seen,
             is_failed,
         })
     }
@@ -219,10 +242,26 @@
             .get_or_insert(ClientSequence::Later(acknowledged));
     }
 
-    fn is_new_data(&self, segment: &Segment) -> bool {
-        let end = end_of_data(segment);
-        let is_ahead = |next: u32| end != next && end.wrapping_sub(next) < 1 << 31;
-        segment.payload_bytes > 0 && self.next_client_sequence.is_some_and(is_ahead)
+    /// Returns whether a packet of the client has data that the target hasn't received. While that
+    /// is unknown, data counts as new, unless the client has already got a response to it: it may
+    /// start a request, which must not pass the queue.
+    #[must_use]
+    pub fn is_new_data(&self, segment: &Segment) -> bool {
+        let is_new = match self.next_client_sequence {
+            Some(next) => is_ahead(end_of_data(segment), next),
+            None => self
+                .client_acknowledged
+                .is_none_or(|acknowledged| !is_ahead(acknowledged, segment.acknowledged)),
+        };
+        segment.payload_bytes > 0 && is_new
+    }
+
+    /// Returns whether a packet of the client acknowledges a response to the running request that
+    /// didn't pass this incarnation of the agent. No further response will then free the slot.
+    fn acknowledges_response(&self, segment: &Segment) -> bool {
+        let is_progress = |before: u32| is_ahead(segment.acknowledged, before);
+        let is_acknowledged = segment.is_ack && self.client_acknowledged.is_some_and(is_progress);
+        self.is_running && !self.is_start_seen && is_acknowledged
     }
 
     fn extend_expiry(&mut self, now: MonoTime) {
@@ -235,6 +274,11 @@
     }
 }
 
+/// Returns whether a sequence number follows another one.
+const fn is_ahead(sequence: u32, other: u32) -> bool {
+    sequence != other && sequence.wrapping_sub(other) < 1 << 31
+}
+
 fn end_of_data(segment: &Segment) -> u32 {
     let payload_bytes = u32::from(segment.payload_bytes);
     segment.sequence.wrapping_add(payload_bytes)
--- a/crates/fes-passthrough/src/request_queue.rs
+++ b/crates/fes-passthrough/src/request_queue.rs
@@ -119,6 +119,12 @@
         std::mem::take(&mut self.queued)
     }
 
+    /// Returns the queued request of a flow.
+    #[must_use]
+    pub fn get(&self, flow: &FlowKey) -> Option<&QueuedRequest> {
+        self.queued.iter().find(|request| request.flow == *flow)
+    }
+
     /// Removes and returns the queued request of a flow.
     pub fn remove(&mut self, flow: &FlowKey) -> Option<QueuedRequest> {
         let index = self
--- a/crates/fes-passthrough/tests/agent.rs
+++ b/crates/fes-passthrough/tests/agent.rs
@@ -11,6 +11,7 @@
 use fes_passthrough::Forward;
 use fes_passthrough::ForwardMode;
 use fes_passthrough::Hello;
+use fes_passthrough::LoadReport;
 use fes_passthrough::Message;
 use fes_passthrough::Outcome;
 use fes_passthrough::Segment;
@@ -184,8 +185,8 @@
     assert_eq!(agent.queued_requests(), 1);
 }
 
-/// Returns the share of failed requests that the agent reports to a new entry.
-fn reported_failures(agent: &mut AgentCore, now_ms: u64) -> u32 {
+/// Returns what the agent reports to a new entry.
+fn reported(agent: &mut AgentCore, now_ms: u64) -> LoadReport {
     let hello = Message::Hello(Hello {
         incarnation: 2,
         report_period_ms: 100,
@@ -207,9 +208,7 @@
         } => Some(*report),
         _ => None,
     });
-    report
-        .expect("a new entry gets a report")
-        .failures_per_mille
+    report.expect("a new entry gets a report")
 }
 
 fn end_of_flow(flow: FlowKey, is_fin: bool, sequence: u32) -> Segment {
@@ -246,5 +245,165 @@
 
     agent.on_target_packet(MonoTime::from_ms(20), &last, &mut Vec::new());
 
-    assert_eq!(reported_failures(&mut agent, 30) > 0, expected);
+    assert_eq!(reported(&mut agent, 30).failures_per_mille > 0, expected);
+}
+
+/// Returns the first packet with data that arrives of a flow which was opened before a restart.
+fn data(port: u16, sequence: u32, acknowledged: u32) -> Segment {
+    Segment {
+        payload_bytes: REQUEST_BYTES,
+        sequence,
+        acknowledged,
+        ..client_segment(flow(port, stream_address()))
+    }
+}
+
+fn forward_owned(agent: &mut AgentCore, now_ms: u64, segment: &Segment) -> Vec<AgentAction> {
+    let requirements = requirements(FlowUse::Stream, 200, 1_000);
+    forward(agent, now_ms, ForwardMode::Owner, requirements, segment)
+}
+
+/// Returns an agent that was restarted, whose target has one slot, with requests of two flows that
+/// were delivered and one that is queued.
+fn restarted_agent() -> AgentCore {
+    let mut agent = AgentCore::new(MonoTime::ZERO, 2, SERVICE, false);
+    agent.on_message(
+        MonoTime::ZERO,
+        entry_vm(0),
+        &hello(1),
+        None,
+        &mut Vec::new(),
+    );
+    for port in 1..=3 {
+        forward_owned(&mut agent, 0, &data(port, 1, 1));
+    }
+    agent
+}
+
+fn from_target(agent: &mut AgentCore, now_ms: u64, segment: Segment) -> Vec<AgentAction> {
+    let mut out = Vec::new();
+    agent.on_target_packet(MonoTime::from_ms(now_ms), &segment, &mut out);
+    out
+}
+
+fn target_packet(port: u16, acknowledged: u32, payload_bytes: u16) -> Segment {
+    Segment {
+        sender: Sender::Target,
+        payload_bytes,
+        ..data(port, 1, acknowledged)
+    }
+}
+
+fn tick(agent: &mut AgentCore, now_ms: u64) -> Vec<AgentAction> {
+    let mut out = Vec::new();
+    agent.on_tick(MonoTime::from_ms(now_ms), &mut out);
+    out
+}
+
+/// Guards against slots that stay in use after a restart because the first packet of a flow was a
+/// retransmission, to which the target doesn't answer as to a request.
+#[rstest]
+#[case::answered(|agent: &mut AgentCore| from_target(agent, 20, target_packet(1, 101, 50)))]
+#[case::answered_before(|agent: &mut AgentCore| {
+    // The client has the response, which passed the former incarnation.
+    let acknowledgement = Segment { payload_bytes: 0, ..data(1, 101, 51) };
+    forward_owned(agent, 20, &acknowledgement);
+    tick(agent, 25)
+})]
+#[case::next_request(|agent: &mut AgentCore| {
+    // It is queued behind the request that uses its slot.
+    forward_owned(agent, 20, &Segment { payload_bytes: 0, ..data(1, 101, 51) });
+    let next = forward_owned(agent, 20, &data(1, 101, 51));
+    assert!(next.contains(&AgentAction::Deliver), "{next:?}");
+    from_target(agent, 25, target_packet(1, 201, 50))
+})]
+#[case::not_held(|agent: &mut AgentCore| {
+    from_target(agent, 20, Segment { is_returned: true, ..data(1, 1, 1) })
+})]
+#[case::never_answered(|agent: &mut AgentCore| tick(agent, 400))]
+fn the_slot_of_a_request_with_unknown_start_is_freed(
+    #[case] free: fn(&mut AgentCore) -> Vec<AgentAction>,
+) {
+    let mut agent = restarted_agent();
+    assert_eq!(agent.queued_requests(), 1);
+
+    let actions = free(&mut agent);
+
+    assert_eq!(released_port(&actions), Some(3), "{actions:?}");
+}
+
+/// Guards against a flow that is abandoned because a retransmission timed out in the queue although
+/// the target had answered the request, or runs it.
+#[rstest]
+#[case::answered(50)]
+#[case::running(0)]
+fn a_queued_retransmission_does_not_time_out(#[case] payload_bytes: u16) {
+    let mut agent = restarted_agent();
+
+    let actions = from_target(&mut agent, 20, target_packet(3, 101, payload_bytes));
+    tick(&mut agent, 1_500);
+    let next = forward_owned(&mut agent, 1_500, &data(3, 101, 51));
+
+    assert_eq!(released_port(&actions), Some(3), "{actions:?}");
+    assert!(next.contains(&AgentAction::Deliver), "{next:?}");
+}
+
+/// Guards against a request of several packets that uses several slots, is delivered in part or
+/// passes the queue because its packets arrive out of order.
+#[test]
+fn the_packets_of_a_request_after_a_restart_stay_together() {
+    let mut agent = restarted_agent();
+    let late = [data(4, 201, 1), data(4, 1, 1), data(4, 101, 1)];
+    for segment in &late {
+        forward_owned(&mut agent, 10, segment);
+    }
+    let queued = agent.queued_requests();
+    from_target(&mut agent, 20, target_packet(1, 101, 50));
+
+    let actions = from_target(&mut agent, 30, target_packet(2, 101, 50));
+
+    let is_delivered = |action: &&AgentAction| matches!(action, AgentAction::DeliverStored { .. });
+    assert_eq!(queued, 2);
+    assert_eq!(actions.iter().filter(is_delivered).count(), 3);
+    assert_eq!(agent.load(MonoTime::from_ms(30)).2, 2);
+}
+
+/// Guards against a mean run time that is too short because the agent took retransmissions for the
+/// start of their requests.
+#[test]
+fn run_times_count_only_with_a_known_start() {
+    let mut agent = restarted_agent();
+    for port in 1..=3 {
+        from_target(&mut agent, 5, target_packet(port, 101, 50));
+    }
+    forward_owned(&mut agent, 10, &data(1, 101, 51));
+
+    from_target(&mut agent, 70, target_packet(1, 201, 50));
+
+    assert_eq!(reported(&mut agent, 71).run_time_us, 60_000);
+}
+
+/// Guards against packets that pass the queue because they arrive before the first hello, which
+/// tells the slots, and against a queue that waits for ever for a hello of a target without entries
+/// that list it.
+#[rstest]
+#[case::few_are_assumed(|_: &mut AgentCore| Vec::new(), 3)]
+#[case::told(|agent: &mut AgentCore| {
+    let mut out = Vec::new();
+    agent.on_message(MonoTime::from_ms(10), entry_vm(0), &hello(3), None, &mut out);
+    out
+}, 1)]
+#[case::never_told(|agent: &mut AgentCore| tick(agent, 1_000), 0)]
+fn requests_are_queued_before_the_slots_are_known(
+    #[case] next: fn(&mut AgentCore) -> Vec<AgentAction>,
+    #[case] expected: u64,
+) {
+    let mut agent = AgentCore::new(MonoTime::ZERO, 2, SERVICE, false);
+    for port in 1..=5 {
+        forward_owned(&mut agent, 5, &data(port, 1, 1));
+    }
+
+    next(&mut agent);
+
+    assert_eq!(agent.queued_requests(), expected);
 }
--- a/crates/fes-passthrough/tests/planned_stop.rs
+++ b/crates/fes-passthrough/tests/planned_stop.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
+use std::collections::HashSet;
+
 use fes_passthrough::AgentAction;
+use fes_passthrough::FlowKey;
 use fes_passthrough::Outcome;
 use fes_passthrough::TargetState;
 use fes_protocol::MonoTime;
@@ -23,6 +26,8 @@
 const RESTART_MS: u64 = 300;
 /// Latency goal of the simulated routes.
 const GOAL_MS: u64 = 200;
+/// Timeout of the simulated routes.
+const TIMEOUT_MS: u64 = 1_000;
 
 /// How agents are stopped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -275,3 +280,123 @@
     assert_eq!(simulation.broken_flows(), 0);
     assert_eq!(simulation.resets_while_open(), 0);
 }
+
+/// Number of requests that targets in known fleets queue beyond their slots.
+const TARGET_QUEUE: usize = 12;
+/// Number of long flows that, with the single requests, demand 1.5 times what the targets can run.
+const OVERLOAD_STREAMS: u16 = 200;
+
+/// What the clients got that demanded more than the targets can run.
+#[derive(Debug)]
+struct Overloaded {
+    sent: usize,
+    in_time: usize,
+    rejected: usize,
+    run_twice: usize,
+    /// Requests that were neither answered nor refused, and not logged as dropped.
+    endless: usize,
+}
+
+impl Overloaded {
+    fn of(simulation: &Simulation) -> Self {
+        let clients = &simulation.clients;
+        let unanswered = clients.iter().filter(|c| c.is_open() && !c.is_done());
+        let unanswered = unanswered.count();
+        let dropped = simulation.count(Outcome::TimedOutWaiting)
+            + simulation.count(Outcome::DroppedStale)
+            + simulation.count(Outcome::DroppedUnheld);
+        let answers = clients.iter().flat_map(|client| &client.answers);
+        let is_in_time =
+            |a: &&RequestTiming| !a.is_failure && a.answered_ms - a.sent_ms <= TIMEOUT_MS;
+        let targets = &simulation.targets;
+        let received: Vec<(FlowKey, u32)> =
+            targets.iter().flat_map(|t| t.received.clone()).collect();
+        Self {
+            sent: simulation.answered() + unanswered,
+            in_time: answers.filter(is_in_time).count(),
+            rejected: targets.iter().map(|t| t.rejected_requests).sum(),
+            run_twice: received.len() - HashSet::<&(FlowKey, u32)>::from_iter(&received).len(),
+            endless: unanswered.saturating_sub(dropped),
+        }
+    }
+}
+
+/// Plays 4.5 s of 1.5 times the load that the targets can run, 70 % of it on long flows, with a
+/// restart of all agents.
+fn run_overload(restart: impl FnOnce(&mut Simulation), loss_percent: u64, seed: u64) -> Simulation {
+    let mut simulation = Simulation::new(3, TARGETS, SLOTS, WORK_MS, seed);
+    for target in &mut simulation.targets {
+        target.max_queued = Some(TARGET_QUEUE);
+        target.has_varying_work = true;
+    }
+    add_streams(&mut simulation, OVERLOAD_STREAMS, 40, 40);
+    for (index, at_ms) in (500..5_000).step_by(3).enumerate() {
+        let port = 1_000 + u16::try_from(index).expect("few clients");
+        simulation.add_client(Client::new(flow(port, once_address()), 1, 0), at_ms);
+    }
+    simulation.run_until(2_000);
+    simulation.loss_percent = loss_percent;
+    restart(&mut simulation);
+    simulation.run_until(30_000);
+    simulation
+}
+
+fn restart_planned(simulation: &mut Simulation) {
+    restart_agents(simulation, Stop::Drain, 700, RESTART_MS);
+}
+
+fn restart_abruptly(simulation: &mut Simulation) {
+    restart_agents(simulation, Stop::Abrupt, 700, RESTART_MS);
+}
+
+fn restart_all_at_once(simulation: &mut Simulation) {
+    restart_agents(simulation, Stop::Abrupt, 0, RESTART_MS);
+}
+
+/// Restarts the entries with the agents, so that they have to search for all flows.
+fn restart_all_processes(simulation: &mut Simulation) {
+    for index in 0..simulation.entries.len() {
+        simulation.start_entry(index);
+    }
+    restart_all_at_once(simulation);
+}
+
+/// Checks that no request was rejected, run twice or left without an end, and that at least
+/// `min_in_time_percent` of those that clients sent were answered before their timeout.
+fn assert_no_flood(simulation: &Simulation, min_in_time_percent: usize) {
+    let counts = Overloaded::of(simulation);
+    assert_eq!(counts.rejected, 0, "{counts:?}");
+    assert_eq!(counts.run_twice, 0, "{counts:?}");
+    assert_eq!(counts.endless, 0, "{counts:?}");
+    let is_enough = counts.in_time * 100 >= counts.sent * min_in_time_percent;
+    assert!(is_enough, "{counts:?}");
+    assert_eq!(simulation.resets_while_open(), 0);
+}
+
+/// Guards against restarted agents that deliver the first requests of all flows at once, past their
+/// queue: the target rejects those that exceed its own queue. On one day, 154 attempts failed.
+#[rstest]
+#[case::planned(restart_planned, 0)]
+#[case::planned_with_loss(restart_planned, 2)]
+#[case::abrupt(restart_abruptly, 0)]
+#[case::all_at_once(restart_all_at_once, 0)]
+fn restarts_under_overload_flood_no_target(
+    #[case] restart: fn(&mut Simulation),
+    #[case] loss_percent: u64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let simulation = run_overload(restart, loss_percent, seed);
+
+    assert_no_flood(&simulation, 97);
+    assert_eq!(simulation.broken_flows(), 0);
+}
+
+/// Guards against the same flood by the packets with which restarted entries search for flows.
+/// Flows that were answered just before the restart may reach only other targets afterwards, so that
+/// misrouted packets aren't counted here.
+#[test]
+fn searches_under_overload_flood_no_target() {
+    let simulation = run_overload(restart_all_processes, 0, 1);
+
+    assert_no_flood(&simulation, 96);
+}
--- a/crates/fes-passthrough/tests/support/client.rs
+++ b/crates/fes-passthrough/tests/support/client.rs
@@ -18,6 +18,8 @@
 pub struct RequestTiming {
     pub sent_ms: u64,
     pub answered_ms: u64,
+    /// Whether the target answered that it failed.
+    pub is_failure: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -169,6 +171,7 @@
         self.answers.push(RequestTiming {
             sent_ms: since_ms,
             answered_ms: now_ms,
+            is_failure: segment.is_failure,
         });
         self.requests_left -= 1;
         self.sequence += 100;
--- a/crates/fes-passthrough/tests/support/target.rs
+++ b/crates/fes-passthrough/tests/support/target.rs
@@ -49,8 +49,15 @@
     pub resets_requests: bool,
     /// Whether it returns opening packets, as a target that has crashed.
     pub rejects_flows: bool,
+    /// Number of requests that it queues beyond its slots, if limited. Further ones are rejected: the
+    /// target answers at once that it failed.
+    pub max_queued: Option<usize>,
+    /// Number of requests that it rejected.
+    pub rejected_requests: usize,
     /// Number of requests that reached it.
     pub received_requests: usize,
+    /// Flow and sequence number of each of them.
+    pub received: Vec<(FlowKey, u32)>,
     /// Number of completed requests.
     pub completed_requests: usize,
     /// Total time for which slots were in use.
@@ -72,7 +79,10 @@
             stream_work_ms: None,
             resets_requests: false,
             rejects_flows: false,
+            max_queued: None,
+            rejected_requests: 0,
             received_requests: 0,
+            received: Vec::new(),
             completed_requests: 0,
             busy_ms: 0,
             running_requests: 0,
@@ -132,6 +142,7 @@
         flow_state.next_client_sequence = end;
         flow_state.is_answered = false;
         self.received_requests += 1;
+        self.received.push((segment.flow, segment.sequence));
         if self.resets_requests {
             let reset = Segment {
                 is_reset: true,
@@ -140,6 +151,15 @@
             self.flows.remove(&segment.flow);
             return vec![TargetAction::Send(reset)];
         }
+        let is_busy = self.running_requests >= self.slots;
+        if is_busy && self.max_queued.is_some_and(|max| self.queue.len() >= max) {
+            flow_state.is_answered = true;
+            self.rejected_requests += 1;
+            return vec![TargetAction::Send(Segment {
+                is_failure: true,
+                ..from_target(segment.flow, flow_state, RESPONSE_BYTES)
+            })];
+        }
         self.queue.push_back(segment.flow);
         self.start_queued_requests()
     }
