Try full targets again as soon as they may have a free place

A target that returned two opening packets because all its places were taken was reported as silent until 1 s after the last one, although it accepted flows again much earlier.

Cause: the monitor took a full target for a crashed one.

The fault doesn't explain lost requests under lasting overload.

--- a/crates/fes-passthrough/src/agent/target_packets.rs
+++ b/crates/fes-passthrough/src/agent/target_packets.rs
@@ -24,14 +24,13 @@
         segment: &Segment,
         out: &mut Vec<AgentAction>,
     ) {
-        let is_rejection = segment.is_returned && segment.is_syn;
-        let is_acceptance = !segment.is_returned && segment.is_syn;
-        if is_rejection {
-            self.target_monitor.record_rejection();
+        if segment.is_returned && segment.is_syn {
+            self.target_monitor.record_rejection(now);
         }
-        let was_silent = match is_acceptance {
-            true => self.target_monitor.record_acceptance(),
-            false => self.target_monitor.record_answer(),
+        let was_silent = match (segment.is_returned, segment.is_syn) {
+            (false, true) => self.target_monitor.record_acceptance(),
+            (false, false) if segment.payload_bytes > 0 => self.target_monitor.record_response(),
+            _ => self.target_monitor.record_answer(),
         };
         if was_silent {
             out.push(AgentAction::Record(FlowDecision::new(
--- a/crates/fes-passthrough/tests/support/target.rs
+++ b/crates/fes-passthrough/tests/support/target.rs
@@ -49,6 +49,8 @@
     pub resets_requests: bool,
     /// Whether it returns opening packets, as a target that has crashed.
     pub rejects_flows: bool,
+    /// Whether it returns opening packets while all its slots are in use.
+    pub rejects_flows_when_busy: bool,
     /// Number of requests that it queues beyond its slots, if limited. Further ones are rejected: the
     /// target answers at once that it failed.
     pub max_queued: Option<usize>,
@@ -79,6 +81,7 @@
             stream_work_ms: None,
             resets_requests: false,
             rejects_flows: false,
+            rejects_flows_when_busy: false,
             max_queued: None,
             rejected_requests: 0,
             received_requests: 0,
@@ -105,10 +108,18 @@
             .is_some_and(|flow_state| flow_state.is_open)
     }
 
+    /// Returns whether all slots are in use.
+    pub fn is_busy(&self) -> bool {
+        self.running_requests >= self.slots
+    }
+
     /// Handles a packet from a client. If it opens a flow, `initial_sequence` becomes the target's
     /// initial sequence number.
     pub fn on_packet(&mut self, segment: &Segment, initial_sequence: u32) -> Vec<TargetAction> {
-        if segment.is_syn && !self.rejects_flows {
+        let is_busy = self.is_busy();
+        let is_full = self.rejects_flows_when_busy && is_busy;
+        let is_known = self.flows.contains_key(&segment.flow);
+        if segment.is_syn && !self.rejects_flows && (is_known || !is_full) {
             return vec![TargetAction::Send(self.accept(segment, initial_sequence))];
         }
         let returned = TargetAction::Send(Segment {
@@ -151,7 +162,6 @@
             self.flows.remove(&segment.flow);
             return vec![TargetAction::Send(reset)];
         }
-        let is_busy = self.running_requests >= self.slots;
         if is_busy && self.max_queued.is_some_and(|max| self.queue.len() >= max) {
             flow_state.is_answered = true;
             self.rejected_requests += 1;
