Drop requests that time out during a planned restart of an agent

Requests ran although they had timed out while the stopping agent queued them or an entry held them, and their clients had left.

Cause: the next agent delivered a released packet without regard to its timeout if a slot was free. The entry counted the age of a packet that the agent had returned from its queue from its return, so that it had its whole timeout again.

Change: - An entry records when the latest data of a flow arrived first; the age of a held packet counts from then. - An agent drops the start of a request that has no time left and logs it as dropped_stale. `explain` says that such a request hasn't run. - Packets that were held for too long are logged as dropped_unheld with their age. - A queued retransmission is dropped without a line if the client acknowledges its response, so that it can't time out and cost the flow.

--- a/crates/fes-passthrough-node/tests/explain_logs.rs
+++ b/crates/fes-passthrough-node/tests/explain_logs.rs
@@ -23,6 +23,7 @@
 #[rstest]
 #[case("given_up_waiting", "The request has not run")]
 #[case("timed_out_waiting", "It has not run")]
+#[case("dropped_stale", "It has not run")]
 #[case("search_lost", "target of the flow ended")]
 #[case("answered", "answered")]
 #[case("failed", "failed it")]
--- a/crates/fes-passthrough/src/agent/delivery.rs
+++ b/crates/fes-passthrough/src/agent/delivery.rs
@@ -20,6 +20,7 @@
 use crate::Outcome;
 use crate::ReturnReason;
 use crate::Segment;
+use crate::segment::is_ahead;
 
 /// Number of requests that may be delivered to the target beyond its slots.
 const MAX_REQUESTS_BEYOND_SLOTS: u32 = 1;
@@ -87,7 +88,9 @@
         let closes_flow = segment.is_fin || segment.is_reset;
         if closes_flow && self.give_up_queued(now, flow, out) {
             self.abandon(flow);
-        } else if segment.payload_bytes > 0 && self.queue.append(segment, packet) {
+        }
+        self.drop_answered(segment);
+        if !closes_flow && segment.payload_bytes > 0 && self.queue.append(segment, packet) {
             return;
         }
         let has_slot = self.has_slot(now);
@@ -97,6 +100,12 @@
         if record.is_abandoned() && !segment.is_reset {
             return;
         }
+        if record.begins_request(segment) && requirements.timeout_ms == 0 {
+            // It timed out while an entry held it, and isn't run for a client that has left.
+            let decision = FlowDecision::new(Outcome::DroppedStale).flow(flow);
+            out.push(AgentAction::Record(decision));
+            return;
+        }
         if record.begins_request(segment) && !has_slot && !self.queue.is_full() {
             let requirements = record.next_requirements(now, requirements);
             self.queue.push(now, requirements, *segment, packet);
@@ -114,6 +123,22 @@
         }
     }
 
+    /// Drops the queued packets of a flow if the client acknowledges more than when it sent them.
+    /// They are retransmissions of a request to which it got the response before the agent started.
+    fn drop_answered(&mut self, segment: &Segment) {
+        let flow = segment.flow;
+        let record = self.flows.get_mut(&flow);
+        if !record.is_some_and(|record| record.is_progress_unknown()) {
+            return;
+        }
+        let queued = self.queue.get(&flow);
+        let first = queued.and_then(|queued| queued.packets.first());
+        let acknowledged = first.map(|(first, _)| first.acknowledged);
+        if acknowledged.is_some_and(|before| is_ahead(segment.acknowledged, before)) {
+            self.queue.remove(&flow);
+        }
+    }
+
     pub(super) fn started_decision(&self, now: MonoTime) -> FlowDecision {
         let running = u64::from(self.counts(now).running);
         FlowDecision::new(Outcome::Started)
--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -342,7 +342,7 @@
         self.warm_up.set_other_entries(other_entries);
         self.try_due_openings(now, out);
         self.run_due_searches(now, out);
-        self.held.expire(now);
+        self.expire_held(now, out);
         for (vm, age_ms) in self.agents.newly_silent(now) {
             let decision = FlowDecision::new(Outcome::AgentSilent)
                 .vm(vm)
--- a/crates/fes-passthrough/src/entry/established.rs
+++ b/crates/fes-passthrough/src/entry/established.rs
@@ -83,6 +83,7 @@
         };
         record.is_closing |= segment.is_fin || segment.is_reset;
         record.acknowledged = segment.acknowledged;
+        record.record_data(arrived_at, segment);
         record.touch(now, idle_timeout_ms);
         if segment.is_reset {
             self.held.remove_flow(&flow);
--- a/crates/fes-passthrough/src/entry/held_packets.rs
+++ b/crates/fes-passthrough/src/entry/held_packets.rs
@@ -31,6 +31,8 @@
 struct HeldPacket {
     flow: FlowKey,
     packet: Box<[u8]>,
+    /// When the latest data of the flow arrived first; it may have been queued by the agent.
+    arrived_at: MonoTime,
     held_at: MonoTime,
 }
 
@@ -84,13 +86,20 @@
         }
     }
 
-    /// Drops packets that were held for too long.
-    pub(super) fn expire(&mut self, now: MonoTime) {
-        self.by_agent.retain(|_, held| {
-            let is_current = |packet: &HeldPacket| now < packet.held_at.plus_ms(MAX_HOLD_MS);
-            held.packets.retain(is_current);
+    /// Removes packets that were held for too long. Returns the decisions to drop them.
+    fn expire(&mut self, now: MonoTime) -> Vec<FlowDecision> {
+        let mut dropped = Vec::new();
+        self.by_agent.retain(|vm, held| {
+            let is_over = |packet: &mut HeldPacket| now >= packet.held_at.plus_ms(MAX_HOLD_MS);
+            let expired = held.packets.extract_if(.., is_over);
+            dropped.extend(expired.map(|packet| {
+                let waited_ms = now.ms_since(packet.held_at);
+                let decision = FlowDecision::new(Outcome::DroppedUnheld).flow(packet.flow);
+                decision.vm(*vm).age_ms(waited_ms)
+            }));
             !held.packets.is_empty()
         });
+        dropped
     }
 
     fn len(&self) -> usize {
@@ -133,9 +142,12 @@
     ) {
         let agent = self.agents.get(vm);
         let incarnation = agent.map_or(0, |agent| agent.report().incarnation);
+        let record = self.flows.get_mut(&flow);
+        let latest_data = record.and_then(|record| record.latest_data);
         let held = HeldPacket {
             flow,
             packet: packet.into(),
+            arrived_at: latest_data.map_or(now, |(_, arrived_at)| arrived_at),
             held_at: now,
         };
         let outcome = match self.held.hold(vm, incarnation, held) {
@@ -147,6 +159,12 @@
         ));
     }
 
+    /// Drops packets that were held for too long.
+    pub(super) fn expire_held(&mut self, now: MonoTime, out: &mut Vec<EntryAction>) {
+        let dropped = self.held.expire(now).into_iter();
+        out.extend(dropped.map(EntryAction::Record));
+    }
+
     /// Forwards the packets held for an agent if its next incarnation reports and knows its
     /// target.
     pub(super) fn release_held(
@@ -173,7 +191,7 @@
                     mode: ForwardMode::Owner,
                     service: record.service,
                     started_at_ms: owner.started_at_ms,
-                    requirements: record.requirements.after_ms(waited_ms),
+                    requirements: record.requirements.after_ms(now.ms_since(held.arrived_at)),
                 },
                 packet: held.packet,
             });
--- a/crates/fes-passthrough/src/entry/opening.rs
+++ b/crates/fes-passthrough/src/entry/opening.rs
@@ -145,6 +145,7 @@
             expires_at: MonoTime::NEVER,
             is_closing: false,
             acknowledged: 0,
+            latest_data: None,
         };
         record.touch(now, 0);
         self.flows.insert(segment.flow, record);
--- a/crates/fes-passthrough/src/entry/searching.rs
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -64,7 +64,9 @@
             expires_at: MonoTime::NEVER,
             is_closing: segment.is_fin,
             acknowledged: segment.acknowledged,
+            latest_data: None,
         };
+        record.record_data(arrived_at, segment);
         record.touch(now, self.idle_timeout_ms());
         self.flows.insert(flow, record);
         let is_unreachable = |target: &&TargetRecord| !self.can_be_asked(now, target);
--- a/crates/fes-passthrough/src/flow_decision.rs
+++ b/crates/fes-passthrough/src/flow_decision.rs
@@ -28,7 +28,8 @@
     DroppedUnsure,
     /// A packet that arrived before any route is known was buffered.
     KeptEarly,
-    /// A buffered packet was dropped: its request has timed out.
+    /// A packet that an entry had buffered or held was dropped: its request has timed out without
+    /// having run. At an agent, the entry's line of the packet tells the time.
     DroppedStale,
     /// A packet was dropped: a search for its flow is running and the buffer is full.
     DroppedSearching,
@@ -75,7 +76,8 @@
     TargetEnded,
     /// A packet is held until the agent of its target has been restarted.
     HeldForAgent,
-    /// A packet was dropped: the agent of its target is being restarted, and too many are held.
+    /// A packet was dropped: the agent of its target is being restarted, and too many are held, or
+    /// this one was held for too long, for `age_ms`.
     DroppedUnheld,
     /// A held packet was forwarded after `age_ms`, since the agent reports again.
     Released,
--- a/crates/fes-passthrough/src/flow_directory.rs
+++ b/crates/fes-passthrough/src/flow_directory.rs
@@ -9,7 +9,9 @@
 use crate::FlowKey;
 use crate::FlowRequirements;
 use crate::Search;
+use crate::Segment;
 use crate::ServiceTag;
+use crate::segment::is_ahead;
 
 /// Maximum number of targets to which an opening packet is sent.
 pub const MAX_ATTEMPTS: usize = 3;
@@ -95,6 +97,8 @@
     /// Latest acknowledgement number of the client. Clients ignore resets whose sequence number is
     /// far from it.
     pub acknowledged: u32,
+    /// Sequence number after the latest data of the client, and when that data arrived first.
+    pub latest_data: Option<(u32, MonoTime)>,
 }
 
 /// Directory of the flows of an entry.
@@ -152,6 +156,15 @@
 }
 
 impl FlowRecord {
+    /// Records when data of the client arrived first. Retransmissions don't count.
+    pub fn record_data(&mut self, arrived_at: MonoTime, segment: &Segment) {
+        let end = segment.end_of_data();
+        let is_newer = |(latest, _): (u32, MonoTime)| is_ahead(end, latest);
+        if segment.payload_bytes > 0 && self.latest_data.is_none_or(is_newer) {
+            self.latest_data = Some((end, arrived_at));
+        }
+    }
+
     /// Extends the record's expiry after a packet of the flow.
     pub fn touch(&mut self, now: MonoTime, idle_timeout_ms: u64) {
         let expiry_ms = match (&self.state, self.is_closing) {
--- a/crates/fes-passthrough/src/flow_table.rs
+++ b/crates/fes-passthrough/src/flow_table.rs
@@ -10,6 +10,7 @@
 use crate::FlowRequirements;
 use crate::RequestEnd;
 use crate::Segment;
+use crate::segment::is_ahead;
 
 /// Time for which a closing flow is kept.
 const CLOSING_EXPIRY_MS: u64 = 6_000;
@@ -171,7 +172,7 @@
         }
         self.extend_expiry(now);
         if segment.payload_bytes > 0 && (is_new_data || self.is_progress_unknown()) {
-            self.next_client_sequence = Some(end_of_data(segment));
+            self.next_client_sequence = Some(segment.end_of_data());
         }
     }
 
@@ -183,7 +184,7 @@
             self.record_acknowledged(segment.acknowledged);
         }
         if segment.payload_bytes > 0 {
-            self.last_response = Some((end_of_data(segment), now));
+            self.last_response = Some((segment.end_of_data(), now));
         }
         let is_response = segment.payload_bytes > 0 || segment.is_reset || segment.is_fin;
         let is_request_end = self.is_running && is_response;
@@ -248,7 +249,7 @@
     #[must_use]
     pub fn is_new_data(&self, segment: &Segment) -> bool {
         let is_new = match self.next_client_sequence {
-            Some(next) => is_ahead(end_of_data(segment), next),
+            Some(next) => is_ahead(segment.end_of_data(), next),
             None => self
                 .client_acknowledged
                 .is_none_or(|acknowledged| !is_ahead(acknowledged, segment.acknowledged)),
@@ -274,16 +275,6 @@
     }
 }
 
-/// Returns whether a sequence number follows another one.
-const fn is_ahead(sequence: u32, other: u32) -> bool {
-    sequence != other && sequence.wrapping_sub(other) < 1 << 31
-}
-
-fn end_of_data(segment: &Segment) -> u32 {
-    let payload_bytes = u32::from(segment.payload_bytes);
-    segment.sequence.wrapping_add(payload_bytes)
-}
-
 /// Numbers of flows and requests of a target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct FlowCounts {
--- a/crates/fes-passthrough/src/segment.rs
+++ b/crates/fes-passthrough/src/segment.rs
@@ -64,6 +64,12 @@
 }
 
 impl Segment {
+    /// Returns the sequence number after the last byte of the payload.
+    #[must_use]
+    pub fn end_of_data(&self) -> u32 {
+        self.sequence.wrapping_add(u32::from(self.payload_bytes))
+    }
+
     /// Returns whether a packet of a newly opened flow acknowledges the target whose initial
     /// sequence number is `initial_sequence`.
     #[must_use]
@@ -71,3 +77,8 @@
         self.is_ack && self.acknowledged.wrapping_sub(initial_sequence) < MAX_ACK_DISTANCE_BYTES
     }
 }
+
+/// Returns whether a sequence number follows another one.
+pub(crate) const fn is_ahead(sequence: u32, other: u32) -> bool {
+    sequence != other && sequence.wrapping_sub(other) < 1 << 31
+}
--- a/crates/fes-passthrough/tests/agent.rs
+++ b/crates/fes-passthrough/tests/agent.rs
@@ -348,6 +348,44 @@
     assert!(next.contains(&AgentAction::Deliver), "{next:?}");
 }
 
+/// Guards against a flow that is abandoned because a retransmission timed out in the queue although
+/// the client has its response: its next packets show that.
+#[test]
+fn a_queued_retransmission_ends_when_its_response_is_acknowledged() {
+    let mut agent = restarted_agent();
+
+    forward_owned(
+        &mut agent,
+        500,
+        &Segment {
+            payload_bytes: 0,
+            ..data(3, 101, 51)
+        },
+    );
+    let queued = agent.queued_requests();
+    forward_owned(&mut agent, 500, &data(3, 101, 51));
+    let timed_out = tick(&mut agent, 1_100);
+
+    assert_eq!(queued, 0);
+    assert!(!timed_out.iter().any(|action| matches!(action, AgentAction::RecordStored { decision, .. } if decision.outcome == Outcome::TimedOutWaiting)));
+}
+
+/// Guards against requests that run although they timed out while an entry held them.
+#[test]
+fn requests_that_timed_out_while_held_do_not_run() {
+    let mut agent = AgentCore::new(MonoTime::ZERO, 2, SERVICE, false);
+    let expired = requirements(FlowUse::Stream, 0, 0);
+
+    let actions = forward(&mut agent, 5, ForwardMode::Owner, expired, &data(1, 1, 1));
+
+    let dropped = FlowDecision::new(Outcome::DroppedStale).flow(flow(1, stream_address()));
+    assert!(
+        actions.contains(&AgentAction::Record(dropped)),
+        "{actions:?}"
+    );
+    assert!(!actions.contains(&AgentAction::Deliver), "{actions:?}");
+}
+
 /// Guards against a request of several packets that uses several slots, is delivered in part or
 /// passes the queue because its packets arrive out of order.
 #[test]
--- a/crates/fes-passthrough/tests/planned_stop.rs
+++ b/crates/fes-passthrough/tests/planned_stop.rs
@@ -400,3 +400,28 @@
 
     assert_no_flood(&simulation, 96);
 }
+
+/// Guards against requests that run although they timed out while they were queued by a stopping
+/// agent or held by an entry, and against packets that are dropped without a line. The restart takes
+/// longer than the timeout, and clients close their flows at it.
+#[test]
+fn requests_that_time_out_during_the_restart_do_not_run() {
+    let restart = |simulation: &mut Simulation| {
+        for client in &mut simulation.clients {
+            client.timeout_ms = TIMEOUT_MS;
+        }
+        restart_agents(simulation, Stop::Drain, 700, 1_300);
+    };
+
+    let simulation = run_overload(restart, 0, 1);
+
+    let received: usize = simulation.targets.iter().map(|t| t.received.len()).sum();
+    eprintln!(
+        "STALE {} received {received} answered {} {:?}",
+        received - simulation.answered(),
+        simulation.answered(),
+        simulation.outcomes
+    );
+    assert_no_flood(&simulation, 90);
+    assert_eq!(received, simulation.answered(), "requests that ran");
+}
--- a/crates/fes-passthrough/tests/support/client.rs
+++ b/crates/fes-passthrough/tests/support/client.rs
@@ -41,6 +41,8 @@
     /// Time from the first transmission of a request to the reset that arrived instead of a
     /// response.
     pub reset_after_ms: Option<u64>,
+    /// Time after which the client closes the flow if a request isn't answered.
+    pub timeout_ms: u64,
     pause_ms: u64,
     requests_left: usize,
     state: State,
@@ -60,6 +62,7 @@
             resets_while_open: 0,
             is_refused: false,
             reset_after_ms: None,
+            timeout_ms: u64::MAX,
             pause_ms,
             requests_left: requests,
             state: State::Opening { transmissions: 0 },
@@ -120,9 +123,20 @@
                 self.retry_ms = FIRST_RETRY_MS;
                 (Some(self.request()), Some(now_ms + FIRST_RETRY_MS))
             }
-            State::Waiting { .. } => {
+            State::Waiting { since_ms } if now_ms >= since_ms.saturating_add(self.timeout_ms) => {
+                self.state = State::Ended;
+                let end = Segment {
+                    is_fin: true,
+                    sequence: self.sequence + 100,
+                    ..self.acknowledgement()
+                };
+                (Some(end), None)
+            }
+            State::Waiting { since_ms } => {
+                let leaves_at_ms = since_ms.saturating_add(self.timeout_ms);
                 self.retry_ms = (self.retry_ms * 2).min(LONGEST_RETRY_MS);
-                (Some(self.request()), Some(now_ms + self.retry_ms))
+                let next_ms = now_ms + self.retry_ms;
+                (Some(self.request()), Some(next_ms.min(leaves_at_ms)))
             }
         }
     }
