Merge the tests of queued retransmissions

Two tests in agent.rs become cases of one, which checks the same: the request leaves the queue, its packet is delivered if the target showed that it has it, and the flow's next request runs.

--- a/crates/fes-passthrough/tests/agent.rs
+++ b/crates/fes-passthrough/tests/agent.rs
@@ -333,41 +333,27 @@
 }
 
 /// Guards against a flow that is abandoned because a retransmission timed out in the queue although
-/// the target had answered the request, or runs it.
+/// the target had answered the request, or runs it, or the client has its response.
 #[rstest]
-#[case::answered(50)]
-#[case::running(0)]
-fn a_queued_retransmission_does_not_time_out(#[case] payload_bytes: u16) {
+#[case::answered(|agent: &mut AgentCore| from_target(agent, 20, target_packet(3, 101, 50)), true)]
+#[case::running(|agent: &mut AgentCore| from_target(agent, 20, target_packet(3, 101, 0)), true)]
+#[case::answered_before(|agent: &mut AgentCore| {
+    forward_owned(agent, 20, &Segment { payload_bytes: 0, ..data(3, 101, 51) })
+}, false)]
+fn a_queued_retransmission_does_not_time_out(
+    #[case] show: fn(&mut AgentCore) -> Vec<AgentAction>,
+    #[case] is_delivered: bool,
+) {
     let mut agent = restarted_agent();
 
-    let actions = from_target(&mut agent, 20, target_packet(3, 101, payload_bytes));
+    let actions = show(&mut agent);
+    let queued = agent.queued_requests();
     tick(&mut agent, 1_500);
     let next = forward_owned(&mut agent, 1_500, &data(3, 101, 51));
 
-    assert_eq!(released_port(&actions), Some(3), "{actions:?}");
-    assert!(next.contains(&AgentAction::Deliver), "{next:?}");
-}
-
-/// Guards against a flow that is abandoned because a retransmission timed out in the queue although
-/// the client has its response: its next packets show that.
-#[test]
-fn a_queued_retransmission_ends_when_its_response_is_acknowledged() {
-    let mut agent = restarted_agent();
-
-    forward_owned(
-        &mut agent,
-        500,
-        &Segment {
-            payload_bytes: 0,
-            ..data(3, 101, 51)
-        },
-    );
-    let queued = agent.queued_requests();
-    forward_owned(&mut agent, 500, &data(3, 101, 51));
-    let timed_out = tick(&mut agent, 1_100);
-
     assert_eq!(queued, 0);
-    assert!(!timed_out.iter().any(|action| matches!(action, AgentAction::RecordStored { decision, .. } if decision.outcome == Outcome::TimedOutWaiting)));
+    assert_eq!(released_port(&actions) == Some(3), is_delivered);
+    assert!(next.contains(&AgentAction::Deliver), "{next:?}");
 }
 
 /// Guards against requests that run although they timed out while an entry held them.
--- a/crates/fes-passthrough/tests/capacity.rs
+++ b/crates/fes-passthrough/tests/capacity.rs
@@ -187,7 +187,7 @@
     let mut simulation = simulation(entries, true, seed);
     add_single_requests(&mut simulation, capacity_per_s() * 60 / 100, seed);
     let mut received = |until_ms| {
-        let count = |t: &Simulation| t.targets.iter().map(|t| t.received_requests).collect();
+        let count = |t: &Simulation| t.targets.iter().map(|t| t.received.len()).collect();
         let before: Vec<usize> = count(&simulation);
         simulation.run_until(until_ms);
         let after: Vec<usize> = count(&simulation);
--- a/crates/fes-passthrough/tests/outliers.rs
+++ b/crates/fes-passthrough/tests/outliers.rs
@@ -51,7 +51,7 @@
     simulation
         .targets
         .iter()
-        .map(|target| target.received_requests)
+        .map(|target| target.received.len())
         .collect()
 }
 
--- a/crates/fes-passthrough/tests/support/target.rs
+++ b/crates/fes-passthrough/tests/support/target.rs
@@ -56,9 +56,7 @@
     pub max_queued: Option<usize>,
     /// Number of requests that it rejected.
     pub rejected_requests: usize,
-    /// Number of requests that reached it.
-    pub received_requests: usize,
-    /// Flow and sequence number of each of them.
+    /// Flow and sequence number of each request that reached it.
     pub received: Vec<(FlowKey, u32)>,
     /// Number of completed requests.
     pub completed_requests: usize,
@@ -84,7 +82,6 @@
             rejects_flows_when_busy: false,
             max_queued: None,
             rejected_requests: 0,
-            received_requests: 0,
             received: Vec::new(),
             completed_requests: 0,
             busy_ms: 0,
@@ -152,7 +149,6 @@
         }
         flow_state.next_client_sequence = end;
         flow_state.is_answered = false;
-        self.received_requests += 1;
         self.received.push((segment.flow, segment.sequence));
         if self.resets_requests {
             let reset = Segment {
