--- a/crates/fes-passthrough/src/agent/delivery.rs
+++ b/crates/fes-passthrough/src/agent/delivery.rs
@@ -20,9 +20,14 @@
 use crate::Outcome;
 use crate::ReturnReason;
 use crate::Segment;
+use crate::segment::is_ahead;
 
 /// Number of requests that may be delivered to the target beyond its slots.
 const MAX_REQUESTS_BEYOND_SLOTS: u32 = 1;
+/// Number of slots that every target has. It is assumed for a moment after the agent's start, while
+/// no hello has told the number: without a limit, all packets that arrive before the hello would
+/// pass the queue.
+const ASSUMED_SLOTS: u32 = 1;
 
 impl AgentCore {
     pub(super) fn on_forward(
@@ -38,11 +43,10 @@
             return;
         }
         let flow = segment.flow;
+        if self.flows.get_mut(&flow).is_none() && !self.admit_unknown_flow(now, from, flow, out) {
+            return;
+        }
         let Some(record) = self.flows.get_mut(&flow) else {
-            match self.has_ended() {
-                true => self.return_to_hold(from.entry, flow, out),
-                false => self.on_unknown_flow(now, from.entry, from.forward, segment, out),
-            }
             return;
         };
         let begins_request = record.begins_request(segment);
@@ -84,7 +88,9 @@
         let closes_flow = segment.is_fin || segment.is_reset;
         if closes_flow && self.give_up_queued(now, flow, out) {
             self.abandon(flow);
-        } else if segment.payload_bytes > 0 && self.queue.append(segment, packet) {
+        }
+        self.drop_answered(segment);
+        if !closes_flow && segment.payload_bytes > 0 && self.queue.append(segment, packet) {
             return;
         }
         let has_slot = self.has_slot(now);
@@ -94,6 +100,12 @@
         if record.is_abandoned() && !segment.is_reset {
             return;
         }
+        if record.begins_request(segment) && requirements.timeout_ms == 0 {
+            // It timed out while an entry held it, and isn't run for a client that has left.
+            let decision = FlowDecision::new(Outcome::DroppedStale).flow(flow);
+            out.push(AgentAction::Record(decision));
+            return;
+        }
         if record.begins_request(segment) && !has_slot && !self.queue.is_full() {
             let requirements = record.next_requirements(now, requirements);
             self.queue.push(now, requirements, *segment, packet);
@@ -111,7 +123,23 @@
         }
     }
 
-    fn started_decision(&self, now: MonoTime) -> FlowDecision {
+    /// Drops the queued packets of a flow if the client acknowledges more than when it sent them.
+    /// They are retransmissions of a request to which it got the response before the agent started.
+    fn drop_answered(&mut self, segment: &Segment) {
+        let flow = segment.flow;
+        let record = self.flows.get_mut(&flow);
+        if !record.is_some_and(|record| record.is_progress_unknown()) {
+            return;
+        }
+        let queued = self.queue.get(&flow);
+        let first = queued.and_then(|queued| queued.packets.first());
+        let acknowledged = first.map(|(first, _)| first.acknowledged);
+        if acknowledged.is_some_and(|before| is_ahead(segment.acknowledged, before)) {
+            self.queue.remove(&flow);
+        }
+    }
+
+    pub(super) fn started_decision(&self, now: MonoTime) -> FlowDecision {
         let running = u64::from(self.counts(now).running);
         FlowDecision::new(Outcome::Started)
             .load(running)
@@ -140,15 +168,22 @@
         let running_since_us = now
             .as_us()
             .saturating_sub(self.queue.run_time().longest_us());
-        self.flows.counts(MonoTime::from_us(running_since_us))
+        let running_since = MonoTime::from_us(running_since_us);
+        let mut counts = self.flows.counts(running_since);
+        let probing = self.probing_requests(running_since);
+        counts.running = counts.running.saturating_add(probing);
+        counts
     }
 
     /// Returns whether another request may be delivered to the target. One more than it can run
     /// concurrently is allowed, so that no slot is idle between two requests.
     pub(super) fn has_slot(&self, now: MonoTime) -> bool {
-        let is_unlimited = self.slots == 0 || !Mechanism::AgentQueue.is_enabled();
-        is_unlimited
-            || self.counts(now).running < self.slots.saturating_add(MAX_REQUESTS_BEYOND_SLOTS)
+        let slots = match self.slots {
+            0 if self.target_id.is_none() && now < self.slots_expected_by => ASSUMED_SLOTS,
+            slots => slots,
+        };
+        let is_unlimited = slots == 0 || !Mechanism::AgentQueue.is_enabled();
+        is_unlimited || self.counts(now).running < slots.saturating_add(MAX_REQUESTS_BEYOND_SLOTS)
     }
 
     /// Delivers queued requests to the target while it has free slots.
@@ -158,6 +193,7 @@
                 return;
             };
             let Some(record) = self.flows.get_mut(&queued.flow) else {
+                self.release_probe(now, queued, out);
                 continue;
             };
             for (segment, _) in &queued.packets {
@@ -173,6 +209,9 @@
     pub(super) fn expire_queued(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
         let decision = FlowDecision::new(Outcome::TimedOutWaiting).load(self.queued_requests());
         for queued in self.queue.expire(now) {
+            if self.give_up_probe(queued.flow, out) {
+                continue;
+            }
             out.push(record_queued(now, decision, &queued));
             self.abandon(queued.flow);
         }
@@ -217,16 +256,21 @@
         out.push(AgentAction::Deliver);
     }
 
-    /// Handles a packet of a flow for which this agent has no record.
-    pub(super) fn on_unknown_flow(
+    /// Handles the first packet of a flow for which this agent has no record. Inserts a record and
+    /// returns true if the packet is to be treated like those of known flows: its data then counts as
+    /// the start of a request. Otherwise answers the entry if necessary.
+    fn admit_unknown_flow(
         &mut self,
         now: MonoTime,
-        entry: Ipv4Addr,
-        forward: Forward,
-        segment: &Segment,
+        from: ForwardOrigin,
+        flow: FlowKey,
         out: &mut Vec<AgentAction>,
-    ) {
-        let flow = segment.flow;
+    ) -> bool {
+        let ForwardOrigin { entry, forward } = from;
+        if self.has_ended() {
+            self.return_to_hold(entry, flow, out);
+            return false;
+        }
         // Start times come from the platform's list, which may be outdated after a restart. If they
         // differ, the target may still hold the flow, and the entry has to search for it.
         let is_same_instance =
@@ -238,20 +282,19 @@
             forward.mode == ForwardMode::Owner && (is_same_instance || is_instance_unknown);
         if self.is_complete(now) || self.flows.is_not_held(&flow) {
             self.send_not_held(entry, forward, flow, out);
-            return;
+            return false;
         }
         if is_owner_confirmed {
             let is_stream = forward.requirements.flow_use == FlowUse::Stream;
             let new = AgentFlow::new(now, Some(entry), is_stream);
-            let record = self.flows.get_or_insert(flow, new);
-            record.record_delivery(now, segment);
-            out.push(AgentAction::Deliver);
-            return;
+            self.flows.get_or_insert(flow, new);
+            return true;
         }
         // In modes other than `Owner` the packet isn't answered: whether the target holds the flow
         // is undetermined, and the target must not be probed.
         if forward.mode == ForwardMode::Owner {
             self.send_not_held(entry, forward, flow, out);
         }
+        false
     }
 }
--- a/crates/fes-passthrough/tests/support/target.rs
+++ b/crates/fes-passthrough/tests/support/target.rs
@@ -49,8 +49,15 @@
     pub resets_requests: bool,
     /// Whether it returns opening packets, as a target that has crashed.
     pub rejects_flows: bool,
-    /// Number of requests that reached it.
-    pub received_requests: usize,
+    /// Whether it returns opening packets while all its slots are in use.
+    pub rejects_flows_when_busy: bool,
+    /// Number of requests that it queues beyond its slots, if limited. Further ones are rejected: the
+    /// target answers at once that it failed.
+    pub max_queued: Option<usize>,
+    /// Number of requests that it rejected.
+    pub rejected_requests: usize,
+    /// Flow and sequence number of each request that reached it.
+    pub received: Vec<(FlowKey, u32)>,
     /// Number of completed requests.
     pub completed_requests: usize,
     /// Total time for which slots were in use.
@@ -72,7 +79,10 @@
             stream_work_ms: None,
             resets_requests: false,
             rejects_flows: false,
-            received_requests: 0,
+            rejects_flows_when_busy: false,
+            max_queued: None,
+            rejected_requests: 0,
+            received: Vec::new(),
             completed_requests: 0,
             busy_ms: 0,
             running_requests: 0,
@@ -95,10 +105,18 @@
             .is_some_and(|flow_state| flow_state.is_open)
     }
 
+    /// Returns whether all slots are in use.
+    pub fn is_busy(&self) -> bool {
+        self.running_requests >= self.slots
+    }
+
     /// Handles a packet from a client. If it opens a flow, `initial_sequence` becomes the target's
     /// initial sequence number.
     pub fn on_packet(&mut self, segment: &Segment, initial_sequence: u32) -> Vec<TargetAction> {
-        if segment.is_syn && !self.rejects_flows {
+        let is_busy = self.is_busy();
+        let is_full = self.rejects_flows_when_busy && is_busy;
+        let is_known = self.flows.contains_key(&segment.flow);
+        if segment.is_syn && !self.rejects_flows && (is_known || !is_full) {
             return vec![TargetAction::Send(self.accept(segment, initial_sequence))];
         }
         let returned = TargetAction::Send(Segment {
@@ -131,7 +149,7 @@
         }
         flow_state.next_client_sequence = end;
         flow_state.is_answered = false;
-        self.received_requests += 1;
+        self.received.push((segment.flow, segment.sequence));
         if self.resets_requests {
             let reset = Segment {
                 is_reset: true,
@@ -140,6 +158,14 @@
             self.flows.remove(&segment.flow);
             return vec![TargetAction::Send(reset)];
         }
+        if is_busy && self.max_queued.is_some_and(|max| self.queue.len() >= max) {
+            flow_state.is_answered = true;
+            self.rejected_requests += 1;
+            return vec![TargetAction::Send(Segment {
+                is_failure: true,
+                ..from_target(segment.flow, flow_state, RESPONSE_BYTES)
+            })];
+        }
         self.queue.push_back(segment.flow);
         self.start_queued_requests()
     }
