Compare decisions on pass-through flows with a ceiling

Cause: `fescueshift measure` plays only QUIC flows, so that nothing shows how far placement and the queues of pass-through flows are from what the slots allow.

Change: `--experiment pass-through` hosts `select_target`, with reports at their period, and `RequestQueue` in virtual time, in nine scenarios. It compares them on the same arrivals and run times with random targets (first come, first served, and with the product's queue), least requests per slot, and a ceiling: one scheduler that knows run times and may run any request on any slot. Two variants of the ceiling show what pinned flows and unknown run times cost, and a bound by capacity shows how far the ceiling may be off. It gives a table, JSON and plots; plots can be written from curves without a report (`write_series`).

The ceiling that knows run times can't be met by a product that doesn't. Beside the one that doesn't know them, placement loses: agents report all queued requests, also those that can no longer be in time.

--- a/crates/fes-command/src/commands/measure.rs
+++ b/crates/fes-command/src/commands/measure.rs
@@ -12,6 +12,8 @@
 use fes_measure::Policy;
 use fes_measure::Profile;
 use fes_measure::capacity::run_capacity;
+use fes_measure::pass_through::FlowScenario;
+use fes_measure::pass_through::run_pass_through;
 use fes_protocol::Error;
 use fes_protocol::Result;
 use fes_protocol::ResultCode;
@@ -30,6 +32,7 @@
 
 const CAPACITY_EXPERIMENT: &str = "capacity";
 const PATH_EXPERIMENT: &str = "path";
+const PASS_THROUGH_EXPERIMENT: &str = "pass-through";
 
 /// Experiments that run in real time on this host, so that their results differ between runs.
 const REAL_TIME_EXPERIMENTS: [&str; 2] = [CAPACITY_EXPERIMENT, PATH_EXPERIMENT];
@@ -52,6 +55,7 @@
                     Experiment::ALL
                         .map(Experiment::name)
                         .into_iter()
+                        .chain([PASS_THROUGH_EXPERIMENT])
                         .chain(REAL_TIME_EXPERIMENTS),
                 ))
                 .default_value("all"),
@@ -77,7 +81,9 @@
         )
         .after_help(
             "The same arguments give the same output. Both policies are always run; only the\n\
-             given one has to meet the targets. Two experiments run in real time on this\n\
+             given one has to meet the targets. 'pass-through' compares the decisions on\n\
+             pass-through flows with simpler policies and with a ceiling; it has no targets,\n\
+             and profiles and policies don't apply. Two experiments run in real time on this\n\
              host instead: 'capacity' measures how the cost of each role grows with its\n\
              size, and 'path' sends requests through a local fleet and directly to an\n\
              upstream.\n\n\
@@ -98,6 +104,7 @@
     match matches.get_one::<String>("experiment").map(String::as_str) {
         Some(CAPACITY_EXPERIMENT) => return measure_capacity(seed, matches.get_flag("json")),
         Some(PATH_EXPERIMENT) => return measure_path(seed, matches.get_flag("json")),
+        Some(PASS_THROUGH_EXPERIMENT) => return measure_pass_through(matches, seed),
         _ => {}
     }
     let profile = parse_option(matches, "profile", Profile::from_name)?;
@@ -123,6 +130,20 @@
     })
 }
 
+fn measure_pass_through(matches: &ArgMatches, seed: u64) -> Result<ExitCode> {
+    let report = run_pass_through(&FlowScenario::ALL, seed);
+    if let Some(directory) = matches.get_one::<PathBuf>("plot") {
+        let suffix = format!("{PASS_THROUGH_EXPERIMENT}-{seed}");
+        fes_measure::write_series(&report.series, &suffix, directory)?;
+    }
+    if matches.get_flag("json") {
+        output::print(&format!("{}\n", report.to_json()?))?;
+    } else {
+        output::print(&report.to_string())?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn measure_capacity(seed: u64, as_json: bool) -> Result<ExitCode> {
     let report = run_capacity(seed);
     if as_json {
--- a/crates/fes-measure/src/experiments/mod.rs
+++ b/crates/fes-measure/src/experiments/mod.rs
@@ -17,3 +17,5 @@
 pub(crate) use experiment_result::RawFigure;
 pub(crate) use head_of_line::head_of_line;
 pub(crate) use imbalance::imbalance;
+pub(crate) use statistics::percentile;
+pub(crate) use statistics::share;
--- a/crates/fes-measure/src/lib.rs
+++ b/crates/fes-measure/src/lib.rs
@@ -4,9 +4,12 @@
 //! simulations of clients, upstreams and the network. Its output is deterministic: the same
 //! arguments produce the same bytes.
 //!
+//! [`pass_through`] does the same for pass-through flows.
+//!
 //! [`capacity`] measures costs on this machine instead.
 
 pub mod capacity;
+pub mod pass_through;
 
 mod disciplines;
 mod experiment;
@@ -24,6 +27,7 @@
 pub use disciplines::compare_disciplines;
 pub use experiment::Experiment;
 pub use plot::write_plots;
+pub use plot::write_series;
 pub use policy::Policy;
 pub use profile::Profile;
 pub use report::Bound;
--- a/crates/fes-measure/src/plot.rs
+++ b/crates/fes-measure/src/plot.rs
@@ -14,7 +14,16 @@
 /// Width and height of a plot, in pixels.
 const SIZE: (u32, u32) = (900, 500);
 
-const COLOURS: [RGBColor; 3] = [RED, BLUE, GREEN];
+/// Colours of the curves; an experiment compares at most seven policies.
+const COLOURS: [RGBColor; 7] = [
+    RED,
+    BLUE,
+    GREEN,
+    MAGENTA,
+    CYAN,
+    BLACK,
+    RGBColor(200, 130, 0),
+];
 
 /// Writes each plot of the report as an SVG file into `directory` and returns the paths.
 ///
@@ -22,18 +31,32 @@
 ///
 /// Returns [`ResultCode::OutputUnwritable`] if a file can't be written.
 pub fn write_plots(report: &Report, directory: impl AsRef<Path>) -> Result<Vec<PathBuf>> {
+    let suffix = format!("{}-{}", report.profile, report.seed);
+    write_series(&report.series, &suffix, directory)
+}
+
+/// Writes each plot of the curves as an SVG file into `directory` and returns the paths. The name of
+/// a file is that of the plot, followed by `suffix`.
+///
+/// # Errors
+///
+/// Returns [`ResultCode::OutputUnwritable`] if a file can't be written.
+pub fn write_series(
+    series: &[Series],
+    suffix: &str,
+    directory: impl AsRef<Path>,
+) -> Result<Vec<PathBuf>> {
     let directory = directory.as_ref();
     std::fs::create_dir_all(directory).map_err(|source| {
         let detail = format!("can't create the directory {}", directory.display());
         Error::io(ResultCode::OutputUnwritable, detail, source)
     })?;
-    let mut names: Vec<&str> = report.series.iter().map(|series| series.plot).collect();
+    let mut names: Vec<&str> = series.iter().map(|series| series.plot).collect();
     names.dedup();
     let mut paths = Vec::new();
     for name in names {
-        let file = format!("{name}-{}-{}.svg", report.profile, report.seed);
-        let path = directory.join(file);
-        let curves: Vec<&Series> = report.series.iter().filter(|s| s.plot == name).collect();
+        let path = directory.join(format!("{name}-{suffix}.svg"));
+        let curves: Vec<&Series> = series.iter().filter(|s| s.plot == name).collect();
         draw(&path, name, &curves).map_err(|e| {
             let detail = format!("can't write the plot {}: {e}", path.display());
             Error::coded(ResultCode::OutputUnwritable, detail)
