Report as waiting only the requests that can still meet their goal

Cause: an agent reported all its queued requests. Those that are late go last, so that a new request doesn't wait for them, but entries took them for load: the longest queues attracted no flows until their requests timed out, all at about the same time, and then attracted too many. Other targets had only late requests to run.

Change: the report counts the queued requests that meet their latency goal if they are released now.

--- a/crates/fes-measure/src/pass_through/agent.rs
+++ b/crates/fes-measure/src/pass_through/agent.rs
@@ -53,9 +53,10 @@
         Self::FirstCome(VecDeque::new(), RequestQueue::default())
     }
 
-    fn len(&self) -> usize {
+    /// Returns the number of requests for which a new one waits.
+    fn len_ahead(&self, now: MonoTime) -> usize {
         match self {
-            Self::Queue(queue) => queue.len(),
+            Self::Queue(queue) => queue.len_in_time(now),
             Self::FirstCome(waiting, _) => waiting.len(),
         }
     }
@@ -172,7 +173,7 @@
             service: SERVICE,
             started_at_ms: 1,
             running: count(self.running(now)),
-            waiting: count(self.waiting.len()),
+            waiting: count(self.waiting.len_ahead(now)),
             streams: self.streams,
             flows: self.streams,
             failures_per_mille: 0,
--- a/crates/fes-passthrough/src/agent/heartbeats.rs
+++ b/crates/fes-passthrough/src/agent/heartbeats.rs
@@ -137,7 +137,7 @@
             service: self.service,
             started_at_ms: self.started_at_ms,
             running: counts.running,
-            waiting: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            waiting: u32::try_from(self.queue.len_in_time(now)).unwrap_or(u32::MAX),
             streams: counts.streams,
             flows: counts.open,
             failures_per_mille: self.failure_rate.per_mille(),
--- a/crates/fes-passthrough/src/entry/status.rs
+++ b/crates/fes-passthrough/src/entry/status.rs
@@ -58,7 +58,7 @@
     pub is_heard: bool,
     /// Requests delivered to the target and not yet answered.
     pub running: u32,
-    /// Queued requests.
+    /// Queued requests that can still meet their latency goal.
     pub waiting: u32,
     /// Open flows.
     pub flows: u32,
--- a/crates/fes-passthrough/src/message.rs
+++ b/crates/fes-passthrough/src/message.rs
@@ -94,7 +94,8 @@
     pub started_at_ms: u64,
     /// Requests delivered to the target and not yet answered.
     pub running: u32,
-    /// Requests that the agent queues until the target has a free slot.
+    /// Requests that the agent queues until the target has a free slot, and that can still meet their
+    /// latency goal. A new request doesn't wait for the others.
     pub waiting: u32,
     /// Open flows that carry many requests.
     pub streams: u32,
--- a/crates/fes-passthrough/src/release_order.rs
+++ b/crates/fes-passthrough/src/release_order.rs
@@ -42,9 +42,15 @@
 }
 
 impl ReleaseCandidate {
+    /// Returns whether the request meets its latency goal if it ends at `expected_end_at`.
+    #[must_use]
+    pub fn is_in_time(&self, expected_end_at: MonoTime) -> bool {
+        expected_end_at <= self.latency_goal_at
+    }
+
     /// Returns what the request can achieve if it ends at `expected_end_at`, and its deadline.
     fn prospect(&self, expected_end_at: MonoTime) -> (Prospect, MonoTime) {
-        if expected_end_at <= self.latency_goal_at {
+        if self.is_in_time(expected_end_at) {
             (Prospect::MeetsGoal, self.latency_goal_at)
         } else if expected_end_at <= self.timeout_at {
             (Prospect::MeetsTimeout, self.timeout_at)
--- a/crates/fes-passthrough/src/request_queue.rs
+++ b/crates/fes-passthrough/src/request_queue.rs
@@ -49,6 +49,16 @@
         self.queued.len()
     }
 
+    /// Returns the number of queued requests that can still meet their latency goal. A new request is
+    /// released after them, but before the others.
+    #[must_use]
+    pub fn len_in_time(&self, now: MonoTime) -> usize {
+        let expected_end_at = now.plus_us(self.run_time.expected_us());
+        let queued = self.queued.iter();
+        let in_time = queued.filter(|request| request.candidate.is_in_time(expected_end_at));
+        in_time.count()
+    }
+
     /// Returns whether the queue is empty.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
--- a/crates/fes-passthrough/tests/request_queue.rs
+++ b/crates/fes-passthrough/tests/request_queue.rs
@@ -47,6 +47,19 @@
     assert_eq!(order, [Some(2), Some(1)]);
 }
 
+/// Guards against targets that get no new flows because of requests that are late already: a new
+/// request doesn't wait for them.
+#[test]
+fn only_requests_that_can_meet_their_goal_count_as_waiting() {
+    let mut queue = RequestQueue::default();
+    push(&mut queue, 0, 1, FlowUse::Stream, 200);
+    push(&mut queue, 300, 2, FlowUse::Stream, 200);
+
+    let counts = [0, 310, 600].map(|at_ms| queue.len_in_time(MonoTime::from_ms(at_ms)));
+
+    assert_eq!(counts, [2, 1, 0]);
+}
+
 /// Guards against requests that must not be repeated and are queued behind those that may be.
 #[test]
 fn requests_that_must_not_be_repeated_go_first() {
