Place flows in other data centres by measured round trips

Cause: placement added a constant cost of 120 thousandths of the slots to a target in another data centre, whatever the trip there and the run time of the requests were.

Change: an entry keeps the lowest round trip of recent openings for each data centre, from sending an opening packet to the agent's Opened. The cost is the round trip beyond that to the entry's own data centre, twice for a flow with one request because of its handshake, relative to the run time of a typical target of the service, between 120 and 1,000 thousandths. Openings whose answer may be to an earlier packet and copies of an answer aren't measured; openings within 100 ms count as one. A measurement expires after 30 s; with fewer than three, the constant applies. The simulation has a delay between data centres.

--- a/crates/fes-passthrough-node/src/entry_daemon.rs
+++ b/crates/fes-passthrough-node/src/entry_daemon.rs
@@ -282,6 +282,9 @@
         metrics.platform_age_ms.set(age_ms);
         let evacuations = core.view().evacuations().in_force().count();
         metrics.evacuations_in_force.set(gauge(evacuations));
+        let trips_us = core.trips().measured(now).map(|(_, lowest_us)| lowest_us);
+        let longest_us = i64::try_from(trips_us.max().unwrap_or(0)).unwrap_or(i64::MAX);
+        metrics.longest_trip_us.set(longest_us);
     }
 
     /// Reports the entry as ready once it knows the routes and has received a report from an agent.
--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -27,6 +27,7 @@
 use crate::Outcome;
 use crate::ReportEffect;
 use crate::Segment;
+use crate::TripTimes;
 use crate::ViewEvent;
 use crate::ViewGossip;
 use crate::ViewUpdate;
@@ -102,6 +103,7 @@
     pub(super) early: EarlyPackets,
     pub(super) held: HeldPackets,
     pub(super) warm_up: WarmUpShares,
+    pub(super) trips: TripTimes,
     /// Flows for which another target is tried at the given time if none has accepted them, in the
     /// order of these times.
     pub(super) opening_queue: VecDeque<(MonoTime, FlowKey)>,
@@ -133,6 +135,7 @@
             early: EarlyPackets::default(),
             held: HeldPackets::default(),
             warm_up: WarmUpShares::default(),
+            trips: TripTimes::default(),
             opening_queue: VecDeque::new(),
             search_queue: VecDeque::new(),
             next_hello_at: FastMap::default(),
@@ -152,6 +155,17 @@
         &mut self.view
     }
 
+    /// Returns the round trips to the data centres.
+    #[must_use]
+    pub const fn trips(&self) -> &TripTimes {
+        &self.trips
+    }
+
+    /// Returns mutable access to the round trips to the data centres.
+    pub const fn trips_mut(&mut self) -> &mut TripTimes {
+        &mut self.trips
+    }
+
     /// Returns whether this entry should read the platform itself now.
     #[must_use]
     pub fn is_reader(&self, now: MonoTime) -> bool {
@@ -355,6 +369,7 @@
     pub fn on_slow_tick(&mut self, now: MonoTime) {
         self.flows.expire(now);
         self.warm_up.expire(now);
+        self.trips.expire(now);
         let oldest_us = now.as_us().saturating_sub(AGENT_EXPIRY_MS * 1_000);
         self.agents
             .remove_silent_since(MonoTime::from_us(oldest_us));
--- a/crates/fes-passthrough/src/entry/mod.rs
+++ b/crates/fes-passthrough/src/entry/mod.rs
@@ -14,4 +14,5 @@
 pub use status::AgentStatus;
 pub use status::EntryStatus;
 pub use status::EvacuationStatus;
+pub use status::TripStatus;
 pub use warm_up::WarmUpStatus;
--- a/crates/fes-passthrough/src/entry/opening.rs
+++ b/crates/fes-passthrough/src/entry/opening.rs
@@ -136,6 +136,8 @@
             attempts: Vec::with_capacity(1),
             packet: packet.into(),
             try_next_at: MonoTime::NEVER,
+            // The field counts the earlier transmissions, which other entries may have forwarded.
+            is_ambiguous: segment.acknowledged > 0 || self.flows.get_mut(&segment.flow).is_some(),
         };
         let mut record = FlowRecord {
             service,
@@ -183,6 +185,7 @@
             view: &self.view,
             agents: &self.agents,
             warm_up: &self.warm_up,
+            trips: &self.trips,
             data_centre: &self.data_centre,
         };
         select_target(
@@ -314,6 +317,15 @@
         let Some(attempt) = opening.attempts.iter_mut().find(|a| a.vm == vm) else {
             return;
         };
+        // A copy of the answer, or one after the packet was returned, says nothing about the trip.
+        let is_first_answer = attempt.initial_sequence.is_none() && !attempt.is_returned;
+        if is_first_answer
+            && !opening.is_ambiguous
+            && let Some(target) = self.view.target_on(vm)
+        {
+            let trip_us = now.us_since(attempt.sent_at);
+            self.trips.record(now, &target.data_centre, trip_us);
+        }
         attempt.initial_sequence = Some(sequence);
         attempt.started_at_ms = started_at_ms;
         let decision = FlowDecision::new(Outcome::Accepted)
--- a/crates/fes-passthrough/src/entry/status.rs
+++ b/crates/fes-passthrough/src/entry/status.rs
@@ -32,6 +32,8 @@
     pub evacuations: Vec<EvacuationStatus>,
     /// Targets that get a limited number of new flows while they warm up, ordered by VM.
     pub warming_up: Vec<WarmUpStatus>,
+    /// Round trips to the agents of each data centre that is measured, ordered by data centre.
+    pub trips: Vec<TripStatus>,
     /// Latest report of each agent, ordered by VM.
     pub agents: Vec<AgentStatus>,
 }
@@ -47,6 +49,15 @@
     pub age_ms: u64,
 }
 
+/// Round trip to the agents of a data centre.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct TripStatus {
+    /// Data centre.
+    pub data_centre: DataCentreName,
+    /// Lowest round trip of recent openings, in microseconds.
+    pub lowest_us: u64,
+}
+
 /// Latest report of an agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub struct AgentStatus {
@@ -110,10 +121,23 @@
             leaving_targets: leaving.map(|target| target.id.clone()).collect(),
             evacuations: self.evacuation_statuses(now),
             warming_up: self.warm_up_status(now),
+            trips: self.trip_statuses(now),
             agents,
         }
     }
 
+    fn trip_statuses(&self, now: MonoTime) -> Vec<TripStatus> {
+        let trips = self.trips.measured(now);
+        let mut statuses: Vec<TripStatus> = trips
+            .map(|(data_centre, lowest_us)| TripStatus {
+                data_centre: data_centre.clone(),
+                lowest_us,
+            })
+            .collect();
+        statuses.sort_unstable_by(|a, b| a.data_centre.cmp(&b.data_centre));
+        statuses
+    }
+
     fn evacuation_statuses(&self, now: MonoTime) -> Vec<EvacuationStatus> {
         let evacuations = self.view.evacuations();
         let status = |evacuation: &Evacuation| EvacuationStatus {
--- a/crates/fes-passthrough/src/flow_directory.rs
+++ b/crates/fes-passthrough/src/flow_directory.rs
@@ -47,6 +47,9 @@
     pub packet: Box<[u8]>,
     /// When the next target is tried, if none has accepted.
     pub try_next_at: MonoTime,
+    /// Whether a target may have got the opening packet of this or an earlier flow with the same
+    /// addresses before, so that its answer may precede the attempt.
+    pub is_ambiguous: bool,
 }
 
 impl Opening {
--- a/crates/fes-passthrough/src/mechanism.rs
+++ b/crates/fes-passthrough/src/mechanism.rs
@@ -25,6 +25,8 @@
     WarmUpCost,
     /// The cost of a target in another data centre is higher.
     RemoteCost,
+    /// The cost of a target in another data centre follows from measured round trips.
+    TripCost,
     /// The cost of a target includes its run time relative to the service's other targets.
     CapacityCost,
     /// Another target is tried if none has accepted a flow.
@@ -33,7 +35,7 @@
 
 impl Mechanism {
     /// All mechanisms.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Outliers,
         Self::FailureCost,
         Self::OpeningAge,
@@ -41,6 +43,7 @@
         Self::AgentQueue,
         Self::WarmUpCost,
         Self::RemoteCost,
+        Self::TripCost,
         Self::CapacityCost,
         Self::FurtherAttempts,
     ];
@@ -56,6 +59,7 @@
             Self::AgentQueue => "agent-queue",
             Self::WarmUpCost => "warm-up-cost",
             Self::RemoteCost => "remote-cost",
+            Self::TripCost => "trip-cost",
             Self::CapacityCost => "capacity-cost",
             Self::FurtherAttempts => "further-attempts",
         }
--- a/crates/fes-passthrough/src/placement.rs
+++ b/crates/fes-passthrough/src/placement.rs
@@ -17,6 +17,7 @@
 use crate::RelativeRunTime;
 use crate::ServiceTag;
 use crate::TargetRecord;
+use crate::TripTimes;
 use crate::WarmUpRank;
 use crate::WarmUpShares;
 use crate::is_failing;
@@ -24,9 +25,6 @@
 use crate::preferred_targets;
 use crate::typical_run_time_us;
 
-/// Additional cost of a target in another data centre, in thousandths of its slots: a request there
-/// takes two more trips between data centres, and its traffic is more expensive.
-const CROSS_DATA_CENTRE_COST_PER_MILLE: u64 = 120;
 /// Average load of an open stream, in thousandths of a slot.
 const STREAM_COST_MILLISLOTS: u64 = 30;
 /// Weight of the current load when a stream is placed, in percent. It is less than 100 because a
@@ -78,6 +76,8 @@
     pub agents: &'a AgentTable,
     /// Openings sent to targets that warm up.
     pub warm_up: &'a WarmUpShares,
+    /// Round trips to other data centres.
+    pub trips: &'a TripTimes,
     /// Data centre of the entry.
     pub data_centre: &'a DataCentreName,
 }
@@ -188,9 +188,6 @@
     context: PlacementContext<'_>,
     candidates: &[&TargetRecord],
 ) -> Option<u64> {
-    if !Mechanism::CapacityCost.is_enabled() {
-        return None;
-    }
     let agents = candidates
         .iter()
         .filter_map(|record| context.agents.get(record.vm));
@@ -210,6 +207,7 @@
     typical_us: Option<u64>,
 ) -> RelativeRunTime {
     let freshness_per_mille = agent.report_freshness_per_mille(now);
+    let typical_us = typical_us.filter(|_| Mechanism::CapacityCost.is_enabled());
     let relative =
         RelativeRunTime::new(agent.report().run_time_us, typical_us, freshness_per_mille);
     let may_try = requests == 0 && flow_use != FlowUse::Stream && agent.is_speed_trial_due(now);
@@ -255,10 +253,8 @@
         }
         FlowUse::Repeatable | FlowUse::NonRepeatable => run_time.request_cost(current_load),
     };
-    let is_remote = record.data_centre != *context.data_centre;
-    if Mechanism::RemoteCost.is_enabled() && is_remote {
-        load += CROSS_DATA_CENTRE_COST_PER_MILLE;
-    }
+    let (own, other) = (context.data_centre, &record.data_centre);
+    load += (context.trips).cost_per_mille(now, own, other, flow_use, typical_us);
     if Mechanism::FailureCost.is_enabled() && !is_failing(report.failures_per_mille) {
         load += u64::from(report.failures_per_mille);
     }
--- a/crates/fes-passthrough/tests/relative_speed.rs
+++ b/crates/fes-passthrough/tests/relative_speed.rs
@@ -12,6 +12,7 @@
 use fes_passthrough::PlacementContext;
 use fes_passthrough::RelativeRunTime;
 use fes_passthrough::ReportedRunTime;
+use fes_passthrough::TripTimes;
 use fes_passthrough::WarmUpShares;
 use fes_passthrough::preferred_targets;
 use fes_passthrough::select_target;
@@ -69,6 +70,7 @@
             view: &self.view,
             agents: &self.agents,
             warm_up: &WarmUpShares::default(),
+            trips: &TripTimes::default(),
             data_centre: &DataCentreName::from("a"),
         };
         let (now, flow) = (MonoTime::from_ms(now_ms), flow(port, once_address()));
--- a/crates/fes-passthrough/tests/support/actions.rs
+++ b/crates/fes-passthrough/tests/support/actions.rs
@@ -68,7 +68,7 @@
                     self.send_to_process(vm, from, message, packet.to_vec());
                 }
                 EntryAction::ResetClient { flow, sequence } => {
-                    self.send(Event::ToClient(reset(flow, sequence)));
+                    self.send_from(from, Event::ToClient(reset(flow, sequence)));
                 }
                 EntryAction::Record(decision) => {
                     *self.outcomes.entry(decision.outcome.name()).or_default() += 1
@@ -94,7 +94,7 @@
                 AgentAction::DeliverStored { packet } => self.deliver(index, &packet),
                 AgentAction::SendToClient => {
                     if let Some(segment) = self.segment_of(&packet) {
-                        self.send(Event::ToClient(segment));
+                        self.send_from(vm(index), Event::ToClient(segment));
                     }
                 }
                 AgentAction::Send {
@@ -142,12 +142,8 @@
     fn send_to_agent(&mut self, to: Ipv4Addr, from: Ipv4Addr, forward: Forward, packet: Vec<u8>) {
         self.entry_messages += 1;
         if let Some(index) = (0..self.agents.len()).find(|i| vm(*i) == to) {
-            self.send(Event::AgentMessage(
-                index,
-                from,
-                Message::Forward(forward),
-                packet,
-            ));
+            let message = Message::Forward(forward);
+            self.send_from(from, Event::AgentMessage(index, from, message, packet));
         }
     }
 
@@ -163,10 +159,21 @@
         {
             report.run_time_us = 0;
         }
+        self.record_reported_requests(to, from, &message);
         if let Some(index) = (0..self.agents.len()).find(|i| vm(*i) == to) {
-            self.send(Event::AgentMessage(index, from, message, packet));
+            self.send_from(from, Event::AgentMessage(index, from, message, packet));
         } else if let Some(index) = (0..self.entries.len()).find(|i| entry_vm(*i) == to) {
-            self.send(Event::EntryMessage(index, from, message, packet));
+            self.send_from(from, Event::EntryMessage(index, from, message, packet));
+        }
+    }
+
+    fn record_reported_requests(&mut self, to: Ipv4Addr, from: Ipv4Addr, message: &Message) {
+        if let Message::Load(report) = message
+            && to == entry_vm(0)
+            && let Some(index) = (0..self.agents.len()).find(|i| vm(*i) == from)
+        {
+            let requests = report.running + report.waiting;
+            self.reported_requests[index].push(requests);
         }
     }
 }
--- a/crates/fes-passthrough/tests/support/interventions.rs
+++ b/crates/fes-passthrough/tests/support/interventions.rs
@@ -21,6 +21,26 @@
         }
     }
 
+    /// Moves entries and targets to these data centres in turn, and restarts the entries.
+    pub fn spread_over(&mut self, data_centres: &[&str]) {
+        let name = |index: usize| DataCentreName::from(data_centres[index % data_centres.len()]);
+        for (index, record) in self.records.iter_mut().enumerate() {
+            record.data_centre = name(index);
+        }
+        for index in 0..self.entries.len() {
+            self.entry_data_centres[index] = name(index);
+            self.start_entry(index);
+        }
+    }
+
+    /// Sets the additional delay between two data centres, in each direction.
+    pub fn set_link_delay(&mut self, one: &str, other: &str, delay_ms: u64) {
+        let (one, other) = (DataCentreName::from(one), DataCentreName::from(other));
+        let there = (one.clone(), other.clone());
+        self.link_delays_ms.insert(there, delay_ms);
+        self.link_delays_ms.insert((other, one), delay_ms);
+    }
+
     /// Changes a target's record at the platform and applies the change to all entries.
     pub fn change_target(&mut self, index: usize, change: impl FnOnce(&mut TargetRecord)) {
         self.revision += 1;
--- a/crates/fes-passthrough/tests/support/simulation.rs
+++ b/crates/fes-passthrough/tests/support/simulation.rs
@@ -68,6 +68,14 @@
     pub entry_messages: usize,
     /// Whether agents report run times, which those of older versions don't.
     pub has_run_times: bool,
+    /// Whether entries measure round trips. Without, the constant cost applies.
+    pub has_trip_times: bool,
+    /// Data centre of each entry.
+    pub entry_data_centres: Vec<DataCentreName>,
+    /// Additional delay from one data centre to another, in milliseconds.
+    pub link_delays_ms: HashMap<(DataCentreName, DataCentreName), u64>,
+    /// Requests that each agent reported to the first entry as running or queued.
+    pub reported_requests: Vec<Vec<u32>>,
     packets: Vec<Segment>,
     queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
     events: Vec<Option<Event>>,
@@ -98,6 +106,10 @@
             evacuations: Vec::new(),
             entry_messages: 0,
             has_run_times: true,
+            has_trip_times: true,
+            entry_data_centres: vec![DataCentreName::from("a"); entries],
+            link_delays_ms: HashMap::new(),
+            reported_requests: vec![Vec::new(); targets],
             packets: Vec::new(),
             queue: BinaryHeap::new(),
             events: Vec::new(),
@@ -131,7 +143,7 @@
     /// Starts an entry while the platform can't be read.
     pub fn start_entry_without_list(&mut self, index: usize) {
         self.incarnation += 1;
-        let data_centre = DataCentreName::from("a");
+        let data_centre = self.entry_data_centres[index].clone();
         let seeds = [entry_vm(0), entry_vm(1)];
         let mut entry = EntryCore::new(self.incarnation, entry_vm(index), data_centre, &seeds);
         entry.set_warm_up_settings(self.warm_up);
@@ -235,14 +247,45 @@
         self.queue.push(Reverse((at_ms, order, index)));
     }
 
-    /// Sends over the network, with delay and possible loss.
+    /// Sends over the network within a data centre, with delay and possible loss.
     pub(super) fn send(&mut self, event: Event) {
+        self.send_after(NETWORK_DELAY_MS, event);
+    }
+
+    /// Sends over the network from the process on a VM, with delay and possible loss. Clients are in
+    /// the data centre of the entry that gets their packets.
+    pub(super) fn send_from(&mut self, from: Ipv4Addr, event: Event) {
+        let from = self.data_centre_of(from);
+        let to = match &event {
+            Event::AgentMessage(agent, ..) => Some(self.records[*agent].data_centre.clone()),
+            Event::EntryMessage(entry, ..) => Some(self.entry_data_centres[*entry].clone()),
+            Event::ToClient(segment) => {
+                let entry = self.route_to_entry(&segment.flow);
+                entry.map(|entry| self.entry_data_centres[entry].clone())
+            }
+            _ => None,
+        };
+        let link = from.zip(to);
+        let delay_ms = link.and_then(|link| self.link_delays_ms.get(&link));
+        self.send_after(NETWORK_DELAY_MS + delay_ms.copied().unwrap_or(0), event);
+    }
+
+    fn send_after(&mut self, delay_ms: u64, event: Event) {
         if self.next_random() % 100 >= self.loss_percent {
-            self.schedule(self.now_ms + NETWORK_DELAY_MS, event);
+            self.schedule(self.now_ms + delay_ms, event);
         }
     }
 
-    fn route_to_entry(&mut self, flow: &FlowKey) -> Option<usize> {
+    fn data_centre_of(&self, process: Ipv4Addr) -> Option<DataCentreName> {
+        let agent = self.records.iter().find(|record| record.vm == process);
+        let entry = (0..self.entries.len()).find(|index| entry_vm(*index) == process);
+        let agent = agent.map(|record| &record.data_centre);
+        agent
+            .or_else(|| self.entry_data_centres.get(entry?))
+            .cloned()
+    }
+
+    fn route_to_entry(&self, flow: &FlowKey) -> Option<usize> {
         let live: Vec<usize> = (0..self.entries.len())
             .filter(|i| self.entries[*i].is_some())
             .collect();
@@ -287,6 +330,9 @@
                 let mut out = Vec::new();
                 if let Some(entry) = &mut self.entries[index] {
                     entry.on_message(now, from, &message, &packet, &mut out);
+                    if !self.has_trip_times {
+                        entry.trips_mut().clear();
+                    }
                 }
                 self.perform_entry(index, out, Some(packet));
             }
--- a/crates/fes-telemetry/src/metrics.rs
+++ b/crates/fes-telemetry/src/metrics.rs
@@ -223,6 +223,8 @@
         "Age of the freshest platform contact known.";
     evacuations_in_force: Gauge, "evacuations_in_force",
         "Data centres that an operator has asked to evacuate.";
+    longest_trip_us: Gauge, "longest_trip_microseconds",
+        "Round trip to the agents of the farthest data centre; 0 if none is measured.";
     control_bytes_sent: Counter, "control_bytes_sent_total",
         "Bytes of control messages sent.";
     control_bytes_received: Counter, "control_bytes_received_total",
