--- a/crates/fes-measure/src/pass_through/entry.rs
+++ b/crates/fes-measure/src/pass_through/entry.rs
@@ -10,6 +10,7 @@
 use fes_passthrough::ListChange;
 use fes_passthrough::LoadReport;
 use fes_passthrough::PlacementContext;
+use fes_passthrough::TripTimes;
 use fes_passthrough::WarmUpShares;
 use fes_passthrough::select_target;
 use fes_protocol::DataCentreName;
@@ -92,10 +93,13 @@
     }
 
     fn current(&self, now: MonoTime, flow: usize, flow_use: FlowUse) -> usize {
+        // Without measurements, the constant cost of other data centres applies.
+        let trips = TripTimes::default();
         let context = PlacementContext {
             view: &self.view,
             agents: &self.agents,
             warm_up: &self.warm_up,
+            trips: &trips,
             data_centre: &self.data_centre,
         };
         let key = flow_key(flow);
