Count calls to the platform by reason, and list only when needed

Cause: one counter held all calls to the platform, so nobody could tell listings from watches and attempts. An entry that started listed although a peer had sent it the view: the first call after a start was always a listing.

Change: fescueshift_platform_reads has the label `reason`, also in the line `list_read`. `ListPlan` decides between a listing and a watch: an entry watches from the revision that its peers confirmed, and a confirmation by peers after its latest failure covers its outage. A further attempt at a listing doesn't start while pages of the previous one arrive.

--- a/crates/fes-entry/src/report.rs
+++ b/crates/fes-entry/src/report.rs
@@ -3,6 +3,7 @@
 use fes_protocol::FastMap;
 use fes_protocol::ResultCode;
 use fes_telemetry::CodeLabel;
+use fes_telemetry::PlatformReadReason;
 use fes_telemetry::set_counter;
 use serde_json::Value;
 use serde_json::json;
@@ -62,7 +63,12 @@
         set_counter(&metrics.control_bytes_received, traffic.received_bytes());
         let distribution = self.tickets.distribution().borrow();
         let reads = distribution.read_counters();
-        set_counter(&metrics.platform_reads, reads.full_reads + reads.watches);
+        for (reason, total) in [
+            (PlatformReadReason::Tickets, reads.full_reads),
+            (PlatformReadReason::Watch, reads.watches),
+        ] {
+            set_counter(&metrics.platform_reads.get_or_create(&reason.into()), total);
+        }
         let failures = |code: ResultCode| {
             metrics
                 .platform_failures
--- a/crates/fes-passthrough-node/src/entry_daemon.rs
+++ b/crates/fes-passthrough-node/src/entry_daemon.rs
@@ -139,6 +139,7 @@
             let control = WatchControl {
                 is_passive: &|| node.is_passive(),
                 known_revision: &|| node.known_revision(),
+                confirmed_at: &|| node.core.borrow().view().confirmed_at(),
                 retry_delay_ms: &|| node.core.borrow().read_retry_delay_ms(),
             };
             watch_list(&node.context, &control, |update| {
--- a/crates/fes-passthrough-node/src/list_watcher.rs
+++ b/crates/fes-passthrough-node/src/list_watcher.rs
@@ -1,6 +1,7 @@
 //! Keeps track of the list of targets, routes and evacuations in the platform's store: reads it
 //! once, then watches it for changes, and reads it again whenever changes may have been missed.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,14 +14,18 @@
 use fes_passthrough::ListChange;
 use fes_platform::PlatformClient;
 use fes_protocol::Error;
+use fes_protocol::MonoTime;
 use fes_protocol::Result;
 use fes_protocol::ResultCode;
+use fes_telemetry::PlatformReadReason;
 use fes_telemetry::log_target;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use http::StatusCode;
 use tokio::time::sleep;
 
+use crate::list_plan::ListPlan;
+use crate::list_plan::NextRead;
 use crate::node_context::NodeContext;
 
 /// Timeout of a read. The platform replies within milliseconds, or within a second if it is slow.
@@ -65,6 +70,8 @@
     pub(crate) is_passive: &'a dyn Fn() -> bool,
     /// Revision up to which all changes are known, from this process or from its peers.
     pub(crate) known_revision: &'a dyn Fn() -> Option<u64>,
+    /// When the platform confirmed the list, to this process or to its peers.
+    pub(crate) confirmed_at: &'a dyn Fn() -> Option<MonoTime>,
     /// Time between two attempts while the platform doesn't respond, in milliseconds.
     pub(crate) retry_delay_ms: &'a dyn Fn() -> u64,
 }
@@ -88,50 +95,47 @@
     let address = SocketAddr::V4(context.settings.platform_address);
     let mut client = PlatformClient::anonymous(address);
     let mut is_connected = false;
-    let mut needs_listing = true;
+    let mut plan = ListPlan::default();
     loop {
-        wait_while_passive(control).await;
-        let known = (control.known_revision)();
-        let revision = match known.filter(|_| !needs_listing) {
-            Some(revision) => revision,
-            None => match read_all_hedged(context, control).await {
-                Ok(None) => continue,
-                Ok(Some((changes, revision))) => {
-                    log::info!(
-                        target: log_target::PLATFORM,
-                        "event=list_read revision={revision} entries={}",
-                        changes.len()
-                    );
-                    on_update(ListUpdate::Listing { changes, revision });
-                    revision
+        wait_while_passive(control, &mut plan).await;
+        let (revision, reason) = match plan.next_read((control.known_revision)()) {
+            NextRead::Watch { revision, reason } => (revision, reason),
+            NextRead::List(reason) => {
+                match read_all_hedged(context, control, &plan, reason).await {
+                    Ok(None) => continue,
+                    Ok(Some((changes, revision))) => {
+                        log::info!(
+                            target: log_target::PLATFORM,
+                            "event=list_read revision={revision} entries={} reason={reason}",
+                            changes.len()
+                        );
+                        on_update(ListUpdate::Listing { changes, revision });
+                        (revision, PlatformReadReason::Watch)
+                    }
+                    Err(error) => {
+                        record_failure(context, &error, &mut is_connected);
+                        plan.on_failure(context.now(), (control.known_revision)());
+                        on_update(ListUpdate::Outage);
+                        continue;
+                    }
                 }
-                Err(error) => {
-                    record_failure(context, &error, &mut is_connected);
-                    on_update(ListUpdate::Outage);
-                    continue;
-                }
-            },
+            }
         };
-        needs_listing = false;
-        match watch(
-            context,
-            &mut client,
+        plan.on_watch();
+        let mut progress = WatchProgress {
             revision,
-            control,
-            &mut on_update,
-            &mut is_connected,
-        )
-        .await
-        {
+            reason,
+            is_connected: &mut is_connected,
+        };
+        let end = watch(context, &mut client, &mut progress, control, &mut on_update).await;
+        match end {
             WatchEnd::Passive => {}
             WatchEnd::HistoryLost => {
-                needs_listing = true;
+                plan.on_history_lost();
                 log::info!(target: log_target::PLATFORM, "event=history_lost revision={revision}");
             }
             WatchEnd::Failed(error) => {
-                // Items may have expired during the outage, and the store may no longer keep the
-                // events of their removal.
-                needs_listing = true;
+                plan.on_failure(context.now(), (control.known_revision)());
                 record_failure(context, &error, &mut is_connected);
                 on_update(ListUpdate::Outage);
                 sleep(Duration::from_millis((control.retry_delay_ms)())).await;
@@ -141,30 +145,35 @@
 }
 
 /// Waits while other processes read the list for this one.
-async fn wait_while_passive(control: &WatchControl<'_>) {
+async fn wait_while_passive(control: &WatchControl<'_>, plan: &mut ListPlan) {
     while (control.is_passive)() {
         sleep(Duration::from_millis(PASSIVE_CHECK_PERIOD_MS)).await;
+        plan.on_waited_for_peers((control.confirmed_at)());
     }
 }
 
-/// Reads the complete list. While the previous attempts have no reply, starts further ones on new
+/// Reads the complete list. While the previous attempts get no reply, starts further ones on new
 /// connections, because a connection may have stopped responding, and the platform may have just
 /// recovered. Returns none if other processes read the list for this one meanwhile.
 async fn read_all_hedged(
     context: &NodeContext,
     control: &WatchControl<'_>,
+    plan: &ListPlan,
+    reason: PlatformReadReason,
 ) -> Result<Option<(Vec<ListChange>, u64)>> {
-    let address = SocketAddr::V4(context.settings.platform_address);
-    let attempt = || async move {
-        let mut client = PlatformClient::anonymous(address);
-        read_all(context, &mut client).await
-    };
+    let replied_at = Cell::new(None);
     let mut attempts = FuturesUnordered::new();
+    let mut first_reason = plan.first_reason(reason);
     loop {
-        if attempts.len() < MAX_CONCURRENT_READS {
-            attempts.push(attempt());
+        let delay_ms = (control.retry_delay_ms)();
+        // The pages of a slow platform arrive one after the other; another attempt would read the
+        // same ones again.
+        let is_answered = |at: MonoTime| context.now() < at.plus_ms(delay_ms);
+        if attempts.len() < MAX_CONCURRENT_READS && !replied_at.get().is_some_and(is_answered) {
+            attempts.push(read_all(context, [first_reason, reason], &replied_at));
+            first_reason = PlatformReadReason::Retry;
         }
-        let next_attempt_at = sleep(Duration::from_millis((control.retry_delay_ms)()));
+        let next_attempt_at = sleep(Duration::from_millis(delay_ms));
         tokio::pin!(next_attempt_at);
         tokio::select! {
             Some(Ok(list)) = attempts.next() => return Ok(Some(list)),
@@ -188,51 +197,74 @@
     }
 }
 
+/// Reads the list on a new connection. The reason of the first call may differ from that of the
+/// others. Sets `replied_at` with each reply.
 async fn read_all(
     context: &NodeContext,
-    client: &mut PlatformClient,
+    [first_reason, reason]: [PlatformReadReason; 2],
+    replied_at: &Cell<Option<MonoTime>>,
 ) -> Result<(Vec<ListChange>, u64)> {
+    let address = SocketAddr::V4(context.settings.platform_address);
+    let mut listing = Listing {
+        context,
+        client: PlatformClient::anonymous(address),
+        next_reason: first_reason,
+        reason,
+        replied_at,
+    };
     // The pages are not a consistent snapshot. The watch starts at the revision of the first page
     // and reports the changes since then.
-    let (mut changes, first_revision) = read_pages(context, client, list_targets_path).await?;
-    let (operator_changes, _) = read_pages(context, client, list_operator_items_path).await?;
+    let (mut changes, first_revision) = listing.read_pages(list_targets_path).await?;
+    let (operator_changes, _) = listing.read_pages(list_operator_items_path).await?;
     changes.extend(operator_changes);
     Ok((changes, first_revision))
 }
 
-/// Reads all pages of a prefix. Returns their changes and the revision of the first page.
-async fn read_pages(
-    context: &NodeContext,
-    client: &mut PlatformClient,
-    path: impl Fn(Option<&str>) -> String,
-) -> Result<(Vec<ListChange>, u64)> {
-    let mut changes = Vec::new();
-    let mut after = None;
-    let mut first_revision = None;
-    for _ in 0..MAX_PAGES {
-        let body = read(context, client, &path(after.as_deref()), READ_TIMEOUT_MS).await?;
-        let page = decode_page(&body)?;
-        log_rejected_items(&page.rejected);
-        first_revision.get_or_insert(page.revision);
-        changes.extend(page.changes);
-        after = page.next_after;
-        if after.is_none() {
-            break;
+/// One attempt to read the list.
+struct Listing<'a> {
+    context: &'a NodeContext,
+    client: PlatformClient,
+    next_reason: PlatformReadReason,
+    reason: PlatformReadReason,
+    replied_at: &'a Cell<Option<MonoTime>>,
+}
+
+impl Listing<'_> {
+    /// Reads all pages of a prefix. Returns their changes and the revision of the first page.
+    async fn read_pages(
+        &mut self,
+        path: impl Fn(Option<&str>) -> String,
+    ) -> Result<(Vec<ListChange>, u64)> {
+        let mut changes = Vec::new();
+        let mut after = None;
+        let mut first_revision = None;
+        for _ in 0..MAX_PAGES {
+            let body = self.read(&path(after.as_deref())).await?;
+            let page = decode_page(&body)?;
+            log_rejected_items(&page.rejected);
+            first_revision.get_or_insert(page.revision);
+            changes.extend(page.changes);
+            after = page.next_after;
+            if after.is_none() {
+                break;
+            }
         }
+        Ok((changes, first_revision.unwrap_or(0)))
+    }
+
+    async fn read(&mut self, path: &str) -> Result<Vec<u8>> {
+        let reason = std::mem::replace(&mut self.next_reason, self.reason);
+        count_read(self.context, reason);
+        let (status, body) = self.client.get(path, READ_TIMEOUT_MS).await?;
+        expect_ok(status)?;
+        self.replied_at.set(Some(self.context.now()));
+        Ok(body.to_vec())
     }
-    Ok((changes, first_revision.unwrap_or(0)))
 }
 
-async fn read(
-    context: &NodeContext,
-    client: &mut PlatformClient,
-    path: &str,
-    timeout_ms: u64,
-) -> Result<Vec<u8>> {
-    context.metrics.platform_reads.inc();
-    let (status, body) = client.get(path, timeout_ms).await?;
-    expect_ok(status)?;
-    Ok(body.to_vec())
+fn count_read(context: &NodeContext, reason: PlatformReadReason) {
+    let label = reason.into();
+    context.metrics.platform_reads.get_or_create(&label).inc();
 }
 
 fn expect_ok(status: StatusCode) -> Result<()> {
@@ -245,22 +277,30 @@
     }
 }
 
+/// How far a watch has got.
+struct WatchProgress<'a> {
+    /// Revision up to which all changes are known.
+    revision: u64,
+    /// Reason of the next call.
+    reason: PlatformReadReason,
+    is_connected: &'a mut bool,
+}
+
 async fn watch(
     context: &NodeContext,
     client: &mut PlatformClient,
-    from_revision: u64,
+    progress: &mut WatchProgress<'_>,
     control: &WatchControl<'_>,
     on_update: &mut impl FnMut(ListUpdate),
-    is_connected: &mut bool,
 ) -> WatchEnd {
-    let mut revision = from_revision;
     loop {
         if (control.is_passive)() {
             return WatchEnd::Passive;
         }
         let next_at = context.now().plus_ms(WATCH_PERIOD_MS);
-        context.metrics.platform_reads.inc();
-        let path = watch_path(revision, WATCH_WAIT_MS);
+        let reason = std::mem::replace(&mut progress.reason, PlatformReadReason::Watch);
+        count_read(context, reason);
+        let path = watch_path(progress.revision, WATCH_WAIT_MS);
         let body = match client.get(&path, WATCH_TIMEOUT_MS).await {
             Ok((StatusCode::GONE, _)) => return WatchEnd::HistoryLost,
             Ok((status, body)) => match expect_ok(status) {
@@ -276,11 +316,12 @@
         log_rejected_items(&reply.rejected);
         // A lower revision than before belongs to a different history of the store, so changes may
         // have been missed.
-        if reply.revision < revision {
+        if reply.revision < progress.revision {
             return WatchEnd::HistoryLost;
         }
-        revision = reply.revision;
-        if !std::mem::replace(is_connected, true) {
+        let revision = reply.revision;
+        progress.revision = revision;
+        if !std::mem::replace(progress.is_connected, true) {
             log::info!(target: log_target::PLATFORM, "event=platform_back revision={revision}");
         }
         on_update(ListUpdate::Changes {
--- a/crates/fes-passthrough/src/fleet_view.rs
+++ b/crates/fes-passthrough/src/fleet_view.rs
@@ -299,6 +299,12 @@
         self.confirmed_at.map(|at| now.ms_since(at))
     }
 
+    /// Returns when the view was last confirmed.
+    #[must_use]
+    pub const fn confirmed_at(&self) -> Option<MonoTime> {
+        self.confirmed_at
+    }
+
     /// Returns the target on a VM.
     #[must_use]
     pub fn target_on(&self, vm: Ipv4Addr) -> Option<&TargetRecord> {
--- a/crates/fes-soak/src/lib.rs
+++ b/crates/fes-soak/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! Violations are determined from what clients and targets observe.
 
+mod calls;
 mod clients;
 mod daemon;
 mod network;
@@ -18,6 +19,9 @@
 mod target_listener;
 mod targets;
 
+pub use calls::CallOptions;
+pub use calls::PhaseReport;
+pub use calls::measure_calls;
 pub use daemon::DaemonId;
 pub use network::NODE_PORT;
 pub use network::Network;
@@ -31,3 +35,4 @@
 pub use run::Report;
 pub use run::SoakOptions;
 pub use run::run;
+pub use store::ReadCounts;
--- a/crates/fes-soak/src/main.rs
+++ b/crates/fes-soak/src/main.rs
@@ -8,12 +8,17 @@
 use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
+use fes_soak::CallOptions;
 use fes_soak::FaultKinds;
 use fes_soak::SoakOptions;
+use fes_soak::measure_calls;
 use fes_soak::run;
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
+    if matches.get_flag("calls") {
+        return count_calls(&matches);
+    }
     let first: u64 = number(&matches, "seed");
     let count: u64 = number(&matches, "count");
     let mut failed = 0;
@@ -30,6 +35,29 @@
     ExitCode::from(u8::from(failed > 0))
 }
 
+fn count_calls(matches: &ArgMatches) -> ExitCode {
+    let size = |name| usize::try_from(number(matches, name)).unwrap_or(1);
+    let measured = tempfile::tempdir().and_then(|directory| {
+        let options = CallOptions {
+            program: matches.get_one("program").cloned().unwrap_or_default(),
+            entries: size("entries"),
+            targets: size("targets"),
+            directory: directory.path().into(),
+        };
+        actix_rt::System::new().block_on(measure_calls(&options))
+    });
+    match measured {
+        Ok(reports) => {
+            reports.iter().for_each(|report| println!("{report}"));
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("the calls can't be counted: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn run_seed(matches: &ArgMatches, seed: u64) -> std::io::Result<bool> {
     let program = matches.get_one::<PathBuf>("program");
     let directory = tempfile::tempdir()?;
@@ -84,6 +112,12 @@
                 .help("Only replace targets as planned, without random faults")
                 .action(ArgAction::SetTrue),
         )
+        .arg(
+            Arg::new("calls")
+                .long("calls")
+                .help("Count the calls of the entries to the store in several phases")
+                .action(ArgAction::SetTrue),
+        )
         .arg(option("seed", "1", "First seed"))
         .arg(option("count", "1", "Number of seeds"))
         .arg(option("entries", "3", "Number of entries"))
--- a/crates/fes-soak/src/run.rs
+++ b/crates/fes-soak/src/run.rs
@@ -202,7 +202,7 @@
 
 /// Starts the store in a subnet that no other soak uses: only one can bind the store's address. Soaks
 /// may run in several processes, and as several tests of one.
-async fn start_store() -> std::io::Result<(Network, Rc<Store>)> {
+pub(crate) async fn start_store() -> std::io::Result<(Network, Rc<Store>)> {
     let first = std::process::id() % SUBNETS;
     let mut result = Err(ErrorKind::AddrInUse.into());
     for offset in 0..SUBNETS {
--- a/crates/fes-soak/src/store.rs
+++ b/crates/fes-soak/src/store.rs
@@ -49,6 +49,15 @@
     Slow(u64),
 }
 
+/// Calls received by the store.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ReadCounts {
+    /// Pages of lists.
+    pub lists: usize,
+    /// Watches.
+    pub watches: usize,
+}
+
 struct Item {
     value: String,
     revision: u64,
@@ -60,6 +69,7 @@
     items: RefCell<BTreeMap<String, Item>>,
     events: RefCell<VecDeque<(u64, Value)>>,
     revision: Cell<u64>,
+    reads: Cell<ReadCounts>,
     /// Current behaviour.
     pub mode: Cell<StoreMode>,
 }
@@ -72,6 +82,7 @@
             items: RefCell::default(),
             events: RefCell::default(),
             revision: Cell::new(1),
+            reads: Cell::default(),
             mode: Cell::new(StoreMode::Available),
         });
         let accepting_store = Rc::clone(&store);
@@ -120,6 +131,21 @@
         self.next_revision();
     }
 
+    /// Returns the calls received since the previous call of this method. Calls that failed count.
+    pub fn take_reads(&self) -> ReadCounts {
+        self.reads.take()
+    }
+
+    fn count_read(&self, request: Option<&StoreRequest>) {
+        let mut reads = self.reads.get();
+        match request {
+            Some(StoreRequest::Watch { .. }) => reads.watches += 1,
+            Some(StoreRequest::List { .. }) => reads.lists += 1,
+            Some(StoreRequest::Read { .. }) | None => {}
+        }
+        self.reads.set(reads);
+    }
+
     fn next_revision(&self) -> u64 {
         self.revision.set(self.revision.get() + 1);
         self.revision.get()
@@ -134,6 +160,9 @@
     }
 
     async fn respond(&self, request: Request<Incoming>) -> std::io::Result<Response<Full<Bytes>>> {
+        let query = request.uri().query().unwrap_or_default();
+        let store_request = parse_store_request(request.uri().path(), query);
+        self.count_read(store_request.as_ref());
         match self.mode.get() {
             StoreMode::Available => {}
             StoreMode::Aborting => {
@@ -148,8 +177,7 @@
                 return Ok(reply(StatusCode::TOO_MANY_REQUESTS, &Value::Null));
             }
         }
-        let query = request.uri().query().unwrap_or_default();
-        let (status, body) = match parse_store_request(request.uri().path(), query) {
+        let (status, body) = match store_request {
             Some(StoreRequest::List { prefix, after }) => {
                 (StatusCode::OK, self.list(&prefix, &after))
             }
--- a/crates/fes-telemetry/src/lib.rs
+++ b/crates/fes-telemetry/src/lib.rs
@@ -6,6 +6,7 @@
 mod metrics;
 #[cfg(feature = "otlp")]
 mod otlp;
+mod platform_read_reason;
 mod queued_writer;
 #[cfg(feature = "otlp")]
 mod span;
@@ -29,7 +30,10 @@
 pub use metrics::OutcomeCounter;
 pub use metrics::OutcomeHistogram;
 pub use metrics::OutcomeLabel;
+pub use metrics::ReasonCounter;
 pub use metrics::set_counter;
+pub use platform_read_reason::PlatformReadReason;
+pub use platform_read_reason::ReasonLabel;
 pub use queued_writer::LogFlusher;
 pub use queued_writer::QueuedWriter;
 #[cfg(feature = "otlp")]
--- a/crates/fes-telemetry/src/metrics.rs
+++ b/crates/fes-telemetry/src/metrics.rs
@@ -8,12 +8,16 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::registry::Registry;
 
+use crate::ReasonLabel;
+
 /// A count that only grows.
 pub type Counter = prometheus_client::metrics::counter::Counter<u64, AtomicU64>;
 /// A count for each result code.
 pub type CodeCounter = Family<CodeLabel, Counter>;
 /// A count for each outcome of a decision.
 pub type OutcomeCounter = Family<OutcomeLabel, Counter>;
+/// A count for each reason of a call to the platform.
+pub type ReasonCounter = Family<ReasonLabel, Counter>;
 /// A value that can rise and fall.
 pub type Gauge = prometheus_client::metrics::gauge::Gauge;
 /// A distribution of durations in seconds.
@@ -56,6 +60,8 @@
     CounterByCode,
     /// A count for each outcome, under the label `outcome`.
     CounterByOutcome,
+    /// A count for each reason, under the label `reason`.
+    CounterByReason,
     /// A value that can rise and fall.
     Gauge,
     /// A distribution of durations in seconds.
@@ -101,6 +107,13 @@
     }
 }
 
+impl MetricType for ReasonCounter {
+    const KIND: MetricKind = MetricKind::CounterByReason;
+    fn create() -> Self {
+        Self::default()
+    }
+}
+
 impl MetricType for Gauge {
     const KIND: MetricKind = MetricKind::Gauge;
     fn create() -> Self {
@@ -215,8 +228,8 @@
         "Idempotency keys held.";
     ticket_highest: Gauge, "ticket_highest_number",
         "Highest ticket number held.";
-    platform_reads: Counter, "platform_reads_total",
-        "Reads and watches sent to the platform.";
+    platform_reads: ReasonCounter, "platform_reads_total",
+        "Reads and watches sent to the platform, by reason.";
     platform_failures: CodeCounter, "platform_failures_total",
         "Failed reads and watches, by reason.";
     platform_age_ms: Gauge, "platform_age_milliseconds",
--- a/crates/fes-telemetry/tests/metrics.rs
+++ b/crates/fes-telemetry/tests/metrics.rs
@@ -5,12 +5,14 @@
 use fes_telemetry::MetricSpec;
 use fes_telemetry::Metrics;
 use fes_telemetry::OutcomeLabel;
+use fes_telemetry::PlatformReadReason;
 
 fn table_row(spec: &MetricSpec) -> String {
     let kind = match spec.kind {
         MetricKind::Counter => "counter",
         MetricKind::CounterByCode => "counter by `code`",
         MetricKind::CounterByOutcome => "counter by `outcome`",
+        MetricKind::CounterByReason => "counter by `reason`",
         MetricKind::Gauge => "gauge",
         MetricKind::Histogram => "histogram",
         MetricKind::HistogramByOutcome => "histogram by `outcome`",
@@ -49,6 +51,9 @@
     metrics.flow_decisions.get_or_create(&outcome).inc();
     metrics.flow_queue_wait.get_or_create(&outcome).observe(0.0);
 
+    let reason = PlatformReadReason::Watch.into();
+    metrics.platform_reads.get_or_create(&reason).inc();
+
     let text = metrics.encode();
 
     for spec in Metrics::CATALOGUE {
@@ -58,6 +63,7 @@
                 format!("\n{}_count{{outcome=\"placed\"}} 1\n", spec.name)
             }
             MetricKind::CounterByOutcome => format!("\n{}{{outcome=\"placed\"}} 1\n", spec.name),
+            MetricKind::CounterByReason => format!("\n{}{{reason=\"watch\"}} 1\n", spec.name),
             MetricKind::CounterByCode => format!("\n{}{{code=\"F5006\"}} 1\n", spec.name),
             MetricKind::Counter | MetricKind::Gauge => format!("\n{} 0\n", spec.name),
         };
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -146,7 +146,7 @@
     for metric in [
         "datagrams_forwarded_total",
         "control_bytes_received_total",
-        "platform_reads_total",
+        "platform_reads_total{reason=\"watch\"}",
     ] {
         entry.await_metric(&format!("fescueshift_{metric}")).await;
     }
