--- a/crates/fes-passthrough/tests/planned_stop.rs
+++ b/crates/fes-passthrough/tests/planned_stop.rs
@@ -4,11 +4,9 @@
 
 use std::collections::HashSet;
 
-use fes_passthrough::AgentAction;
 use fes_passthrough::FlowKey;
 use fes_passthrough::Outcome;
 use fes_passthrough::TargetState;
-use fes_protocol::MonoTime;
 use rstest::rstest;
 
 use support::client::Client;
@@ -21,8 +19,6 @@
 const TARGETS: usize = 4;
 const SLOTS: usize = 4;
 const WORK_MS: u64 = 20;
-/// Upper limit of the time that a stopping agent takes.
-const MAX_STOP_MS: u64 = 1_500;
 const RESTART_MS: u64 = 300;
 /// Latency goal of the simulated routes.
 const GOAL_MS: u64 = 200;
@@ -54,25 +50,6 @@
     }
 }
 
-fn begin_stop(simulation: &mut Simulation, index: usize) {
-    let now = MonoTime::from_ms(simulation.now_ms);
-    let mut out: Vec<AgentAction> = Vec::new();
-    if let Some(agent) = &mut simulation.agents[index] {
-        agent.begin_stop(now, now.plus_ms(MAX_STOP_MS), &mut out);
-    }
-    simulation.perform_agent(index, out, None);
-}
-
-/// Returns whether the agent's process may exit.
-fn advance_stop(simulation: &mut Simulation, index: usize) -> bool {
-    let now = MonoTime::from_ms(simulation.now_ms);
-    let mut out: Vec<AgentAction> = Vec::new();
-    let agent = simulation.agents[index].as_mut();
-    let may_exit = agent.is_none_or(|agent| agent.advance_stop(now, &mut out));
-    simulation.perform_agent(index, out, None);
-    may_exit
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     Running { until_ms: u64 },
@@ -108,12 +85,12 @@
     match phase {
         Phase::Running { until_ms } if now_ms >= until_ms => {
             if stop == Stop::Drain {
-                begin_stop(simulation, index);
+                simulation.begin_stop(index);
             }
             Phase::Draining
         }
         Phase::Draining => {
-            if stop == Stop::Drain && !advance_stop(simulation, index) {
+            if stop == Stop::Drain && !simulation.advance_stop(index) {
                 return phase;
             }
             simulation.agents[index] = None;
@@ -224,8 +201,8 @@
     let mut simulation = Simulation::new(2, TARGETS, SLOTS, WORK_MS, 6);
     add_streams(&mut simulation, 12, 1_000, 50);
     simulation.run_until(1_500);
-    begin_stop(&mut simulation, 0);
-    while !advance_stop(&mut simulation, 0) {
+    simulation.begin_stop(0);
+    while !simulation.advance_stop(0) {
         simulation.run_until(simulation.now_ms + 5);
     }
     simulation.agents[0] = None;
@@ -250,8 +227,8 @@
     add_streams(&mut simulation, 24, 40, 100);
     simulation.run_until(1_500);
     simulation.change_target(0, |record| record.state = state);
-    begin_stop(&mut simulation, 0);
-    while !advance_stop(&mut simulation, 0) {
+    simulation.begin_stop(0);
+    while !simulation.advance_stop(0) {
         simulation.run_until(simulation.now_ms + 5);
     }
     simulation.agents[0] = None;
