Don't list after a failed first listing if peers have sent the view

Found by reading: after a failed first listing the entry listed although its peers had sent a view that the platform confirmed later, against the changelog.

Cause: waiting for peers cleared only a listing that an outage demands. Change: it clears a first listing as well. The new test expects the watch; by reading, the code before answers with a listing there.

--- a/crates/fes-passthrough-node/src/list_plan.rs
+++ b/crates/fes-passthrough-node/src/list_plan.rs
@@ -17,7 +17,7 @@
     },
 }
 
-/// What the results of former calls demand of the next one.
+/// Chooses the next call from the results of the previous ones.
 #[derive(Debug, Default)]
 pub struct ListPlan {
     /// Reason for which the list must be read, although a revision is known.
@@ -73,7 +73,11 @@
     pub fn on_waited_for_peers(&mut self, confirmed_at: Option<MonoTime>) {
         self.has_waited_for_peers = true;
         let is_covered = confirmed_at.is_some_and(|at| at > self.failed_at);
-        if is_covered && self.due_listing == Some(PlatformReadReason::ListingAfterOutage) {
+        let is_coverable = matches!(
+            self.due_listing,
+            Some(PlatformReadReason::FirstListing | PlatformReadReason::ListingAfterOutage)
+        );
+        if is_covered && is_coverable {
             self.due_listing = None;
         }
     }
--- a/crates/fes-passthrough-node/tests/list_plan.rs
+++ b/crates/fes-passthrough-node/tests/list_plan.rs
@@ -55,6 +55,17 @@
     assert_eq!(plan.next_read(Some(REVISION)), expected);
 }
 
+/// Guards against an entry whose first listing fails and that lists although its peers have sent the
+/// view since.
+#[rstest]
+fn a_view_of_peers_replaces_a_first_listing_that_failed(mut plan: ListPlan) {
+    plan.on_failure(FAILED_AT, None);
+
+    plan.on_waited_for_peers(Some(MonoTime::from_ms(5_100)));
+
+    assert_eq!(plan.next_read(Some(REVISION)), AFTER_PEERS);
+}
+
 /// Guards against a watch from a revision whose later changes the platform no longer has, also if
 /// the platform fails before the list was read.
 #[rstest]
