Don't say of a dropped packet that its request has not run if it was started

Found by reading: an agent may drop, as dropped_stale, a retransmission of a request that its former incarnation had delivered. explain then said that the request has not run, although an earlier line shows its start.

--- a/crates/fes-passthrough-node/src/explain_logs.rs
+++ b/crates/fes-passthrough-node/src/explain_logs.rs
@@ -90,7 +90,7 @@
         () if has("timed_out_waiting") => {
             "The request timed out while it waited for a slot. It has not run."
         }
-        () if has("dropped_stale") => {
+        () if has("dropped_stale") && !has("started") => {
             "The request timed out before it could be sent to the target. It has not run."
         }
         () if has("search_lost") => "The target of the flow ended. The client was sent a reset.",
--- a/crates/fes-passthrough/src/agent/delivery.rs
+++ b/crates/fes-passthrough/src/agent/delivery.rs
@@ -24,9 +24,8 @@
 
 /// Number of requests that may be delivered to the target beyond its slots.
 const MAX_REQUESTS_BEYOND_SLOTS: u32 = 1;
-/// Number of slots that every target has. It is assumed for a moment after the agent's start, while
-/// no hello has told the number: without a limit, all packets that arrive before the hello would
-/// pass the queue.
+/// Number of slots assumed right after the agent's start, until a hello gives it. Without a limit, all
+/// packets that arrive before would pass the queue.
 const ASSUMED_SLOTS: u32 = 1;
 
 impl AgentCore {
@@ -101,7 +100,8 @@
             return;
         }
         if record.begins_request(segment) && requirements.timeout_ms == 0 {
-            // It timed out while an entry held it, and isn't run for a client that has left.
+            // It timed out at an entry or in the queue of the former incarnation. If that incarnation
+            // had delivered it already, this is a retransmission.
             let decision = FlowDecision::new(Outcome::DroppedStale).flow(flow);
             out.push(AgentAction::Record(decision));
             return;
@@ -176,7 +176,7 @@
     /// concurrently is allowed, so that no slot is idle between two requests.
     pub(super) fn has_slot(&self, now: MonoTime) -> bool {
         let slots = match self.slots {
-            0 if self.target_id.is_none() && now < self.slots_expected_by => ASSUMED_SLOTS,
+            0 if self.target_id.is_none() && now < self.assumed_slots_until => ASSUMED_SLOTS,
             slots => slots,
         };
         let is_unlimited = slots == 0 || !Mechanism::AgentQueue.is_enabled();
--- a/crates/fes-passthrough/src/flow_decision.rs
+++ b/crates/fes-passthrough/src/flow_decision.rs
@@ -28,8 +28,8 @@
     DroppedUnsure,
     /// A packet that arrived before any route is known was buffered.
     KeptEarly,
-    /// A packet that an entry had buffered or held was dropped: its request has timed out without
-    /// having run. At an agent, the entry's line of the packet tells the time.
+    /// A packet that an entry had buffered or held was dropped: its request has timed out. At an agent,
+    /// the entry's line of the packet tells the time.
     DroppedStale,
     /// A packet was dropped: a search for its flow is running and the buffer is full.
     DroppedSearching,
