--- a/crates/fes-passthrough-node/src/agent_daemon.rs
+++ b/crates/fes-passthrough-node/src/agent_daemon.rs
@@ -47,7 +47,7 @@
 const TICKS_PER_SLOW_TICK: u32 = 40;
 /// Interval at which a stopping agent looks for a moment at which nothing is in progress.
 const STOP_CHECK_MS: u64 = 4;
-/// Upper limit of the drain time beside a target that goes on. Requests that run longer are left to the next incarnation of the
+/// Upper limit of the drain time if the target isn't draining. Requests that run longer are left to the next incarnation of the
 /// agent, which learns their flows from the target.
 const MAX_DRAIN_MS: u64 = 1_500;
 /// Interval between two probes of a draining target while its agent stops. The target may end later
@@ -380,14 +380,9 @@
         }
     }
 
-    /// Finds out whether the target has ended. If it was never seen to accept a connection, it must
-    /// also have left packets unanswered.
+    /// Finds out whether the target has ended.
     async fn probe_target(&self) {
-        let is_unresponsive = self
-            .core
-            .borrow()
-            .is_target_unresponsive(self.context.now());
-        if self.target_probe.has_ended(is_unresponsive).await {
+        if self.target_probe.has_ended().await {
             self.core.borrow_mut().record_target_ended();
         }
     }
--- a/crates/fes-passthrough-node/src/target_probe.rs
+++ b/crates/fes-passthrough-node/src/target_probe.rs
@@ -12,8 +12,8 @@
 /// Time for the target on the same VM to accept or refuse a connection.
 const CONNECT_TIMEOUT_MS: u64 = 100;
 
-/// Probe of one target. A refused connection alone doesn't show that the target has ended, since a
-/// target needn't accept connections.
+/// Probe of one target. A refused connection shows that the target has ended only if it accepted
+/// one before, since a target needn't accept connections.
 #[derive(Debug)]
 pub struct TargetProbe {
     address: SocketAddrV4,
@@ -41,10 +41,9 @@
         );
     }
 
-    /// Returns whether the target refuses connections now, and either accepted one before or doesn't
-    /// answer packets. The latter shows the end of a target that ended before this process started.
-    pub async fn has_ended(&self, is_unresponsive: bool) -> bool {
-        if !self.has_accepted.get() && !is_unresponsive {
+    /// Returns whether the target accepted connections before and refuses them now.
+    pub async fn has_ended(&self) -> bool {
+        if !self.has_accepted.get() {
             return false;
         }
         let error = self.connect().await.and_then(Result::err);
--- a/crates/fes-passthrough/src/agent/agent_core.rs
+++ b/crates/fes-passthrough/src/agent/agent_core.rs
@@ -105,8 +105,8 @@
     /// Number of requests that the target runs concurrently; 0 if there is no limit, or if no hello
     /// has told it yet.
     pub(super) slots: u32,
-    /// Until when few slots are assumed if no hello has told their number.
-    pub(super) slots_expected_by: MonoTime,
+    /// Until then, `ASSUMED_SLOTS` applies if no hello has given the number of slots.
+    pub(super) assumed_slots_until: MonoTime,
     pub(super) is_draining: bool,
     /// Whether the target's process is known to have ended.
     pub(super) target_has_ended: bool,
@@ -146,7 +146,7 @@
             target_revision: 0,
             started_at_ms: 0,
             slots: 0,
-            slots_expected_by: now.plus_ms(FIRST_HELLO_TIMEOUT_MS),
+            assumed_slots_until: now.plus_ms(FIRST_HELLO_TIMEOUT_MS),
             is_draining: false,
             target_has_ended: false,
             stop_phase: StopPhase::Serving,
@@ -175,13 +175,6 @@
         self.is_draining
     }
 
-    /// Returns whether the target leaves packets unanswered that it would answer or return at once if
-    /// it ran.
-    #[must_use]
-    pub fn is_target_unresponsive(&self, now: MonoTime) -> bool {
-        self.target_monitor.is_unresponsive(now)
-    }
-
     /// Records that the target's process has ended. A stopping agent then ends at once and tells
     /// the entries that the flows are lost.
     pub const fn record_target_ended(&mut self) {
--- a/crates/fes-passthrough/src/agent/stopping.rs
+++ b/crates/fes-passthrough/src/agent/stopping.rs
@@ -19,9 +19,11 @@
 
 /// Time for entries to learn that the agent accepts no new flows.
 const LEAVE_NOTICE_MS: u64 = 150;
-/// Time after the agent may end from which no further request is started, if the target was never
-/// idle until then.
+/// Time that the agent waits for its target to be idle before it starts no further requests.
 const MAX_WAIT_FOR_IDLE_MS: u64 = 300;
+/// Time before the end at which the agent of a draining target begins to wait for idleness, half of it
+/// without starting further requests.
+const DRAINING_STOP_MARGIN_MS: u64 = 2 * MAX_WAIT_FOR_IDLE_MS;
 /// Time for which packets that were sent before the agent's last message are returned. Longer than
 /// a trip between data centres.
 const LAST_PACKETS_MS: u64 = 20;
@@ -47,13 +49,11 @@
     /// Stops accepting new flows and reports that to all entries immediately. Requests that still
     /// run at `end_by` are left to the next incarnation of the agent.
     ///
-    /// The agent of a draining target serves its flows for as long as it may: the target is about to
-    /// end, and the agent can then tell the entries that it has.
+    /// The agent of a draining or evacuated target serves its flows until shortly before `end_by`, so
+    /// that it can tell the entries if the target ends. A drain that begins later changes nothing.
     pub fn begin_stop(&mut self, now: MonoTime, end_by: MonoTime, out: &mut Vec<AgentAction>) {
         let wait_ms = match self.is_draining {
-            true => end_by
-                .ms_since(now)
-                .saturating_sub(2 * MAX_WAIT_FOR_IDLE_MS),
+            true => end_by.ms_since(now).saturating_sub(DRAINING_STOP_MARGIN_MS),
             false => LEAVE_NOTICE_MS,
         };
         let may_end_at = now.plus_ms(wait_ms);
--- a/crates/fes-passthrough/src/catalogue.rs
+++ b/crates/fes-passthrough/src/catalogue.rs
@@ -150,8 +150,8 @@
 }
 
 impl RouteSet {
-    /// Adds what the same version of the configuration, received from another process, has in
-    /// addition. A peer of an older version sends routes without warm-up limits or priorities.
+    /// Fills in warm-up limits and priorities from another copy of the same version. Peers of older
+    /// versions send routes without them.
     pub fn complete_from(&mut self, other: Self) {
         if self.warm_ups.is_empty() {
             self.warm_ups = other.warm_ups;
--- a/crates/fes-passthrough/src/placement.rs
+++ b/crates/fes-passthrough/src/placement.rs
@@ -51,7 +51,7 @@
     pub report_age_ms: u64,
 }
 
-/// Reasons to prefer other targets, the stronger one first.
+/// Rank of a target for placement; lower ranks are preferred. Fields are compared in their order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct TargetRank {
     /// Other entries may not know the target yet. They would reset its flows if routers moved them
--- a/crates/fes-passthrough/src/release_order.rs
+++ b/crates/fes-passthrough/src/release_order.rs
@@ -17,7 +17,8 @@
 use crate::FlowUse;
 use crate::Priority;
 
-/// Number of consecutive releases of which each priority gets at least one.
+/// Number of consecutive releases of which each priority gets at least one. With this many priorities
+/// or more, releases go round all of them, and a priority may wait for longer.
 pub const RELEASES_PER_TURN: u32 = 8;
 
 /// A queued request, as far as the order of releases depends on it.
--- a/crates/fes-passthrough/src/target_monitor.rs
+++ b/crates/fes-passthrough/src/target_monitor.rs
@@ -111,15 +111,6 @@
         now.ms_since(first_at) >= limit_ms && now.ms_since(last_at) < RETRY_AFTER_MS
     }
 
-    /// Returns whether the target left several packets unanswered, including the latest. A target that
-    /// runs answers or returns each packet within milliseconds.
-    #[must_use]
-    pub fn is_unresponsive(&self, now: MonoTime) -> bool {
-        let is_overdue = |at: MonoTime| now.ms_since(at) >= REPEATED_OPENING_TIMEOUT_MS;
-        self.unanswered_openings >= REPEATED_OPENINGS
-            && self.first_unanswered_at.is_some_and(is_overdue)
-    }
-
     /// Returns whether the target became silent since the last call, and this is to be reported at
     /// once.
     pub fn became_silent(&mut self, now: MonoTime) -> bool {
--- a/crates/fes-passthrough/src/trip_times.rs
+++ b/crates/fes-passthrough/src/trip_times.rs
@@ -33,7 +33,7 @@
 /// may have met a stalled agent.
 const MIN_INTERVALS: usize = 3;
 /// Length of an interval. Openings within it count as one: a stall of the entry delays all of them,
-/// and 100 ms is the period in which the time limit of its processor is applied.
+/// and 100 ms is the usual period of CPU quotas.
 const INTERVAL_MS: u64 = 100;
 /// Time after which a measurement no longer counts. Without flows to a data centre, its cost returns
 /// to the constant, so that a wrong measurement doesn't last.
--- a/crates/fes-passthrough/tests/planned_stop.rs
+++ b/crates/fes-passthrough/tests/planned_stop.rs
@@ -258,7 +258,7 @@
     assert_eq!(simulation.resets_while_open(), 0);
 }
 
-/// Number of requests that targets in known fleets queue beyond their slots.
+/// Number of requests that a target queues beyond its slots.
 const TARGET_QUEUE: usize = 12;
 /// Number of long flows that, with the single requests, demand 1.5 times what the targets can run.
 const OVERLOAD_STREAMS: u16 = 200;
@@ -351,7 +351,7 @@
 }
 
 /// Guards against restarted agents that deliver the first requests of all flows at once, past their
-/// queue: the target rejects those that exceed its own queue. On one day, 154 attempts failed.
+/// queue: the target rejects those that exceed its own queue.
 #[rstest]
 #[case::planned(restart_planned, 0)]
 #[case::planned_with_loss(restart_planned, 2)]
--- a/crates/fes-telemetry/src/metrics.rs
+++ b/crates/fes-telemetry/src/metrics.rs
@@ -75,7 +75,8 @@
     Gauge,
     /// A distribution of durations in seconds.
     Histogram,
-    /// A distribution of durations in seconds for each outcome, under the label `outcome`.
+    /// A distribution of durations in seconds for each outcome and priority, under the labels
+    /// `outcome` and `priority`.
     HistogramByOutcomeAndPriority,
 }
 
--- a/crates/fes-telemetry/src/platform_read_reason.rs
+++ b/crates/fes-telemetry/src/platform_read_reason.rs
@@ -19,7 +19,7 @@
     WatchAfterPeers,
     /// A listing is tried again because the previous attempts failed or have no reply.
     Retry,
-    /// A daemon of the tickets reads all of them.
+    /// All tickets are read.
     Tickets,
 }
 
