--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -7,7 +7,7 @@
 [ -x "$program" ] && [ -x "$standin" ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -k 5 100 "$standin" "$program" "$folder" review/6/record.txt
+timeout -k 5 100 "$standin" drain "$program" "$folder" review/6/record.txt
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/standin-2/planned.rs
+++ b/review/standin-2/planned.rs
@@ -37,6 +37,8 @@
 const ROUTE: (Ipv4Addr, u16) = (Ipv4Addr::new(198, 18, 0, 1), 8443);
 /// Time from the exit of a process to its next start, as the platform takes.
 const RESTART_DELAY: Duration = Duration::from_millis(600);
+/// The same in the scenario `away`.
+const AWAY: Duration = Duration::from_millis(2_000);
 /// Time after which the run is given up.
 const MAX_RUN: Duration = Duration::from_secs(80);
 
@@ -411,12 +413,16 @@
         }
     }
 
-    fn wait_and_restart(&mut self) {
+    fn wait(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.wait();
             PIDS.lock().unwrap().retain(|pid| *pid != child.id());
         }
         note(&self.log, &format!("exit {}", self.name));
+    }
+
+    fn wait_and_restart(&mut self) {
+        self.wait();
         thread::sleep(RESTART_DELAY);
         self.start();
     }
@@ -581,15 +587,16 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, program, directory, record] = arguments.as_slice() else {
-        eprintln!("usage: planned PROGRAM DIRECTORY RECORD");
+    let [_, scenario, program, directory, record] = arguments.as_slice() else {
+        eprintln!("usage: planned drain|away PROGRAM DIRECTORY RECORD");
         std::process::exit(2);
     };
     let is_troubled = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     let file = File::create(record).expect("record");
     let log: Log = Arc::new(Mutex::new((file, Instant::now())));
     thread::spawn(watch_duration);
-    let code = run(program, directory, &log, is_troubled);
+    let is_away = scenario == "away";
+    let code = run(program, directory, &log, is_troubled, is_away);
     note(&log, &format!("exit code {code}"));
     std::process::exit(code);
 }
@@ -619,7 +626,7 @@
     None
 }
 
-fn run(program: &str, directory: &str, log: &Log, is_troubled: bool) -> i32 {
+fn run(program: &str, directory: &str, log: &Log, is_troubled: bool, is_away: bool) -> i32 {
     let Some((subnet, p)) = free_subnet() else { return 2 };
     let ip = |i: u8| Ipv4Addr::new(127, subnet, 0, i);
     let entry_ip = ip(1);
@@ -683,7 +690,7 @@
         log: Arc::clone(log),
     };
     thread::sleep(Duration::from_secs(1));
-    if is_troubled {
+    if is_troubled && !is_away {
         note(log, "planned: the nodes beside the targets are stopped and started in turn");
         for agent in &mut agents {
             agent.terminate();
@@ -707,13 +714,36 @@
     };
     let Some(leaving) = flows.first().and_then(holder) else { return 2 };
     flows.retain(|flow| holder(flow) == Some(leaving));
-    note(log, &format!("{} open flows at {}, which is to leave", flows.len(), targets[leaving].name));
+    note(log, &format!("{} open flows at {}", flows.len(), targets[leaving].name));
     let drain = || {
         put(&store, &format!("servers/{}", targets[leaving].name), &targets[leaving].entry("draining", 2, p.app));
         note(log, &format!("{} is draining (accepted by the store); it goes on serving", targets[leaving].name));
     };
     let mut restarted = None;
-    if is_troubled {
+    if is_away {
+        note(log, "planned: the entry is stopped and started");
+        entry.terminate();
+        entry.wait();
+        thread::sleep(AWAY - Duration::from_millis(400));
+        if is_troubled {
+            note(log, "planned: the node beside that target is stopped and started");
+            let mut agent = agents.remove(leaving);
+            agent.terminate();
+            restarted = Some(thread::spawn(move || {
+                agent.wait();
+                thread::sleep(AWAY);
+                agent.start();
+                thread::sleep(Duration::from_secs(2));
+                agent
+            }));
+        }
+        thread::sleep(Duration::from_millis(400));
+        entry.start();
+        if !wait_ready() {
+            note(log, "the entry isn't ready");
+        }
+        thread::sleep(Duration::from_millis(900));
+    } else if is_troubled {
         entry.terminate();
         thread::sleep(Duration::from_millis(1_500));
         agents[leaving].terminate();
@@ -735,7 +765,8 @@
     let mut resets = 0;
     let mut served = 0;
     for flow in &mut flows {
-        match client.request(flow, Duration::from_millis(2_500)) {
+        let deadline_ms = if is_away { 1_000 } else { 2_500 };
+        match client.request(flow, Duration::from_millis(deadline_ms)) {
             Answer::Reset if holder(flow) == Some(leaving) => {
                 note(log, &format!("FLOW broken: flow {} is open at {}, which lives and sent no reset", flow.port, targets[leaving].name));
                 resets += 1;
@@ -749,7 +780,7 @@
     }
     drop(restarted.map(|thread| thread.join()));
     note(log, &format!("{resets} open flows reset, {served} served"));
-    if is_ready(ready_address) && resets + served == 0 {
+    if !is_away && is_ready(ready_address) && resets + served == 0 {
         return 2;
     }
     i32::from(resets > 0)
