--- a/review/standin-2/planned.rs
+++ b/review/standin-2/planned.rs
@@ -34,7 +34,7 @@
 const HEAD: usize = 34;
 const KEY: u32 = 0x5bd1_e995;
 const SERVICE: &str = "huvo11a";
-const ROUTE: (Ipv4Addr, u16) = (Ipv4Addr::new(198, 18, 0, 1), 8443);
+const ROUTE: (Ipv4Addr, u16) = (Ipv4Addr::new(127, 250, 0, 1), 8443);
 /// Time from the exit of a process to its next start, as the platform takes.
 const RESTART_DELAY: Duration = Duration::from_millis(600);
 /// The same in the scenario `away`.
