--- a/review/standin-2/planned.rs
+++ b/review/standin-2/planned.rs
@@ -354,7 +354,10 @@
             flow.next_from_client = p.seq.wrapping_add(p.data.len() as u32);
             let body = format!("{} served {}", self.name, p.src.1);
             let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-            note(&self.log, &format!("{} runs a request of flow {}", self.name, p.src.1));
+            let request = String::from_utf8_lossy(&p.data).into_owned();
+            let id = request.split("Request-Id: ").nth(1).and_then(|rest| rest.lines().next());
+            let id = id.unwrap_or("-");
+            note(&self.log, &format!("{} runs request {id} of flow {}", self.name, p.src.1));
             flow.sent += text.len() as u32;
             let packet = reply(ACK, from, flow.next_from_client, text.into_bytes());
             flow.response = Some(packet.clone());
@@ -546,6 +549,7 @@
                 flow.seq = flow.seq.wrapping_add(1);
                 flow.ack = p.seq.wrapping_add(1);
                 self.send(&flow, ACK, &[]);
+                note(&self.log, &format!("client: flow {port} is open"));
                 return Some(flow);
             }
             return None;
@@ -557,6 +561,7 @@
     fn request(&self, flow: &mut Flow, deadline: Duration) -> Answer {
         let id = format!("{:08x}", flow.seq ^ u32::from(flow.port));
         let text = format!("GET / HTTP/1.1\r\nHost: x\r\nRequest-Id: {id}\r\n\r\n");
+        note(&self.log, &format!("client: request {id} on flow {}", flow.port));
         let end = Instant::now() + deadline;
         let mut wait = Duration::from_millis(200);
         while Instant::now() < end {
