--- a/review/standin-2/planned.rs
+++ b/review/standin-2/planned.rs
@@ -44,14 +44,22 @@
 
 /// Processes that were started and not yet awaited.
 static PIDS: Mutex<Vec<u32>> = Mutex::new(Vec::new());
-/// Whether no process is to be started any more.
+/// Whether this process was told to end.
 static IS_OVER: AtomicBool = AtomicBool::new(false);
 
-/// Ends the processes and the run if it takes too long.
-fn watch_duration() {
-    thread::sleep(MAX_RUN);
+extern "C" fn on_signal(_: i32) {
     IS_OVER.store(true, Ordering::SeqCst);
-    for pid in PIDS.lock().unwrap().iter() {
+}
+
+/// Ends the processes and the run if it takes too long or is told to end.
+fn watch_end() {
+    let end = Instant::now() + MAX_RUN;
+    while Instant::now() < end && !IS_OVER.load(Ordering::SeqCst) {
+        thread::sleep(Duration::from_millis(20));
+    }
+    // Held until the exit, so that no further process is started.
+    let pids = PIDS.lock().unwrap();
+    for pid in pids.iter() {
         // SAFETY: the list holds children of this process that it hasn't waited for.
         unsafe { kill(*pid as i32, 9) };
     }
@@ -60,6 +68,7 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn signal(signal: i32, handler: extern "C" fn(i32)) -> usize;
 }
 
 type Log = Arc<Mutex<(File, Instant)>>;
@@ -383,9 +392,6 @@
 
 impl Daemon {
     fn start(&mut self) {
-        if IS_OVER.load(Ordering::SeqCst) {
-            return;
-        }
         let first = self.starts == 0;
         self.starts += 1;
         let path = format!("{}/{}.toml", self.directory, self.name);
@@ -395,6 +401,7 @@
             .append(true)
             .open(format!("{}/{}.log", self.directory, self.name))
             .unwrap();
+        let mut pids = PIDS.lock().unwrap();
         let child = Command::new(&self.program)
             .arg(self.command)
             .env("FESCUESHIFT_SETTINGS", &path)
@@ -403,8 +410,9 @@
             .stdout(output)
             .spawn()
             .expect("the daemon can't be started");
+        pids.push(child.id());
+        drop(pids);
         note(&self.log, &format!("start {} (pid {})", self.name, child.id()));
-        PIDS.lock().unwrap().push(child.id());
         self.child = Some(child);
     }
 
@@ -599,7 +607,11 @@
     let is_troubled = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     let file = File::create(record).expect("record");
     let log: Log = Arc::new(Mutex::new((file, Instant::now())));
-    thread::spawn(watch_duration);
+    for number in [1, 2, 15] {
+        // SAFETY: the handler only stores to an atomic.
+        unsafe { signal(number, on_signal) };
+    }
+    thread::spawn(watch_end);
     let is_away = scenario == "away";
     let code = run(program, directory, &log, is_troubled, is_away);
     note(&log, &format!("exit code {code}"));
