Wait for the agent of every listed target before a flow is reset

Cause: possible_holders left targets out of the sum for reasons other than their end: a draining target whose agent this entry had never heard, as soon as no agent knew all flows, which one round of planned restarts within a minute is enough for; and any target 1.5 s after its listing, or 2.5 s after its agent's end, which a restart on a busy VM exceeds. The answers of all other agents then counted as conclusive.

Change: a listed target may hold a flow, whatever its state and whoever has heard its agent, until its agent has been away for 10 s. The platform removes a target that has ended within seconds, so that its list bounds the wait; the constant bounds it if a record stays listed without an agent.

--- a/crates/fes-passthrough/src/agent_table.rs
+++ b/crates/fes-passthrough/src/agent_table.rs
@@ -13,9 +13,10 @@
 /// Minimum time without a report before an agent counts as silent. With a shorter time, the loss of
 /// two datagrams in a row would make it count as silent.
 const MIN_REPORT_TIMEOUT_MS: u64 = 350;
-/// Time after which an agent that doesn't report is assumed to have ended, from the announced end of
-/// its process or else from its latest report. It allows for the restart of a process on a busy VM.
-pub(crate) const MAX_AGENT_ABSENCE_MS: u64 = 2_500;
+/// Time after which an agent that doesn't report is assumed to have ended for good, from the announced
+/// end of its process, or else from its latest report, or else from the listing of its target. It
+/// allows for a restart that waits for a supervisor and for a busy VM. A lost VM is unlisted earlier.
+pub(crate) const MAX_AGENT_ABSENCE_MS: u64 = 10_000;
 /// Time after which a newly placed flow is included in its agent's reports: the handshake takes two
 /// trips to the client.
 const HANDSHAKE_MS: u64 = 30;
--- a/crates/fes-passthrough/src/entry/hellos.rs
+++ b/crates/fes-passthrough/src/entry/hellos.rs
@@ -11,7 +11,6 @@
 use crate::Hello;
 use crate::Message;
 use crate::TargetRecord;
-use crate::agent_table::MAX_AGENT_ABSENCE_MS;
 
 /// Minimum period of an agent's reports.
 const MIN_REPORT_PERIOD_MS: u64 = 100;
@@ -25,9 +24,13 @@
 const MIN_AWAITED_HELLO_PERIOD_MS: u64 = 40;
 /// Limit of such hellos, which a small entry can send beside the traffic.
 const MAX_AWAITED_HELLOS_PER_S: u64 = 4_000;
-/// Period of hellos to an agent that is being restarted as planned. Packets are held until it reports, and only
-/// few agents are restarted at the same time.
+/// Period of hellos to an agent that is being restarted as planned. Packets are held until it
+/// reports, and only few agents are restarted at the same time.
 const RESTART_HELLO_PERIOD_MS: u64 = 20;
+/// Time for which an agent gets hellos at these shorter periods, from its latest report or from the
+/// listing of its target. Most agents report by then, and the others cost an entry too much.
+const MAX_FREQUENT_HELLOS_MS: u64 = 2_500;
+
 impl EntryCore {
     /// Returns the period of the agents' reports, in milliseconds.
     #[must_use]
@@ -93,11 +96,11 @@
     match agents.get(record.vm) {
         Some(agent)
             if agent.process() == AgentProcess::Restarting
-                && agent.age_ms(now) < MAX_AGENT_ABSENCE_MS =>
+                && agent.age_ms(now) < MAX_FREQUENT_HELLOS_MS =>
         {
             Reporting::Restarting
         }
-        None if view.listed_for_ms(now, &record.id) < MAX_AGENT_ABSENCE_MS => Reporting::Awaited,
+        None if view.listed_for_ms(now, &record.id) < MAX_FREQUENT_HELLOS_MS => Reporting::Awaited,
         _ => Reporting::Usual,
     }
 }
--- a/crates/fes-passthrough/src/entry/searching.rs
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -22,13 +22,10 @@
 use crate::Segment;
 use crate::ServiceTag;
 use crate::TargetRecord;
-use crate::TargetState;
+use crate::agent_table::MAX_AGENT_ABSENCE_MS;
 use crate::attempt_rank;
 use crate::preferred_targets;
 
-/// Time within which the agent of a newly listed target sends its first report. An entry that was
-/// restarted has never heard the agents, which may be being restarted as well.
-const FIRST_REPORT_TIMEOUT_MS: u64 = 1_500;
 /// Maximum number of agents that an entry asks directly. Sending packets is expensive for an entry
 /// that has a small share of a core, while the detour through a nearby agent takes 0.5 ms.
 const MAX_DIRECT_LOOKUPS: usize = 2;
@@ -238,15 +235,13 @@
     /// its route moves to another service.
     ///
     /// Left out are targets that have ended according to their agent, and targets whose agent has
-    /// been silent for long or never reported, since their VM has ended or is unreachable. After a
-    /// loss of all processes, a draining target whose agent never reported is left out as well: it
-    /// has most likely ended meanwhile, and all flows would wait for it.
+    /// been away for longer than a restart takes. Until then it makes no difference why an agent
+    /// can't be asked, whether this entry has ever heard it, or what happened to the others: the
+    /// platform lists a target as long as it lives, and removes it within seconds of its end.
     fn possible_holders(&self, now: MonoTime) -> impl Iterator<Item = &TargetRecord> {
-        let are_all_restarted = self.has_no_complete_agent(now);
         let may_answer = move |target: &&TargetRecord| match self.agents.get(target.vm) {
             Some(agent) => agent.is_reachable(now) || agent.may_return(now),
-            None if are_all_restarted && target.state == TargetState::Draining => false,
-            None => self.view.listed_for_ms(now, &target.id) < FIRST_REPORT_TIMEOUT_MS,
+            None => self.view.listed_for_ms(now, &target.id) < MAX_AGENT_ABSENCE_MS,
         };
         self.view.newest_targets().filter(may_answer)
     }
