Probe targets only after every agent has answered that it doesn't know the flow

Cause: an entry that doesn't know a flow sent a copy of the packet along with its first lookups if no reachable agent had run for 60 s. The flow's own agent knew the flow, took it over and withheld the packet, because the flow's request was queued or given up, while the agents that didn't know the flow delivered their copies. Probes after the first round had the same fault when the own agent was asked in the second one.

Change: lookups carry no packet. Targets are probed once the agents of all rounds have answered and none knows the flow; then the own target is among those probed. A search no longer waits for agents whose target was unlisted, nor selects one as delegate, and a delegate doesn't take a late answer to a lookup for the answer to the probe that followed it, which it then lost.

--- a/crates/fes-passthrough/src/agent/lookup.rs
+++ b/crates/fes-passthrough/src/agent/lookup.rs
@@ -29,6 +29,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct PendingLookup {
     entry: Ipv4Addr,
+    /// Whether it carries a packet with which targets are probed.
+    is_probe: bool,
     /// Agents that haven't answered yet.
     awaited: Vec<Ipv4Addr>,
     /// Agents whose target doesn't hold the flow; not yet sent to the entry.
@@ -71,6 +73,7 @@
     ) {
         let pending = PendingLookup {
             entry,
+            is_probe: with_packet,
             awaited: agents.to_vec(),
             not_held_by: Vec::new(),
             undetermined: Vec::new(),
@@ -101,6 +104,10 @@
         let Some(pending) = self.pending_lookups.get_mut(&flow) else {
             return;
         };
+        // The answer to an earlier lookup: a probe is answered once the target has reacted.
+        if pending.is_probe && is_undetermined {
+            return;
+        }
         pending.awaited.retain(|awaited| *awaited != agent);
         match is_undetermined {
             true => pending.undetermined.push(agent),
--- a/crates/fes-passthrough/src/entry/searching.rs
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -106,6 +106,9 @@
                 self.search_queue.push_back((next_round_at, flow));
                 return;
             }
+            if is_last && self.probe_undetermined(now, flow, out) {
+                return;
+            }
         }
     }
 
@@ -123,8 +126,7 @@
             .collect()
     }
 
-    /// Sends lookups to those agents that haven't answered that their target doesn't hold the flow.
-    /// Returns whether there were any.
+    /// Sends lookups to those agents that haven't answered yet. Returns whether there were any.
     pub(super) fn look_up(
         &mut self,
         now: MonoTime,
@@ -132,30 +134,27 @@
         agents: &[Ipv4Addr],
         out: &mut Vec<EntryAction>,
     ) -> bool {
-        let may_send_packet = self.has_no_complete_agent(now) && self.is_probe_safe(now, &flow);
         let Some(record) = self.flows.get_mut(&flow) else {
             return false;
         };
         let FlowState::Searching(search) = &mut record.state else {
             return false;
         };
-        let undecided = agents.iter().filter(|vm| !search.is_not_held_by(**vm));
+        let unanswered = agents.iter().filter(|vm| !search.has_answered(**vm));
         let is_listed = |vm: &Ipv4Addr| self.view.target_on(*vm).is_some();
         let (listed, unlisted): (Vec<Ipv4Addr>, Vec<Ipv4Addr>) =
-            undecided.copied().partition(is_listed);
+            unanswered.copied().partition(is_listed);
         for vm in &listed {
             search.record_asked(*vm);
         }
         let repeats = search.repeats();
-        let packet = search.first_packet().filter(|_| may_send_packet);
-        let packet = packet.map(Box::<[u8]>::from);
         // A target that isn't listed has usually ended. If it only lost its connection to the
         // platform, it still holds its flows and its agent answers; the search doesn't wait for it.
         for vm in unlisted {
             let message = Message::Lookup { flow, entry: None };
             out.push(EntryAction::Send { vm, message });
         }
-        self.send_lookups(now, flow, &listed, repeats, packet.as_deref(), out);
+        self.send_lookups(now, flow, &listed, repeats, None, out);
         !listed.is_empty()
     }
 
@@ -193,14 +192,13 @@
     }
 
     /// Selects the delegate of an attempt, which varies between attempts. Agents in the entry's
-    /// data centre are preferred.
+    /// data centre are preferred. Those whose target is no longer listed have most likely ended.
     fn select_delegate(&self, now: MonoTime, flow: &FlowKey, attempt: u64) -> Option<Ipv4Addr> {
-        let is_far = |vm: Ipv4Addr| {
-            let target = self.view.target_on(vm);
-            target.is_none_or(|target| target.data_centre != self.data_centre)
-        };
         let reachable = self.agents.reachable(now);
-        reachable.min_by_key(|vm| (is_far(*vm), attempt_rank(flow, *vm, attempt)))
+        let listed = reachable.filter_map(|vm| self.view.target_on(vm));
+        let is_far = |target: &TargetRecord| target.data_centre != self.data_centre;
+        let key = |target: &&TargetRecord| (is_far(target), attempt_rank(flow, target.vm, attempt));
+        listed.min_by_key(key).map(|target| target.vm)
     }
 
     /// Resets the flow if no target holds it, and schedules a retry if some target may.
@@ -316,9 +314,11 @@
         };
         match search.progress() {
             SearchProgress::Waiting => {}
-            SearchProgress::NotHeldByAny => self.continue_search(now, flow, out),
-            SearchProgress::MayProbe(vms) => {
-                self.probe(now, flow, &vms, out);
+            SearchProgress::RoundOver => self.continue_search(now, flow, out),
+            SearchProgress::MayProbe(_) => {
+                if !self.probe_undetermined(now, flow, out) {
+                    self.finish_search(now, flow, out);
+                }
             }
         }
     }
@@ -335,20 +335,12 @@
         self.is_view_current(now) && holders.all(is_covered)
     }
 
-    /// Returns whether no agent knows all flows of its target because all were restarted. A lookup
-    /// without a packet would then only delay the search.
-    fn has_no_complete_agent(&self, now: MonoTime) -> bool {
-        let mut reachable = self.agents.reachable(now);
-        !reachable.any(|vm| self.agents.get(vm).is_some_and(|a| a.report().is_complete))
-    }
-
     /// Probes targets whose agents can't determine whether the target holds the flow, unless the
     /// flow's own target might not be among them. Returns whether they were probed.
-    fn probe(
+    fn probe_undetermined(
         &mut self,
         now: MonoTime,
         flow: FlowKey,
-        vms: &[Ipv4Addr],
         out: &mut Vec<EntryAction>,
     ) -> bool {
         if !self.is_probe_safe(now, &flow) {
@@ -360,13 +352,20 @@
         let FlowState::Searching(search) = &mut record.state else {
             return false;
         };
+        let SearchProgress::MayProbe(mut vms) = search.progress() else {
+            return false;
+        };
         let Some(packet) = search.first_packet().map(Box::<[u8]>::from) else {
             return false;
         };
-        search.record_probed(now, vms);
+        // In a large fleet, the targets that most likely hold the flow are probed first.
+        if !search.is_probed() {
+            vms.truncate(MAX_DELEGATED_LOOKUPS);
+        }
+        search.record_probed(now, &vms);
         let repeats = search.repeats();
         self.search_queue.push_back((search.next_round_at(), flow));
-        self.send_lookups(now, flow, vms, repeats, Some(&packet), out);
+        self.send_lookups(now, flow, &vms, repeats, Some(&packet), out);
         true
     }
 
@@ -383,8 +382,8 @@
         }
     }
 
-    /// Repeats the lookups to reachable agents that haven't answered. If there are none, continues
-    /// with the answers received so far.
+    /// Repeats the lookups to agents that haven't answered, unless they became unreachable or their
+    /// target was unlisted. If there are none, continues with the answers received so far.
     fn repeat_or_continue(&mut self, now: MonoTime, flow: FlowKey, out: &mut Vec<EntryAction>) {
         let Some(record) = self.flows.get_mut(&flow) else {
             return;
@@ -392,19 +391,14 @@
         let FlowState::Searching(search) = &mut record.state else {
             return;
         };
+        search.retain_asked(|vm| {
+            let is_reachable = self.agents.get(vm).is_some_and(|a| a.is_reachable(now));
+            is_reachable && self.view.target_on(vm).is_some()
+        });
         let unanswered = search.repeat_round(now);
-        let is_reachable =
-            |vm: &Ipv4Addr| self.agents.get(*vm).is_some_and(|a| a.is_reachable(now));
-        let (unanswered, unreachable): (Vec<_>, Vec<_>) =
-            unanswered.into_iter().partition(is_reachable);
-        search.exclude_asked(&unreachable);
         let next_round_at = search.next_round_at();
         if unanswered.is_empty() {
-            let is_probed = match search.progress() {
-                SearchProgress::MayProbe(vms) => self.probe(now, flow, &vms, out),
-                SearchProgress::Waiting | SearchProgress::NotHeldByAny => false,
-            };
-            if !is_probed {
+            if !self.probe_undetermined(now, flow, out) {
                 self.continue_search(now, flow, out);
             }
             return;
--- a/crates/fes-passthrough/src/flow_search.rs
+++ b/crates/fes-passthrough/src/flow_search.rs
@@ -4,9 +4,10 @@
 //! Agents are asked in rounds that follow the flow's preference order, so that the first round
 //! nearly always finds the target. An agent that was restarted doesn't know all flows of its
 //! target. Its target is then probed with a packet of the flow and returns the packet if it doesn't
-//! hold the flow. Targets are probed only after every agent that was asked has answered, so that
-//! the flow's own target is among those probed: packets that reach only other targets would break
-//! the flow.
+//! hold the flow. Targets are probed only after the agents of all rounds have answered and none
+//! knows the flow. The flow's own target is then among those probed; an agent that knows the flow
+//! may withhold its packets, as while a request is queued. Packets that reach only other targets
+//! would break the flow.
 
 use std::net::Ipv4Addr;
 
@@ -46,11 +47,12 @@
 pub enum SearchProgress {
     /// Some answers are outstanding.
     Waiting,
-    /// All agents that were asked have answered; these couldn't determine whether their target
-    /// holds the flow, and may be probed.
+    /// The agents of the rounds so far have answered, and none knows the flow. The next round is
+    /// due, or the search is over if there is none.
+    RoundOver,
+    /// The agents of all rounds have answered, and none knows the flow. The targets of these agents,
+    /// in the order in which they were asked, may be probed, since they may hold it nevertheless.
     MayProbe(Vec<Ipv4Addr>),
-    /// None of the targets that were asked about holds the flow.
-    NotHeldByAny,
 }
 
 /// A search in progress.
@@ -114,8 +116,7 @@
     /// Returns whether a later packet may start or restart the search.
     #[must_use]
     pub fn may_restart(&self, now: MonoTime) -> bool {
-        let is_over =
-            self.next_round >= ROUND_SIZES_PER_DATA_CENTRE.len() && now >= self.restart_at;
+        let is_over = self.is_last_round() && now >= self.restart_at;
         self.next_round == 0 || is_over
     }
 
@@ -147,10 +148,16 @@
         unanswered.copied().collect()
     }
 
-    fn has_answered(&self, vm: Ipv4Addr) -> bool {
+    /// Returns whether the agent has answered since the search began or was last retried.
+    #[must_use]
+    pub fn has_answered(&self, vm: Ipv4Addr) -> bool {
         self.is_not_held_by(vm) || self.undetermined.contains(&vm)
     }
 
+    const fn is_last_round(&self) -> bool {
+        self.next_round >= ROUND_SIZES_PER_DATA_CENTRE.len()
+    }
+
     /// Schedules a repetition of the last round, for agents that haven't answered that their target
     /// doesn't hold the flow. Returns false if the search has taken too long for that.
     pub fn retry_later(&mut self, now: MonoTime) -> bool {
@@ -180,9 +187,9 @@
         }
     }
 
-    /// Stops waiting for answers from agents that have become unreachable.
-    pub fn exclude_asked(&mut self, agents: &[Ipv4Addr]) {
-        self.asked.retain(|vm| !agents.contains(vm));
+    /// Stops waiting for answers from agents that can't give one any more.
+    pub fn retain_asked(&mut self, can_answer: impl Fn(Ipv4Addr) -> bool) {
+        self.asked.retain(|vm| can_answer(*vm));
     }
 
     /// Records that an agent's target doesn't hold the flow.
@@ -206,11 +213,11 @@
             return SearchProgress::Waiting;
         }
         let is_undecided = |vm: &&Ipv4Addr| !self.is_not_held_by(**vm);
-        let undecided: Vec<Ipv4Addr> = self.asked.iter().filter(is_undecided).copied().collect();
-        if undecided.is_empty() {
-            return SearchProgress::NotHeldByAny;
+        let mut undecided = self.asked.iter().filter(is_undecided).peekable();
+        if undecided.peek().is_none() || !self.is_last_round() {
+            return SearchProgress::RoundOver;
         }
-        let to_probe = undecided.iter().filter(|vm| !self.probed.contains(vm));
+        let to_probe = undecided.filter(|vm| !self.probed.contains(vm));
         let to_probe: Vec<Ipv4Addr> = to_probe.copied().collect();
         match to_probe.is_empty() {
             true => SearchProgress::Waiting,
@@ -218,6 +225,12 @@
         }
     }
 
+    /// Returns whether targets were probed since the search began or was last retried.
+    #[must_use]
+    pub const fn is_probed(&self) -> bool {
+        !self.probed.is_empty()
+    }
+
     /// Records that targets were probed with the packet, and allows them time to return it.
     pub fn record_probed(&mut self, now: MonoTime, vms: &[Ipv4Addr]) {
         self.probed.extend_from_slice(vms);
--- a/crates/fes-passthrough/tests/support/client.rs
+++ b/crates/fes-passthrough/tests/support/client.rs
@@ -8,6 +8,8 @@
 
 const FIRST_RETRY_MS: u64 = 200;
 const LONGEST_RETRY_MS: u64 = 1_600;
+/// Number of times that a client sends the end of its flow again while it isn't acknowledged.
+const MAX_END_RETRIES: u32 = 8;
 
 /// Largest distance of a reset's sequence number from the client's acknowledgement number. A client
 /// with an open flow ignores other resets.
@@ -24,9 +26,17 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
-    Opening { transmissions: u32 },
-    Waiting { since_ms: u64 },
+    Opening {
+        transmissions: u32,
+    },
+    Waiting {
+        since_ms: u64,
+    },
     Idle,
+    /// The client has closed the flow, which isn't acknowledged.
+    Closing {
+        retries: u32,
+    },
     Ended,
 }
 
@@ -81,7 +91,8 @@
     }
 
     pub fn is_open(&self) -> bool {
-        self.initial_sequence.is_some() && self.state != State::Ended
+        let is_closed = matches!(self.state, State::Closing { .. } | State::Ended);
+        self.initial_sequence.is_some() && !is_closed
     }
 
     /// Returns the packet that is due and the time of the next timer.
@@ -124,13 +135,22 @@
                 (Some(self.request()), Some(now_ms + FIRST_RETRY_MS))
             }
             State::Waiting { since_ms } if now_ms >= since_ms.saturating_add(self.timeout_ms) => {
+                self.retry_ms = FIRST_RETRY_MS;
+                self.state = State::Closing { retries: 0 };
+                (Some(self.end()), Some(now_ms + self.retry_ms))
+            }
+            State::Closing {
+                retries: MAX_END_RETRIES..,
+            } => {
                 self.state = State::Ended;
-                let end = Segment {
-                    is_fin: true,
-                    sequence: self.sequence + 100,
-                    ..self.acknowledgement()
+                (None, None)
+            }
+            State::Closing { retries } => {
+                self.state = State::Closing {
+                    retries: retries + 1,
                 };
-                (Some(end), None)
+                self.retry_ms = (self.retry_ms * 2).min(LONGEST_RETRY_MS);
+                (Some(self.end()), Some(now_ms + self.retry_ms))
             }
             State::Waiting { since_ms } => {
                 let leaves_at_ms = since_ms.saturating_add(self.timeout_ms);
@@ -200,6 +220,15 @@
         }
     }
 
+    /// Returns the end of the flow, which follows a request that isn't answered.
+    fn end(&self) -> Segment {
+        Segment {
+            is_fin: true,
+            sequence: self.sequence + 100,
+            ..self.acknowledgement()
+        }
+    }
+
     fn acknowledgement(&self) -> Segment {
         Segment {
             sequence: self.sequence,
