Deliver the end of a flow whose queued request was given up

Cause: an agent that drops a queued request because its client closed the flow, or because it timed out, withheld all later packets of the flow except resets, so that the target never got the end.

Change: it withholds packets with data only. The request still never runs.

--- a/crates/fes-passthrough/src/agent/delivery.rs
+++ b/crates/fes-passthrough/src/agent/delivery.rs
@@ -96,7 +96,7 @@
         let Some(record) = self.flows.get_mut(&flow) else {
             return;
         };
-        if record.is_abandoned() && !segment.is_reset {
+        if record.withholds(segment) {
             return;
         }
         if record.begins_request(segment) && requirements.timeout_ms == 0 {
@@ -157,7 +157,7 @@
         true
     }
 
-    /// Stops delivery of the flow's packets, so that the cancelled or expired request never runs.
+    /// Stops delivery of the flow's data, so that the cancelled or expired request never runs.
     pub(super) fn abandon(&mut self, flow: FlowKey) {
         if let Some(record) = self.flows.get_mut(&flow) {
             record.abandon();
--- a/crates/fes-passthrough/src/flow_table.rs
+++ b/crates/fes-passthrough/src/flow_table.rs
@@ -61,8 +61,8 @@
     /// Sequence number after the last byte that the target sent, if the agent saw any, and when it
     /// was sent.
     last_response: Option<(u32, MonoTime)>,
-    /// Whether the client's latest request was cancelled or timed out. No further packets of the
-    /// flow are delivered, except resets.
+    /// Whether the client's latest request was cancelled or timed out. No further data of the flow is
+    /// delivered.
     is_abandoned: bool,
     is_closing: bool,
     expires_at: MonoTime,
@@ -235,10 +235,11 @@
         self.is_closing = true;
     }
 
-    /// Returns whether the client's request was cancelled or timed out.
+    /// Returns whether a packet of the client isn't delivered because it may carry a request that was
+    /// cancelled or timed out. The target still learns that the client closes the flow.
     #[must_use]
-    pub const fn is_abandoned(&self) -> bool {
-        self.is_abandoned
+    pub const fn withholds(&self, segment: &Segment) -> bool {
+        self.is_abandoned && segment.payload_bytes > 0 && !segment.is_reset
     }
 
     /// Records the target's acknowledgement number. Data before it is a retransmission and doesn't
--- a/crates/fes-passthrough/tests/agent.rs
+++ b/crates/fes-passthrough/tests/agent.rs
@@ -176,6 +176,34 @@
     assert!(actions.contains(&expected), "{actions:?}");
 }
 
+/// Guards against a flow that stays open at a target because its agent withholds the end of the flow
+/// along with the queued request that the client gave up (review case 7). The request must not run.
+#[test]
+fn a_target_learns_that_the_client_closed_but_gets_no_given_up_request() {
+    let mut agent = agent_with_queued_requests();
+    let flow = flow(3, stream_address());
+    let requirements = requirements(FlowUse::Stream, 200, 1_000);
+    let data = Segment {
+        payload_bytes: REQUEST_BYTES,
+        sequence: opening(flow).sequence.wrapping_add(1),
+        ..client_segment(flow)
+    };
+    let late_end = Segment {
+        is_fin: true,
+        ..data
+    };
+
+    let closed = close(&mut agent, 60, flow);
+    let again = close(&mut agent, 260, flow);
+    let late = forward(&mut agent, 300, ForwardMode::Owner, requirements, &data);
+    let late_end = forward(&mut agent, 310, ForwardMode::Owner, requirements, &late_end);
+
+    assert!(closed.contains(&AgentAction::Deliver), "{closed:?}");
+    assert!(again.contains(&AgentAction::Deliver), "{again:?}");
+    assert!(!late.contains(&AgentAction::Deliver), "{late:?}");
+    assert!(!late_end.contains(&AgentAction::Deliver), "{late_end:?}");
+}
+
 /// Guards against a status that shows a wait that has ended.
 #[test]
 fn the_status_shows_the_queue() {
