Keep following the list beside odd entries and names of any length

Another writer's entry could stop entries from following the list of targets: one whose names are long made the messages by which readers pass the list on larger than any peer decodes, so that peers that don't read the platform never got the part with it, nor confirmed the revision. The sender didn't notice. The same held for removals and for routes with many services. A zone with a name of more than 64 bytes couldn't be evacuated.

Of several targets listed for a VM, one of a service that the configuration doesn't name comes last: such a record with a late start time took the place of the VM's own target.

--- a/crates/fes-passthrough/src/catalogue.rs
+++ b/crates/fes-passthrough/src/catalogue.rs
@@ -5,26 +5,22 @@
 
 use fes_protocol::DataCentreName;
 use fes_protocol::FastMap;
+use fes_protocol::FastSet;
 use fes_protocol::ServiceName;
 use fes_protocol::UpstreamName;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::MAX_NAME_BYTES;
+use crate::name_hash::name_hash;
+
 /// Hash of a service's name, which identifies the service in messages between processes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServiceTag(pub u64);
 
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-const FNV_PRIME: u64 = 0x0100_0000_01b3;
-
 impl From<&ServiceName> for ServiceTag {
-    /// Uses FNV-1a, which yields the same tag on every VM and in every version.
     fn from(name: &ServiceName) -> Self {
-        let mut hash = FNV_OFFSET;
-        for byte in name.as_str().bytes() {
-            hash = (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
-        }
-        Self(hash)
+        Self(name_hash(name.as_str()))
     }
 }
 
@@ -123,16 +119,12 @@
     pub is_in_force: bool,
 }
 
-/// Maximum length of the name of an evacuated data centre. Longer names would leave no room for
-/// others in messages.
-const MAX_EVACUATED_NAME_BYTES: usize = 64;
-
 impl Evacuation {
     /// Returns whether the name of the data centre is neither empty nor too long.
     #[must_use]
     pub fn has_valid_name(&self) -> bool {
         let length = self.data_centre.as_str().len();
-        (1..=MAX_EVACUATED_NAME_BYTES).contains(&length)
+        (1..=MAX_NAME_BYTES).contains(&length)
     }
 }
 
@@ -150,6 +142,14 @@
 }
 
 impl RouteSet {
+    /// Returns the services of all routes, and those with a limit during warm-up.
+    #[must_use]
+    pub fn named_services(&self) -> FastSet<ServiceTag> {
+        let routed = self.routes.values().flat_map(|route| &route.services);
+        let routed = routed.map(|weighted| weighted.service);
+        routed.chain(self.warm_ups.keys().copied()).collect()
+    }
+
     /// Fills in warm-up limits and priorities from another copy of the same version. Peers of older
     /// versions send routes without them.
     pub fn complete_from(&mut self, other: Self) {
--- a/crates/fes-passthrough/src/fleet_view.rs
+++ b/crates/fes-passthrough/src/fleet_view.rs
@@ -106,6 +106,8 @@
     evacuations: Evacuations,
     routes: RouteSet,
     has_routes: bool,
+    /// Services that the configuration in force names.
+    named_services: FastSet<ServiceTag>,
     revision: u64,
     /// Revision after which every removal has a tombstone.
     removals_known_after: u64,
@@ -432,8 +434,7 @@
         is_change.then_some(ViewEvent::TargetChanged(record))
     }
 
-    /// Indexes a target by service and VM. If a VM has several listed targets, the one that started
-    /// last, or was written last, counts as the VM's target.
+    /// Indexes a target by service and VM.
     fn index(&mut self, record: &TargetRecord) {
         let of_service = self.by_service.entry(record.service).or_default();
         of_service.insert(record.id.clone());
@@ -441,15 +442,47 @@
             .by_vm
             .get(&record.vm)
             .and_then(|id| self.targets.get(id));
-        let is_newer = current.is_none_or(|current| {
-            (record.started_at_ms, record.revision)
-                >= (current.record.started_at_ms, current.record.revision)
-        });
-        if is_newer {
+        let is_preferred = current
+            .is_none_or(|current| self.rank_on_vm(record) >= self.rank_on_vm(&current.record));
+        if is_preferred {
             self.by_vm.insert(record.vm, record.id.clone());
         }
     }
 
+    /// Returns the rank of a target among those listed for one VM, of which the highest counts as the
+    /// VM's target: the one that started last, or was written last. One of a service that the
+    /// configuration doesn't name may come from another writer, and comes after all others.
+    fn rank_on_vm(&self, record: &TargetRecord) -> (bool, u64, u64) {
+        let is_named = self.named_services.contains(&record.service);
+        (is_named, record.started_at_ms, record.revision)
+    }
+
+    /// Indexes all targets by VM.
+    fn index_vms(&mut self) {
+        let mut preferred: FastMap<Ipv4Addr, &TargetRecord> = FastMap::default();
+        for target in self.targets.values() {
+            let record = &target.record;
+            let current = preferred.entry(record.vm).or_insert(record);
+            if self.rank_on_vm(record) > self.rank_on_vm(current) {
+                *current = record;
+            }
+        }
+        let ids = preferred
+            .into_iter()
+            .map(|(vm, record)| (vm, record.id.clone()));
+        self.by_vm = ids.collect();
+    }
+
+    fn index_vm(&mut self, vm: Ipv4Addr) {
+        let records = self.targets.values().map(|target| &target.record);
+        let on_vm = records.filter(|record| record.vm == vm);
+        let preferred = on_vm.max_by_key(|record| self.rank_on_vm(record));
+        match preferred.map(|record| record.id.clone()) {
+            Some(id) => drop(self.by_vm.insert(vm, id)),
+            None => drop(self.by_vm.remove(&vm)),
+        }
+    }
+
     fn remove(&mut self, now: MonoTime, id: &UpstreamName, revision: u64) -> Option<ViewEvent> {
         let current = self.targets.get_mut(id)?;
         if current.record.revision > revision || matches!(current.listing, Listing::Unlisted { .. })
@@ -480,12 +513,7 @@
         if self.by_vm.get(&vm) != Some(id) {
             return;
         }
-        self.by_vm.remove(&vm);
-        let others = self.targets.values().filter(|other| other.record.vm == vm);
-        let newest = others.max_by_key(|other| (other.record.started_at_ms, other.record.revision));
-        if let Some(other) = newest {
-            self.by_vm.insert(vm, other.record.id.clone());
-        }
+        self.index_vm(vm);
     }
 
     fn apply_evacuation(&mut self, now: MonoTime, evacuation: Evacuation) -> Option<ViewEvent> {
@@ -502,8 +530,13 @@
         }
         let from = self.routes.version;
         let to = routes.version;
+        let named_services = routes.named_services();
         self.routes = routes;
         self.has_routes = true;
+        if self.named_services != named_services {
+            self.named_services = named_services;
+            self.index_vms();
+        }
         Some(ViewEvent::RoutesChanged { from, to })
     }
 }
--- a/crates/fes-passthrough/src/message_extension.rs
+++ b/crates/fes-passthrough/src/message_extension.rs
@@ -6,27 +6,27 @@
 //!
 //! Only messages that carry no packet have an extension.
 
-use fes_protocol::Error;
 use fes_protocol::Result;
-use fes_protocol::ResultCode;
-use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::Message;
 use crate::Priority;
 use crate::Route;
-use crate::codec::CONFIG;
+use crate::bounded_encoding::decode_bounded;
+use crate::bounded_encoding::encode_bounded;
 
 /// Appends the extension of a message to `buffer`, if the message has one.
 pub(crate) fn encode_extension(message: &Message, buffer: &mut Vec<u8>) -> Result<()> {
     match message {
-        Message::Load(report) => encode(&(report.run_time_us, report.supports_priority), buffer),
-        Message::Hello(hello) => encode(&hello.warm_up, buffer),
-        Message::Targets(part) => encode(&part.evacuations, buffer),
+        Message::Load(report) => {
+            encode_bounded(&(report.run_time_us, report.supports_priority), buffer)
+        }
+        Message::Hello(hello) => encode_bounded(&hello.warm_up, buffer),
+        Message::Targets(part) => encode_bounded(&part.evacuations, buffer),
         Message::Routes(part) => {
             let priority = |route: &Route| route.requirements.priority;
             let priorities: Vec<Priority> = part.routes.iter().map(priority).collect();
-            encode(&(&part.services, priorities), buffer)
+            encode_bounded(&(&part.services, priorities), buffer)
         }
         _ => Ok(()),
     }
@@ -57,13 +57,6 @@
     Ok(&[])
 }
 
-fn encode(extension: &impl Serialize, buffer: &mut Vec<u8>) -> Result<()> {
-    let written = bincode::serde::encode_into_std_write(extension, buffer, CONFIG);
-    written
-        .map(|_| ())
-        .map_err(|e| Error::coded(ResultCode::ControlTooLarge, e.to_string()))
-}
-
 /// Fields of an extension that are not decoded yet.
 struct Fields<'a> {
     rest: &'a [u8],
@@ -75,9 +68,7 @@
         if self.rest.is_empty() {
             return Ok(T::default());
         }
-        let decoded = bincode::serde::decode_from_slice(self.rest, CONFIG);
-        let (field, read_bytes) =
-            decoded.map_err(|e| Error::coded(ResultCode::ControlMalformed, e.to_string()))?;
+        let (field, read_bytes) = decode_bounded(self.rest)?;
         self.rest = &self.rest[read_bytes..];
         Ok(field)
     }
--- a/crates/fes-passthrough/src/view_parts.rs
+++ b/crates/fes-passthrough/src/view_parts.rs
@@ -10,11 +10,20 @@
 use crate::ServiceWarmUp;
 use crate::TargetsPart;
 
-/// Routes, services and targets that fit into one message: a route or target takes about 60 to 90
-/// bytes, a service at most 14.
-const ROUTES_PER_PART: usize = 16;
+/// Maximum size of the routes, of the targets and of the removed targets in one message. Together with
+/// the other fields they stay below [`crate::MAX_MESSAGE_BYTES`], beyond which no peer decodes it.
+const ROUTE_BYTES_PER_PART: usize = 1_300;
+const TARGET_BYTES_PER_PART: usize = 1_300;
+const REMOVED_BYTES_PER_PART: usize = 400;
+/// Services in one message. They are in its extension, which has a limit of its own; each takes at
+/// most 14 bytes.
 const SERVICES_PER_PART: usize = 32;
-const TARGETS_PER_PART: usize = 14;
+/// Maximum size of a target without its names, of a removed target without its name, of a route
+/// without its services, and of a service of a route.
+const TARGET_BYTES: usize = 60;
+const REMOVED_BYTES: usize = 11;
+const ROUTE_BYTES: usize = 22;
+const ROUTE_SERVICE_BYTES: usize = 14;
 /// Upper bound on the parts of one response, beyond the largest fleet that the design allows for.
 const MAX_PARTS: usize = 4_096;
 
@@ -69,9 +78,11 @@
     routes.sort_unstable_by_key(|route| route.destination);
     let mut services: Vec<ServiceWarmUp> = set.warm_ups.values().copied().collect();
     services.sort_unstable_by_key(|service| service.service);
-    let count = (routes.len().div_ceil(ROUTES_PER_PART))
-        .max(services.len().div_ceil(SERVICES_PER_PART))
-        .max(1);
+    let route_bytes = |route: &Route| ROUTE_BYTES + route.services.len() * ROUTE_SERVICE_BYTES;
+    let routes = split_by_size(routes, ROUTE_BYTES_PER_PART, route_bytes);
+    let services = services.chunks(SERVICES_PER_PART).map(<[_]>::to_vec);
+    let services: Vec<Vec<ServiceWarmUp>> = services.collect();
+    let count = routes.len().max(services.len()).max(1);
     let (version, idle_timeout_ms) = (set.version, set.idle_timeout_ms);
     let to_u32 = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
     (0..count).map(move |index| RoutesPart {
@@ -79,8 +90,8 @@
         idle_timeout_ms,
         index: to_u32(index),
         count: to_u32(count),
-        routes: chunk(&routes, ROUTES_PER_PART, index),
-        services: chunk(&services, SERVICES_PER_PART, index),
+        routes: routes.get(index).cloned().unwrap_or_default(),
+        services: services.get(index).cloned().unwrap_or_default(),
     })
 }
 
@@ -96,13 +107,13 @@
     changed.sort_unstable_by(|a, b| a.id.cmp(&b.id));
     let mut removed: Vec<_> = view.removed_after(since_revision).collect();
     removed.sort_unstable();
-    let count = (changed.len().div_ceil(TARGETS_PER_PART))
-        .max(removed.len().div_ceil(TARGETS_PER_PART))
-        .max(1);
-    let slice = |index: usize, len: usize| {
-        let start = (index * TARGETS_PER_PART).min(len);
-        start..(start + TARGETS_PER_PART).min(len)
-    };
+    let changed = split_by_size(changed, TARGET_BYTES_PER_PART, |target| {
+        TARGET_BYTES + target.id.as_str().len() + target.data_centre.as_str().len()
+    });
+    let removed = split_by_size(removed, REMOVED_BYTES_PER_PART, |(id, _)| {
+        REMOVED_BYTES + id.as_str().len()
+    });
+    let count = changed.len().max(removed.len()).max(1);
     let evacuations = view.evacuations().to_vec();
     let to_u32 = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
     let part = |index: usize| TargetsPart {
@@ -112,14 +123,34 @@
         age_ms,
         index: to_u32(index),
         count: to_u32(count),
-        targets: changed[slice(index, changed.len())].to_vec(),
-        removed: removed[slice(index, removed.len())].to_vec(),
+        targets: changed.get(index).cloned().unwrap_or_default(),
+        removed: removed.get(index).cloned().unwrap_or_default(),
         evacuations: Some(evacuations.clone()),
     };
     (0..count).map(part).collect()
 }
 
-fn chunk<T: Clone>(items: &[T], size: usize, index: usize) -> Vec<T> {
-    let chunk = items.chunks(size).nth(index);
-    chunk.map(<[T]>::to_vec).unwrap_or_default()
+/// Splits items into runs of at most `max_bytes` each. An item that exceeds this by itself is a run of
+/// its own.
+fn split_by_size<T>(
+    items: Vec<T>,
+    max_bytes: usize,
+    item_bytes: impl Fn(&T) -> usize,
+) -> Vec<Vec<T>> {
+    let mut runs = Vec::new();
+    let mut run = Vec::new();
+    let mut run_bytes = 0;
+    for item in items {
+        let bytes = item_bytes(&item);
+        if !run.is_empty() && run_bytes + bytes > max_bytes {
+            runs.push(std::mem::take(&mut run));
+            run_bytes = 0;
+        }
+        run_bytes += bytes;
+        run.push(item);
+    }
+    if !run.is_empty() {
+        runs.push(run);
+    }
+    runs
 }
--- a/crates/fes-passthrough/tests/codec.rs
+++ b/crates/fes-passthrough/tests/codec.rs
@@ -13,14 +13,37 @@
 use fes_passthrough::Message;
 use fes_passthrough::Priority;
 use fes_passthrough::ServiceTag;
+use fes_passthrough::TargetsPart;
 use fes_passthrough::decode_message;
 use fes_passthrough::encode_message;
+use fes_protocol::ResultCode;
 use proptest::prelude::any;
 use proptest::prelude::proptest;
 
 use support::fixtures::idle_report;
 use support::fixtures::requirements;
 
+/// Guards against a message that no receiver decodes and of whose loss no one knows.
+#[test]
+fn a_message_that_no_receiver_decodes_is_refused() {
+    let removed = (0..2_000).map(|index| (index.to_string().into(), index));
+    let message = Message::Targets(TargetsPart {
+        revision: 1,
+        after_revision: 0,
+        routes_version: 1,
+        age_ms: 0,
+        index: 0,
+        count: 1,
+        targets: Vec::new(),
+        removed: removed.collect(),
+        evacuations: None,
+    });
+
+    let error = encode_message(&message, &mut Vec::new()).expect_err("too large");
+
+    assert_eq!(error.code(), ResultCode::ControlTooLarge);
+}
+
 proptest! {
     /// Guards against a datagram that makes decoding panic.
     #[test]
--- a/crates/fes-passthrough/tests/exchange.rs
+++ b/crates/fes-passthrough/tests/exchange.rs
@@ -7,15 +7,19 @@
 
 use fes_passthrough::FleetView;
 use fes_passthrough::ListChange;
+use fes_passthrough::MAX_NAME_BYTES;
 use fes_passthrough::Message;
 use fes_passthrough::Route;
 use fes_passthrough::RouteSet;
+use fes_passthrough::ServiceTag;
 use fes_passthrough::TargetRecord;
 use fes_passthrough::TargetState;
 use fes_passthrough::ViewDigest;
 use fes_passthrough::ViewGossip;
+use fes_passthrough::WeightedService;
 use fes_passthrough::decode_message;
 use fes_passthrough::encode_message;
+use fes_protocol::DataCentreName;
 use fes_protocol::FastMap;
 use fes_protocol::MonoTime;
 use fes_protocol::UpstreamName;
@@ -366,3 +370,79 @@
     assert_eq!(restarted.view.revision(), 30);
     assert_eq!(restarted.view.targets().count(), TARGETS - 1);
 }
+
+/// Returns a name that begins with a number and is as long as names in messages may be.
+fn long_name(index: usize) -> String {
+    let number = index.to_string();
+    number.clone() + &"n".repeat(MAX_NAME_BYTES - number.len())
+}
+
+fn target_with_long_names(index: usize) -> TargetRecord {
+    TargetRecord {
+        id: UpstreamName::from(long_name(index)),
+        data_centre: DataCentreName::from(long_name(index)),
+        service: ServiceTag(u64::MAX),
+        started_at_ms: u64::MAX,
+        warm_up_ms: u32::MAX,
+        slots: u32::MAX,
+        ..target(index, 10)
+    }
+}
+
+/// Guards against a message that no peer decodes because of long names: peers that don't read the
+/// platform themselves would stop following the list.
+#[test]
+fn targets_with_long_names_and_their_removals_reach_peers() {
+    let mut nodes = [node(0), node(1)];
+    let listed = (0..TARGETS).map(|index| ListChange::Target(target_with_long_names(index)));
+    let listing: Vec<ListChange> = listed
+        .chain([ListChange::Routes(routes(3, SERVICE))])
+        .collect();
+    nodes[0].view.apply_listing(MonoTime::ZERO, listing, 20);
+    nodes[0].view.confirm(MonoTime::ZERO, 20);
+    run(&mut nodes, 0, 1_000, usize::MAX);
+    let listed = nodes[1].view.targets().count();
+    let now = MonoTime::from_ms(1_000);
+    for index in 1..TARGETS {
+        let id = UpstreamName::from(long_name(index));
+        let removal = ListChange::NoTarget { id, revision: 30 };
+        nodes[0].view.apply(now, removal);
+    }
+    nodes[0].view.confirm(now, 30);
+
+    run(&mut nodes, 1_000, 2_000, usize::MAX);
+
+    nodes[1].view.expire(MonoTime::from_ms(3_000));
+    assert_eq!(listed, TARGETS);
+    assert_eq!(nodes[1].view.revision(), 30);
+    assert_eq!(nodes[1].view.targets().count(), 1);
+}
+
+/// Guards against a message that no peer decodes because its routes have many services.
+#[test]
+fn routes_with_many_services_reach_peers() {
+    let mut nodes = [node(0), node(1)];
+    let services: Vec<WeightedService> = (0..60)
+        .map(|index| WeightedService {
+            service: ServiceTag(u64::MAX - index),
+            weight: u32::MAX,
+        })
+        .collect();
+    let mut set = routes(3, SERVICE);
+    for port in 1..=40 {
+        let destination = SocketAddrV4::new(*stream_address().ip(), port);
+        let route = Route {
+            destination,
+            services: services.clone(),
+            ..set.routes[&stream_address()].clone()
+        };
+        set.routes.insert(destination, route);
+    }
+    let listing = vec![ListChange::Routes(set.clone())];
+    nodes[0].view.apply_listing(MonoTime::ZERO, listing, 20);
+    nodes[0].view.confirm(MonoTime::ZERO, 20);
+
+    run(&mut nodes, 0, 1_000, usize::MAX);
+
+    assert_eq!(nodes[1].view.routes(), &set);
+}
--- a/crates/fes-passthrough/tests/view.rs
+++ b/crates/fes-passthrough/tests/view.rs
@@ -5,6 +5,7 @@
 
 use fes_passthrough::FleetView;
 use fes_passthrough::ListChange;
+use fes_passthrough::TargetRecord;
 use fes_passthrough::TargetState;
 use fes_passthrough::ViewDigest;
 use fes_passthrough::ViewEvent;
@@ -191,6 +192,10 @@
 #[test]
 fn an_address_belongs_to_the_target_that_started_last() {
     let mut view = view_with_targets(1);
+    let mut both_services = routes(6, SERVICE);
+    let route = both_services.routes.get_mut(&stream_address());
+    route.expect("route").services[0].service = OTHER_SERVICE;
+    view.apply(START, ListChange::Routes(both_services));
     let mut successor = target(7, 25);
     successor.vm = vm(0);
     successor.service = OTHER_SERVICE;
@@ -202,3 +207,34 @@
     let current = view.target_on(vm(0)).expect("target");
     assert_eq!(current.service, OTHER_SERVICE);
 }
+
+/// Guards against an entry of another writer that takes the place of a VM's target: hellos would tell
+/// the agent of a service that isn't its own, and searches would leave the target out.
+#[rstest]
+#[case::listed_before_the_configuration(true)]
+#[case::listed_after_the_configuration(false)]
+fn a_record_of_an_unnamed_service_hides_no_target(#[case] is_listed_first: bool) {
+    let mut view = FleetView::new();
+    let foreign = TargetRecord {
+        id: UpstreamName::from("foreign"),
+        service: OTHER_SERVICE,
+        started_at_ms: u64::MAX,
+        ..target(0, 11)
+    };
+    let mut changes = vec![
+        ListChange::Routes(routes(5, SERVICE)),
+        ListChange::Target(target(0, 10)),
+        ListChange::Target(foreign),
+    ];
+    if is_listed_first {
+        changes.reverse();
+    }
+    view.apply_listing(START, changes, 20);
+    let before = view.target_on(vm(0)).map(|target| target.service);
+
+    view.apply(START, removal(0, 21));
+    view.expire(START.plus_ms(60_000));
+
+    let after = view.target_on(vm(0)).map(|target| target.service);
+    assert_eq!((before, after), (Some(SERVICE), Some(OTHER_SERVICE)));
+}
--- a/crates/fes-soak/src/run.rs
+++ b/crates/fes-soak/src/run.rs
@@ -168,6 +168,7 @@
         let target = Target::start(index, service_of(index), network, store, record);
         targets.push(target.await?);
     }
+    targets[0].write_odd_items();
     let clients = Clients::start(network, options.entries, Rc::clone(&record)).await?;
     let ids = (0..options.entries)
         .map(DaemonId::Entry)
--- a/crates/fes-soak/src/targets.rs
+++ b/crates/fes-soak/src/targets.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
+use fes_adapter::odd_target_items;
 use fes_adapter::packet;
 use fes_adapter::stand_in::encode_packet;
 use fes_adapter::stand_in::encode_target;
@@ -203,11 +204,20 @@
     }
 
     fn register(&self) {
-        let id = self.id();
         self.writes.set(self.writes.get() + 1);
-        let record = self.registration(&id);
-        let value = encode_target(&record, self.service, TARGET_PORT, self.writes.get());
-        self.store.put(&target_key(&id), value);
+        self.store.put(&target_key(&self.id()), self.item());
+    }
+
+    fn item(&self) -> String {
+        let record = self.registration(&self.id());
+        encode_target(&record, self.service, TARGET_PORT, self.writes.get())
+    }
+
+    /// Writes items that resemble the target's own one, as another writer may leave them.
+    pub fn write_odd_items(&self) {
+        for (key, value) in odd_target_items(&self.item()) {
+            self.store.put(&key, value);
+        }
     }
 
     fn registration(&self, id: &str) -> TargetRecord {
