Move the files on the view and on warm-up into folders

Nothing else changes: fes-passthrough/src had 36 files side by side. view/ holds the view, its gossip, evacuations and the readers, warm_up/ the limit, the shares and the budget.

--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -32,7 +32,7 @@
 use crate::ViewGossip;
 use crate::ViewUpdate;
 use crate::WarmUpShares;
-use crate::view_gossip::since_start;
+use crate::view::since_start;
 
 /// Age up to which a view counts as current. A route missing from an older view may have been added
 /// since.
--- a/crates/fes-passthrough/src/view_gossip.rs
+++ b/crates/fes-passthrough/src/view/gossip.rs
@@ -13,6 +13,10 @@
 use fes_protocol::MonoTime;
 use fes_protocol::UpstreamName;
 
+use super::parts::Reassembly;
+use super::parts::ResponseKey;
+use super::parts::routes_parts;
+use super::parts::targets_parts;
 use crate::FleetView;
 use crate::KnownReader;
 use crate::ListChange;
@@ -25,10 +29,6 @@
 use crate::ViewDigest;
 use crate::random_rank;
 use crate::retry_delay_ms;
-use crate::view_parts::Reassembly;
-use crate::view_parts::ResponseKey;
-use crate::view_parts::routes_parts;
-use crate::view_parts::targets_parts;
 
 /// Time between two digests. Together with the readers' polling period it stays well below the time
 /// within which a change must be in force.
