Follow the platform into a new era when it comes back from an older copy

Cause: one counter ordered everything, and it goes back.

Change: a revision holds the era in its highest bits, so that every one of an era is higher than all of former eras; without the header Store-Era it is the platform's number, as before. What a target said of itself is ordered by its start time and its number of writes when eras differ, so that the copy undoes no drain, no replacement and no removal. Configurations have their version. What the copy lacks, of targets and of evacuations, counts until 2.2 s have passed, by which the platform's list is complete again. A reader takes a watch of another era for no continuation and lists, pages of one listing must be of one era, and a reply of a former era is refused. A header that is missing, unreadable or far ahead is logged once, and the reply counts as one of the known era. Peers of earlier versions get the platform's numbers; what they send counts as older than any era.

Log lines era_began and era_refused, list_era and unlisted_targets in the status, the gauge platform_era.

--- a/crates/fes-measure/src/capacity/pass_through.rs
+++ b/crates/fes-measure/src/capacity/pass_through.rs
@@ -171,6 +171,7 @@
         warm_up_ms: 0,
         revision: 1,
         created_revision: 1,
+        writes: 0,
     }
 }
 
--- a/crates/fes-measure/src/pass_through/fleet.rs
+++ b/crates/fes-measure/src/pass_through/fleet.rs
@@ -104,5 +104,6 @@
         warm_up_ms: 0,
         revision: 1,
         created_revision: 1,
+        writes: 0,
     }
 }
--- a/crates/fes-passthrough-node/src/decision_log.rs
+++ b/crates/fes-passthrough-node/src/decision_log.rs
@@ -9,6 +9,7 @@
 use fes_passthrough::FlowDecision;
 use fes_passthrough::Outcome;
 use fes_passthrough::Priority;
+use fes_passthrough::number_of;
 use fes_protocol::FastMap;
 use fes_protocol::MonoTime;
 use fes_telemetry::Metrics;
@@ -89,7 +90,7 @@
                 "outcome={} data_centre={} revision={}",
                 outcome.name(),
                 evacuation.data_centre.as_str().escape_default(),
-                evacuation.revision
+                number_of(evacuation.revision)
             );
         }
     }
--- a/crates/fes-passthrough-node/src/entry_daemon.rs
+++ b/crates/fes-passthrough-node/src/entry_daemon.rs
@@ -13,11 +13,14 @@
 use fes_membership::ClockMonitor;
 use fes_passthrough::EntryAction;
 use fes_passthrough::EntryCore;
+use fes_passthrough::FleetView;
 use fes_passthrough::Forward;
 use fes_passthrough::Message;
 use fes_passthrough::NodeSettings;
 use fes_passthrough::decode_message;
 use fes_passthrough::encode_message;
+use fes_passthrough::era_of;
+use fes_passthrough::number_of;
 use fes_protocol::Error;
 use fes_protocol::Lifecycle;
 use fes_protocol::MonoTime;
@@ -59,6 +62,8 @@
     node_socket: UdpSocket,
     buffer: RefCell<Vec<u8>>,
     last_packet_at: Cell<MonoTime>,
+    /// Revision of the view at the previous tick.
+    last_revision: Cell<u64>,
 }
 
 /// Runs an entry until a signal stops it.
@@ -92,6 +97,7 @@
         node_socket,
         buffer: RefCell::default(),
         last_packet_at: Cell::new(MonoTime::ZERO),
+        last_revision: Cell::new(0),
         context,
     });
     let _status = node.start_status().await?;
@@ -138,9 +144,11 @@
         actix_rt::spawn(async move {
             let control = WatchControl {
                 is_passive: &|| node.is_passive(),
+                known_era: &|| node.core.borrow().view().era(),
                 known_revision: &|| node.known_revision(),
                 confirmed_at: &|| node.core.borrow().view().confirmed_at(),
                 retry_delay_ms: &|| node.core.borrow().read_retry_delay_ms(),
+                last_era: Cell::new(None),
             };
             watch_list(&node.context, &control, |update| {
                 node.on_list_update(update)
@@ -266,6 +274,7 @@
         let mut actions = Vec::new();
         let mut core = self.core.borrow_mut();
         core.on_tick(now, &mut actions);
+        self.log_era(core.view());
         if is_slow_tick {
             core.on_slow_tick(now);
             self.update_gauges(&core, now);
@@ -274,6 +283,25 @@
         self.perform(actions, &[]);
     }
 
+    /// Logs that the platform has come back from an older copy, once the view follows it.
+    fn log_era(&self, view: &FleetView) {
+        let after = view.revision();
+        let before = self.last_revision.replace(after);
+        if before == 0 || era_of(before) == era_of(after) {
+            return;
+        }
+        log::warn!(
+            target: log_target::PLATFORM,
+            "event=era_began era={} former={} revision={} former_revision={} targets={} unlisted={}",
+            era_of(after),
+            era_of(before),
+            number_of(after),
+            number_of(before),
+            view.targets().count(),
+            view.unlisted_count()
+        );
+    }
+
     fn update_gauges(&self, core: &EntryCore, now: MonoTime) {
         let metrics = &self.context.metrics;
         let gauge = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
@@ -283,6 +311,7 @@
         metrics.platform_age_ms.set(age_ms);
         let evacuations = core.view().evacuations().in_force().count();
         metrics.evacuations_in_force.set(gauge(evacuations));
+        metrics.platform_era.set(i64::from(core.view().era()));
         let trips_us = core.trips().measured(now).map(|(_, lowest_us)| lowest_us);
         let longest_us = i64::try_from(trips_us.max().unwrap_or(0)).unwrap_or(i64::MAX);
         metrics.longest_trip_us.set(longest_us);
--- a/crates/fes-passthrough-node/src/list_watcher.rs
+++ b/crates/fes-passthrough-node/src/list_watcher.rs
@@ -5,13 +5,19 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+use fes_adapter::ERA_HEADER;
 use fes_adapter::RejectedItem;
+use fes_adapter::decode_era;
 use fes_adapter::decode_page;
 use fes_adapter::decode_watch;
 use fes_adapter::list_operator_items_path;
 use fes_adapter::list_targets_path;
 use fes_adapter::watch_path;
+use fes_passthrough::Era;
 use fes_passthrough::ListChange;
+use fes_passthrough::era_of;
+use fes_passthrough::number_of;
 use fes_platform::PlatformClient;
 use fes_protocol::Error;
 use fes_protocol::MonoTime;
@@ -21,12 +27,15 @@
 use fes_telemetry::log_target;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use http::HeaderValue;
+use http::Response;
 use http::StatusCode;
 use tokio::time::sleep;
 
 use crate::list_plan::ListPlan;
 use crate::list_plan::NextRead;
 use crate::node_context::NodeContext;
+use crate::reply_era::ReplyEra;
 
 /// Timeout of a read. The platform replies within milliseconds, or within a second if it is slow.
 const READ_TIMEOUT_MS: u64 = 1_500;
@@ -68,12 +77,16 @@
 pub(crate) struct WatchControl<'a> {
     /// Whether other processes read the list for this one.
     pub(crate) is_passive: &'a dyn Fn() -> bool,
+    /// Era of the platform's history that the view follows.
+    pub(crate) known_era: &'a dyn Fn() -> Era,
     /// Revision up to which all changes are known, from this process or from its peers.
     pub(crate) known_revision: &'a dyn Fn() -> Option<u64>,
     /// When the platform confirmed the list, to this process or to its peers.
     pub(crate) confirmed_at: &'a dyn Fn() -> Option<MonoTime>,
     /// Time between two attempts while the platform doesn't respond, in milliseconds.
     pub(crate) retry_delay_ms: &'a dyn Fn() -> u64,
+    /// Relation of the latest reply to the known era, so that a change is logged once.
+    pub(crate) last_era: Cell<Option<ReplyEra>>,
 }
 
 /// Why a watch ended.
@@ -106,7 +119,9 @@
                     Ok(Some((changes, revision))) => {
                         log::info!(
                             target: log_target::PLATFORM,
-                            "event=list_read revision={revision} entries={} reason={reason}",
+                            "event=list_read era={} revision={} entries={} reason={reason}",
+                            era_of(revision),
+                            number_of(revision),
                             changes.len()
                         );
                         on_update(ListUpdate::Listing { changes, revision });
@@ -132,7 +147,11 @@
             WatchEnd::Passive => {}
             WatchEnd::HistoryLost => {
                 plan.on_history_lost();
-                log::info!(target: log_target::PLATFORM, "event=history_lost revision={revision}");
+                log::info!(
+                    target: log_target::PLATFORM,
+                    "event=history_lost revision={}",
+                    number_of(revision)
+                );
             }
             WatchEnd::Failed(error) => {
                 plan.on_failure(context.now(), (control.known_revision)());
@@ -170,7 +189,8 @@
         // same ones again.
         let is_answered = |at: MonoTime| context.now() < at.plus_ms(delay_ms);
         if attempts.len() < MAX_CONCURRENT_READS && !replied_at.get().is_some_and(is_answered) {
-            attempts.push(read_all(context, [first_reason, reason], &replied_at));
+            let reasons = [first_reason, reason];
+            attempts.push(read_all(context, control, reasons, &replied_at));
             first_reason = PlatformReadReason::Retry;
         }
         let next_attempt_at = sleep(Duration::from_millis(delay_ms));
@@ -201,13 +221,16 @@
 /// others. Sets `replied_at` with each reply.
 async fn read_all(
     context: &NodeContext,
+    control: &WatchControl<'_>,
     [first_reason, reason]: [PlatformReadReason; 2],
     replied_at: &Cell<Option<MonoTime>>,
 ) -> Result<(Vec<ListChange>, u64)> {
     let address = SocketAddr::V4(context.settings.platform_address);
     let mut listing = Listing {
         context,
+        control,
         client: PlatformClient::anonymous(address),
+        era: None,
         next_reason: first_reason,
         reason,
         replied_at,
@@ -223,7 +246,10 @@
 /// One attempt to read the list.
 struct Listing<'a> {
     context: &'a NodeContext,
+    control: &'a WatchControl<'a>,
     client: PlatformClient,
+    /// Era of the first page. All pages must be of the same one.
+    era: Option<Era>,
     next_reason: PlatformReadReason,
     reason: PlatformReadReason,
     replied_at: &'a Cell<Option<MonoTime>>,
@@ -239,8 +265,8 @@
         let mut after = None;
         let mut first_revision = None;
         for _ in 0..MAX_PAGES {
-            let body = self.read(&path(after.as_deref())).await?;
-            let page = decode_page(&body)?;
+            let (body, era) = self.read(&path(after.as_deref())).await?;
+            let page = decode_page(&body, era)?;
             log_rejected_items(&page.rejected);
             first_revision.get_or_insert(page.revision);
             changes.extend(page.changes);
@@ -252,13 +278,21 @@
         Ok((changes, first_revision.unwrap_or(0)))
     }
 
-    async fn read(&mut self, path: &str) -> Result<Vec<u8>> {
+    /// Reads a page. Returns its body and its era.
+    async fn read(&mut self, path: &str) -> Result<(Bytes, Era)> {
         let reason = std::mem::replace(&mut self.next_reason, self.reason);
         count_read(self.context, reason);
-        let (status, body) = self.client.get(path, READ_TIMEOUT_MS).await?;
-        expect_ok(status)?;
+        let response = self.client.get_response(path, READ_TIMEOUT_MS).await?;
+        expect_ok(response.status())?;
+        let era = match reply_era(self.control, &response) {
+            ReplyEra::Current(era) | ReplyEra::Later(era) | ReplyEra::Unreadable(era) => era,
+            ReplyEra::Former(era) => return Err(former_era(era)),
+        };
+        if *self.era.get_or_insert(era) != era {
+            return Err(former_era(era));
+        }
         self.replied_at.set(Some(self.context.now()));
-        Ok(body.to_vec())
+        Ok((response.into_body(), era))
     }
 }
 
@@ -267,6 +301,27 @@
     context.metrics.platform_reads.get_or_create(&label).inc();
 }
 
+fn reply_era(control: &WatchControl<'_>, response: &Response<Bytes>) -> ReplyEra {
+    let known = (control.known_era)();
+    let header = response.headers().get(ERA_HEADER);
+    let told = header.and_then(|value| decode_era(value.as_bytes()));
+    let era = ReplyEra::of(known, told);
+    let is_refused = matches!(era, ReplyEra::Unreadable(_) | ReplyEra::Former(_));
+    if control.last_era.replace(Some(era)) != Some(era) && is_refused {
+        let told = header.map_or(&[][..], HeaderValue::as_bytes).escape_ascii();
+        log::warn!(
+            target: log_target::PLATFORM,
+            "event=era_refused known={known} told=\"{told}\""
+        );
+    }
+    era
+}
+
+fn former_era(era: Era) -> Error {
+    let detail = format!("the platform's reply is of another era of its history: {era}");
+    Error::coded(ResultCode::PlatformUnreachable, detail)
+}
+
 fn expect_ok(status: StatusCode) -> Result<()> {
     match status {
         StatusCode::OK => Ok(()),
@@ -300,16 +355,26 @@
         let next_at = context.now().plus_ms(WATCH_PERIOD_MS);
         let reason = std::mem::replace(&mut progress.reason, PlatformReadReason::Watch);
         count_read(context, reason);
-        let path = watch_path(progress.revision, WATCH_WAIT_MS);
-        let body = match client.get(&path, WATCH_TIMEOUT_MS).await {
-            Ok((StatusCode::GONE, _)) => return WatchEnd::HistoryLost,
-            Ok((status, body)) => match expect_ok(status) {
-                Ok(()) => body,
-                Err(error) => return WatchEnd::Failed(error),
-            },
+        let path = watch_path(number_of(progress.revision), WATCH_WAIT_MS);
+        let response = match client.get_response(&path, WATCH_TIMEOUT_MS).await {
+            Ok(response) if response.status() == StatusCode::GONE => return WatchEnd::HistoryLost,
+            Ok(response) => response,
             Err(error) => return WatchEnd::Failed(error),
         };
-        let reply = match decode_watch(&body) {
+        if let Err(error) = expect_ok(response.status()) {
+            return WatchEnd::Failed(error);
+        }
+        let era = match reply_era(control, &response) {
+            ReplyEra::Former(era) => return WatchEnd::Failed(former_era(era)),
+            // The revision from which changes were awaited may have been given out again.
+            ReplyEra::Later(_) => return WatchEnd::HistoryLost,
+            ReplyEra::Current(era) | ReplyEra::Unreadable(era) => era,
+        };
+        // Peers may have told of a later era than the one in which the watch began.
+        if era != era_of(progress.revision) {
+            return WatchEnd::HistoryLost;
+        }
+        let reply = match decode_watch(response.body(), era) {
             Ok(reply) => reply,
             Err(error) => return WatchEnd::Failed(error),
         };
@@ -322,7 +387,11 @@
         let revision = reply.revision;
         progress.revision = revision;
         if !std::mem::replace(progress.is_connected, true) {
-            log::info!(target: log_target::PLATFORM, "event=platform_back revision={revision}");
+            log::info!(
+                target: log_target::PLATFORM,
+                "event=platform_back revision={}",
+                number_of(revision)
+            );
         }
         on_update(ListUpdate::Changes {
             changes: reply.changes,
--- a/crates/fes-passthrough/src/agent/heartbeats.rs
+++ b/crates/fes-passthrough/src/agent/heartbeats.rs
@@ -15,6 +15,7 @@
 use crate::ReportedRunTime;
 use crate::TargetHint;
 use crate::TargetState;
+use crate::number_of;
 
 /// Minimum time without a hello after which an entry gets no more reports.
 const MIN_ENTRY_TIMEOUT_MS: u64 = 3_000;
@@ -112,7 +113,7 @@
         }
         if is_change {
             let decision = FlowDecision::new(Outcome::TargetChanged)
-                .version(hint.revision)
+                .version(number_of(hint.revision))
                 .load(u64::from(is_draining));
             out.push(AgentAction::Record(decision));
             self.report_to_all(now, out);
--- a/crates/fes-passthrough/src/agent/stopping.rs
+++ b/crates/fes-passthrough/src/agent/stopping.rs
@@ -16,6 +16,7 @@
 use crate::Message;
 use crate::Outcome;
 use crate::ReturnReason;
+use crate::number_of;
 
 /// Time for entries to learn that the agent accepts no new flows.
 const LEAVE_NOTICE_MS: u64 = 150;
@@ -177,7 +178,7 @@
     fn record_returned(&self, flow: FlowKey, out: &mut Vec<AgentAction>) {
         let decision = FlowDecision::new(Outcome::HandedBack)
             .flow(flow)
-            .version(self.target_revision);
+            .version(number_of(self.target_revision));
         out.push(AgentAction::Record(decision));
     }
 }
--- a/crates/fes-passthrough/src/agent/target_packets.rs
+++ b/crates/fes-passthrough/src/agent/target_packets.rs
@@ -15,6 +15,7 @@
 use crate::Outcome;
 use crate::ReturnReason;
 use crate::Segment;
+use crate::number_of;
 
 impl AgentCore {
     /// Handles a packet that the target sent or returned.
@@ -130,7 +131,7 @@
         });
         let decision = FlowDecision::new(Outcome::HandedBack)
             .flow(flow)
-            .version(self.target_revision);
+            .version(number_of(self.target_revision));
         out.push(AgentAction::Record(decision));
     }
 
--- a/crates/fes-passthrough/src/catalogue.rs
+++ b/crates/fes-passthrough/src/catalogue.rs
@@ -199,4 +199,17 @@
     pub revision: u64,
     /// Revision in which the target was listed, or listed again after its record had expired.
     pub created_revision: u64,
+    /// Number of the target's writes since its start when it wrote the record; 0 if unknown. Sent as
+    /// an extension.
+    #[serde(skip)]
+    pub writes: u64,
+}
+
+impl TargetRecord {
+    /// Returns the order of what a target said of itself, which holds in any era of the platform's
+    /// history.
+    #[must_use]
+    pub const fn statement(&self) -> (u64, u64) {
+        (self.started_at_ms, self.writes)
+    }
 }
--- a/crates/fes-passthrough/src/codec.rs
+++ b/crates/fes-passthrough/src/codec.rs
@@ -3,10 +3,12 @@
 use fes_protocol::Result;
 
 use crate::Message;
+use crate::ViewDigest;
 use crate::bounded_encoding::decode_bounded;
 use crate::bounded_encoding::encode_bounded;
 use crate::message_extension::decode_extension;
 use crate::message_extension::encode_extension;
+use crate::number_of;
 
 /// Appends a message to `buffer`.
 ///
@@ -18,7 +20,18 @@
 /// [`ControlTooLarge`]: fes_protocol::ResultCode::ControlTooLarge
 /// [`MAX_MESSAGE_BYTES`]: crate::MAX_MESSAGE_BYTES
 pub fn encode_message(message: &Message, buffer: &mut Vec<u8>) -> Result<()> {
-    encode_bounded(message, buffer)?;
+    match message {
+        // Processes of earlier versions read the platform's number; the era is in the extension.
+        Message::Digest(digest) => {
+            let revision = number_of(digest.revision);
+            let digest = ViewDigest {
+                revision,
+                ..digest.clone()
+            };
+            encode_bounded(&Message::Digest(digest), buffer)?;
+        }
+        _ => encode_bounded(message, buffer)?,
+    }
     encode_extension(message, buffer)
 }
 
--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -32,6 +32,7 @@
 use crate::ViewGossip;
 use crate::ViewUpdate;
 use crate::WarmUpShares;
+use crate::number_of;
 use crate::view::since_start;
 
 /// Age up to which a view counts as current. A route missing from an older view may have been added
@@ -454,7 +455,7 @@
         self.next_hello_at.remove(&record.vm);
         let decision = FlowDecision::new(Outcome::TargetChanged)
             .vm(record.vm)
-            .version(record.revision)
+            .version(number_of(record.revision))
             .load(u64::from(record.slots));
         out.push(EntryAction::Record(decision));
     }
--- a/crates/fes-passthrough/src/entry/opening.rs
+++ b/crates/fes-passthrough/src/entry/opening.rs
@@ -25,6 +25,7 @@
 use crate::Segment;
 use crate::SelectedTarget;
 use crate::ServiceTag;
+use crate::number_of;
 use crate::select_target;
 
 /// Time after which another target is tried if none has accepted the flow.
@@ -293,7 +294,7 @@
             .flow(flow)
             .vm(selected.vm)
             .age_ms(selected.report_age_ms)
-            .version(self.view.revision())
+            .version(number_of(self.view.revision()))
             .load(u64::try_from(selected.load).unwrap_or(0));
         out.push(EntryAction::Record(decision));
     }
--- a/crates/fes-passthrough/src/entry/status.rs
+++ b/crates/fes-passthrough/src/entry/status.rs
@@ -8,9 +8,11 @@
 use serde::Serialize;
 
 use crate::EntryCore;
+use crate::Era;
 use crate::Evacuation;
 use crate::TargetState;
 use crate::WarmUpStatus;
+use crate::number_of;
 
 /// Status of an entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -21,6 +23,10 @@
     pub routes_version: u64,
     /// Newest revision of the platform's list of which the entry has all changes.
     pub list_revision: u64,
+    /// Era of the platform's history that the entry follows; 0 if the platform tells none.
+    pub list_era: Era,
+    /// Number of targets in use that the platform doesn't list at present.
+    pub unlisted_targets: usize,
     /// Time since the list was confirmed, in milliseconds; absent if it never was.
     pub list_age_ms: Option<u64>,
     /// Whether this entry reads the platform itself, rather than receiving changes from other
@@ -118,7 +124,9 @@
         EntryStatus {
             flows: self.flows.len(),
             routes_version: self.view.routes().version,
-            list_revision: self.view.revision(),
+            list_revision: number_of(self.view.revision()),
+            list_era: self.view.era(),
+            unlisted_targets: self.view.unlisted_count(),
             list_age_ms: self.view.age_ms(now),
             is_reader: self.is_reader(now),
             leaving_targets: leaving.map(|target| target.id.clone()).collect(),
@@ -145,7 +153,7 @@
         let evacuations = self.view.evacuations();
         let status = |evacuation: &Evacuation| EvacuationStatus {
             data_centre: evacuation.data_centre.clone(),
-            revision: evacuation.revision,
+            revision: number_of(evacuation.revision),
             age_ms: evacuations.age_ms(now, &evacuation.data_centre),
         };
         let mut statuses: Vec<EvacuationStatus> = evacuations.in_force().map(status).collect();
--- a/crates/fes-passthrough/src/message.rs
+++ b/crates/fes-passthrough/src/message.rs
@@ -140,8 +140,12 @@
 pub struct ViewDigest {
     /// Incarnation of the entry's process.
     pub incarnation: u64,
-    /// Newest revision of which the sender has all changes.
+    /// Newest revision of which the sender has all changes. Its era is sent as an extension.
     pub revision: u64,
+    /// Whether the sender knows of eras, and understands revisions that hold one. Sent as an
+    /// extension.
+    #[serde(skip)]
+    pub supports_eras: bool,
     /// Version of the configuration in force.
     pub routes_version: u64,
     /// Time since the platform confirmed the view, in milliseconds.
@@ -195,7 +199,7 @@
     pub index: u32,
     /// Number of parts.
     pub count: u32,
-    /// Targets that changed since the base revision.
+    /// Targets that changed since the base revision. Their numbers of writes are sent as an extension.
     pub targets: Vec<TargetRecord>,
     /// Targets removed from the list since the base revision, with the revision of their removal.
     pub removed: Vec<(UpstreamName, u64)>,
--- a/crates/fes-passthrough/src/message_extension.rs
+++ b/crates/fes-passthrough/src/message_extension.rs
@@ -9,11 +9,14 @@
 use fes_protocol::Result;
 use serde::de::DeserializeOwned;
 
+use crate::Era;
 use crate::Message;
 use crate::Priority;
 use crate::Route;
 use crate::bounded_encoding::decode_bounded;
 use crate::bounded_encoding::encode_bounded;
+use crate::era_of;
+use crate::revision_in_era;
 
 /// Appends the extension of a message to `buffer`, if the message has one.
 pub(crate) fn encode_extension(message: &Message, buffer: &mut Vec<u8>) -> Result<()> {
@@ -22,7 +25,14 @@
             encode_bounded(&(report.run_time_us, report.supports_priority), buffer)
         }
         Message::Hello(hello) => encode_bounded(&hello.warm_up, buffer),
-        Message::Targets(part) => encode_bounded(&part.evacuations, buffer),
+        Message::Targets(part) => {
+            let writes: Vec<u64> = part.targets.iter().map(|target| target.writes).collect();
+            encode_bounded(&part.evacuations, buffer)?;
+            encode_bounded(&writes, buffer)
+        }
+        Message::Digest(digest) if digest.supports_eras => {
+            encode_bounded(&Some(era_of(digest.revision)), buffer)
+        }
         Message::Routes(part) => {
             let priority = |route: &Route| route.requirements.priority;
             let priorities: Vec<Priority> = part.routes.iter().map(priority).collect();
@@ -44,7 +54,18 @@
             report.supports_priority = fields.next()?;
         }
         Message::Hello(hello) => hello.warm_up = fields.next()?,
-        Message::Targets(part) => part.evacuations = fields.next()?,
+        Message::Targets(part) => {
+            part.evacuations = fields.next()?;
+            let writes: Vec<u64> = fields.next()?;
+            for (target, writes) in part.targets.iter_mut().zip(writes) {
+                target.writes = writes;
+            }
+        }
+        Message::Digest(digest) => {
+            let era: Option<Era> = fields.next()?;
+            digest.supports_eras = era.is_some();
+            digest.revision = revision_in_era(era.unwrap_or(0), digest.revision);
+        }
         Message::Routes(part) => {
             part.services = fields.next()?;
             let priorities: Vec<Priority> = fields.next()?;
--- a/crates/fes-passthrough/src/view/evacuations.rs
+++ b/crates/fes-passthrough/src/view/evacuations.rs
@@ -11,6 +11,7 @@
 use fes_protocol::MonoTime;
 
 use crate::Evacuation;
+use crate::era_of;
 
 /// Maximum number of names, so that a store full of keys can't exhaust the memory.
 const MAX_NAMES: usize = 64;
@@ -31,6 +32,11 @@
 #[derive(Debug, Default)]
 pub struct Evacuations {
     known: FastMap<DataCentreName, KnownEvacuation>,
+    /// Until then, the operator may not have written again what the platform lost with the beginning
+    /// of the latest era.
+    incomplete_until: MonoTime,
+    /// Changes of the latest era that contradict what was acknowledged in a former one.
+    deferred: FastMap<DataCentreName, Evacuation>,
 }
 
 impl Evacuations {
@@ -44,6 +50,11 @@
         if current.is_some_and(|current| order(&evacuation) <= order(&current.evacuation)) {
             return false;
         }
+        if current.is_some_and(|current| self.is_deferred(now, &evacuation, &current.evacuation)) {
+            self.defer(evacuation);
+            return false;
+        }
+        self.deferred.remove(&evacuation.data_centre);
         let unchanged = current
             .filter(|current| current.evacuation.is_in_force == evacuation.is_in_force)
             .map(|current| current.changed_at);
@@ -61,6 +72,36 @@
         is_change && self.known.contains_key(&name)
     }
 
+    /// Begins an era of the platform's history. What is known is obeyed until `incomplete_until`,
+    /// unless the operator writes it again or changes it in the new era.
+    pub(super) fn begin_era(&mut self, incomplete_until: MonoTime) {
+        self.incomplete_until = incomplete_until;
+        self.deferred.clear();
+    }
+
+    /// Returns the changes to apply now that the operator has written again what was lost.
+    pub(super) fn take_due(&mut self, now: MonoTime) -> Vec<Evacuation> {
+        match now < self.incomplete_until {
+            true => Vec::new(),
+            false => self.deferred.drain().map(|(_, change)| change).collect(),
+        }
+    }
+
+    /// Returns whether a change may come from the copy with which its era began, and contradicts
+    /// what was acknowledged before.
+    fn is_deferred(&self, now: MonoTime, change: &Evacuation, current: &Evacuation) -> bool {
+        let is_new_era = era_of(change.revision) > era_of(current.revision);
+        let is_contradiction = change.is_in_force != current.is_in_force;
+        is_new_era && is_contradiction && now < self.incomplete_until
+    }
+
+    fn defer(&mut self, change: Evacuation) {
+        let deferred = self.deferred.get(&change.data_centre);
+        if deferred.is_none_or(|deferred| order(&change) > order(deferred)) {
+            self.deferred.insert(change.data_centre.clone(), change);
+        }
+    }
+
     /// Returns the ends of those evacuations that a complete list of a revision doesn't contain.
     #[must_use]
     pub fn ended_by_list(
--- a/crates/fes-passthrough/src/view/fleet_view.rs
+++ b/crates/fes-passthrough/src/view/fleet_view.rs
@@ -1,7 +1,11 @@
 //! A process's view of routes and targets, which follows the platform's list.
 //!
-//! A record or configuration replaces only one with an older revision or version, regardless of its
-//! source (read, watch or peer), so the view of a process never goes back to an older state.
+//! A record or configuration replaces only an older one, regardless of its source (read, watch or
+//! peer), so the view of a process never goes back to an older state. See `target_order.rs` for
+//! records; configurations are ordered by their version.
+//!
+//! If the platform comes back from an older copy, an era begins. What the copy lacks counts until the
+//! time has passed in which it must have been written again.
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
@@ -12,6 +16,10 @@
 use fes_protocol::MonoTime;
 use fes_protocol::UpstreamName;
 
+use super::target_order::Removal;
+use super::target_order::Statement;
+use super::target_order::compare;
+use crate::Era;
 use crate::Evacuation;
 use crate::Evacuations;
 use crate::Route;
@@ -19,13 +27,14 @@
 use crate::ServiceTag;
 use crate::TargetRecord;
 use crate::TargetState;
+use crate::era_of;
 
 /// Time for which a target stays in use after its record left the list, because records may expire
 /// and be written again. Shorter than the time within which new flows to a target that left must
 /// stop.
 const UNLISTED_GRACE_MS: u64 = 800;
-/// Time from the end of an outage of the platform until its list is complete again. A target
-/// that is missing from the list before then is kept until then.
+/// Time from the end of an outage of the platform, or from the beginning of an era, until its list is
+/// complete again. A target that is missing from the list before then is kept until then.
 const OUTAGE_RECOVERY_MS: u64 = 2_200;
 /// Age of a view from which the platform must have been unreachable for all entries. Otherwise a
 /// peer would have confirmed the view.
@@ -34,7 +43,7 @@
 /// them. An entry that doesn't know the target of an open flow would reset the flow.
 const ANNOUNCEMENT_MS: u64 = 800;
 /// Time for which removals are remembered, so that an older copy doesn't restore a removed record.
-const TOMBSTONE_EXPIRY_MS: u64 = 60_000;
+const REMOVAL_EXPIRY_MS: u64 = 60_000;
 
 /// A change of the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -54,6 +63,19 @@
     Evacuation(Evacuation),
 }
 
+impl ListChange {
+    /// Returns the era in which the platform made the change; 0 for configurations, which have
+    /// versions of their own.
+    const fn era(&self) -> Era {
+        match self {
+            Self::Target(record) => era_of(record.revision),
+            Self::NoTarget { revision, .. } => era_of(*revision),
+            Self::Evacuation(evacuation) => era_of(evacuation.revision),
+            Self::Routes(_) => 0,
+        }
+    }
+}
+
 /// Effect of a change on the view.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ViewEvent {
@@ -95,21 +117,33 @@
     changed_revision: u64,
 }
 
+impl ListedTarget {
+    /// Records that the platform lists the target in a new era, by a record that is no newer than
+    /// this one. A target that was unlisted before the era began stays so until it writes again.
+    fn relist(&mut self, record: &TargetRecord) {
+        if matches!(self.listing, Listing::Listed) {
+            self.record.revision = record.revision;
+            self.record.created_revision = record.created_revision;
+        }
+    }
+}
+
 /// A view of routes and targets.
 #[derive(Debug, Default)]
 pub struct FleetView {
     targets: FastMap<UpstreamName, ListedTarget>,
     by_vm: FastMap<Ipv4Addr, UpstreamName>,
     by_service: FastMap<ServiceTag, FastSet<UpstreamName>>,
-    /// Revision at which a record was removed, and when the tombstone expires.
-    tombstones: FastMap<UpstreamName, (u64, MonoTime)>,
+    removals: FastMap<UpstreamName, Removal>,
     evacuations: Evacuations,
     routes: RouteSet,
     has_routes: bool,
     /// Services that the configuration in force names.
     named_services: FastSet<ServiceTag>,
     revision: u64,
-    /// Revision after which every removal has a tombstone.
+    /// Era of the newest statement of the platform, which `revision` may not have reached yet.
+    era: Era,
+    /// Revision after which every removal is known.
     removals_known_after: u64,
     confirmed_at: Option<MonoTime>,
     outage_ended_at: Option<MonoTime>,
@@ -125,6 +159,7 @@
 
     /// Applies a change if it is newer than the current state.
     pub fn apply(&mut self, now: MonoTime, change: ListChange) -> Option<ViewEvent> {
+        self.observe_era(now, change.era());
         match change {
             ListChange::Target(record) => self.apply_target(now, record),
             ListChange::NoTarget { id, revision } => self.remove(now, &id, revision),
@@ -141,6 +176,10 @@
         changes: Vec<ListChange>,
         revision: u64,
     ) -> Vec<ViewEvent> {
+        if era_of(revision) < self.era {
+            return Vec::new();
+        }
+        self.observe_era(now, era_of(revision));
         self.end_outage(now);
         let mut listed = Vec::with_capacity(changes.len());
         let mut evacuated: FastSet<DataCentreName> = FastSet::default();
@@ -174,6 +213,7 @@
 
     /// Records that the platform confirmed the view up to `revision`.
     pub fn confirm(&mut self, now: MonoTime, revision: u64) {
+        self.observe_era(now, era_of(revision));
         self.end_outage(now);
         self.advance_revision(self.revision.max(revision));
         self.confirmed_at = Some(now);
@@ -209,6 +249,40 @@
         }
     }
 
+    /// Begins an era of the platform's history if a statement of a newer one than before arrives. In
+    /// the first one that this process hears of, nothing is lost.
+    fn observe_era(&mut self, now: MonoTime, era: Era) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        if self.revision == 0 {
+            return;
+        }
+        self.outage_ended_at = Some(now);
+        let written_again_by = now.plus_ms(OUTAGE_RECOVERY_MS);
+        self.evacuations.begin_era(written_again_by);
+        for target in self.targets.values_mut() {
+            if let Listing::Unlisted { remove_at } = &mut target.listing {
+                *remove_at = written_again_by.max(*remove_at);
+            }
+        }
+    }
+
+    /// Returns the era of the platform's history that the view follows; 0 if it tells none.
+    #[must_use]
+    pub const fn era(&self) -> Era {
+        self.era
+    }
+
+    /// Returns the number of targets that are in use although the platform doesn't list them.
+    #[must_use]
+    pub fn unlisted_count(&self) -> usize {
+        let targets = self.targets.values();
+        let unlisted = targets.filter(|target| matches!(target.listing, Listing::Unlisted { .. }));
+        unlisted.count()
+    }
+
     fn advance_revision(&mut self, revision: u64) {
         let is_first = self.revision == 0;
         if is_first {
@@ -222,7 +296,8 @@
         self.is_in_outage = true;
     }
 
-    /// Removes targets that were not listed again in time.
+    /// Removes targets that were not listed again in time, and believes what the platform says of
+    /// evacuations in an era once it must be complete.
     pub fn expire(&mut self, now: MonoTime) -> Vec<ViewEvent> {
         let expired: Vec<UpstreamName> = self
             .targets
@@ -235,15 +310,22 @@
         for id in &expired {
             self.drop_target(id);
         }
-        self.expire_tombstones(now);
-        expired.into_iter().map(ViewEvent::TargetRemoved).collect()
+        self.expire_removals(now);
+        let removed = expired.into_iter().map(ViewEvent::TargetRemoved);
+        let due = self.evacuations.take_due(now);
+        let mut events: Vec<ViewEvent> = removed.collect();
+        for evacuation in due {
+            events.extend(self.apply_evacuation(now, evacuation));
+        }
+        events
     }
 
-    fn expire_tombstones(&mut self, now: MonoTime) {
-        let forgotten = self.tombstones.values().filter(|(_, until)| now >= *until);
-        let newest_forgotten = forgotten.map(|(revision, _)| *revision).max();
+    fn expire_removals(&mut self, now: MonoTime) {
+        let removals = self.removals.values();
+        let forgotten = removals.filter(|removal| now >= removal.expires_at);
+        let newest_forgotten = forgotten.map(|removal| removal.revision).max();
         self.removals_known_after = self.removals_known_after.max(newest_forgotten.unwrap_or(0));
-        self.tombstones.retain(|_, (_, until)| now < *until);
+        self.removals.retain(|_, removal| now < removal.expires_at);
     }
 
     /// Returns whether all removals after a revision are known, so that the changes since then can
@@ -341,9 +423,9 @@
 
     /// Returns the targets removed after a revision, with the revision of their removal.
     pub fn removed_after(&self, revision: u64) -> impl Iterator<Item = (UpstreamName, u64)> {
-        let removed = self.tombstones.iter().map(|(id, (at, _))| (id, *at));
-        let removed = removed.filter(move |(_, at)| *at > revision);
-        removed.map(|(id, at)| (id.clone(), at))
+        let removed = self.removals.iter();
+        let removed = removed.filter(move |(_, removal)| removal.revision > revision);
+        removed.map(|(id, removal)| (id.clone(), removal.revision))
     }
 
     /// Returns the newest target of each VM; older ones that are still listed have ended.
@@ -379,17 +461,21 @@
     }
 
     fn apply_target(&mut self, now: MonoTime, record: TargetRecord) -> Option<ViewEvent> {
-        let removed_at = self
-            .tombstones
-            .get(&record.id)
-            .map(|(revision, _)| *revision);
-        if removed_at.is_some_and(|removed_at| record.revision <= removed_at) {
+        let removal = self.removals.get(&record.id);
+        if removal.is_some_and(|removal| removal.covers(&record)) {
             return None;
         }
-        let previous = self.targets.get(&record.id);
-        if previous.is_some_and(|current| record.revision < current.record.revision) {
-            return None;
+        if let Some(current) = self.targets.get_mut(&record.id) {
+            match compare(&record, &current.record) {
+                Statement::Outdated => return None,
+                Statement::Relisted => {
+                    current.relist(&record);
+                    return None;
+                }
+                Statement::New => {}
+            }
         }
+        let previous = self.targets.get(&record.id);
         let is_change = previous.is_none_or(|current| {
             current.record.state != record.state
                 || current.record.service != record.service
@@ -429,7 +515,7 @@
             warm_up_ends_at,
             changed_revision,
         };
-        self.tombstones.remove(&record.id);
+        self.removals.remove(&record.id);
         self.targets.insert(record.id.clone(), listed);
         is_change.then_some(ViewEvent::TargetChanged(record))
     }
@@ -499,8 +585,12 @@
         };
         let remove_at = now.plus_ms(grace_ms).max(after_outage);
         current.listing = Listing::Unlisted { remove_at };
-        let until = now.plus_ms(TOMBSTONE_EXPIRY_MS);
-        self.tombstones.insert(id.clone(), (revision, until));
+        let removal = Removal {
+            revision,
+            statement: current.record.statement(),
+            expires_at: now.plus_ms(REMOVAL_EXPIRY_MS),
+        };
+        self.removals.insert(id.clone(), removal);
         Some(ViewEvent::TargetUnlisted(id.clone()))
     }
 
--- a/crates/fes-passthrough/src/view/gossip.rs
+++ b/crates/fes-passthrough/src/view/gossip.rs
@@ -3,7 +3,9 @@
 //!
 //! Each entry periodically sends a digest of its revision and the age of its view to a few peers. A
 //! peer that is behind requests the difference. Changes are ordered by revision and version, so
-//! duplicated, delayed or reordered messages are harmless.
+//! duplicated, delayed or reordered messages are harmless. Revisions hold the era of the platform's
+//! history; peers of earlier versions get them without it, and what such peers send counts as older
+//! than any era.
 
 use std::net::Ipv4Addr;
 
@@ -27,6 +29,7 @@
 use crate::TargetRecord;
 use crate::TargetsPart;
 use crate::ViewDigest;
+use crate::number_of;
 use crate::random_rank;
 use crate::retry_delay_ms;
 
@@ -373,6 +376,7 @@
         ViewDigest {
             incarnation: self.incarnation,
             revision: view.revision(),
+            supports_eras: true,
             routes_version: view.routes().version,
             age_ms: view.age_ms(now).unwrap_or(u64::MAX),
             wants_newer,
@@ -401,12 +405,31 @@
             let targets = parts.iter_mut().flat_map(|part| &mut part.targets);
             // The record holds the time that was left when it was written.
             targets.for_each(|t| t.warm_up_ms = view.warm_up_remaining_ms(now, &t.id));
+            if !digest.supports_eras {
+                parts.iter_mut().for_each(remove_eras);
+            }
             messages.extend(parts.into_iter().map(Message::Targets));
         }
         messages.into_iter().map(|message| (to, message)).collect()
     }
 }
 
+/// Replaces the revisions of a part by the platform's numbers, for a peer of an earlier version. It
+/// would take a revision that holds an era for a number of the platform, and watch for later ones.
+fn remove_eras(part: &mut TargetsPart) {
+    let records = part.targets.iter_mut();
+    let of_records = records.flat_map(|r| [&mut r.revision, &mut r.created_revision]);
+    let of_removals = part.removed.iter_mut().map(|(_, revision)| revision);
+    let evacuations = part.evacuations.iter_mut().flatten();
+    let of_evacuations = evacuations.map(|evacuation| &mut evacuation.revision);
+    let of_part = [&mut part.revision, &mut part.after_revision];
+    let all = of_records
+        .chain(of_removals)
+        .chain(of_evacuations)
+        .chain(of_part);
+    all.for_each(|revision| *revision = number_of(*revision));
+}
+
 /// Returns the evacuations of a part, and the ends of those that the sender no longer knows. A part
 /// of a sender that doesn't support evacuations changes none.
 fn evacuation_changes(view: &FleetView, part: &TargetsPart) -> impl Iterator<Item = ListChange> {
--- a/crates/fes-passthrough/src/view/mod.rs
+++ b/crates/fes-passthrough/src/view/mod.rs
@@ -6,6 +6,7 @@
 mod gossip;
 mod parts;
 mod reader_table;
+mod target_order;
 
 pub use evacuations::Evacuations;
 pub use fleet_view::FleetView;
--- a/crates/fes-passthrough/tests/evacuation_state.rs
+++ b/crates/fes-passthrough/tests/evacuation_state.rs
@@ -48,6 +48,7 @@
     let request = ViewDigest {
         incarnation: 2,
         revision: 0,
+        supports_eras: true,
         routes_version: 0,
         age_ms: u64::MAX,
         wants_newer: true,
--- a/crates/fes-passthrough/tests/exchange.rs
+++ b/crates/fes-passthrough/tests/exchange.rs
@@ -209,6 +209,7 @@
     ViewDigest {
         incarnation: 1,
         revision,
+        supports_eras: true,
         routes_version,
         age_ms: u64::MAX,
         wants_newer: true,
@@ -299,6 +300,7 @@
         let request = ViewDigest {
             incarnation: 1,
             revision: receiver.view.revision(),
+            supports_eras: true,
             routes_version: receiver.view.routes().version,
             age_ms: 0,
             wants_newer: true,
--- a/crates/fes-passthrough/tests/support/arbitrary.rs
+++ b/crates/fes-passthrough/tests/support/arbitrary.rs
@@ -138,6 +138,7 @@
                     warm_up_ms,
                     revision,
                     created_revision,
+                    writes: 0,
                 }
             },
         )
@@ -242,6 +243,7 @@
                 Message::Digest(ViewDigest {
                     incarnation,
                     revision,
+                    supports_eras: true,
                     routes_version,
                     age_ms,
                     wants_newer,
--- a/crates/fes-passthrough/tests/support/fixtures.rs
+++ b/crates/fes-passthrough/tests/support/fixtures.rs
@@ -87,6 +87,7 @@
         warm_up_ms: 0,
         revision,
         created_revision: 1,
+        writes: 0,
     }
 }
 
--- a/crates/fes-passthrough/tests/view.rs
+++ b/crates/fes-passthrough/tests/view.rs
@@ -157,6 +157,7 @@
     let digest = |age_ms| ViewDigest {
         incarnation: 1,
         revision: 20,
+        supports_eras: true,
         routes_version: 0,
         age_ms,
         wants_newer: false,
--- a/crates/fes-passthrough/tests/warm_up_gossip.rs
+++ b/crates/fes-passthrough/tests/warm_up_gossip.rs
@@ -64,6 +64,7 @@
     let request = ViewDigest {
         incarnation: 2,
         revision: 0,
+        supports_eras: true,
         routes_version: 0,
         age_ms: u64::MAX,
         wants_newer: true,
--- a/crates/fes-platform/src/client.rs
+++ b/crates/fes-platform/src/client.rs
@@ -9,6 +9,7 @@
 use fes_protocol::Result;
 use fes_protocol::ResultCode;
 use fes_protocol::TicketNumber;
+use http::Response;
 use http::StatusCode;
 use tokio::time::timeout;
 
@@ -105,6 +106,18 @@
     /// Returns [`ResultCode::PlatformUnreachable`], or [`ResultCode::PlatformMalformed`] if the
     /// reply is too large.
     pub async fn get(&mut self, path: &str, timeout_ms: u64) -> Result<(StatusCode, Bytes)> {
+        let response = self.get_response(path, timeout_ms).await?;
+        Ok((response.status(), response.into_body()))
+    }
+
+    /// Sends a GET request for `path` and returns the response with its headers, otherwise like
+    /// [`Self::get`].
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::PlatformUnreachable`], or [`ResultCode::PlatformMalformed`] if the
+    /// reply is too large.
+    pub async fn get_response(&mut self, path: &str, timeout_ms: u64) -> Result<Response<Bytes>> {
         // The connection is kept only after a complete reply. After an error, a timeout or a
         // cancelled call it may still contain the rest of an old reply.
         let idle_connection = self.connection.take();
@@ -113,16 +126,16 @@
                 Some(connection) => connection,
                 None => Connection::open(self.address).await?,
             };
-            let reply = connection.get(path, self.reader.as_deref()).await?;
-            Ok((connection, reply))
+            let response = connection.get(path, self.reader.as_deref()).await?;
+            Ok((connection, response))
         };
         let outcome = timeout(Duration::from_millis(timeout_ms), exchange).await;
-        let (connection, reply) = outcome.map_err(|_| {
+        let (connection, response) = outcome.map_err(|_| {
             let detail = format!("the platform did not answer within {timeout_ms} ms");
             Error::coded(ResultCode::PlatformUnreachable, detail)
         })??;
         self.connection = Some(connection);
-        Ok(reply)
+        Ok(response)
     }
 
     async fn get_ok(&mut self, path: &str, timeout_ms: u64) -> Result<Bytes> {
--- a/crates/fes-platform/src/connection.rs
+++ b/crates/fes-platform/src/connection.rs
@@ -8,7 +8,7 @@
 use fes_protocol::ResultCode;
 use fes_protocol::headers;
 use http::Request;
-use http::StatusCode;
+use http::Response;
 use http::header::HOST;
 use http_body_util::BodyExt;
 use http_body_util::Empty;
@@ -57,7 +57,7 @@
         &mut self,
         path: &str,
         reader: Option<&str>,
-    ) -> Result<(StatusCode, Bytes)> {
+    ) -> Result<Response<Bytes>> {
         let mut request = Request::get(path).header(HOST, self.address.to_string());
         if let Some(reader) = reader {
             request = request.header(headers::READER, reader);
@@ -67,8 +67,8 @@
             .map_err(|error| unreachable_error(&error))?;
         let result = self.sender.send_request(request).await;
         let response = result.map_err(|error| unreachable_error(&error))?;
-        let status = response.status();
-        let collected = Limited::new(response.into_body(), MAX_REPLY_BYTES).collect();
+        let (parts, body) = response.into_parts();
+        let collected = Limited::new(body, MAX_REPLY_BYTES).collect();
         let body = collected.await.map_err(|error| {
             if error.is::<LengthLimitError>() {
                 let detail = format!("the platform's reply is larger than {MAX_REPLY_BYTES} bytes");
@@ -76,7 +76,7 @@
             }
             unreachable_error(&error)
         })?;
-        Ok((status, body.to_bytes()))
+        Ok(Response::from_parts(parts, body.to_bytes()))
     }
 }
 
--- a/crates/fes-soak/src/calls.rs
+++ b/crates/fes-soak/src/calls.rs
@@ -279,6 +279,7 @@
         warm_up_ms: 0,
         revision: 0,
         created_revision: 0,
+        writes: 0,
     };
     let value = encode_target(&record, SERVICE, TARGET_PORT, writes);
     store.put(&target_key(&id), value);
--- a/crates/fes-soak/src/targets.rs
+++ b/crates/fes-soak/src/targets.rs
@@ -236,6 +236,7 @@
             warm_up_ms: 0,
             revision: 0,
             created_revision: 0,
+            writes: 0,
         }
     }
 
--- a/crates/fes-telemetry/src/metrics.rs
+++ b/crates/fes-telemetry/src/metrics.rs
@@ -244,6 +244,8 @@
         "Failed reads and watches, by reason.";
     platform_age_ms: Gauge, "platform_age_milliseconds",
         "Age of the freshest platform contact known.";
+    platform_era: Gauge, "platform_era",
+        "Era of the platform's history that is followed; 0 if the platform tells none.";
     evacuations_in_force: Gauge, "evacuations_in_force",
         "Data centres that an operator has asked to evacuate.";
     longest_trip_us: Gauge, "longest_trip_microseconds",
