--- a/crates/fes-passthrough-node/tests/soak.rs
+++ b/crates/fes-passthrough-node/tests/soak.rs
@@ -10,10 +10,12 @@
 /// Guards against daemons that lose, duplicate or misroute requests, break flows, exit by
 /// themselves or don't recover, while they are killed, paused, stopped and restarted and the store
 /// fails. The case of replacements fails with entries that reset a draining target's flows while its
-/// agent is restarted, or that take a new flow of a used port for the former one.
+/// agent is restarted, or that take a new flow of a used port for the former one, that of returns with
+/// entries that go back with the store.
 #[rstest]
 #[case::first(1, FaultKinds::All, 6_000)]
 #[case::replacements(6, FaultKinds::Planned, 7_500)]
+#[case::returns_from_copies(1, FaultKinds::Returns, 9_000)]
 fn no_violation_occurs_under_faults(
     #[case] seed: u64,
     #[case] fault_kinds: FaultKinds,
--- a/crates/fes-soak/src/lib.rs
+++ b/crates/fes-soak/src/lib.rs
@@ -16,6 +16,7 @@
 mod routes;
 mod run;
 mod store;
+mod store_return;
 mod target_listener;
 mod targets;
 
--- a/crates/fes-soak/src/main.rs
+++ b/crates/fes-soak/src/main.rs
@@ -61,9 +61,10 @@
 fn run_seed(matches: &ArgMatches, seed: u64) -> std::io::Result<bool> {
     let program = matches.get_one::<PathBuf>("program");
     let directory = tempfile::tempdir()?;
-    let fault_kinds = match matches.get_flag("planned") {
-        true => FaultKinds::Planned,
-        false => FaultKinds::All,
+    let fault_kinds = match (matches.get_flag("planned"), matches.get_flag("returns")) {
+        (_, true) => FaultKinds::Returns,
+        (true, false) => FaultKinds::Planned,
+        (false, false) => FaultKinds::All,
     };
     let options = SoakOptions {
         seed,
@@ -106,6 +107,12 @@
                 .default_value("target/release/fescueshift-passthrough")
                 .value_parser(value_parser!(PathBuf)),
         )
+        .arg(
+            Arg::new("returns")
+                .long("returns")
+                .help("Replace targets as planned while the store comes back from older copies")
+                .action(ArgAction::SetTrue),
+        )
         .arg(
             Arg::new("planned")
                 .long("planned")
--- a/crates/fes-soak/src/plan.rs
+++ b/crates/fes-soak/src/plan.rs
@@ -8,6 +8,7 @@
 use crate::relay::LinkFault;
 use crate::replacement::plan_replacements;
 use crate::store::StoreMode;
+use crate::store_return::plan_returns;
 
 const MIN_GAP_MS: u64 = 150;
 const MAX_GAP_MS: u64 = 1_200;
@@ -31,6 +32,12 @@
     Store(StoreMode),
     /// The store drops its history of events.
     DropHistory,
+    /// A copy of the store's data is taken.
+    CopyStore,
+    /// The store is unavailable, and then comes back from the copy.
+    ReturnFromCopy,
+    /// The operator writes the latest routes again.
+    RewriteRoutes,
     /// A target crashes.
     CrashTarget(usize),
     /// This percentage of the clients' packets is lost.
@@ -59,6 +66,8 @@
 pub enum FaultKinds {
     /// Planned replacements of targets only, which must not break any flow of another target.
     Planned,
+    /// Planned replacements while the store comes back from older copies of its data.
+    Returns,
     /// Random faults as well.
     All,
 }
@@ -94,13 +103,17 @@
 ) -> Vec<PlannedFault> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut faults = match kinds {
-        FaultKinds::Planned => Vec::new(),
+        FaultKinds::Planned | FaultKinds::Returns => Vec::new(),
         FaultKinds::All => plan_random_faults(&mut random, fleet, faults_ms),
     };
     // A stream of its own, so that the random faults of a seed don't depend on the replacements.
     random.set_stream(1);
     let (entries, targets) = (fleet.entries, fleet.all_targets);
     faults.extend(plan_replacements(&mut random, entries, targets, faults_ms));
+    if kinds == FaultKinds::Returns {
+        random.set_stream(2);
+        faults.extend(plan_returns(&mut random, faults_ms));
+    }
     faults.sort_by_key(|planned| planned.start_ms);
     faults
 }
--- a/crates/fes-soak/src/run.rs
+++ b/crates/fes-soak/src/run.rs
@@ -269,6 +269,9 @@
             }
             Fault::Store(mode) => self.store.mode.set(mode),
             Fault::DropHistory => self.store.drop_history(),
+            Fault::CopyStore => self.store.take_copy(),
+            Fault::ReturnFromCopy => self.store.mode.set(StoreMode::Unavailable),
+            Fault::RewriteRoutes => self.write_routes(),
             Fault::CrashTarget(target) => self.targets[target].crash(),
             Fault::ClientLoss(percent) => self.clients.loss_percent.set(percent),
             Fault::Link(fault) => self.relay.start_fault(fault),
@@ -321,6 +324,10 @@
         match fault {
             Fault::Pause(daemon) => self.signal(daemon, Signal::CONT),
             Fault::Store(_) => self.store.mode.set(StoreMode::Available),
+            Fault::ReturnFromCopy => {
+                self.store.come_back_from_copy();
+                self.store.mode.set(StoreMode::Available);
+            }
             Fault::CrashTarget(target) => self.targets[target].restart()?,
             Fault::ClientLoss(_) => self.clients.loss_percent.set(0),
             Fault::Link(fault) => self.relay.end_fault(fault),
@@ -329,6 +336,8 @@
             }
             Fault::Reload(_)
             | Fault::DropHistory
+            | Fault::CopyStore
+            | Fault::RewriteRoutes
             | Fault::UpdateRoutes
             | Fault::MoveRoute
             | Fault::Restart(..)
@@ -372,11 +381,15 @@
                 DaemonId::Entry(_) => record.record_isolation(),
             },
             // A target records its crash or end itself. The other faults must not break any flow:
-            // they are planned operations, or watches of the store start over without its history.
+            // they are planned operations, or watches of the store start over without its history or
+            // with an older copy of its data.
             Fault::CrashTarget(_)
             | Fault::Terminate(_)
             | Fault::Reload(_)
             | Fault::DropHistory
+            | Fault::CopyStore
+            | Fault::ReturnFromCopy
+            | Fault::RewriteRoutes
             | Fault::UpdateRoutes
             | Fault::MoveRoute
             | Fault::Restart(..)
--- a/crates/fes-soak/src/store.rs
+++ b/crates/fes-soak/src/store.rs
@@ -8,12 +8,14 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use fes_adapter::ERA_HEADER;
 use fes_adapter::stand_in::StoreRequest;
 use fes_adapter::stand_in::encode_events;
 use fes_adapter::stand_in::encode_item;
 use fes_adapter::stand_in::encode_page;
 use fes_adapter::stand_in::encode_removal;
 use fes_adapter::stand_in::parse_store_request;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -58,17 +60,28 @@
     pub watches: usize,
 }
 
+#[derive(Debug, Clone)]
 struct Item {
     value: String,
     revision: u64,
     created: u64,
 }
 
+/// Copy of the store's data, without the history of events.
+#[derive(Debug, Clone)]
+struct StoreCopy {
+    items: BTreeMap<String, Item>,
+    revision: u64,
+}
+
 /// Test double of the store.
 pub struct Store {
     items: RefCell<BTreeMap<String, Item>>,
     events: RefCell<VecDeque<(u64, Value)>>,
     revision: Cell<u64>,
+    /// Number of times that the store has come back from a copy, plus one.
+    era: Cell<u64>,
+    copy: RefCell<Option<StoreCopy>>,
     reads: Cell<ReadCounts>,
     /// Current behaviour.
     pub mode: Cell<StoreMode>,
@@ -82,6 +95,8 @@
             items: RefCell::default(),
             events: RefCell::default(),
             revision: Cell::new(1),
+            era: Cell::new(1),
+            copy: RefCell::default(),
             reads: Cell::default(),
             mode: Cell::new(StoreMode::Available),
         });
@@ -131,6 +146,26 @@
         self.next_revision();
     }
 
+    /// Takes a copy of the data.
+    pub fn take_copy(&self) {
+        *self.copy.borrow_mut() = Some(StoreCopy {
+            items: self.items.borrow().clone(),
+            revision: self.revision.get(),
+        });
+    }
+
+    /// Comes back from the copy, if there is one. What was written since is lost, and revisions are
+    /// given out again.
+    pub fn come_back_from_copy(&self) {
+        let Some(copy) = self.copy.borrow_mut().take() else {
+            return;
+        };
+        *self.items.borrow_mut() = copy.items;
+        self.events.borrow_mut().clear();
+        self.revision.set(copy.revision);
+        self.era.set(self.era.get() + 1);
+    }
+
     /// Returns the calls received since the previous call of this method. Calls that failed count.
     pub fn take_reads(&self) -> ReadCounts {
         self.reads.take()
@@ -171,10 +206,10 @@
             StoreMode::Slow(delay_ms) => sleep(Duration::from_millis(delay_ms)).await,
             StoreMode::Unresponsive => sleep(Duration::from_millis(UNRESPONSIVE_DELAY_MS)).await,
             StoreMode::Unavailable => {
-                return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, &Value::Null));
+                return Ok(self.reply(StatusCode::SERVICE_UNAVAILABLE, &Value::Null));
             }
             StoreMode::RateLimited => {
-                return Ok(reply(StatusCode::TOO_MANY_REQUESTS, &Value::Null));
+                return Ok(self.reply(StatusCode::TOO_MANY_REQUESTS, &Value::Null));
             }
         }
         let (status, body) = match store_request {
@@ -188,7 +223,15 @@
             }) => self.watch(after_revision, wait_ms).await,
             None => (StatusCode::NOT_FOUND, Value::Null),
         };
-        Ok(reply(status, &body))
+        Ok(self.reply(status, &body))
+    }
+
+    fn reply(&self, status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
+        let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+        *response.status_mut() = status;
+        let era = HeaderValue::from(self.era.get());
+        response.headers_mut().insert(ERA_HEADER, era);
+        response
     }
 
     fn list(&self, prefix: &str, after: &str) -> Value {
@@ -222,7 +265,12 @@
 
     async fn watch(&self, after: u64, wait_ms: u64) -> (StatusCode, Value) {
         let end = Instant::now() + Duration::from_millis(wait_ms);
+        let era = self.era.get();
         loop {
+            // A watch from a revision that the store doesn't have, or no longer has.
+            if after > self.revision.get() || self.era.get() != era {
+                return (StatusCode::GONE, Value::Null);
+            }
             let first = self.events.borrow().front().map(|(revision, _)| *revision);
             let is_dropped = match first {
                 Some(first) => after + 1 < first,
@@ -239,9 +287,3 @@
         }
     }
 }
-
-fn reply(status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
-    *response.status_mut() = status;
-    response
-}
