--- a/crates/fes-passthrough/tests/support/fixtures.rs
+++ b/crates/fes-passthrough/tests/support/fixtures.rs
@@ -38,7 +38,8 @@
 }
 
 pub fn entry_vm(index: usize) -> Ipv4Addr {
-    Ipv4Addr::new(10, 2, 0, u8::try_from(index).expect("small index") + 1)
+    let index = u32::try_from(index).expect("small index");
+    Ipv4Addr::from(u32::from(Ipv4Addr::new(10, 2, 0, 1)) + index)
 }
 
 pub fn flow(port: u16, destination: SocketAddrV4) -> FlowKey {
--- a/crates/fes-passthrough/tests/support/mod.rs
+++ b/crates/fes-passthrough/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod actions;
 pub mod client;
+pub mod entry_fleet;
 pub mod fixtures;
 pub mod interventions;
 pub mod script;
