Probe no target before an agent that was just heard is asked

Cause: a target whose agent can be asked counted as covered, whether or not it had answered.

Change: every target that may hold the flow must have answered in this search.

Measured: no_target_is_probed_before_an_agent_that_was_just_heard_is_asked failed before, passes.

--- a/crates/fes-passthrough/src/entry/searching.rs
+++ b/crates/fes-passthrough/src/entry/searching.rs
@@ -323,14 +323,16 @@
         }
     }
 
-    /// Returns whether the flow's own target is certain to be among those that can be asked.
+    /// Returns whether the flow's own target is certain to be among those that are probed: every
+    /// target that may hold the flow has answered, and those that may still hold it can be asked.
     fn is_probe_safe(&self, now: MonoTime, flow: &FlowKey) -> bool {
         let Some(search) = self.flows.search(flow) else {
             return false;
         };
         let mut holders = self.possible_holders(now);
         let is_covered = |target: &TargetRecord| {
-            search.is_not_held_by(target.vm) || self.can_be_asked(now, target)
+            let may_be_probed = search.has_answered(target.vm) && self.can_be_asked(now, target);
+            search.is_not_held_by(target.vm) || may_be_probed
         };
         self.is_view_current(now) && holders.all(is_covered)
     }
--- a/crates/fes-passthrough/tests/queued_flows.rs
+++ b/crates/fes-passthrough/tests/queued_flows.rs
@@ -2,12 +2,26 @@
 
 mod support;
 
+use fes_passthrough::EntryAction;
+use fes_passthrough::EntryCore;
+use fes_passthrough::ListChange;
+use fes_passthrough::LoadReport;
+use fes_passthrough::Message;
 use fes_passthrough::Outcome;
+use fes_protocol::DataCentreName;
+use fes_protocol::MonoTime;
 use rstest::rstest;
 
 use support::client::Client;
+use support::fixtures::SERVICE;
+use support::fixtures::client_segment;
+use support::fixtures::entry_vm;
 use support::fixtures::flow;
+use support::fixtures::idle_report;
+use support::fixtures::routes;
 use support::fixtures::stream_address;
+use support::fixtures::target;
+use support::fixtures::vm;
 use support::simulation::Simulation;
 
 const ENTRIES: usize = 2;
@@ -51,3 +65,38 @@
     assert_eq!(simulation.broken_flows(), 0);
     assert_eq!(simulation.resets_while_open(), 0);
 }
+
+/// Guards against packets on trial at other targets while an agent that has just been heard hasn't been
+/// asked yet: it may know the flow and withhold its packets.
+#[test]
+fn no_target_is_probed_before_an_agent_that_was_just_heard_is_asked() {
+    let now = MonoTime::from_ms(1_000);
+    let flow = flow(1, stream_address());
+    let mut entry = EntryCore::new(1, entry_vm(0), DataCentreName::from("a"), &[]);
+    let targets = (0..2).map(|index| ListChange::Target(target(index, 10)));
+    let listing = targets.chain([ListChange::Routes(routes(1, SERVICE))]);
+    entry.on_listing(now, listing.collect(), 20, &mut Vec::new());
+    entry.confirm_list(now, 20);
+    let report = Message::Load(LoadReport {
+        is_complete: false,
+        ..idle_report()
+    });
+    let undetermined = Message::Undetermined { flow };
+    let mut out = Vec::new();
+
+    entry.on_message(now, vm(0), &report, &[], &mut out);
+    entry.on_client_packet(now, &client_segment(flow), &[1], &mut out);
+    entry.on_message(now, vm(0), &undetermined, &[], &mut out);
+    let retry = now.plus_ms(100);
+    entry.on_tick(retry, &mut out);
+    entry.on_message(retry, vm(1), &report, &[], &mut out);
+    entry.on_message(retry, vm(0), &undetermined, &[], &mut out);
+
+    let is_probe = |action: &&EntryAction| matches!(action, EntryAction::SendStored { .. });
+    assert_eq!(out.iter().filter(is_probe).count(), 0, "{out:?}");
+    let next_retry = retry.plus_ms(100);
+    entry.on_tick(next_retry, &mut out);
+    entry.on_message(next_retry, vm(0), &undetermined, &[], &mut out);
+    entry.on_message(next_retry, vm(1), &undetermined, &[], &mut out);
+    assert_eq!(out.iter().filter(is_probe).count(), 2, "{out:?}");
+}
