Wait a moment for the view of a peer before an entry starts with the list of a copy

An entry that started after the platform had come back from an older copy, and that is one of the seeds, served by the copy's configuration until the next digest of a peer, up to 0.4 s later.

Change: the first listing is used once a peer has sent its view, or 100 ms after the start, if the platform tells eras and there are peers to ask. Without the header nothing changes.

The soak checks that no draining target gets a new flow later than 2 s after it wrote that it drains, or wrote it again after a return, in runs of planned work and returns.

Measured: an_entry_that_starts_waits_a_moment_for_the_view_of_a_peer passes.

--- a/crates/fes-passthrough-node/src/entry_daemon.rs
+++ b/crates/fes-passthrough-node/src/entry_daemon.rs
@@ -145,6 +145,7 @@
             let control = WatchControl {
                 is_passive: &|| node.is_passive(),
                 known_era: &|| node.core.borrow().view().era(),
+                awaits_peer_view: &|| node.core.borrow().awaits_peer_view(node.context.now()),
                 known_revision: &|| node.known_revision(),
                 confirmed_at: &|| node.core.borrow().view().confirmed_at(),
                 retry_delay_ms: &|| node.core.borrow().read_retry_delay_ms(),
--- a/crates/fes-passthrough-node/src/list_watcher.rs
+++ b/crates/fes-passthrough-node/src/list_watcher.rs
@@ -49,6 +49,7 @@
 /// Maximum number of concurrent attempts to read the list.
 const MAX_CONCURRENT_READS: usize = 6;
 const PASSIVE_CHECK_PERIOD_MS: u64 = 20;
+const PEER_VIEW_CHECK_PERIOD_MS: u64 = 5;
 /// Maximum number of pages per listing, in case the store returns pages without end.
 const MAX_PAGES: usize = 200;
 
@@ -79,6 +80,8 @@
     pub(crate) is_passive: &'a dyn Fn() -> bool,
     /// Era of the platform's history that the view follows.
     pub(crate) known_era: &'a dyn Fn() -> Era,
+    /// Whether this process has just started and a peer may still send its view.
+    pub(crate) awaits_peer_view: &'a dyn Fn() -> bool,
     /// Revision up to which all changes are known, from this process or from its peers.
     pub(crate) known_revision: &'a dyn Fn() -> Option<u64>,
     /// When the platform confirmed the list, to this process or to its peers.
@@ -124,6 +127,7 @@
                             number_of(revision),
                             changes.len()
                         );
+                        wait_for_peer_view(control, revision).await;
                         on_update(ListUpdate::Listing { changes, revision });
                         (revision, PlatformReadReason::Watch)
                     }
@@ -171,6 +175,14 @@
     }
 }
 
+/// Waits for the view of a peer before the first listing is used, if the platform may come back from
+/// older copies: then peers may know a newer configuration.
+async fn wait_for_peer_view(control: &WatchControl<'_>, revision: u64) {
+    while era_of(revision) > 0 && (control.awaits_peer_view)() {
+        sleep(Duration::from_millis(PEER_VIEW_CHECK_PERIOD_MS)).await;
+    }
+}
+
 /// Reads the complete list. While the previous attempts get no reply, starts further ones on new
 /// connections, because a connection may have stopped responding, and the platform may have just
 /// recovered. Returns none if other processes read the list for this one meanwhile.
--- a/crates/fes-passthrough/src/entry/entry_core.rs
+++ b/crates/fes-passthrough/src/entry/entry_core.rs
@@ -173,6 +173,13 @@
         self.gossip.is_reader(now, &self.view)
     }
 
+    /// Returns whether this entry has just started and a peer may still send its view; see
+    /// [`ViewGossip::awaits_peer_view`].
+    #[must_use]
+    pub fn awaits_peer_view(&self, now: MonoTime) -> bool {
+        self.gossip.awaits_peer_view(now, &self.view)
+    }
+
     /// Records that this entry read the platform, which confirmed the view up to `revision`.
     pub fn confirm_list(&mut self, now: MonoTime, revision: u64) {
         self.view.confirm(now, revision);
--- a/crates/fes-passthrough/src/view/gossip.rs
+++ b/crates/fes-passthrough/src/view/gossip.rs
@@ -45,6 +45,9 @@
 /// Time for which an entry that starts asks the seeds for their view before it reads the platform.
 /// Seeds don't wait.
 const FIRST_VIEW_WAIT_MS: u64 = 40;
+/// Further time for which an entry that starts waits for the view of a peer before it uses the list of
+/// a platform that may have come back from an older copy.
+const PEER_VIEW_WAIT_MS: u64 = 60;
 /// Time between two requests for a first view, each to another seed.
 const FIRST_VIEW_REQUEST_PERIOD_MS: u64 = 20;
 /// Number of peers to which each digest is sent. Changes reach the other entries through them.
@@ -180,6 +183,14 @@
         may_ask && is_waiting && !view.has_routes()
     }
 
+    /// Returns whether this entry has just started and a peer may still send its view. The platform's
+    /// list may lack what peers know, if the platform has come back from an older copy.
+    #[must_use]
+    pub fn awaits_peer_view(&self, now: MonoTime, view: &FleetView) -> bool {
+        let is_over = |at: MonoTime| now >= at.plus_ms(PEER_VIEW_WAIT_MS);
+        !view.has_routes() && !self.peers.is_empty() && !self.first_read_at.is_some_and(is_over)
+    }
+
     /// Returns a request for the whole view to one peer.
     fn request_first_view(&mut self, now: MonoTime, view: &FleetView) -> Vec<(Ipv4Addr, Message)> {
         self.next_digest_at = now.plus_ms(FIRST_VIEW_REQUEST_PERIOD_MS);
--- a/crates/fes-passthrough/tests/eras.rs
+++ b/crates/fes-passthrough/tests/eras.rs
@@ -371,3 +371,22 @@
     assert_eq!(former.view.revision(), LAST);
     assert_eq!(state_of(&former.view, 0), Some(TargetState::Draining));
 }
+
+/// Guards against an entry that starts and serves by the configuration of the platform's copy, although
+/// a peer knows a newer one, and against one that waits without a bound, or for nobody.
+#[test]
+fn an_entry_that_starts_waits_a_moment_for_the_view_of_a_peer() {
+    let empty = FleetView::new();
+    let seeds = [entry_vm(0), entry_vm(1)];
+    let mut seed = ViewGossip::new(entry_vm(0), 1, &seeds);
+    let alone = ViewGossip::new(entry_vm(0), 1, &[entry_vm(0)]);
+
+    let requests = seed.on_tick(BACK, &empty);
+
+    let is_request = |(_, message): &(Ipv4Addr, Message)| matches!(message, Message::Digest(digest) if digest.wants_newer);
+    assert!(requests.iter().any(is_request), "{requests:?}");
+    assert!(seed.awaits_peer_view(BACK.plus_ms(50), &empty));
+    assert!(!seed.awaits_peer_view(BACK.plus_ms(50), &view_before(Vec::new())));
+    assert!(!seed.awaits_peer_view(BACK.plus_ms(150), &empty));
+    assert!(!alone.awaits_peer_view(BACK, &empty));
+}
--- a/crates/fes-soak/src/record.rs
+++ b/crates/fes-soak/src/record.rs
@@ -36,6 +36,8 @@
 pub struct Record {
     /// Descriptions of all violations.
     pub violations: Vec<String>,
+    /// Whether no fault keeps entries from learning that a target drains.
+    pub checks_drains: bool,
     /// Number of answered requests.
     pub answered: usize,
     /// Number of requests that got no answer: their deadline passed or their flow was reset.
--- a/crates/fes-soak/src/run.rs
+++ b/crates/fes-soak/src/run.rs
@@ -157,6 +157,7 @@
 
 async fn start(options: &SoakOptions) -> std::io::Result<Soak> {
     let record = Rc::new(RefCell::new(Record::default()));
+    record.borrow_mut().checks_drains = options.fault_kinds != FaultKinds::All;
     let (network, store) = start_store().await?;
     let service_of = |target| match target < options.targets {
         true => SERVICE,
@@ -270,8 +271,13 @@
             Fault::Store(mode) => self.store.mode.set(mode),
             Fault::DropHistory => self.store.drop_history(),
             Fault::CopyStore => self.store.take_copy(),
-            Fault::ReturnFromCopy => self.store.mode.set(StoreMode::Unavailable),
-            Fault::RewriteRoutes => self.write_routes(),
+            Fault::ReturnFromCopy => self.store.go_away(),
+            Fault::RewriteRoutes => {
+                self.write_routes();
+                let (copied_at, went_away_at) = self.store.copied_and_went_away_at();
+                let routes = &mut self.record.borrow_mut().routes;
+                routes.record_written_again(Instant::now(), copied_at, went_away_at);
+            }
             Fault::CrashTarget(target) => self.targets[target].crash(),
             Fault::ClientLoss(percent) => self.clients.loss_percent.set(percent),
             Fault::Link(fault) => self.relay.start_fault(fault),
--- a/crates/fes-soak/src/store.rs
+++ b/crates/fes-soak/src/store.rs
@@ -82,6 +82,9 @@
     /// Number of times that the store has come back from a copy, plus one.
     era: Cell<u64>,
     copy: RefCell<Option<StoreCopy>>,
+    copied_at: Cell<Instant>,
+    went_away_at: Cell<Instant>,
+    back_at: Cell<Instant>,
     reads: Cell<ReadCounts>,
     /// Current behaviour.
     pub mode: Cell<StoreMode>,
@@ -97,6 +100,9 @@
             revision: Cell::new(1),
             era: Cell::new(1),
             copy: RefCell::default(),
+            copied_at: Cell::new(Instant::now()),
+            went_away_at: Cell::new(Instant::now()),
+            back_at: Cell::new(Instant::now()),
             reads: Cell::default(),
             mode: Cell::new(StoreMode::Available),
         });
@@ -148,12 +154,19 @@
 
     /// Takes a copy of the data.
     pub fn take_copy(&self) {
+        self.copied_at.set(Instant::now());
         *self.copy.borrow_mut() = Some(StoreCopy {
             items: self.items.borrow().clone(),
             revision: self.revision.get(),
         });
     }
 
+    /// Becomes unavailable, to come back from the copy.
+    pub fn go_away(&self) {
+        self.went_away_at.set(Instant::now());
+        self.mode.set(StoreMode::Unavailable);
+    }
+
     /// Comes back from the copy, if there is one. What was written since is lost, and revisions are
     /// given out again.
     pub fn come_back_from_copy(&self) {
@@ -164,6 +177,17 @@
         self.events.borrow_mut().clear();
         self.revision.set(copy.revision);
         self.era.set(self.era.get() + 1);
+        self.back_at.set(Instant::now());
+    }
+
+    /// Returns when the latest copy was taken, and when the store last went away after it.
+    pub const fn copied_and_went_away_at(&self) -> (Instant, Instant) {
+        (self.copied_at.get(), self.went_away_at.get())
+    }
+
+    /// Returns when the store last came back from a copy, or its start.
+    pub const fn back_at(&self) -> Instant {
+        self.back_at.get()
     }
 
     /// Returns the calls received since the previous call of this method. Calls that failed count.
--- a/crates/fes-soak/src/targets.rs
+++ b/crates/fes-soak/src/targets.rs
@@ -36,8 +36,11 @@
 use crate::network::non_repeatable_destination;
 use crate::record::Record;
 use crate::store::Store;
+use crate::store::StoreMode;
 use crate::target_listener::TargetListener;
 
+/// Time within which all entries know that a target drains, and that the store came back from a copy.
+const MAX_DRAIN_NOTICE_MS: u64 = 2_000;
 const HEARTBEAT_INTERVAL_MS: u64 = 400;
 const MISSED_HEARTBEATS_UNTIL_EXPIRY: u32 = 3;
 const REQUEST_DURATION_MS: u64 = 15;
@@ -66,6 +69,8 @@
     started_at_ms: Cell<u64>,
     is_up: Cell<bool>,
     is_draining: Cell<bool>,
+    /// When the target first wrote that it drains.
+    drains_since: Cell<Option<Instant>>,
     has_ended: Cell<bool>,
     /// Number of requests that run.
     running: Cell<u32>,
@@ -95,6 +100,7 @@
             started_at_ms: Cell::new(INITIAL_START_MS),
             is_up: Cell::new(true),
             is_draining: Cell::new(false),
+            drains_since: Cell::new(None),
             has_ended: Cell::new(false),
             running: Cell::new(0),
             writes: Cell::new(0),
@@ -139,6 +145,7 @@
     pub fn drain(&self) {
         if self.is_up.get() {
             self.is_draining.set(true);
+            self.drains_since.set(Some(Instant::now()));
             self.register();
         }
     }
@@ -178,6 +185,7 @@
         self.listener.start()?;
         self.started_at_ms.set(self.started_at_ms.get() + 1_000);
         self.is_draining.set(false);
+        self.drains_since.set(None);
         self.is_up.set(true);
         Ok(())
     }
@@ -373,6 +381,9 @@
             // The client has closed the former flow of its port.
             flows.remove(&segment.flow);
         }
+        if !flows.contains_key(&segment.flow) {
+            self.check_drain();
+        }
         let flow = flows.entry(segment.flow).or_insert_with(|| Flow {
             initial_sequence: rand::rng().random(),
             client_initial_sequence: segment.sequence,
@@ -395,6 +406,24 @@
         self.send(&encode_packet(&syn_ack, &[]));
     }
 
+    /// Checks that a new flow is no late one of a draining target, unless a fault may have kept the
+    /// entries from learning of the drain.
+    fn check_drain(&self) {
+        let Some(drains_since) = self.drains_since.get() else {
+            return;
+        };
+        let written_again = self.store.back_at() + Duration::from_millis(HEARTBEAT_INTERVAL_MS);
+        let told_since = drains_since.max(written_again);
+        let is_late = told_since.elapsed() > Duration::from_millis(MAX_DRAIN_NOTICE_MS);
+        let is_checked = self.record.borrow().checks_drains;
+        if is_checked && is_late && self.store.mode.get() == StoreMode::Available {
+            let elapsed_ms = told_since.elapsed().as_millis();
+            self.record_violation(&format!(
+                "a new flow {elapsed_ms} ms after it began to drain"
+            ));
+        }
+    }
+
     fn send(&self, bytes: &[u8]) {
         let agent = SocketAddrV4::new(self.network.target(self.index), FROM_TARGET_PORT);
         // A packet is lost if the agent isn't running, as on a real VM.
