--- a/crates/fes-passthrough/tests/eras.rs
+++ b/crates/fes-passthrough/tests/eras.rs
@@ -24,6 +24,7 @@
 use fes_protocol::UpstreamName;
 use rstest::rstest;
 
+use support::entry_fleet::EntryFleet;
 use support::fixtures::OTHER_SERVICE;
 use support::fixtures::SERVICE;
 use support::fixtures::entry_vm;
@@ -244,77 +245,35 @@
     assert_eq!((after_return, is_evacuated(&view)), (last, expected));
 }
 
-struct Node {
-    vm: Ipv4Addr,
-    view: FleetView,
-    gossip: ViewGossip,
-}
-
-fn node(index: usize, view: FleetView) -> Node {
-    let seeds = [entry_vm(0), entry_vm(1)];
-    Node {
-        vm: entry_vm(index),
-        view,
-        gossip: ViewGossip::new(entry_vm(index), 1, &seeds),
-    }
+/// Encodes and decodes a message as on its way between two processes.
+fn encoded(message: Message) -> Message {
+    let mut bytes = Vec::new();
+    encode_message(&message, &mut bytes).expect("fits");
+    decode_message(&bytes).expect("decodes").0
 }
 
-/// Encodes and decodes a message as between two processes, of which one may be of a version that
-/// knows of no era and ignores the extension of digests.
-fn transport(message: &Message, is_former_version: bool) -> Message {
-    let mut bytes = Vec::new();
-    encode_message(message, &mut bytes).expect("fits");
-    let mut message = decode_message(&bytes).expect("decodes").0;
-    if let (Message::Digest(digest), true) = (&mut message, is_former_version) {
-        *digest = ViewDigest {
+/// Encodes and decodes a message between two processes of which one is of a version that knows of no
+/// era, so that its digests have none and it ignores those of others.
+fn encoded_without_era(message: Message) -> Message {
+    match encoded(message) {
+        Message::Digest(digest) => Message::Digest(ViewDigest {
             revision: number_of(digest.revision),
             supports_eras: false,
-            ..digest.clone()
-        };
+            ..digest
+        }),
+        message => message,
     }
-    message
 }
 
-fn exchange(nodes: &mut [Node; 2], from: MonoTime, until: MonoTime, is_former_version: bool) {
-    let mut now = from;
-    while now < until {
-        let mut pending = Vec::new();
-        for node in nodes.iter_mut() {
-            let sent = node.gossip.on_tick(now, &node.view);
-            pending.extend(sent.into_iter().map(|(to, m)| (node.vm, to, m)));
-        }
-        while let Some((from_vm, to, message)) = pending.pop() {
-            let Some(node) = nodes.iter_mut().find(|node| node.vm == to) else {
-                continue;
-            };
-            let message = transport(&message, is_former_version);
-            let answers = match &message {
-                Message::Digest(digest) => {
-                    node.gossip.on_digest(now, from_vm, digest, &mut node.view)
-                }
-                Message::Targets(part) => {
-                    let update = node.gossip.on_targets(now, from_vm, part, &node.view);
-                    for change in update.changes {
-                        node.view.apply(now, change);
-                    }
-                    if let Some((revision, at)) = update.confirmed {
-                        node.view.confirm_by_peer(at, revision);
-                    }
-                    Vec::new()
-                }
-                Message::Routes(part) => {
-                    let change = node.gossip.on_routes(from_vm, part);
-                    change
-                        .into_iter()
-                        .for_each(|change| drop(node.view.apply(now, change)));
-                    Vec::new()
-                }
-                _ => Vec::new(),
-            };
-            pending.extend(answers.into_iter().map(|(next, m)| (to, next, m)));
-        }
-        now = now.plus_ms(100);
+/// Returns two entries with these views that can't reach the platform.
+fn two_entries(views: [FleetView; 2], transport: fn(Message) -> Message) -> EntryFleet {
+    let mut fleet = EntryFleet::new(2, 2, 1);
+    fleet.now = BACK;
+    fleet.transport = transport;
+    for (node, view) in fleet.nodes.iter_mut().zip(views) {
+        node.view = view;
     }
+    fleet
 }
 
 /// Guards against an entry that doesn't read the platform, or was cut off from it, and holds on to the
@@ -328,21 +287,21 @@
             record(1, 301, 2, 9),
         ]
     };
-    let mut nodes = [
-        node(0, view_before(records())),
-        node(1, view_before(records())),
-    ];
+    let views = [view_before(records()), view_before(records())];
+    let mut fleet = two_entries(views, encoded);
     let copied = vec![record(2, 90, 0, 35), record(2, 91, 1, 35)];
-    come_back(&mut nodes[0].view, BACK, 2, copied);
+    let reader = &mut fleet.nodes[0].view;
+    come_back(reader, BACK, 2, copied);
     let drains = ListChange::Target(draining(record(2, 112, 0, 45)));
-    nodes[0].view.apply(BACK, drains);
-    nodes[0].view.confirm(BACK, revision_in_era(2, 112));
+    reader.apply(BACK, drains);
+    reader.confirm(BACK, revision_in_era(2, 112));
 
-    exchange(&mut nodes, BACK, BACK.plus_ms(1_000), false);
-    let kept = state_of(&nodes[1].view, 2);
-    nodes[1].view.expire(BACK.plus_ms(4_000));
+    fleet.run(1_000);
+    let peer = &mut fleet.nodes[1].view;
+    let kept = state_of(peer, 2);
+    peer.expire(BACK.plus_ms(4_000));
 
-    let view = &nodes[1].view;
+    let view = &fleet.nodes[1].view;
     assert_eq!(view.revision(), revision_in_era(2, 112));
     assert_eq!(state_of(view, 0), Some(TargetState::Draining));
     assert_eq!(state_of(view, 1), Some(TargetState::Draining));
@@ -361,11 +320,13 @@
         ListChange::Routes(routes(8, SERVICE)),
     ];
     list(&mut former, MonoTime::from_ms(5_000), 0, 350, listed.into());
-    let mut nodes = [node(0, newer), node(1, former)];
+    let mut fleet = two_entries([newer, former], encoded_without_era);
 
-    exchange(&mut nodes, BACK, BACK.plus_ms(1_000), true);
+    fleet.run(1_000);
 
-    let [newer, former] = nodes;
+    let [newer, former] = fleet.nodes.as_slice() else {
+        panic!("two entries");
+    };
     assert_eq!(newer.view.revision(), revision_in_era(1, LAST));
     assert_eq!(state_of(&newer.view, 0), Some(TargetState::Draining));
     assert_eq!(former.view.revision(), LAST);
--- a/crates/fes-passthrough/tests/support/entry_fleet.rs
+++ b/crates/fes-passthrough/tests/support/entry_fleet.rs
@@ -34,6 +34,8 @@
     /// List of the platform, and its revision.
     pub listing: Vec<ListChange>,
     pub revision: u64,
+    /// What becomes of a message on its way.
+    pub transport: fn(Message) -> Message,
     refused: usize,
     by_vm: HashMap<Ipv4Addr, usize>,
 }
@@ -58,6 +60,7 @@
                 ListChange::Routes(routes(3, SERVICE)),
             ],
             revision: 20,
+            transport: |message| message,
             refused,
             by_vm: (0..entries).map(|index| (entry_vm(index), index)).collect(),
         }
@@ -112,7 +115,7 @@
                 continue;
             };
             let node = &mut self.nodes[*index];
-            let answers = node.handle(now, from, &message);
+            let answers = node.handle(now, from, &(self.transport)(message));
             in_flight.extend(answers.into_iter().map(|(next, answer)| (to, next, answer)));
         }
     }
