--- /dev/null
+++ b/review/standin-3/case_drill.rs
@@ -0,0 +1,117 @@
+//! Entries are restarted in turn while the store comes back from a copy that lacks a new target.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::clients::{Clients, End};
+use crate::{config, route_address, Layout, Record, RouteSpec, Verdict, World};
+
+const PORT: u16 = 8443;
+const STREAMS_PER_ZONE: usize = 30;
+/// Time between the end of a process and its restart.
+const RESTART_MS: u64 = 500;
+
+struct Reset {
+    at: Instant,
+    client: std::net::SocketAddrV4,
+}
+
+pub fn run(record: &Record, has_trouble: bool) -> std::io::Result<Verdict> {
+    let layout = Layout {
+        entries: vec!["wm-a", "wm-a", "wm-b", "wm-c"],
+        targets: vec![("market-core", "wm-a"), ("market-core", "wm-b"), ("market-core", "wm-c")],
+        slots: 4,
+        work_ms: 10,
+        cold_ms: 0,
+        extra_bounds: "",
+    };
+    let routes = [RouteSpec { port: PORT, kind: "idempotent", timeout_ms: 1_000, service: "market-core" }];
+    let services = "{\"name\":\"market-core\",\"healthCheckPath\":\"/health\",\"maxConnections\":2000,\"protocol\":\"h1\",\"tls\":false}";
+    let mut world = World::start(&layout, &config(7, &routes, services), record.clone())?;
+    if !world.await_ready() {
+        world.end();
+        return Ok(Verdict::NotRun);
+    }
+    world.sleep_ms(3_000);
+    let resets: Arc<Mutex<Vec<Reset>>> = Arc::default();
+    let is_over = Arc::new(AtomicBool::new(false));
+    let copy = world.store.copy();
+    record.line("a copy of the store is taken");
+    world.add_target("market-core", "wm-a", &layout)?;
+    world.add_target("market-core", "wm-b", &layout)?;
+    record.line("new targets start");
+    world.sleep_ms(1_200);
+    let mut threads = Vec::new();
+    for zone in ["wm-a", "wm-b", "wm-c"] {
+        let clients = world.clients(zone)?;
+        for _ in 0..STREAMS_PER_ZONE {
+            let (clients, resets, is_over) = (Arc::clone(&clients), Arc::clone(&resets), Arc::clone(&is_over));
+            threads.push(std::thread::spawn(move || run_stream(&clients, &resets, &is_over)));
+        }
+    }
+    world.sleep_ms(1_000);
+    record.line("two entries are told to stop, to be restarted");
+    for index in [0, 2] {
+        world.entries[index].terminate();
+    }
+    if has_trouble {
+        while !world.entries[0].has_ended() {
+            world.sleep_ms(10);
+        }
+        world.store.go_away();
+        record.line("the store is away");
+        world.sleep_ms(RESTART_MS - 50);
+        world.store.come_back_from(copy);
+        record.line("the store is back from the copy");
+        world.sleep_ms(50);
+    }
+    let mut restarted = [false; 4];
+    let end = Instant::now() + Duration::from_secs(8);
+    while Instant::now() < end && !(restarted[0] && restarted[2]) {
+        for index in [0, 2] {
+            if !restarted[index] && world.entries[index].has_ended() {
+                world.entries[index].start()?;
+                restarted[index] = true;
+                record.line(&format!("{} starts again", world.entries[index].place.name));
+            }
+        }
+        world.sleep_ms(10);
+    }
+    world.sleep_ms(4_000);
+    is_over.store(true, Ordering::SeqCst);
+    threads.into_iter().for_each(|thread| drop(thread.join()));
+    let seen = world.seen.lock().unwrap();
+    let resets = resets.lock().unwrap();
+    for reset in resets.iter() {
+        let target = seen.open_flows.get(&reset.client).cloned().unwrap_or_default();
+        record.line(&format!("open flow of {} at {target}, which lives, was reset at {} ms", reset.client, reset.at.duration_since(world.started).as_millis()));
+    }
+    record.line(&format!("{} flows were opened, {} of them reset; {} requests ran", seen.open_flows.len(), resets.len(), seen.runs.len()));
+    seen.faults.iter().for_each(|fault| record.line(fault));
+    let verdict = match (seen.runs.len(), resets.len()) {
+        (0..500, _) => Verdict::NotRun,
+        (_, 0) => Verdict::Held,
+        _ => Verdict::Broken,
+    };
+    drop((seen, resets));
+    world.end();
+    Ok(verdict)
+}
+
+fn run_stream(clients: &Clients, resets: &Mutex<Vec<Reset>>, is_over: &AtomicBool) {
+    while !is_over.load(Ordering::SeqCst) {
+        let Ok(mut flow) = clients.open(route_address(PORT)) else { continue };
+        while !is_over.load(Ordering::SeqCst) {
+            match clients.request(&mut flow, 1_000).1 {
+                End::Done => std::thread::sleep(Duration::from_millis(120)),
+                End::Reset => {
+                    resets.lock().unwrap().push(Reset { at: Instant::now(), client: flow.client });
+                    break;
+                }
+                End::Unanswered => break,
+            }
+        }
+        clients.close(&flow);
+    }
+}
