--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -7,8 +7,11 @@
 mod targets;
 mod wire;
 
+mod case_cold;
 mod case_drill;
+mod case_planned;
 mod case_readers;
+mod case_routes;
 
 use std::fs::File;
 use std::io::Write;
@@ -67,6 +70,10 @@
 }
 
 impl Record {
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
     pub fn line(&self, text: &str) {
         let ms = self.started.elapsed().as_millis();
         let _ = writeln!(self.file.lock().unwrap(), "{:>7}.{:03} {text}", ms / 1_000, ms % 1_000);
@@ -236,7 +243,10 @@
     let record = Record { file: Arc::new(Mutex::new(file)), started: Instant::now() };
     record.line(&format!("case {case}, with the disruption: {has_trouble}"));
     let verdict = match case.as_str() {
+        "cold" => case_cold::run(&record, has_trouble),
         "drill" => case_drill::run(&record, has_trouble),
+        "planned" => case_planned::run(&record, has_trouble),
+        "routes" => case_routes::run(&record, has_trouble),
         "readers" => case_readers::run(&record, has_trouble),
         _ => Ok(Verdict::NotRun),
     };
