--- a/review/standin-3/clients.rs
+++ b/review/standin-3/clients.rs
@@ -179,6 +179,9 @@
         } else {
             ready
         };
+        if std::env::var_os("HASH_MOD").is_some() && !candidates.is_empty() {
+            return Some(self.entries[candidates[usize::from(header.from.port()) % candidates.len()]].ip);
+        }
         let weight = |index: &usize| {
             let mixed = u64::from(header.from.port()) << 32 ^ u64::from(u32::from(self.entries[*index].ip));
             let mixed = mixed.wrapping_add(0x9e37_79b9_7f4a_7c15).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -11,6 +11,7 @@
 mod case_drill;
 mod case_planned;
 mod case_readers;
+mod case_release;
 mod case_routes;
 
 use std::fs::File;
@@ -18,6 +19,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -29,6 +31,9 @@
 const STORE_PORT: u16 = 8169;
 const FIRST_SUBNET: u8 = 30;
 const LAST_SUBNET: u8 = 220;
+const PAUSE_STEP_MS: u64 = 10;
+/// With a longer pause of the machine, a case isn't judged.
+const MAX_PAUSE_MS: u64 = 200;
 
 /// Result of a case.
 pub enum Verdict {
@@ -60,6 +65,7 @@
     subnet: u8,
     directory: PathBuf,
     shared: Shared,
+    longest_pause_ms: Arc<AtomicU64>,
 }
 
 /// Record of what was sent, answered and run.
@@ -116,6 +122,7 @@
             subnet,
             directory,
             shared,
+            longest_pause_ms: watch_pauses(),
         };
         for (service, zone) in &layout.targets {
             world.add_target(service, zone, layout)?;
@@ -178,8 +185,17 @@
         std::thread::sleep(Duration::from_millis(ms));
     }
 
-    /// Ends all processes, and removes their settings. Their logs stay if `KEEP_LOGS` is set.
-    pub fn end(mut self) {
+    /// Returns whether the machine ran the case without a long pause.
+    pub fn ran_in_time(&self) -> bool {
+        let longest_ms = self.longest_pause_ms.load(Ordering::SeqCst);
+        self.record.line(&format!("longest pause of the stand-ins: {longest_ms} ms"));
+        longest_ms <= MAX_PAUSE_MS
+    }
+}
+
+impl Drop for World {
+    /// Ends all processes, and removes their settings and logs. These stay if `KEEP_LOGS` is set.
+    fn drop(&mut self) {
         self.entries.clear();
         self.agents.clear();
         if std::env::var_os("KEEP_LOGS").is_none() {
@@ -190,6 +206,19 @@
     }
 }
 
+/// Measures the longest time for which the machine didn't run the stand-ins.
+fn watch_pauses() -> Arc<AtomicU64> {
+    let longest_ms = Arc::new(AtomicU64::new(0));
+    let measured = Arc::clone(&longest_ms);
+    std::thread::spawn(move || loop {
+        let started = Instant::now();
+        std::thread::sleep(Duration::from_millis(PAUSE_STEP_MS));
+        let pause_ms = (started.elapsed().as_millis() as u64).saturating_sub(PAUSE_STEP_MS);
+        measured.fetch_max(pause_ms, Ordering::SeqCst);
+    });
+    longest_ms
+}
+
 fn zone_number(zone: &str) -> u8 {
     ZONES.iter().position(|name| *name == zone).map_or(0, |index| index as u8 + 1)
 }
@@ -247,6 +276,7 @@
         "drill" => case_drill::run(&record, has_trouble),
         "planned" => case_planned::run(&record, has_trouble),
         "routes" => case_routes::run(&record, has_trouble),
+        "release" => case_release::run(&record, has_trouble),
         "readers" => case_readers::run(&record, has_trouble),
         _ => Ok(Verdict::NotRun),
     };
