--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -8,6 +8,7 @@
 mod wire;
 
 mod case_drill;
+mod case_evacuation;
 mod case_readers;
 mod case_routes;
 
@@ -323,6 +324,7 @@
     let verdict = match case.as_str() {
         "drill" => case_drill::run(&record, has_trouble),
         "routes" => case_routes::run(&record, has_trouble),
+        "evacuation" => case_evacuation::run(&record, has_trouble),
         "readers" => case_readers::run(&record, has_trouble),
         _ => Ok(Verdict::NotRun),
     };
